--- a/harness/cluster.ts
+++ b/harness/cluster.ts
@@ -1,4 +1,5 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {Agent} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -19,6 +20,7 @@
 
 const startLimitMs = 10_000;
 const pollMs = 25;
+const controlLimitMs = 5000;
 const firstPort = 20_000;
 const portRange = 10_000;
 
@@ -70,14 +72,19 @@
 	}
 }
 
+/** Control calls use connections of their own, as the others may be muted. */
+function controlOptions() {
+	return {retry: {limit: 0}, agent: {http: new Agent({keepAlive: false})}, timeout: {request: controlLimitMs}};
+}
+
 /** Posts JSON to a control interface of a stand-in. */
 export async function control(address: string, path: string, body: unknown): Promise<void> {
-	await got.post(`http://${address}/control/${path}`, {json: body, retry: {limit: 0}});
+	await got.post(`http://${address}/control/${path}`, {json: body, ...controlOptions()});
 }
 
 /** Reads JSON from a control interface of a stand-in. */
 export async function readControl<Value>(address: string, path: string): Promise<Value> {
-	return got(`http://${address}/control/${path}`, {retry: {limit: 0}}).json<Value>();
+	return got(`http://${address}/control/${path}`, controlOptions()).json<Value>();
 }
 
 /** Platform, backend servers and entry instances as processes on loopback, for the demo, the tests and the soak. */
@@ -193,7 +200,7 @@
 
 	/** The value of a metric of an entry instance; 0 where it has none. */
 	async metric({callers}: Entry, series: string): Promise<number> {
-		const text = await got(`http://${callers}/metrics`, {retry: {limit: 0}}).text();
+		const text = await got(`http://${callers}/metrics`, controlOptions()).text();
 		const line = text.split('\n').find(candidate => candidate.startsWith(`${series} `));
 		return Number(line?.split(' ').at(-1) ?? 0);
 	}
--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -119,7 +119,7 @@
 				throw obstacle;
 			}
 
-			exchange.body = {status: 'ready'};
+			exchange.body = {status: 'ready', version: this.parts.gate.version};
 		});
 		router.get('/metrics', exchange => {
 			exchange.type = 'text/plain';
--- a/src/callers/gate.ts
+++ b/src/callers/gate.ts
@@ -26,6 +26,11 @@
 		private readonly timers: TimerService,
 	) {}
 
+	/** Version of the configuration in force; -1 where none is known. */
+	get version(): number {
+		return this.keeper.version();
+	}
+
 	/** Why the instance takes no new work; undefined where it does. */
 	obstacle(): Failure | undefined {
 		if (this.keeper.version() < 0) {
--- a/src/command/sheet-commands.ts
+++ b/src/command/sheet-commands.ts
@@ -59,7 +59,7 @@
 			}
 
 			const state = result.isUnchanged ? 'was in force already' : 'is accepted';
-			return success(result, `${file} ${state} as version ${result.version}`);
+			return success(result, `${file} ${state} as version ${result.version}; in force at ${result.inForce} of ${result.instances} instances`);
 		});
 	}));
 }
--- a/src/configuration/sheet-office.ts
+++ b/src/configuration/sheet-office.ts
@@ -10,16 +10,23 @@
 import {differenceBetween} from './difference.js';
 import {parseSheet} from './sheet-parser.js';
 import {type Sheet} from './sheet.js';
+import {type Spread} from './spread.js';
 import {type Submission, type SubmissionResult} from './submission.js';
 
 const patienceMs = 3000;
 const pauseMs = 150;
 
+type Accepted = {
+	readonly version: number;
+	readonly isUnchanged: boolean;
+};
+
 /** Accepts planners' sheets: one conditional write of the next version over the version that the planner saw. */
 export class SheetOffice {
 	constructor(
 		private readonly archive: ConfigurationArchive,
 		private readonly keeper: ConfigurationKeeper,
+		private readonly spread: Spread,
 		private readonly timers: TimerService,
 	) {}
 
@@ -31,9 +38,17 @@
 	async submit(submission: Submission): Promise<SubmissionResult> {
 		const {sheet, problems} = parseSheet(submission.text);
 		if (!sheet) {
-			return {isUnchanged: false, problems};
+			return {
+				isUnchanged: false, problems, inForce: 0, instances: 0,
+			};
 		}
 
+		const accepted = await this.accept(submission, sheet);
+		const spread = await this.spread.confirm(accepted.version);
+		return {...accepted, problems: [], ...spread};
+	}
+
+	private async accept(submission: Submission, sheet: Sheet): Promise<Accepted> {
 		const deadline = this.timers.now() + patienceMs;
 		let mayHaveLanded = false;
 		for (;;) {
@@ -68,12 +83,12 @@
 	}
 
 	/** One try; undefined where a race calls for another look. */
-	private async tryOnce(submission: Submission, sheet: Sheet): Promise<SubmissionResult | undefined> {
+	private async tryOnce(submission: Submission, sheet: Sheet): Promise<Accepted | undefined> {
 		const head = await this.archive.head();
 		if (head.digest === sheet.digest) {
 			const configuration = {version: head.version, sheet};
 			this.keeper.apply(configuration);
-			return {version: head.version, isUnchanged: head.submission !== submission.id, problems: []};
+			return {version: head.version, isUnchanged: head.submission !== submission.id};
 		}
 
 		if (head.version !== submission.seen) {
@@ -95,15 +110,15 @@
 		}
 
 		this.keeper.apply({version: acceptance.version, sheet});
-		return {version: acceptance.version, isUnchanged: false, problems: []};
+		return {version: acceptance.version, isUnchanged: false};
 	}
 
 	/** Finds the submission among the versions since the one that its planner saw, or tells who was faster. */
-	private async settleRace(submission: Submission, head: Head): Promise<SubmissionResult> {
+	private async settleRace(submission: Submission, head: Head): Promise<Accepted> {
 		const acceptances = await this.archive.acceptances(Math.min(submission.seen, head.version), head.version);
 		const own = acceptances.find(acceptance => acceptance.submission === submission.id);
 		if (own) {
-			return {version: own.version, isUnchanged: false, problems: []};
+			return {version: own.version, isUnchanged: false};
 		}
 
 		const changes = acceptances.map(({version, planner, difference}) => {
--- a/src/configuration/submission.ts
+++ b/src/configuration/submission.ts
@@ -18,4 +18,8 @@
 	/** Whether it was in force already. */
 	readonly isUnchanged: boolean;
 	readonly problems: readonly SheetProblem[];
+	/** Number of instances, this one among them, that are known to have it in force; 0 where it was not accepted. */
+	readonly inForce: number;
+	/** Number of instances that are alive. */
+	readonly instances: number;
 };
--- a/src/peers/peer-desk.ts
+++ b/src/peers/peer-desk.ts
@@ -76,8 +76,10 @@
 		}
 	}
 
-	announced(address: string, version: number): void {
-		void this.follower.pull(address, version);
+	/** A peer has a newer configuration: takes it over and says which version is then in force here. */
+	async announced(address: string, version: number): Promise<number> {
+		await this.follower.pull(address, version);
+		return this.keeper.version();
 	}
 
 	private async probe(id: string): Promise<boolean> {
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -19,6 +19,6 @@
 	/** Everything that a peer knows of the instance list. */
 	abstract listing(address: string): Promise<readonly ListedInstance[]>;
 
-	/** Tells a peer that a version is in force here. Failures are ignored: probes carry the version too. */
-	abstract announce(address: string, version: number): Promise<void>;
+	/** Tells a peer that a version is in force here. Resolves to the version then in force there; -1 where it gives no answer. */
+	abstract announce(address: string, version: number): Promise<number>;
 }
--- a/src/peers/procedures.ts
+++ b/src/peers/procedures.ts
@@ -37,9 +37,7 @@
 		probe: peer.input(peerMessageSchema).mutation(async ({input}) => peerDesk.probed(input)),
 		probeThrough: peer.input(z.object({target: z.string()})).mutation(async ({input}) => peerDesk.probeFor(input.target)),
 		update: peer.input(z.object({version: z.number().int()})).query(({input}) => peerDesk.updateFor(input.version)),
-		announce: peer.input(z.object({address: z.string(), version: z.number().int()})).mutation(({input}) => {
-			peerDesk.announced(input.address, input.version);
-		}),
+		announce: peer.input(z.object({address: z.string(), version: z.number().int()})).mutation(async ({input}) => peerDesk.announced(input.address, input.version)),
 		listing: peer.query(() => [...peerDesk.listing()]),
 		submitSheet: operator
 			.input(z.object({
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -57,11 +57,12 @@
 		return this.call(address, this.limit * 2, async (client, signal) => client.listing.query(undefined, {signal}));
 	}
 
-	async announce(address: string, version: number): Promise<void> {
+	async announce(address: string, version: number): Promise<number> {
 		try {
-			await this.call(address, this.limit, async (client, signal) => client.announce.mutate({address: this.self, version}, {signal}));
+			return await this.call(address, this.limit * 2, async (client, signal) => client.announce.mutate({address: this.self, version}, {signal}));
 		} catch {
 			// The next probe carries the version.
+			return -1;
 		}
 	}
 
--- a/src/usage/allowance.ts
+++ b/src/usage/allowance.ts
@@ -9,8 +9,8 @@
 /**
 What one instance may spend for one workspace in one window.
 
-While the table is down, an instance that has spent its grants goes on with an outage allowance of tokens / instances for the window and streams / instances. The bound over all instances in one window is therefore
-`used ≤ L + Σ over instances i of ⌈L / Nᵢ⌉`, where `L` is the tokens a minute and `Nᵢ` the number of entry instances that instance `i` has seen, at least 1.
+While the table is down, a process that has spent its grants goes on with an outage allowance: its part of the tokens a minute and of the streams, once a window. The bound over all processes that run in one window is therefore
+`used ≤ L + Σ over processes i of ⌈L / Nᵢ⌉`, where `L` is the tokens a minute and `Nᵢ` the number of entry instances on the instance list that process `i` last saw, alive or not. A process that has never seen the list has no outage allowance.
 */
 export class Allowance {
 	private grantedTokens = 0;
@@ -61,11 +61,14 @@
 		this.grantedStreams = streams;
 	}
 
-	/** Opens the outage allowance, once for the window. */
+	/**
+	Opens the outage allowance, once for the window.
+
+	@param instances - number of entry instances on the list; 0 where it was never seen
+	*/
 	openOutageAllowance(workspace: Workspace, instances: number): void {
-		const sharers = Math.max(1, instances);
-		this.outageTokens = Math.ceil(workspace.tokensPerMinute / sharers);
-		this.outageStreams = Math.ceil(workspace.concurrentStreams / sharers);
+		this.outageTokens = instances === 0 ? 0 : Math.ceil(workspace.tokensPerMinute / instances);
+		this.outageStreams = instances === 0 ? 0 : Math.ceil(workspace.concurrentStreams / instances);
 	}
 
 	/** Closes the outage allowance for further reservations; what is reserved of it stays. */
--- a/src/usage/meter.ts
+++ b/src/usage/meter.ts
@@ -36,7 +36,7 @@
 
 	/**
 	@param holder - the instance and the start of its process; unique
-	@param instances - the number of entry instances seen
+	@param instances - the number of entry instances on the list; 0 before it was seen
 	*/
 	constructor(
 		private readonly table: Table,
@@ -144,7 +144,7 @@
 			}
 		} catch (error) {
 			this.log.warn(`No grant for ${workspace.name}, the outage allowance applies: ${messageOf(error)}.`);
-			allowance.openOutageAllowance(workspace, instances);
+			allowance.openOutageAllowance(workspace, this.instances());
 		}
 	}
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -10,6 +10,7 @@
 import {ConfigurationFollower} from './configuration/configuration-follower.js';
 import {ConfigurationKeeper} from './configuration/configuration-keeper.js';
 import {Freshness} from './configuration/freshness.js';
+import {Spread} from './configuration/spread.js';
 import {SheetOffice} from './configuration/sheet-office.js';
 import {Capacity} from './drafts/capacity.js';
 import {DraftService} from './drafts/draft-service.js';
@@ -67,13 +68,13 @@
 	const keeper = new ConfigurationKeeper(invariants);
 	const freshness = new Freshness(confirmationLimitMs);
 	const follower = new ConfigurationFollower(archive, keeper, freshness, peers, timers, random, metrics, partLog(log, 'configuration'));
-	const office = new SheetOffice(archive, keeper, timers);
+	const office = new SheetOffice(archive, keeper, new Spread(peers, timers), timers);
 
 	const engine = new HttpModelEngine(timers);
 	const plainService = new HttpPlainService(timers);
 	const policy = new FlowPolicy(random);
 	const budget = new RetryBudget(limits.retry_ratio, leastRetries);
-	const meter = new Meter(table, timers, `${instance.id}/${randomUUID()}`, instanceCount, invariants, partLog(log, 'usage'));
+	const meter = new Meter(table, timers, `${instance.id}/${randomUUID()}`, () => fleet.entryInstances().size, invariants, partLog(log, 'usage'));
 	const ledger = new ActionLedger(table, timers, instance.id, partLog(log, 'actions'));
 	const drafts = new DraftService(
 		{
--- a/stand-ins/engine-stand-in.ts
+++ b/stand-ins/engine-stand-in.ts
@@ -34,6 +34,7 @@
 
 const unreadLimitMs = 3000;
 const loadDurationMs = 300;
+const connectionFaultDelayMs = 20;
 const mostSessions = 5000;
 
 /** A model engine without a model: it holds a layer range, batches continuously, and checks all that reaches it. */
@@ -476,13 +477,16 @@
 			this.leavingSince = this.timers.now();
 		}
 
-		if (faults.muteConnections) {
-			this.server.muteConnections();
-		}
+		// The order itself is answered first.
+		this.timers.after(connectionFaultDelayMs, () => {
+			if (faults.muteConnections) {
+				this.server.muteConnections();
+			}
 
-		if (faults.resetConnections) {
-			this.server.resetConnections();
-		}
+			if (faults.resetConnections) {
+				this.server.resetConnections();
+			}
+		});
 
 		return {};
 	}
--- /dev/null
+++ b/test/support/fake-table.ts
@@ -0,0 +1,92 @@
+import {PlatformError} from '../../src/platform/platform-error.js';
+import {type Row} from '../../src/platform/row.js';
+import {Table} from '../../src/platform/table.js';
+import {type Transaction} from '../../src/platform/transaction.js';
+import {type Write} from '../../src/platform/write.js';
+
+/** What happens to one call of the fake table. */
+export enum TableFate {
+	Answered = 'answered',
+	/** Nothing happens, and the caller learns so. */
+	Refused = 'refused',
+	/** It takes effect, but the answer is lost. */
+	AnswerLost = 'answer_lost',
+	/** It seems lost and takes effect later. */
+	Late = 'late',
+}
+
+/** A table in memory whose calls meet the fates that a test prescribes. */
+export class FakeTable extends Table {
+	readonly rows = new Map<string, Row>();
+	transactions = 0;
+	private readonly late: Array<readonly Write[]> = [];
+
+	/**
+	@param nextFate - the fate of the next call
+	*/
+	constructor(public nextFate: () => TableFate = () => TableFate.Answered) {
+		super();
+	}
+
+	async read(key: string): Promise<Row | undefined> {
+		await this.meet(() => undefined);
+		return this.rows.get(key);
+	}
+
+	async scan(prefix: string): Promise<readonly Row[]> {
+		await this.meet(() => undefined);
+		return [...this.rows.values()].filter(({key}) => key.startsWith(prefix));
+	}
+
+	async transact(writes: readonly Write[]): Promise<Transaction> {
+		this.transactions++;
+		return this.meet(() => this.apply(writes), writes);
+	}
+
+	/** Lets writes that seemed lost take effect. */
+	landLate(): void {
+		for (const writes of this.late.splice(0)) {
+			this.apply(writes);
+		}
+	}
+
+	private async meet<Value>(work: () => Value, writes: readonly Write[] = []): Promise<Value> {
+		const fate = this.nextFate();
+		// The caller goes on later, as after a real call, so that others come in between.
+		await Promise.resolve();
+		switch (fate) {
+			case TableFate.Answered: {
+				const value = work();
+				await Promise.resolve();
+				return value;
+			}
+
+			case TableFate.Refused: {
+				throw new PlatformError('refused', false);
+			}
+
+			case TableFate.AnswerLost: {
+				work();
+				throw new PlatformError('the answer was lost', true);
+			}
+
+			case TableFate.Late: {
+				this.late.push(writes);
+				throw new PlatformError('no answer came', true);
+			}
+		}
+	}
+
+	private apply(writes: readonly Write[]): Transaction {
+		const conflicts = writes.filter(({key, expected}) => (this.rows.get(key)?.version ?? 0) !== expected);
+		if (conflicts.length > 0) {
+			return {isApplied: false, conflicts: conflicts.map(({key}) => this.rows.get(key) ?? {key, version: 0, value: ''})};
+		}
+
+		for (const {key, expected, value} of writes) {
+			this.rows.set(key, {key, version: expected + 1, value});
+		}
+
+		return {isApplied: true, conflicts: []};
+	}
+}
--- /dev/null
+++ b/test/support/silent-log.ts
@@ -0,0 +1,4 @@
+import winston from 'winston';
+
+/** A logger that writes nothing. */
+export const silentLog = winston.createLogger({silent: true, transports: [new winston.transports.Console()]});
