Prove actions, streams and configuration under real failures

Cause: the promises had models but no test with real kills, freezes, cuts and outages. Change: tests with processes for each step of a one-time action, each kind of stream failure, leaving servers, planned stops, sheets and outages; models of admission, membership, versions, retry budget, flow and usage on fake time. Found, each red first and mended: - A woken instance was ready although cut off: probes that its peers had sent during the pause lay in its socket buffers and counted as fresh news. Only answers to its own probes count now, as of the time of sending.

--- a/harness/cluster.ts
+++ b/harness/cluster.ts
@@ -1,9 +1,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {Agent} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import process from 'node:process';
 import got from 'got';
 import {stringify} from 'ini';
 import {createProcedureClient, type ProcedureClient} from '../src/peers/trpc-peers.js';
@@ -12,6 +10,7 @@
 import {InstanceState} from '../src/platform/instance-state.js';
 import {SystemTimerService} from '../src/time/system-timer-service.js';
 import {type EngineSettings} from '../stand-ins/engine-settings.js';
+import {freePort} from './ports.js';
 import {Program} from './program.js';
 
 /** The secrets of clusters that the harness starts. */
@@ -21,8 +20,6 @@
 const startLimitMs = 10_000;
 const pollMs = 25;
 const controlLimitMs = 5000;
-const firstPort = 20_000;
-const portRange = 10_000;
 
 type SettingsOverrides = Readonly<Record<string, Readonly<Record<string, string>>>>;
 
@@ -45,33 +42,6 @@
 	readonly restart: () => Promise<void>;
 };
 
-let nextPort = firstPort + (process.pid * 37 % portRange);
-
-async function isFree(port: number): Promise<boolean> {
-	return new Promise(resolve => {
-		const server = createServer();
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
-}
-
-/** A port of loopback that nobody listens on. */
-export async function freePort(): Promise<number> {
-	for (;;) {
-		const port = nextPort;
-		nextPort = nextPort >= firstPort + portRange ? firstPort : nextPort + 1;
-		if (await isFree(port)) { // eslint-disable-line no-await-in-loop
-			return port;
-		}
-	}
-}
-
 /** Control calls use connections of their own, as the others may be muted. */
 function controlOptions() {
 	return {retry: {limit: 0}, agent: {http: new Agent({keepAlive: false})}, timeout: {request: controlLimitMs}};
--- a/src/admission/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -34,6 +34,23 @@
 		this.length++;
 	}
 
+	/** Number of waiting requests that go before a new one: those of higher priority, and of the same by the shares of who waits. */
+	aheadOf({priority, workspace, share}: Ticket): number {
+		let higher = 0;
+		for (const other of priorities.slice(0, priorities.indexOf(priority))) {
+			higher += this.countOf(other);
+		}
+
+		const equals = this.queues.get(priority)!;
+		let shares = equals.has(workspace) ? 0 : share;
+		for (const waiting of equals.values()) {
+			shares += waiting[0].ticket.share;
+		}
+
+		const own = equals.get(workspace)?.length ?? 0;
+		return higher + Math.min(this.countOf(priority), Math.ceil((own + 1) * shares / share) - 1);
+	}
+
 	/** Takes the request that goes next; undefined where none waits. */
 	take(): Ticket | undefined {
 		for (const priority of priorities) {
@@ -72,6 +89,15 @@
 		this.virtualTimes.set(ticket.workspace, start + (ticket.cost / ticket.share));
 	}
 
+	private countOf(priority: Priority): number {
+		let count = 0;
+		for (const waiting of this.queues.get(priority)!.values()) {
+			count += waiting.length;
+		}
+
+		return count;
+	}
+
 	private leastServed(queue: ReadonlyMap<string, Waiting[]>): string | undefined {
 		let best: string | undefined;
 		let least = Number.POSITIVE_INFINITY;
--- a/src/backends/http-plain-service.ts
+++ b/src/backends/http-plain-service.ts
@@ -43,11 +43,11 @@
 				signal: cancellation.signal,
 			});
 			if (response.headers[executionHeader] === Execution.NotRun) {
-				return {execution: Execution.NotRun, reason: 'the service says that it did not run it'};
+				return {execution: Execution.NotRun, isServiceAnswer: true, reason: 'the service says that it did not run it'};
 			}
 
 			if (response.statusCode >= 500) {
-				return {execution: Execution.Unknown, reason: `the service answered ${response.statusCode}`};
+				return {execution: Execution.Unknown, isServiceAnswer: true, reason: `the service answered ${response.statusCode}`};
 			}
 
 			const contentType = response.headers['content-type'] ?? 'application/octet-stream';
--- a/src/configuration/configuration-follower.ts
+++ b/src/configuration/configuration-follower.ts
@@ -57,12 +57,17 @@
 		}
 	}
 
-	/** A peer has a version and knows of a reading of the table's head some milliseconds ago; negative where it knows of none. */
-	async heard(address: string, version: number, tableAge: number): Promise<void> {
-		const now = this.timers.now();
+	/**
+	A peer answered a probe: takes over its version, and its reading of the table's head as of when the probe was sent.
+
+	The time of sending counts, as an answer may have waited in a buffer while this process was paused.
+
+	@param tableAge - milliseconds since the last reading that the peer knows of; negative where it knows of none
+	*/
+	async heard(address: string, {version, tableAge}: {readonly version: number; readonly tableAge: number}, sentAt: number): Promise<void> {
 		await this.pull(address, version);
 		if (tableAge >= 0 && this.keeper.version() >= version) {
-			this.freshness.confirm(now - tableAge);
+			this.freshness.confirm(sentAt - tableAge);
 		}
 	}
 
--- a/src/configuration/freshness.ts
+++ b/src/configuration/freshness.ts
@@ -4,7 +4,7 @@
 	readonly others: number;
 	/** Number of them that are alive and not suspect. */
 	readonly alive: number;
-	/** Monotonic time in milliseconds at which any of them was last heard. */
+	/** Monotonic time in milliseconds at which the last probe that any of them answered was sent. */
 	readonly heardAt: number;
 };
 
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -8,6 +8,6 @@
 	incarnation: number;
 	/** Monotonic time in milliseconds since which it has this state. */
 	since: number;
-	/** Monotonic time in milliseconds at which it last answered or called; -Infinity before that. */
+	/** Monotonic time in milliseconds at which the last probe that it answered was sent; -Infinity before that. */
 	heardAt: number;
 };
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -8,6 +8,7 @@
 const rumorsInMessage = 6;
 const rumorRounds = 3;
 const slowestAwareness = 8;
+const smallestSize = 10;
 
 type SpreadingRumor = {
 	readonly rumor: Rumor;
@@ -37,7 +38,7 @@
 
 	/**
 	@param self - id of this instance
-	@param suspicion - milliseconds from suspicion to removal
+	@param suspicion - milliseconds from suspicion to removal among up to ten members; it grows with the logarithm of their number
 	*/
 	constructor(private readonly self: string, private readonly suspicion: number, private readonly random: RandomSource) {}
 
@@ -56,7 +57,7 @@
 		return [...this.members.values()];
 	}
 
-	/** Monotonic time in milliseconds at which any member was last heard. */
+	/** Monotonic time in milliseconds at which the last probe that any member answered was sent. */
 	heardAt(): number {
 		let latest = Number.NEGATIVE_INFINITY;
 		for (const member of this.members.values()) {
@@ -92,7 +93,9 @@
 
 	/** Begins a period: removes what was suspect for too long and says whom to probe. */
 	tick(now: number): Probe | undefined {
-		const limit = this.suspicion * (1 + this.awareness);
+		// A refutation needs time in the order of the logarithm of the members to come back.
+		const size = Math.log10(Math.max(smallestSize, this.members.size));
+		const limit = this.suspicion * size * (1 + this.awareness);
 		for (const member of this.members.values()) {
 			if (member.state === MemberState.Suspect && now - member.since >= limit) {
 				this.change(member, MemberState.Dead, member.incarnation, now);
@@ -103,23 +106,26 @@
 		return target === undefined ? undefined : {target, through: []};
 	}
 
-	/** A probe or a message came through: the member lives. */
+	/** A message of a member came in: it lives, or did when it sent it. A process that wakes from a pause reads old ones. */
 	heard(id: string, now: number): void {
 		const member = this.members.get(id);
-		if (!member) {
-			return;
-		}
-
-		member.heardAt = now;
-		if (member.state !== MemberState.Alive) {
+		if (member && member.state !== MemberState.Alive) {
 			this.change(member, MemberState.Alive, member.incarnation + 1, now);
 		}
 	}
 
-	/** A probe of this instance was answered. */
-	answered(id: string, now: number): void {
+	/**
+	A probe of this instance was answered.
+
+	@param sentAt - monotonic time at which the probe was sent; the member was alive after that
+	*/
+	answered(id: string, sentAt: number, now: number): void {
 		this.awareness = Math.max(0, this.awareness - 1);
 		this.heard(id, now);
+		const member = this.members.get(id);
+		if (member) {
+			member.heardAt = Math.max(member.heardAt, sentAt);
+		}
 	}
 
 	/** A direct probe was not answered: says which members are to probe in its place. */
@@ -157,8 +163,12 @@
 		}
 	}
 
-	/** The rumors that the next message carries. */
-	takeRumors(): readonly Rumor[] {
+	/**
+	The rumors that the next message carries.
+
+	@param receiver - a member that is not held for alive is told so first, that it may refute it at once
+	*/
+	takeRumors(receiver?: string): readonly Rumor[] {
 		const rounds = rumorRounds * Math.ceil(Math.log2(this.members.size + 2));
 		const chosen = [...this.rumors.values()].toSorted((a, b) => a.sent - b.sent).slice(0, rumorsInMessage);
 		for (const spreading of chosen) {
@@ -168,7 +178,9 @@
 			}
 		}
 
-		return chosen.map(({rumor}) => rumor);
+		const about = receiver === undefined ? undefined : this.members.get(receiver);
+		const own = about && about.state !== MemberState.Alive ? [{id: about.id, state: about.state, incarnation: about.incarnation}] : [];
+		return [...own, ...chosen.map(({rumor}) => rumor)];
 	}
 
 	private refute(rumor: Rumor): void {
--- a/src/observation/log.ts
+++ b/src/observation/log.ts
@@ -30,7 +30,7 @@
 	const text = printf(info => `${String(info.timestamp)} ${info.level} ${instance} ${String(info.part)}: ${String(info.message)}`);
 	return winston.createLogger({
 		level,
-		defaultMeta: {instance, part: 'daemon'},
+		defaultMeta: {instance},
 		format: combine(redaction(), timestamp(), format === LogFormat.Json ? json() : text),
 		transports: [new winston.transports.Console({stderrLevels: Object.keys(winston.config.npm.levels)})],
 	});
--- a/src/peers/peer-desk.ts
+++ b/src/peers/peer-desk.ts
@@ -40,8 +40,8 @@
 		const now = this.timers.now();
 		this.membership.heard(message.from, now);
 		this.membership.listen(message.rumors, now);
-		void this.follower.heard(message.address, message.version, message.tableAge);
-		return this.message();
+		void this.follower.pull(message.address, message.version);
+		return this.message(message.from);
 	}
 
 	/** A peer asks whether another one answers this instance. */
@@ -88,12 +88,13 @@
 			return true;
 		}
 
+		const sentAt = this.timers.now();
 		try {
-			const answer = await this.peers.probe(address, this.message());
+			const answer = await this.peers.probe(address, this.message(id));
 			const now = this.timers.now();
-			this.membership.answered(id, now);
+			this.membership.answered(id, sentAt, now);
 			this.membership.listen(answer.rumors, now);
-			void this.follower.heard(address, answer.version, answer.tableAge);
+			void this.follower.heard(address, answer, sentAt);
 			return true;
 		} catch {
 			return false;
@@ -113,13 +114,13 @@
 		}
 	}
 
-	private message(): PeerMessage {
+	private message(receiver?: string): PeerMessage {
 		return {
 			from: this.self.id,
 			address: this.self.address,
 			version: this.keeper.version(),
 			tableAge: this.follower.tableAge(),
-			rumors: [...this.membership.takeRumors()],
+			rumors: [...this.membership.takeRumors(receiver)],
 		};
 	}
 }
--- a/src/plain/plain-dispatcher.ts
+++ b/src/plain/plain-dispatcher.ts
@@ -92,7 +92,13 @@
 	}
 
 	private pick(request: PlainRequest, tried: ReadonlySet<string>): Server | undefined {
-		const usable = this.fleet.usable(request.operation.service, '', this.timers.now());
+		const now = this.timers.now();
+		const usable = this.fleet.usable(request.operation.service, '', now);
+		// Suspicion is a hint: where nothing else is left, a suspect is tried.
+		return this.leastLoaded(usable, tried) ?? this.leastLoaded(this.fleet.usable(request.operation.service, '', Number.POSITIVE_INFINITY), tried);
+	}
+
+	private leastLoaded(usable: readonly Server[], tried: ReadonlySet<string>): Server | undefined {
 		let best: Server | undefined;
 		for (const server of usable) {
 			if (!tried.has(server.listed.id) && (!best || loadOf(server) < loadOf(best))) {
@@ -111,7 +117,7 @@
 			const result = await this.tracing.inSpan(`plain ${request.operation.name}`, {server: server.listed.id}, async () => this.service.call(server.listed.address, {
 				request: request.id, operation: request.operation.name, body: request.body, key: request.key, headers: this.tracing.inject(),
 			}, limit));
-			if (!result.answer) {
+			if (!result.answer && !result.isServiceAnswer) {
 				this.fleet.suspect(server.listed.id, this.timers.now());
 			}
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -41,7 +41,7 @@
 	peers: z.strictObject({
 		probe_period: duration('1 s'), // eslint-disable-line @typescript-eslint/naming-convention
 		timeout: duration('400 ms'),
-		suspicion: duration('3 s'),
+		suspicion: duration('5 s'),
 		seeds: z.string().default('').transform(text => text.split(',').map(seed => seed.trim()).filter(seed => seed !== '')),
 	}).prefault({}),
 	stop: z.strictObject({
--- a/stand-ins/platform-stand-in.ts
+++ b/stand-ins/platform-stand-in.ts
@@ -84,6 +84,11 @@
 
 		if (delay) {
 			await this.timers.sleep(delay);
+			// What was under way when the platform went down has no effect.
+			if (this.faults.isDown) {
+				request.response.destroy();
+				return undefined;
+			}
 		}
 
 		return work();
--- a/test/action-model.test.ts
+++ b/test/action-model.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {ActionLedger} from '../src/actions/action-ledger.js';
+import {ActionState} from '../src/actions/action-state.js';
 import {type SendResult} from '../src/actions/send-result.js';
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
@@ -19,15 +20,15 @@
 
 /** Moves time and lets promises go on until the work is settled. */
 async function settle<Value>(timers: ManualTimerService, work: Promise<Value>): Promise<Value> {
-	let isSettled = false;
+	const state = {isSettled: false};
 	const watch = (async () => {
 		try {
 			await work;
 		} catch {}
 
-		isSettled = true;
+		state.isSettled = true;
 	})();
-	for (let step = 0; step < 5000 && !isSettled; step++) {
+	for (let step = 0; step < 5000 && !state.isSettled; step++) {
 		for (let turn = 0; turn < 30; turn++) {
 			await Promise.resolve(); // eslint-disable-line no-await-in-loop
 		}
@@ -39,6 +40,11 @@
 	return work;
 }
 
+/** What a call comes to whose instance is gone. */
+async function never(): Promise<never> {
+	return new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+}
+
 async function outcomeOf(work: Promise<unknown>): Promise<Execution> {
 	try {
 		await work;
@@ -74,8 +80,8 @@
 		const own = new FakeTable(table.nextFate);
 		let calls = 0;
 		// The instance's view of the table: after the crash, nothing is called and nothing comes back.
-		own.read = async key => ++calls === crashAfter ? new Promise(() => undefined) : table.read(key);
-		own.transact = async writes => ++calls === crashAfter ? new Promise(() => undefined) : table.transact(writes);
+		own.read = async key => ++calls === crashAfter ? never() : table.read(key);
+		own.transact = async writes => ++calls === crashAfter ? never() : table.transact(writes);
 		const ledger = new ActionLedger(own, timers, `entry-${index}`, silentLog);
 		const action = {
 			workspace: 'desks', key: 'k', fingerprint: 'f', attempt: `attempt-${index}`, deadline: timers.now() + 3000,
@@ -117,6 +123,10 @@
 	await t.notThrowsAsync(async () => fc.assert(property, {seed: seed(), numRuns: 2000}));
 });
 
+async function mustNotSend(): Promise<SendResult> {
+	throw new Error('it was sent');
+}
+
 function newLedger(table: FakeTable, timers = new ManualTimerService()): ActionLedger {
 	return new ActionLedger(table, timers, 'entry-a', silentLog);
 }
@@ -131,7 +141,7 @@
 	const table = new FakeTable();
 	const ledger = newLedger(table);
 	await ledger.run(actionWith('1'), async () => ({execution: Execution.Run, answer}));
-	const error = await t.throwsAsync(ledger.run(actionWith('2', 'other'), async () => t.fail()), {instanceOf: Failure});
+	const error = await t.throwsAsync(ledger.run(actionWith('2', 'other'), mustNotSend), {instanceOf: Failure});
 	t.is(error?.code, ResultCode.ActionConflict);
 });
 
@@ -139,13 +149,13 @@
 	const table = new FakeTable();
 	const ledger = newLedger(table);
 	await ledger.run(actionWith('1'), async () => ({execution: Execution.Run, answer}));
-	t.deepEqual(await ledger.run(actionWith('2'), async () => t.fail()), answer);
+	t.deepEqual(await ledger.run(actionWith('2'), mustNotSend), answer);
 	t.is(table.transactions, 3, 'claim, sent and outcome are one write each');
 });
 
 test('a table that is down means not run, with a time to come back', async t => {
 	const ledger = newLedger(new FakeTable(() => TableFate.Refused));
-	const error = await t.throwsAsync(ledger.run(actionWith('1'), async () => t.fail()), {instanceOf: Failure});
+	const error = await t.throwsAsync(ledger.run(actionWith('1'), mustNotSend), {instanceOf: Failure});
 	t.is(error?.execution, Execution.NotRun);
 	t.true((error?.retryAfterSeconds ?? 0) > 0);
 });
@@ -163,5 +173,6 @@
 	t.is(ledger.pending(), 1);
 	isDown = false;
 	await settle(timers, ledger.flush(10_000));
-	t.is((await ledger.lookUp('desks', 'k'))?.state as string, 'done');
+	const record = await ledger.lookUp('desks', 'k');
+	t.is(record?.state, ActionState.Done);
 });
--- /dev/null
+++ b/test/callers.test.ts
@@ -0,0 +1,143 @@
+import {readFileSync} from 'node:fs';
+import anyTest, {type TestFn} from 'ava';
+import got, {type Response} from 'got';
+import OpenAI, {APIError} from 'openai';
+import {type Cluster, readControl} from '../harness/cluster.js';
+import {callOperation} from '../harness/plain-caller.js';
+import {ResultCode} from '../src/results/result-code.js';
+import {resultTable} from '../src/results/result-table.js';
+import {expectedAnswer} from '../stand-ins/answers.js';
+import {keyOf, startCluster} from './support/running.js';
+
+const test = anyTest as TestFn<{cluster: Cluster; callers: string}>; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+
+test.before(async t => {
+	const cluster = await startCluster({entries: 1, engines: 1, records: 1}, {limits: {body: '20 kB'}});
+	t.context = {cluster, callers: cluster.entries[0].callers};
+});
+
+test.after.always(async t => {
+	await t.context.cluster.stop();
+});
+
+function clientOf(callers: string): OpenAI {
+	return new OpenAI({apiKey: keyOf('large'), baseURL: `http://${callers}/v1`, maxRetries: 0}); // eslint-disable-line @typescript-eslint/naming-convention
+}
+
+test('the openai client gets a whole answer, streamed and not', async t => {
+	const client = clientOf(t.context.callers);
+	const messages = [{role: 'user' as const, content: 'Summarise the repair of the slide.'}];
+	const expected = expectedAnswer(`user: ${messages[0].content}`, 40);
+	const whole = await client.chat.completions.create({model: 'findings', messages, max_completion_tokens: 40}); // eslint-disable-line @typescript-eslint/naming-convention
+	t.is(whole.choices[0].message.content, expected.tokens.join(''));
+	t.is(whole.choices[0].finish_reason, expected.finish);
+	t.is(whole.usage?.completion_tokens, expected.tokens.length);
+	const stream = await client.chat.completions.create({
+		model: 'findings', messages, max_completion_tokens: 40, stream: true, stream_options: {include_usage: true}, // eslint-disable-line @typescript-eslint/naming-convention
+	});
+	let text = '';
+	let tokens = 0;
+	for await (const chunk of stream) {
+		text += chunk.choices[0]?.delta.content ?? '';
+		tokens = chunk.usage?.completion_tokens ?? tokens;
+	}
+
+	t.is(text, expected.tokens.join(''));
+	t.is(tokens, expected.tokens.length);
+});
+
+test('the openai client lists the models of the workspace', async t => {
+	const models = await clientOf(t.context.callers).models.list();
+	t.deepEqual(models.data.map(({id}) => id), ['findings']);
+});
+
+test('the openai client sees a refusal as an error with its code', async t => {
+	const error = await t.throwsAsync(clientOf(t.context.callers).chat.completions.create({model: 'nothing', messages: [{role: 'user', content: 'x'}]}), {instanceOf: APIError});
+	t.is(error?.status, 404);
+	t.is(error?.code, 'ModelUnknown');
+});
+
+type Call = {
+	readonly path?: string;
+	readonly body?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+};
+
+const chat = {model: 'findings', messages: [{role: 'user', content: 'x'}]};
+const chatPath = 'chat/completions';
+const bookPath = 'services/records/book-recheck';
+
+async function call(callers: string, {path = chatPath, body = JSON.stringify(chat), headers = {}}: Call): Promise<Response<string>> {
+	return got.post(`http://${callers}/v1/${path}`, {
+		body, headers: {authorization: `Bearer ${keyOf('large')}`, ...headers}, retry: {limit: 0}, throwHttpErrors: false,
+	});
+}
+
+const refusals: ReadonlyArray<[title: string, call: Call, code: ResultCode]> = [
+	['malformed JSON', {body: '{"model":'}, ResultCode.BodyMalformed],
+	['a body of another shape', {body: '{"model":"findings"}'}, ResultCode.BodyMalformed],
+	['no message', {body: JSON.stringify({...chat, messages: []})}, ResultCode.BodyMalformed],
+	['too many tokens', {body: JSON.stringify({...chat, max_tokens: 100_000})}, ResultCode.BodyMalformed], // eslint-disable-line @typescript-eslint/naming-convention
+	['an oversized body', {body: JSON.stringify({...chat, padding: 'x'.repeat(30_000)})}, ResultCode.BodyTooLarge],
+	['an unknown model', {body: JSON.stringify({...chat, model: 'poems'})}, ResultCode.ModelUnknown],
+	['a wrong key', {headers: {authorization: 'Bearer sk-sn-wrong'}}, ResultCode.KeyUnknown],
+	['no key', {headers: {authorization: ''}}, ResultCode.KeyMissing],
+	['no grant', {headers: {authorization: `Bearer ${keyOf('outsider')}`}}, ResultCode.ServiceNotGranted],
+	['a deadline in the past', {headers: {'x-deadline-ms': '-5'}}, ResultCode.DeadlinePassed],
+	['a deadline that is no number', {headers: {'x-deadline-ms': 'soon'}}, ResultCode.DeadlineInvalid],
+	['an unknown priority', {headers: {'x-priority': 'urgent'}}, ResultCode.PriorityInvalid],
+	['an unknown operation', {path: 'services/records/burn'}, ResultCode.OperationUnknown],
+	['an unknown service', {path: 'services/kitchen/cook'}, ResultCode.OperationUnknown],
+	['a missing Idempotency-Key', {path: bookPath}, ResultCode.IdempotencyKeyMissing],
+	['an overlong Idempotency-Key', {path: bookPath, headers: {'idempotency-key': 'k'.repeat(256)}}, ResultCode.IdempotencyKeyInvalid],
+	['an empty Idempotency-Key', {path: bookPath, headers: {'idempotency-key': ''}}, ResultCode.IdempotencyKeyInvalid],
+	['an action with malformed JSON', {path: bookPath, body: 'no', headers: {'idempotency-key': 'k'}}, ResultCode.BodyMalformed],
+	['an unknown path', {path: 'poems'}, ResultCode.PathUnknown],
+];
+
+for (const [title, request, code] of refusals) {
+	test(`${title} is refused with its code, as not run`, async t => {
+		const response = await call(t.context.callers, request);
+		const {error} = JSON.parse(response.body) as {error: {code: string; number: number; execution: string}}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		t.is(error.code, ResultCode[code]);
+		t.is(error.number, code);
+		t.is(error.execution, 'not_run');
+		t.is(response.statusCode, resultTable[code].status);
+	});
+}
+
+test('a repeated action is run once, another body is a conflict, and the look-up finds it', async t => {
+	const {callers, cluster} = t.context;
+	const headers = {authorization: `Bearer ${keyOf('large')}`, 'idempotency-key': 'twice'};
+	const first = await callOperation(callers, 'records/book-recheck', headers, {park: 1});
+	const second = await callOperation(callers, 'records/book-recheck', headers, {park: 1});
+	t.is(first.execution, 'run');
+	t.is(second.body, first.body);
+	const other = await callOperation(callers, 'records/book-recheck', headers, {park: 2});
+	t.is(other.code, 'ActionConflict');
+	const lookUp = await got(`http://${callers}/v1/actions/twice`, {headers, retry: {limit: 0}}).json<{state: string}>();
+	t.is(lookUp.state, 'done');
+	const {executions} = await readControl<{executions: Record<string, number>}>(cluster.backends.at(-1)!.address, 'executions');
+	t.is(executions.twice, 1);
+});
+
+test('the trace context of a caller reaches the backend servers', async t => {
+	const {callers, cluster} = t.context;
+	const trace = 'f'.repeat(32);
+	await callOperation(callers, 'records/site-history', {authorization: `Bearer ${keyOf('large')}`, traceparent: `00-${trace}-${'e'.repeat(16)}-01`}, {});
+	const {traces} = await readControl<{traces: readonly string[]}>(cluster.backends.at(-1)!.address, 'executions');
+	t.true(traces.some(parent => parent.includes(trace)));
+});
+
+test('no key appears in the logs', t => {
+	t.false(t.context.cluster.entries[0].program.errors.some(line => line.includes('sk-sn-')));
+});
+
+test('docs/RESULT-CODES.md has every result code as the program has it', t => {
+	const page = readFileSync('docs/RESULT-CODES.md', 'utf8');
+	for (const [name, code] of Object.entries(ResultCode).filter(([, value]) => typeof value === 'number')) {
+		const {status, exitCode, meaning, retryAfterSeconds} = resultTable[Number(code) as ResultCode];
+		const row = `| ${Number(code)} | ${name} | ${status} | ${exitCode} | ${retryAfterSeconds ?? ''} | ${meaning} |`;
+		t.true(page.includes(row), row);
+	}
+});
--- /dev/null
+++ b/test/decisions.test.ts
@@ -0,0 +1,312 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {Admission} from '../src/admission/admission.js';
+import {RetryBudget} from '../src/admission/retry-budget.js';
+import {type Ticket} from '../src/admission/ticket.js';
+import {ConfigurationKeeper} from '../src/configuration/configuration-keeper.js';
+import {Freshness} from '../src/configuration/freshness.js';
+import {priorities, Priority} from '../src/configuration/priority.js';
+import {RowKind} from '../src/configuration/row-kind.js';
+import {type Workspace} from '../src/configuration/sheet-row.js';
+import {Sheet} from '../src/configuration/sheet.js';
+import {MemberState} from '../src/membership/member-state.js';
+import {Membership} from '../src/membership/membership.js';
+import {Invariants} from '../src/observation/invariants.js';
+import {ResultCode} from '../src/results/result-code.js';
+import {FlowNetwork} from '../src/routing/flow-network.js';
+import {RandomSource} from '../src/routing/random-source.js';
+import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {Meter} from '../src/usage/meter.js';
+import {usageRecordSchema} from '../src/usage/usage-record.js';
+import {FakeTable, TableFate} from './support/fake-table.js';
+import {seed} from './support/seed.js';
+import {silentLog} from './support/silent-log.js';
+
+function ticket(id: string, changes: Partial<Ticket> = {}): Ticket {
+	return {
+		id, workspace: 'a', priority: Priority.Normal, share: 10, cost: 100, deadline: 60_000, expectedDuration: 100, ...changes,
+	};
+}
+
+test('admission: the queue is bounded, and what does not fit is refused at once with a time to come back', t => {
+	const admission = new Admission({queue: 2, queueTime: 1000}, new Invariants());
+	admission.request(ticket('1'), 1, 0);
+	admission.request(ticket('2'), 1, 0);
+	admission.request(ticket('3'), 1, 0);
+	const {refused} = admission.request(ticket('4'), 1, 0);
+	t.is(refused[0].failure.code, ResultCode.Overloaded);
+	t.true(refused[0].failure.retryAfterSeconds! >= 1);
+});
+
+test('admission: work that cannot make its deadline is refused at once, and work that waited too long later', t => {
+	const admission = new Admission({queue: 10, queueTime: 1000}, new Invariants());
+	admission.request(ticket('1'), 1, 0);
+	t.is(admission.request(ticket('2', {deadline: 500}), 1, 0).refused[0].failure.code, ResultCode.DeadlineUnreachable);
+	admission.request(ticket('3'), 1, 0);
+	t.is(admission.advance(1, 1001).refused[0].ticket.id, '3');
+});
+
+test('admission: higher priorities go first, and shares are honoured among equals', t => {
+	const admission = new Admission({queue: 1000, queueTime: 100_000}, new Invariants());
+	const deadline = 10_000_000;
+	admission.request(ticket('running'), 1, 0);
+	for (let index = 0; index < 60; index++) {
+		admission.request(ticket(`a${index}`, {workspace: 'a', share: 10, deadline}), 1, 0);
+		admission.request(ticket(`b${index}`, {workspace: 'b', share: 30, deadline}), 1, 0);
+	}
+
+	admission.request(ticket('urgent', {workspace: 'c', priority: Priority.High}), 1, 0);
+	const order: string[] = [];
+	let current = 'running';
+	for (let index = 0; index < 41; index++) {
+		const {admitted} = admission.end(current, 1, 0);
+		current = admitted[0].id;
+		order.push(current);
+	}
+
+	t.is(order[0], 'urgent');
+	const ofB = order.filter(id => id.startsWith('b')).length;
+	t.true(ofB >= 29 && ofB <= 31, `${ofB} of 40 for three quarters of the share`);
+});
+
+test('admission: the wait is foreseen by priority and share, not by the whole queue', t => {
+	const admission = new Admission({queue: 1000, queueTime: 100_000}, new Invariants());
+	admission.request(ticket('running'), 1, 0);
+	for (let index = 0; index < 60; index++) {
+		admission.request(ticket(`a${index}`, {deadline: 10_000_000}), 1, 0);
+	}
+
+	t.deepEqual(admission.request(ticket('urgent', {workspace: 'b', priority: Priority.High}), 1, 0).refused, []);
+	t.deepEqual(admission.request(ticket('light', {workspace: 'c'}), 1, 0).refused, []);
+	t.is(admission.request(ticket('heavy', {workspace: 'a'}), 1, 0).refused.length, 1);
+});
+
+test('admission: any order of events keeps the bounds and decides each request once', t => {
+	const events = fc.array(fc.record({
+		isEnd: fc.boolean(),
+		pick: fc.nat(50),
+		priority: fc.constantFrom(...priorities),
+		workspace: fc.constantFrom('a', 'b', 'c'),
+		capacity: fc.integer({min: 1, max: 5}),
+		pause: fc.integer({min: 0, max: 300}),
+		deadline: fc.integer({min: 0, max: 3000}),
+	}), {maxLength: 80});
+	const property = fc.property(events, list => {
+		const invariants = new Invariants();
+		const admission = new Admission({queue: 5, queueTime: 500}, invariants);
+		const decided = new Set<string>();
+		const running: string[] = [];
+		let now = 0;
+		let isOnce = true;
+		for (const [index, event] of list.entries()) {
+			now += event.pause;
+			const outcome = event.isEnd && running.length > 0
+				? admission.end(running.splice(event.pick % running.length, 1)[0], event.capacity, now, 200)
+				: admission.request(ticket(`${index}`, {priority: event.priority, workspace: event.workspace, deadline: now + event.deadline}), event.capacity, now);
+			for (const {id} of [...outcome.admitted, ...outcome.refused.map(entry => entry.ticket)]) {
+				isOnce &&= !decided.has(id);
+				decided.add(id);
+			}
+
+			running.push(...outcome.admitted.map(({id}) => id));
+		}
+
+		return isOnce && admission.waitingCount <= 5 && invariants.violations().size === 0 && running.length === admission.runningCount;
+	});
+	t.notThrows(() => {
+		fc.assert(property, {seed: seed(), numRuns: 500});
+	});
+});
+
+test('retry budget: in any window of 10 s, retries stay within the budget', t => {
+	const property = fc.property(fc.array(fc.tuple(fc.boolean(), fc.integer({min: 0, max: 2000})), {maxLength: 200}), events => {
+		const budget = new RetryBudget(0.2, 3);
+		const requests: number[] = [];
+		const retries: number[] = [];
+		let now = 0;
+		for (const [isRequest, pause] of events) {
+			now += pause;
+			if (isRequest) {
+				budget.countRequest(now);
+				requests.push(now);
+			} else if (budget.take(now)) {
+				retries.push(now);
+				const since = now - 10_000;
+				if (retries.filter(at => at > since).length > 3 + (0.2 * requests.filter(at => at > since).length)) {
+					return false;
+				}
+			}
+		}
+
+		return true;
+	});
+	t.notThrows(() => {
+		fc.assert(property, {seed: seed()});
+	});
+});
+
+test('version: it only rises, whatever order versions come in', t => {
+	const property = fc.property(fc.array(fc.integer({min: 0, max: 20})), versions => {
+		const keeper = new ConfigurationKeeper(new Invariants());
+		let highest = -1;
+		for (const version of versions) {
+			keeper.apply({version, sheet: new Sheet([])});
+			highest = Math.max(highest, version);
+			if (keeper.version() !== highest) {
+				return false;
+			}
+		}
+
+		return true;
+	});
+	t.notThrows(() => {
+		fc.assert(property, {seed: seed()});
+	});
+});
+
+test('freshness: cut off from table and peers it ends, with half of the peers it goes on', t => {
+	const freshness = new Freshness(5000);
+	freshness.confirm(0);
+	const hearing = {others: 4, alive: 2, heardAt: 9000};
+	t.true(freshness.isConfirmed(5000, {...hearing, alive: 0}));
+	t.true(freshness.isConfirmed(10_000, hearing));
+	t.false(freshness.isConfirmed(10_000, {...hearing, alive: 1}));
+	t.false(freshness.isConfirmed(20_000, hearing), 'nobody was heard of late');
+	t.false(freshness.isConfirmed(10_000, {others: 0, alive: 0, heardAt: Number.NEGATIVE_INFINITY}));
+});
+
+type Node = {
+	readonly membership: Membership;
+	isUp: boolean;
+};
+
+/** Runs members against each other on fake time; messages to and from members that are down are lost. */
+function runMembers(count: number, periods: number, seedNumber: number, lossPercent: number, downFrom: ReadonlyMap<number, number>): readonly Node[] {
+	const random = new RandomSource(seedNumber);
+	const listed = new Map(Array.from({length: count}, (_, index): [string, string] => [`m${index}`, `m${index}`]));
+	const nodes = Array.from({length: count}, (_, index): Node => ({membership: new Membership(`m${index}`, 5000, new RandomSource(seedNumber + index)), isUp: true}));
+	for (const node of nodes) {
+		node.membership.updateList(listed, 0);
+	}
+
+	const isLost = () => random.below(100) < lossPercent;
+	const exchange = (from: number, to: number, now: number): boolean => {
+		if (!nodes[to].isUp || isLost()) {
+			return false;
+		}
+
+		nodes[to].membership.heard(`m${from}`, now);
+		nodes[to].membership.listen(nodes[from].membership.takeRumors(`m${to}`), now);
+		if (isLost()) {
+			return false;
+		}
+
+		nodes[from].membership.answered(`m${to}`, now, now);
+		nodes[from].membership.listen(nodes[to].membership.takeRumors(`m${from}`), now);
+		return true;
+	};
+
+	for (let period = 0; period < periods; period++) {
+		const now = period * 1000;
+		for (const [index, node] of nodes.entries()) {
+			node.isUp = period < (downFrom.get(index) ?? Number.POSITIVE_INFINITY);
+			const probe = node.isUp ? node.membership.tick(now) : undefined;
+			const target = Number(probe?.target.slice(1));
+			if (!probe || exchange(index, target, now)) {
+				continue;
+			}
+
+			const through = node.membership.unanswered(probe.target)?.through ?? [];
+			const isHeard = through.some(helper => nodes[Number(helper.slice(1))].isUp && !isLost() && !isLost() && nodes[target].isUp && !isLost() && !isLost());
+			if (!isHeard) {
+				node.membership.suspect(probe.target, now);
+			}
+		}
+	}
+
+	return nodes;
+}
+
+test('membership: the dead are found by all, and the living are not removed, at a loss of 10 in 100', t => {
+	for (let run = 0; run < 20; run++) {
+		const nodes = runMembers(20, 60, seed() + (run * 100), 10, new Map([[3, 10], [7, 20]]));
+		for (const [index, {membership}] of nodes.entries()) {
+			if (index === 3 || index === 7) {
+				continue;
+			}
+
+			const dead = membership.all().filter(({state}) => state === MemberState.Dead).map(({id}) => id).toSorted();
+			t.deepEqual(dead, ['m3', 'm7'], `run ${run}, member ${index}`);
+		}
+	}
+});
+
+test('flow: the maximum flow equals the smallest cut', t => {
+	const size = 6;
+	const edges = fc.array(fc.tuple(fc.nat(size - 1), fc.nat(size - 1), fc.integer({min: 1, max: 20})), {maxLength: 15});
+	const property = fc.property(edges, list => {
+		const network = new FlowNetwork(size);
+		for (const [from, to, capacity] of list) {
+			network.addEdge(from, to, capacity);
+		}
+
+		let smallest = Number.POSITIVE_INFINITY;
+		for (let set = 0; set < 2 ** (size - 2); set++) {
+			const isInside = (node: number) => node === 0 || (node !== 1 && Math.floor(set / (2 ** (node - 2))) % 2 === 1);
+			let cut = 0;
+			for (const [from, to, capacity] of list) {
+				cut += isInside(from) && !isInside(to) ? capacity : 0;
+			}
+
+			smallest = Math.min(smallest, cut);
+		}
+
+		return network.maximize(0, 1) === smallest;
+	});
+	t.notThrows(() => {
+		fc.assert(property, {seed: seed()});
+	});
+});
+
+const workspace: Workspace = {
+	kind: RowKind.Workspace, name: 'w', priority: Priority.Normal, share: 10, tokensPerMinute: 1000, concurrentStreams: 5, keyDigest: '',
+};
+
+test('usage: over instances, kills and outages, use stays within the formula, and what is settled is charged once', async t => {
+	const step = fc.record({
+		instance: fc.nat(2), tokens: fc.integer({min: 1, max: 300}), fate: fc.constantFrom(...Object.values(TableFate)), isKilled: fc.integer({min: 0, max: 19}).map(number => number === 0),
+	});
+	const property = fc.asyncProperty(fc.array(step, {maxLength: 60}), async steps => {
+		let fate = TableFate.Answered;
+		const table = new FakeTable(() => fate);
+		const timers = new ManualTimerService();
+		let processes = 0;
+		const start = () => new Meter(table, timers, `process-${processes++}`, () => 3, new Invariants(), silentLog);
+		const meters = [start(), start(), start()];
+		let used = 0;
+		for (const {instance, tokens, fate: next, isKilled} of steps) {
+			fate = next;
+			try {
+				const reservation = await meters[instance].reserve(workspace, tokens); // eslint-disable-line no-await-in-loop
+				used += tokens;
+				meters[instance].settle(reservation, tokens);
+			} catch {}
+
+			table.landLate();
+			if (isKilled) {
+				meters[instance] = start();
+			}
+		}
+
+		fate = TableFate.Answered;
+		await Promise.all(meters.map(async meter => meter.flush()));
+		const record = usageRecordSchema.parse(JSON.parse([...table.rows.values()][0]?.value ?? '{"holders":{}}'));
+		let granted = 0;
+		for (const holder of Object.values(record.holders)) {
+			granted += Math.min(holder.granted, holder.used ?? holder.granted);
+		}
+
+		return granted <= 1000 && used <= 1000 + (processes * Math.ceil(1000 / 3));
+	});
+	await t.notThrowsAsync(async () => fc.assert(property, {seed: seed(), numRuns: 300}));
+});
--- /dev/null
+++ b/test/stream-failures.test.ts
@@ -0,0 +1,169 @@
+import test, {type ExecutionContext} from 'ava';
+import {
+	type Backend, type Cluster, control, readControl,
+} from '../harness/cluster.js';
+import {askForDraft, DraftEnd, type DraftResult} from '../harness/draft-caller.js';
+import {InstanceState} from '../src/platform/instance-state.js';
+import {keyOf, startCluster} from './support/running.js';
+
+type Checks = {
+	readonly violations: readonly string[];
+	readonly lateStarts: readonly number[];
+	readonly counts: {readonly attempts: number; readonly cancelled: number};
+};
+
+async function withCluster(work: (cluster: Cluster) => Promise<void>, engines = 2): Promise<void> {
+	const cluster = await startCluster({entries: 1, engines, records: 0});
+	try {
+		await work(cluster);
+	} finally {
+		await cluster.stop();
+	}
+}
+
+async function draft(cluster: Cluster, prompt: string, abandonAfter?: number, entry = 0): Promise<DraftResult> {
+	return askForDraft({
+		callers: cluster.entries[entry].callers, key: keyOf('large'), model: 'findings', prompt, maximumTokens: 400, abandonAfter,
+	});
+}
+
+function promptOf(index: number): string {
+	return `draft ${index} [120 tokens]`;
+}
+
+/** Runs drafts, brings about a fault in their middle, and expects each answer whole with each layer run once. */
+async function expectWhole(t: ExecutionContext, cluster: Cluster, fault: (engine: Backend) => Promise<void>, stage = 1): Promise<void> {
+	const results = Promise.all(Array.from({length: 8}, async (_, index) => draft(cluster, promptOf(index))));
+	await cluster.timers.sleep(500);
+	await fault(cluster.backends.find(({id}) => id === `engine-${stage * 8}a`)!);
+	for (const result of await results) {
+		t.is(result.end, DraftEnd.Whole, `${result.code} ${result.fault}`);
+	}
+
+	for (const program of cluster.backends.map(backend => backend.program)) {
+		t.deepEqual(program.errors.filter(line => line.startsWith('engine ')), []);
+	}
+}
+
+for (const [stage, name] of ['first', 'middle', 'last'].entries()) {
+	test.serial(`the ${name} stage is killed: every answer is whole`, async t => {
+		await withCluster(async cluster => {
+			await expectWhole(t, cluster, async engine => engine.program.kill(), stage);
+		});
+	});
+
+	test.serial(`the ${name} stage is frozen: every answer is whole`, async t => {
+		await withCluster(async cluster => {
+			await expectWhole(t, cluster, async engine => {
+				engine.program.signal('SIGSTOP');
+			}, stage);
+		});
+	});
+}
+
+test.serial('all connections of the last stage fall silent: every answer is whole', async t => {
+	await withCluster(async cluster => {
+		await expectWhole(t, cluster, async engine => control(engine.address, 'faults', {muteConnections: true}), 2);
+	});
+});
+
+test.serial('the connections of the last stage are reset: the attempts go on, without a new one', async t => {
+	await withCluster(async cluster => {
+		await expectWhole(t, cluster, async engine => control(engine.address, 'faults', {resetConnections: true}), 2);
+		t.true(await cluster.metric(cluster.entries[0], 'siskinnotch_attaches_total') > 0);
+	}, 1);
+});
+
+test.serial('a link slows a hundredfold: every answer is whole', async t => {
+	await withCluster(async cluster => {
+		await expectWhole(t, cluster, async engine => {
+			const linkDelays = Object.fromEntries(cluster.backends.map(({id}) => [id, 100]));
+			await control(engine.address, 'faults', {linkDelays});
+		});
+	});
+});
+
+test.serial('without a replacement the stream ends with an explicit error, never as if whole', async t => {
+	await withCluster(async cluster => {
+		const running = draft(cluster, promptOf(1));
+		await cluster.timers.sleep(500);
+		await cluster.backends.find(({id}) => id === 'engine-8a')!.program.kill();
+		const result = await running;
+		t.is(result.end, DraftEnd.Interrupted);
+		t.is(result.code, 'StreamInterrupted');
+		t.is(result.execution, 'unknown');
+		t.true(result.retryAfter > 0);
+	}, 1);
+});
+
+test.serial('the caller goes away: the engines are cancelled at once', async t => {
+	await withCluster(async cluster => {
+		await draft(cluster, 'draft [390 tokens]', 5);
+		await cluster.waitFor(async () => {
+			const checks = await Promise.all(cluster.backends.map(async ({address}) => readControl<Checks>(address, 'checks')));
+			return checks.every(({counts}) => counts.cancelled === 1);
+		}, 1000);
+		t.is(await cluster.metric(cluster.entries[0], 'siskinnotch_drafts'), 0);
+	}, 1);
+});
+
+test.serial('a leaving server gets no new work once the list says so, and soon when only it says so', async t => {
+	await withCluster(async cluster => {
+		const [first, second] = ['engine-0a', 'engine-0b'].map(id => cluster.backends.find(backend => backend.id === id)!);
+		await cluster.list([{...first.listed, state: InstanceState.Leaving}]);
+		await cluster.timers.sleep(5000);
+		await control(first.address, 'faults', {isLeaving: true});
+		for (let index = 0; index < 20; index++) {
+			const {end} = await draft(cluster, `short ${index} [3 tokens]`); // eslint-disable-line no-await-in-loop
+			t.is(end, DraftEnd.Whole);
+		}
+
+		await cluster.list([first.listed]);
+		await control(first.address, 'faults', {isLeaving: false});
+		await control(cluster.platform, 'faults', {isDown: true});
+		await cluster.timers.sleep(2500);
+		await control(second.address, 'faults', {isLeaving: true});
+		await cluster.timers.sleep(5000);
+		const starts = await lateStarts(second);
+		for (let index = 0; index < 20; index++) {
+			await draft(cluster, `later ${index} [3 tokens]`); // eslint-disable-line no-await-in-loop
+		}
+
+		t.is(await lateStarts(first), 0);
+		t.is(await lateStarts(second), starts, 'the platform is down, so only the server itself says that it is leaving');
+	});
+});
+
+async function lateStarts({address}: Backend): Promise<number> {
+	const checks = await readControl<Checks>(address, 'checks');
+	return checks.lateStarts.length;
+}
+
+test.serial('entry instances are stopped in turn under load: no request fails', async t => {
+	const cluster = await startCluster({entries: 2, engines: 1, records: 0});
+	try {
+		const state = {isOver: false};
+		const results: DraftResult[] = [];
+		const callers = Array.from({length: 6}, async (_, caller) => {
+			for (let index = 0; !state.isOver; index++) {
+				const ready = await Promise.all(cluster.entries.map(async entry => cluster.answers(entry, 'ready'))); // eslint-disable-line no-await-in-loop
+				results.push(await draft(cluster, `stop ${caller} ${index} [60 tokens]`, undefined, ready.lastIndexOf(true))); // eslint-disable-line no-await-in-loop
+			}
+		});
+		for (const entry of [cluster.entries[1], cluster.entries[0], cluster.entries[1]]) {
+			await cluster.timers.sleep(500); // eslint-disable-line no-await-in-loop
+			entry.program.signal('SIGTERM');
+			t.is(await entry.program.exited(), 0); // eslint-disable-line no-await-in-loop
+			await cluster.restartEntry(entry); // eslint-disable-line no-await-in-loop
+			await cluster.waitFor(async () => cluster.answers(entry, 'ready')); // eslint-disable-line no-await-in-loop
+			await cluster.timers.sleep(1200); // eslint-disable-line no-await-in-loop
+		}
+
+		state.isOver = true;
+		await Promise.all(callers);
+		t.true(results.length > 10);
+		t.deepEqual(results.filter(({end}) => end !== DraftEnd.Whole).map(({end, code, tokens}) => `${end} ${code} ${tokens}`), []);
+	} finally {
+		await cluster.stop();
+	}
+});
