--- a/harness/cluster.ts
+++ b/harness/cluster.ts
@@ -21,7 +21,8 @@
 const pollMs = 25;
 const controlLimitMs = 5000;
 
-type SettingsOverrides = Readonly<Record<string, Readonly<Record<string, string>>>>;
+/** Settings of entry instances that differ from the defaults, by section and key. */
+export type SettingsOverrides = Readonly<Record<string, Readonly<Record<string, string>>>>;
 
 /** An entry instance of a cluster. */
 export type Entry = {
--- /dev/null
+++ b/harness/mutation-list.ts
@@ -0,0 +1,131 @@
+/** A mechanism that is taken out, and the test that must then be red. */
+export type Mutation = {
+	readonly promise: string;
+	/** Compiled file below `dist/`. */
+	readonly file: string;
+	readonly find: string;
+	readonly replace: string;
+	readonly testFile: string;
+	/** Pattern of the test's title. */
+	readonly title: string;
+};
+
+function mutation(promise: string, [file, find, replace]: readonly [string, string, string], [testFile, title]: readonly [string, string]): Mutation {
+	return {
+		promise, file, find, replace, testFile, title,
+	};
+}
+
+/** Each promise's mechanism taken out in turn. */
+export const mutations: readonly Mutation[] = [
+	mutation(
+		'a key that was sent is sent by nobody else',
+		['src/actions/action-decision.js', 'record.state === ActionState.Sent)', 'false)'],
+		['test/action-model.test.ts', 'at most once*'],
+	),
+	mutation(
+		'the send comes after the write of sent',
+		['src/actions/action-decision.js', 'ActionMove.MarkSent : ActionMove.Send', 'ActionMove.Send : ActionMove.Send'],
+		['test/action-model.test.ts', 'at most once*'],
+	),
+	mutation(
+		'a reset after the bytes went is no proof of not run',
+		['src/backends/http-plain-service.js', '\'ECONNREFUSED\',', '\'ECONNREFUSED\', \'ECONNRESET\','],
+		['test/action-failures.test.ts', 'records answers reset_after*'],
+	),
+	mutation(
+		'another body under a key is a conflict',
+		['src/actions/action-decision.js', 'record.fingerprint !== action.fingerprint', 'false'],
+		['test/action-model.test.ts', 'the same key with another body*'],
+	),
+	mutation(
+		'late frames are dropped',
+		['src/routing/answer-guard.js', 'frame.attempt !== attempt || frame.index < this.next', 'false'],
+		['test/stream-recovery.test.ts', '*'],
+	),
+	mutation(
+		'layers are checked by receipts',
+		['src/routing/answer-guard.js', 'findFaultyStage(frame.receipts, route, this.layers) !== undefined', 'false'],
+		['test/stream-recovery.test.ts', 'a stage that changed its version*'],
+	),
+	mutation(
+		'a gap in the indexes breaks the stream',
+		['src/routing/answer-guard.js', 'frame.index > this.next', 'false'],
+		['test/stream-recovery.test.ts', 'whatever happens*'],
+	),
+	mutation(
+		'a silent connection is told from a lost server',
+		['src/routing/diagnosis.js', 'known.at(-1).emitted > delivered', 'false'],
+		['test/stream-recovery.test.ts', 'a silent connection*'],
+	),
+	mutation(
+		'a killed stage is replaced',
+		['src/routing/stream-recovery.js', 'this.excluded.add(server);', 'return this.fail(65, \'\');'],
+		['test/stream-failures.test.ts', 'the middle stage is killed*'],
+	),
+	mutation(
+		'engines are cancelled when the caller goes',
+		['src/callers/chat-exchange.js', 'if (!this.isEnded) {', 'if (false) {'],
+		['test/stream-failures.test.ts', 'the caller goes away*'],
+	),
+	mutation(
+		'versions only rise',
+		['src/configuration/configuration-keeper.js', 'candidate.version <= configuration.version', 'false'],
+		['test/decisions.test.ts', 'version*'],
+	),
+	mutation(
+		'a woken instance is not ready',
+		['src/configuration/freshness.js', 'now - heardAt <= this.limit', 'true'],
+		['test/decisions.test.ts', 'freshness*'],
+	),
+	mutation(
+		'peers spread a version without the table',
+		['src/configuration/configuration-follower.js', 'this.announce(configuration.version);', ''],
+		['test/configuration-failures.test.ts', 'an instance that starts in an outage*'],
+	),
+	mutation(
+		'a lost answer of an acceptance is found again',
+		['src/configuration/sheet-office.js', 'head.submission !== submission.id', 'true'],
+		['test/configuration-failures.test.ts', 'an accepted write whose answer*'],
+	),
+	mutation(
+		'a leaving server gets no new work',
+		['src/routing/fleet.js', 'server.listed.state === InstanceState.Live && !server.isLeaving', 'true'],
+		['test/stream-failures.test.ts', 'a leaving server*'],
+	),
+	mutation(
+		'a planned stop waits for requests in flight',
+		['src/instance.js', 'parts.callers.inFlight > 0 && parts.timers.now() < limit', 'false'],
+		['test/stream-failures.test.ts', 'entry instances are stopped in turn*'],
+	),
+	mutation(
+		'a lease is taken only after its duration',
+		['src/leases/lease.js', 'now - this.seenAt >= this.duration', 'true'],
+		['test/leases.test.ts', 'at any time*'],
+	),
+	mutation(
+		'suspicion comes before removal',
+		['src/membership/membership.js', 'now - member.since >= limit', 'true'],
+		['test/decisions.test.ts', 'membership*'],
+	),
+	mutation(
+		'grants stay within the limit',
+		['src/usage/grant-decision.js', 'Math.min(demand.tokens, tokensLeft)', 'demand.tokens'],
+		['test/decisions.test.ts', 'usage*'],
+	),
+	mutation(
+		'the queue is bounded',
+		['src/admission/admission.js', 'this.queue.size >= this.limits.queue', 'false'],
+		['test/decisions.test.ts', 'admission*'],
+	),
+	mutation(
+		'shares are honoured',
+		['src/admission/fair-queue.js', 'ticket.cost / ticket.share', '0'],
+		['test/decisions.test.ts', 'admission*shares*'],
+	),
+	mutation(
+		'retries stay within the budget',
+		['src/admission/retry-budget.js', 'retries + 1 > this.least + (this.ratio * requests)', 'false'],
+		['test/decisions.test.ts', 'retry budget*'],
+	),
+];
--- /dev/null
+++ b/measures/fleet-plan.ts
@@ -0,0 +1,96 @@
+import {InstanceRole} from '../src/platform/instance-role.js';
+import {listedInstanceSchema, type ListedInstance} from '../src/platform/listed-instance.js';
+import {type Server} from '../src/routing/server.js';
+import {type RandomSource} from '../src/routing/random-source.js';
+import {type EngineSettings, engineSettingsSchema} from '../stand-ins/engine-settings.js';
+
+/** A kind of accelerator: milliseconds of a batch for eight layers, and for each token and prefilled position in it. */
+type Accelerator = {
+	readonly name: string;
+	readonly step: number;
+	readonly decode: number;
+	readonly prefill: number;
+};
+
+const accelerators: readonly Accelerator[] = [
+	{
+		name: 'kind-a', step: 2, decode: 0.5, prefill: 0.01,
+	},
+	{
+		name: 'kind-b', step: 3, decode: 1, prefill: 0.02,
+	},
+	{
+		name: 'kind-c', step: 4, decode: 1.5, prefill: 0.03,
+	},
+	{
+		name: 'kind-d', step: 6, decode: 2, prefill: 0.05,
+	},
+];
+
+/** Number of layers of the model of the measurements. */
+export const layers = 24;
+const batch = 8;
+const fastLink = 4000;
+const slowLink = 40;
+const layersOfKind = 8;
+
+/** The work that each request brings. */
+export type Workload = {
+	/** Characters of the prompt. */
+	readonly promptLength: number;
+	/** Tokens of the answer. */
+	readonly tokens: number;
+};
+
+const charactersPerToken = 4;
+const rangesPlan: ReadonlyArray<readonly [firstLayer: number, endLayer: number, kinds: readonly number[]]> = [
+	[0, 8, [0, 1, 2]],
+	[8, 16, [0, 2, 3]],
+	[16, 24, [1, 1, 3]],
+	[0, 12, [0, 2]],
+	[12, 24, [0, 3]],
+	[8, 24, [1]],
+];
+
+/** The settings of the engines of a fleet with four kinds of accelerators, uneven ranges, and links that differ a hundredfold. */
+export function planFleet(random: RandomSource, workload: Workload): readonly EngineSettings[] {
+	const plan = rangesPlan.flatMap(([firstLayer, endLayer, kinds], range) => kinds.map((kind, index) => {
+		const {name, step, decode, prefill} = accelerators[kind];
+		const size = (endLayer - firstLayer) / layersOfKind;
+		const times = {step: step * size, decode: decode * size, prefill: prefill * size};
+		return {
+			id: `${name}-${range}-${index}`, firstLayer, endLayer, ...times,
+		};
+	}));
+	return plan.map(({id, firstLayer, endLayer, step, decode, prefill}) => {
+		const next = plan.filter(other => other.firstLayer === endLayer);
+		const links = Object.fromEntries(next.map(other => [other.id, random.below(3) === 0 ? slowLink : fastLink]));
+		const prefillTime = prefill * Math.ceil(workload.promptLength / charactersPerToken);
+		const tokenRate = 1000 / ((step / batch) + decode + (prefillTime / workload.tokens));
+		return engineSettingsSchema.parse({
+			id, firstLayer, endLayer, layers, step, decode, prefill, batch, links, tokenRate,
+		});
+	});
+}
+
+/** The servers that a fleet's engines make, as a router sees them, for the bound. */
+export function serversOf(fleet: readonly EngineSettings[]): readonly Server[] {
+	return fleet.map(settings => ({
+		listed: listingOf(settings, ''),
+		report: {
+			running: 0, queued: 0, tokenRate: settings.tokenRate, isLeaving: false, links: settings.links,
+		},
+		ownRunning: 0,
+		startedSinceReport: 0,
+		suspectUntil: 0,
+		failures: 0,
+		isLeaving: false,
+	}));
+}
+
+/** The entry of the instance list for an engine. */
+export function listingOf({id, firstLayer, endLayer, tokenRate}: EngineSettings, address: string): ListedInstance {
+	return listedInstanceSchema.parse({
+		id, role: InstanceRole.Engine, state: 'live', address, zone: 'zone-a', service: 'drafting', version: 'v1', firstLayer, endLayer, tokenRate,
+	});
+}
--- /dev/null
+++ b/measures/report.ts
@@ -0,0 +1,62 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+import {layOut} from '../src/command/output.js';
+
+/** A table for people and the figures of one measurement. */
+export type Report = {
+	readonly header: readonly string[];
+	readonly rows: ReadonlyArray<ReadonlyArray<string | number>>;
+	readonly figures: Readonly<Record<string, unknown>>;
+};
+
+/** The 50th, 95th and 99th percentile in milliseconds. */
+export type Percentiles = {
+	readonly p50: number;
+	readonly p95: number;
+	readonly p99: number;
+	readonly count: number;
+};
+
+/** Collects durations in milliseconds. */
+export class Durations {
+	private readonly histogram: Histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 600_000_000, numberOfSignificantValueDigits: 3});
+
+	add(milliseconds: number): void {
+		this.histogram.recordValue(Math.max(1, Math.round(milliseconds * 1000)));
+	}
+
+	percentiles(): Percentiles {
+		const at = (percentile: number) => round(this.histogram.getValueAtPercentile(percentile) / 1000);
+		return {
+			p50: at(50), p95: at(95), p99: at(99), count: this.histogram.totalCount,
+		};
+	}
+}
+
+/** A figure with one decimal. */
+export function round(value: number, decimals = 1): number {
+	return Number(value.toFixed(decimals));
+}
+
+/** Least-squares slope and value at zero. */
+export function fitLine(points: ReadonlyArray<readonly [x: number, y: number]>): {slope: number; base: number} {
+	const count = points.length;
+	let sumX = 0;
+	let sumY = 0;
+	let sumXx = 0;
+	let sumXy = 0;
+	for (const [x, y] of points) {
+		sumX += x;
+		sumY += y;
+		sumXx += x * x;
+		sumXy += x * y;
+	}
+
+	const slope = ((count * sumXy) - (sumX * sumY)) / ((count * sumXx) - (sumX * sumX));
+	return {slope, base: (sumY - (slope * sumX)) / count};
+}
+
+/** Prints the table and, as the last line, the figures. */
+export function printReport(name: string, seed: number, {header, rows, figures}: Report): void {
+	console.log(layOut(header, rows));
+	console.log(JSON.stringify({name, seed, ...figures}));
+}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -24,8 +24,8 @@
 	return `sk-sn-soak-${workspace}`;
 }
 
-/** The sheet of the soak; the mark makes versions differ. */
-export function sheetText(mark: number): string {
+/** The sheet of the soak; the mark makes versions differ, a factor raises the limits. */
+export function sheetText(mark: number, factor = 1): string {
 	const cells = (row: Partial<Record<typeof sheetColumns[number], string | number>>) => sheetColumns.map(column => String(row[column] ?? '')).join(',');
 	/* eslint-disable @typescript-eslint/naming-convention -- names of columns */
 	return [
@@ -35,8 +35,8 @@
 			name,
 			priority: 'normal',
 			share_percent: name === 'small' ? share - (mark % 9) : share,
-			tokens_per_minute: tokens,
-			concurrent_streams: streams,
+			tokens_per_minute: tokens * factor,
+			concurrent_streams: streams * factor,
 			key_digest: digestOf(keyOf(name)),
 		})),
 		cells({
--- a/src/backends/http-request.ts
+++ b/src/backends/http-request.ts
@@ -2,21 +2,24 @@
 import got, {type Response} from 'got';
 import {type TimerService} from '../time/timer-service.js';
 
+/** A request that is sent once. */
+export type SingleRequest = {
+	readonly url: string;
+	/** Milliseconds for the answer. */
+	readonly limit: number;
+	/** Posted as JSON; without one it is a GET. */
+	readonly body?: unknown;
+};
+
 /** Sends one JSON request over a new connection and gives up after a limit. Rejects on any failure of the connection. */
-export async function requestOnce(
-	timers: TimerService,
-	method: 'GET' | 'POST',
-	url: string,
-	limit: number,
-	body?: unknown,
-): Promise<Response<string>> {
+export async function requestOnce(timers: TimerService, {url, limit, body}: SingleRequest): Promise<Response<string>> {
 	const cancellation = new AbortController();
 	const timeout = timers.after(limit, () => {
 		cancellation.abort();
 	});
 	try {
 		return await got(url, {
-			method,
+			method: body === undefined ? 'GET' : 'POST',
 			json: body,
 			agent: {http: new Agent({keepAlive: false})},
 			retry: {limit: 0},
--- a/src/backends/load-watch.ts
+++ b/src/backends/load-watch.ts
@@ -5,24 +5,25 @@
 import {type ModelEngine} from './model-engine.js';
 import {type PlainService} from './plain-service.js';
 
+/** What the load watch needs. */
+export type LoadWatchParts = {
+	readonly fleet: Fleet;
+	readonly engine: ModelEngine;
+	readonly plain: PlainService;
+	readonly timers: TimerService;
+	/** Milliseconds for an answer. */
+	readonly limit: number;
+};
+
 /** Asks backend servers for their load, over new connections, and suspects those that give no answer. */
 export class LoadWatch {
 	private readonly pending = new Set<string>();
 
-	/**
-	@param limit - milliseconds for an answer
-	*/
-	constructor(
-		private readonly fleet: Fleet,
-		private readonly engine: ModelEngine,
-		private readonly plain: PlainService,
-		private readonly timers: TimerService,
-		private readonly limit: number,
-	) {}
+	constructor(private readonly parts: LoadWatchParts) {}
 
 	/** Asks every server once; those that have not answered yet are not asked again. */
 	poll(): void {
-		for (const server of this.fleet.all()) {
+		for (const server of this.parts.fleet.all()) {
 			if (!this.pending.has(server.listed.id)) {
 				void this.ask(server);
 			}
@@ -32,10 +33,10 @@
 	private async ask({listed}: Server): Promise<void> {
 		this.pending.add(listed.id);
 		try {
-			const source = listed.role === InstanceRole.Engine ? this.engine : this.plain;
-			this.fleet.report(listed.id, await source.load(listed.address, this.limit));
+			const source = listed.role === InstanceRole.Engine ? this.parts.engine : this.parts.plain;
+			this.parts.fleet.report(listed.id, await source.load(listed.address, this.parts.limit));
 		} catch {
-			this.fleet.suspect(listed.id, this.timers.now());
+			this.parts.fleet.suspect(listed.id, this.parts.timers.now());
 		} finally {
 			this.pending.delete(listed.id);
 		}
--- a/src/configuration/configuration-follower.ts
+++ b/src/configuration/configuration-follower.ts
@@ -14,22 +14,25 @@
 const announcementFanout = 4;
 const retainedVersions = 16;
 
+/** What the follower needs. */
+export type FollowerParts = {
+	readonly archive: ConfigurationArchive;
+	readonly keeper: ConfigurationKeeper;
+	readonly freshness: Freshness;
+	readonly peers: Peers;
+	readonly timers: TimerService;
+	readonly random: RandomSource;
+	readonly metrics: Metrics;
+	readonly log: Logger;
+};
+
 /** Keeps this instance's configuration up to date, from the table and by differences from peers, and tells peers of newer ones. */
 export class ConfigurationFollower {
 	private readonly retained = new Map<number, Configuration>([[0, emptyConfiguration]]);
 	private isPolling = false;
 
-	constructor(
-		private readonly archive: ConfigurationArchive,
-		private readonly keeper: ConfigurationKeeper,
-		private readonly freshness: Freshness,
-		private readonly peers: Peers,
-		private readonly timers: TimerService,
-		private readonly random: RandomSource,
-		private readonly metrics: Metrics,
-		private readonly log: Logger,
-	) {
-		keeper.subscribe(configuration => {
+	constructor(private readonly parts: FollowerParts) {
+		parts.keeper.subscribe(configuration => {
 			this.retain(configuration);
 			this.announce(configuration.version);
 		});
@@ -42,16 +45,16 @@
 		}
 
 		this.isPolling = true;
-		const begin = this.timers.now();
+		const begin = this.parts.timers.now();
 		try {
-			const head = await this.archive.head();
-			const newest = await this.archive.newest(this.keeper.current() ?? emptyConfiguration, head);
+			const head = await this.parts.archive.head();
+			const newest = await this.parts.archive.newest(this.parts.keeper.current() ?? emptyConfiguration, head);
 			this.put(newest, 'the table');
-			if (this.keeper.version() >= head.version) {
-				this.freshness.confirm(begin);
+			if (this.parts.keeper.version() >= head.version) {
+				this.parts.freshness.confirm(begin);
 			}
 		} catch (error) {
-			this.log.warn(`The table's head cannot be read: ${messageOf(error)}.`);
+			this.parts.log.warn(`The table's head cannot be read: ${messageOf(error)}.`);
 		} finally {
 			this.isPolling = false;
 		}
@@ -66,34 +69,34 @@
 	*/
 	async heard(address: string, {version, tableAge}: {readonly version: number; readonly tableAge: number}, sentAt: number): Promise<void> {
 		await this.pull(address, version);
-		if (tableAge >= 0 && this.keeper.version() >= version) {
-			this.freshness.confirm(sentAt - tableAge);
+		if (tableAge >= 0 && this.parts.keeper.version() >= version) {
+			this.parts.freshness.confirm(sentAt - tableAge);
 		}
 	}
 
 	/** Milliseconds since the last reading of the table's head that this instance knows of; -1 where it knows of none. */
 	tableAge(): number {
-		const age = this.freshness.age(this.timers.now());
+		const age = this.parts.freshness.age(this.parts.timers.now());
 		return Number.isFinite(age) ? Math.round(age) : -1;
 	}
 
 	/** Fetches a newer configuration from a peer that has one. */
 	async pull(address: string, version: number): Promise<void> {
-		if (version <= this.keeper.version()) {
+		if (version <= this.parts.keeper.version()) {
 			return;
 		}
 
 		try {
-			const update = await this.peers.update(address, Math.max(0, this.keeper.version()));
+			const update = await this.parts.peers.update(address, Math.max(0, this.parts.keeper.version()));
 			this.take(update, address);
 		} catch (error) {
-			this.log.warn(`Peer ${address} gave no configuration: ${messageOf(error)}.`);
+			this.parts.log.warn(`Peer ${address} gave no configuration: ${messageOf(error)}.`);
 		}
 	}
 
 	/** The update for a peer whose version is given; undefined where this instance has nothing newer. */
 	updateFor(version: number): ConfigurationUpdate | undefined {
-		const current = this.keeper.current();
+		const current = this.parts.keeper.current();
 		if (!current || current.version <= version) {
 			return undefined;
 		}
@@ -109,7 +112,7 @@
 
 		const sheet = applyDifference(base.sheet, update.difference);
 		if (sheet.digest !== update.digest) {
-			this.log.error(`The configuration of ${source} has another digest than it says.`);
+			this.parts.log.error(`The configuration of ${source} has another digest than it says.`);
 			return;
 		}
 
@@ -117,9 +120,9 @@
 	}
 
 	private put(configuration: Configuration, source: string): void {
-		if (this.keeper.apply(configuration)) {
-			this.metrics.count('siskinnotch_configuration_changes_total');
-			this.log.info(`Version ${configuration.version} is in force, from ${source}.`);
+		if (this.parts.keeper.apply(configuration)) {
+			this.parts.metrics.count('siskinnotch_configuration_changes_total');
+			this.parts.log.info(`Version ${configuration.version} is in force, from ${source}.`);
 		}
 	}
 
@@ -133,10 +136,10 @@
 	}
 
 	private announce(version: number): void {
-		const addresses = [...this.peers.addresses()];
+		const addresses = [...this.parts.peers.addresses()];
 		for (let count = 0; count < announcementFanout && addresses.length > 0; count++) {
-			const [address] = addresses.splice(this.random.below(addresses.length), 1);
-			void this.peers.announce(address, version);
+			const [address] = addresses.splice(this.parts.random.below(addresses.length), 1);
+			void this.parts.peers.announce(address, version);
 		}
 	}
 }
--- a/src/drafts/capacity.ts
+++ b/src/drafts/capacity.ts
@@ -2,8 +2,6 @@
 import {type Fleet} from '../routing/fleet.js';
 import {flowBound} from '../routing/flow-bound.js';
 
-/** Milliseconds between tokens that a stream shall have. */
-const targetGapMs = 36;
 const weight = 0.05;
 const firstGapMs = 10;
 const firstTokens = 32;
@@ -11,7 +9,7 @@
 /**
 How many streams this instance may run at once.
 
-By Little's law, a bound of R tokens a second gives R × 36 ms streams a token each 36 ms. Each instance has an equal part of these slots, and beyond that an equal part of the slots that reports show as free, so that uneven entry traffic still fills the servers.
+By Little's law, a bound of R tokens a second gives R × g streams a token each g. Each instance has an equal part of these slots, and beyond that an equal part of the slots that reports show as free, so that uneven entry traffic still fills the servers.
 */
 export class Capacity {
 	private readonly totals = new Map<string, {readonly changes: number; readonly total: number; readonly until: number}>();
@@ -20,8 +18,9 @@
 
 	/**
 	@param instances - the number of entry instances seen
+	@param tokenGap - milliseconds between tokens that streams may have when all slots are taken
 	*/
-	constructor(private readonly fleet: Fleet, private readonly instances: () => number) {}
+	constructor(private readonly fleet: Fleet, private readonly instances: () => number, private readonly tokenGap: number) {}
 
 	/**
 	Streams of a service that this instance may run at once, at least 1.
@@ -29,7 +28,7 @@
 	@param own - streams of the service that it runs
 	*/
 	slots(service: Service, own: number, now: number): number {
-		const total = Math.ceil(this.bound(service, now) * targetGapMs / 1000);
+		const total = Math.ceil(this.bound(service, now) * this.tokenGap / 1000);
 		const sharers = Math.max(1, this.instances());
 		const free = Math.max(0, total - Math.max(own, this.runningOn(service)));
 		return Math.max(1, Math.ceil(total / sharers), own + Math.floor(free / sharers));
@@ -53,7 +52,11 @@
 			return known.total;
 		}
 
-		const {total} = flowBound(this.fleet.usable(service.name, service.version, now), service.layers);
+		let total = 0;
+		for (const version of this.fleet.versionsOf(service.name, service.version, now)) {
+			total += flowBound(this.fleet.usable(service.name, version, now), service.layers).total;
+		}
+
 		this.totals.set(service.name, {changes: this.fleet.changes, total, until: now + 1000});
 		return total;
 	}
--- a/src/drafts/draft-service.ts
+++ b/src/drafts/draft-service.ts
@@ -8,6 +8,7 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {toFailure} from '../results/to-failure.js';
+import {type Route} from '../backends/stage.js';
 import {type RoutePolicy} from '../routing/route-policy.js';
 import {StreamEventKind} from '../routing/stream-event.js';
 import {StreamRecovery} from '../routing/stream-recovery.js';
@@ -44,22 +45,25 @@
 
 const tickMs = 50;
 
+/** What the draft service needs. */
+export type DraftServiceParts = {
+	readonly limits: DraftLimits;
+	readonly tools: DraftTools;
+	readonly policy: RoutePolicy;
+	readonly capacity: Capacity;
+	readonly budget: RetryBudget;
+	readonly meter: Meter;
+	readonly invariants: Invariants;
+	readonly log: Logger;
+};
+
 /** Admits drafts, runs them along routes and settles what they used. */
 export class DraftService {
 	private readonly admissions = new Map<string, Admission>();
 	private readonly pending = new Map<string, Pending>();
 
-	constructor(
-		private readonly limits: DraftLimits,
-		private readonly tools: DraftTools,
-		private readonly policy: RoutePolicy,
-		private readonly capacity: Capacity,
-		private readonly budget: RetryBudget,
-		private readonly meter: Meter,
-		private readonly invariants: Invariants,
-		private readonly log: Logger,
-	) {
-		tools.timers.repeat(tickMs, () => {
+	constructor(private readonly parts: DraftServiceParts) {
+		parts.tools.timers.repeat(tickMs, () => {
 			this.tick();
 		});
 	}
@@ -84,9 +88,9 @@
 		let isGone = false;
 		void (async () => {
 			try {
-				const reservation = await this.meter.reserve(draft.workspace, draft.promptTokens + draft.maximumTokens);
+				const reservation = await this.parts.meter.reserve(draft.workspace, draft.promptTokens + draft.maximumTokens);
 				if (isGone) {
-					this.meter.settle(reservation, 0);
+					this.parts.meter.settle(reservation, 0);
 				} else {
 					this.enter(draft, sink, reservation);
 				}
@@ -104,12 +108,12 @@
 	}
 
 	private enter(draft: Draft, sink: DraftSink, reservation: Reservation): void {
-		const now = this.tools.timers.now();
+		const now = this.parts.tools.timers.now();
 		const pending: Pending = {
 			draft, sink, reservation, enteredAt: now, isEnded: false,
 		};
 		this.pending.set(draft.id, pending);
-		this.budget.countRequest(now);
+		this.parts.budget.countRequest(now);
 		const ticket = {
 			id: draft.id,
 			workspace: draft.workspace.name,
@@ -117,7 +121,7 @@
 			share: draft.workspace.share,
 			cost: draft.promptTokens + draft.maximumTokens,
 			deadline: draft.deadline,
-			expectedDuration: this.capacity.expectedDuration(draft.maximumTokens),
+			expectedDuration: this.parts.capacity.expectedDuration(draft.maximumTokens),
 		};
 		this.settleOutcome(this.admissionOf(draft.service).request(ticket, this.slotsOf(draft.service), now));
 	}
@@ -125,7 +129,7 @@
 	private admissionOf({name}: Service): Admission {
 		let admission = this.admissions.get(name);
 		if (!admission) {
-			admission = new Admission(this.limits, this.invariants);
+			admission = new Admission(this.parts.limits, this.parts.invariants);
 			this.admissions.set(name, admission);
 		}
 
@@ -134,7 +138,7 @@
 
 	private slotsOf(service: Service): number {
 		const own = this.admissions.get(service.name)?.runningCount ?? 0;
-		return Math.min(this.limits.streams, this.capacity.slots(service, own, this.tools.timers.now()));
+		return Math.min(this.parts.limits.streams, this.parts.capacity.slots(service, own, this.parts.tools.timers.now()));
 	}
 
 	private settleOutcome(outcome: AdmissionOutcome): void {
@@ -156,24 +160,39 @@
 
 	private run(pending: Pending): void {
 		const {draft} = pending;
-		const {timers, metrics, tracing} = this.tools;
+		const {timers, metrics, tracing} = this.parts.tools;
 		const now = timers.now();
 		metrics.record('siskinnotch_queue_ms', now - pending.enteredAt);
 		tracing.start('queue', {waitedMs: Math.round(now - pending.enteredAt)}, draft.context).end();
 		const recovery = new StreamRecovery({
 			layers: draft.service.layers,
-			stall: this.limits.stall,
-			firstStall: this.limits.firstToken,
+			stall: this.parts.limits.stall,
+			firstStall: this.parts.limits.firstToken,
 			deadline: draft.deadline,
-			plan: (excluded, kept, at) => this.policy.choose(this.tools.fleet, {
-				service: draft.service.name, version: draft.service.version, layers: draft.service.layers, excluded, kept, now: at,
-			}),
-			takeRetry: () => this.budget.take(timers.now()),
+			plan: (excluded, kept, at) => this.plan(pending, excluded, kept, at),
+			takeRetry: () => this.parts.budget.take(timers.now()),
 		}, now);
-		pending.run = new DraftRun(draft, recovery, this.tools, this.sinkOf(pending));
+		pending.run = new DraftRun(draft, recovery, this.parts.tools, this.sinkOf(pending));
 		pending.run.dispatch({kind: StreamEventKind.Begin});
 	}
 
+	/** A route with the sheet's version, or with another while servers are changing theirs. An answer keeps its version. */
+	private plan({draft, run}: Pending, excluded: ReadonlySet<string>, kept: Route, now: number): Route | undefined {
+		const {name, layers, version: wanted} = draft.service;
+		const hasBegun = run !== undefined && run.delivered > 0;
+		const versions = hasBegun ? [kept[0].version] : this.parts.tools.fleet.versionsOf(name, wanted, now);
+		for (const version of versions) {
+			const route = this.parts.policy.choose(this.parts.tools.fleet, {
+				service: name, version, layers, excluded, kept, now,
+			});
+			if (route) {
+				return route;
+			}
+		}
+
+		return undefined;
+	}
+
 	private sinkOf(pending: Pending): DraftSink {
 		return {
 			onTokens(tokens) {
@@ -184,7 +203,7 @@
 				pending.sink.onFinish(reason);
 			},
 			onFail: failure => {
-				this.log.info(`Draft ${pending.draft.id} failed with code ${failure.code}: ${failure.message}.`);
+				this.parts.log.info(`Draft ${pending.draft.id} failed with code ${failure.code}: ${failure.message}.`);
 				this.finish(pending, this.usedBy(pending));
 				pending.sink.onFail(failure);
 			},
@@ -202,12 +221,12 @@
 
 		pending.isEnded = true;
 		this.pending.delete(pending.draft.id);
-		this.meter.settle(pending.reservation, used);
-		const now = this.tools.timers.now();
+		this.parts.meter.settle(pending.reservation, used);
+		const now = this.parts.tools.timers.now();
 		const delivered = pending.run?.delivered ?? 0;
 		const duration = pending.run ? now - pending.enteredAt : undefined;
 		if (duration !== undefined && delivered > 0) {
-			this.capacity.learn(duration, delivered);
+			this.parts.capacity.learn(duration, delivered);
 		}
 
 		const {service} = pending.draft;
@@ -230,7 +249,7 @@
 			pending.run?.dispatch({kind: StreamEventKind.Tick});
 		}
 
-		const now = this.tools.timers.now();
+		const now = this.parts.tools.timers.now();
 		for (const [name, admission] of this.admissions) {
 			if (admission.waitingCount > 0) {
 				const service = this.serviceOf(name);
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -6,6 +6,8 @@
 import {type ConfigurationFollower} from './configuration/configuration-follower.js';
 import {type ConfigurationKeeper} from './configuration/configuration-keeper.js';
 import {type DraftService} from './drafts/draft-service.js';
+import {type LeaseKeeper} from './leases/lease-keeper.js';
+import {type OrderDesk} from './leases/order-desk.js';
 import {type Lifecycle} from './lifecycle.js';
 import {type Membership} from './membership/membership.js';
 import {type Invariants} from './observation/invariants.js';
@@ -42,9 +44,13 @@
 	readonly meter: Meter;
 	readonly membership: Membership;
 	readonly fleet: Fleet;
+	readonly leaseKeeper: LeaseKeeper;
+	readonly orderDesk: OrderDesk;
 };
 
 const loadPeriodMs = 1000;
+const leasePeriodMs = 2000;
+const orderPeriodMs = 1000;
 const stopPollMs = 50;
 
 function splitAddress(address: string): {host: string; port: number} {
@@ -126,6 +132,12 @@
 		parts.timers.repeat(settings.peers.probe_period, () => {
 			void parts.peerDesk.probeNext();
 		});
+		parts.timers.repeat(leasePeriodMs, () => {
+			void parts.leaseKeeper.advance();
+		});
+		parts.timers.repeat(orderPeriodMs, () => {
+			void parts.orderDesk.advance();
+		});
 		parts.timers.repeat(loadPeriodMs, () => {
 			parts.loadWatch.poll();
 			if (parts.keeper.version() < 0) {
--- /dev/null
+++ b/src/leases/lease-keeper.ts
@@ -0,0 +1,54 @@
+import {type Logger} from 'winston';
+import {type Table} from '../platform/table.js';
+import {messageOf} from '../results/to-failure.js';
+import {type TimerService} from '../time/timer-service.js';
+import {leaseRecordSchema, leaseRowKey} from './lease-record.js';
+import {type Lease} from './lease.js';
+
+/** Takes and renews a lease by conditional writes of its row. */
+export class LeaseKeeper {
+	private isBusy = false;
+
+	constructor(
+		private readonly name: string,
+		private readonly lease: Lease,
+		private readonly tools: {readonly table: Table; readonly timers: TimerService; readonly log: Logger},
+	) {}
+
+	/** Reads the row and takes or renews the lease where it may. Called several times within its duration. */
+	async advance(): Promise<void> {
+		if (this.isBusy) {
+			return;
+		}
+
+		this.isBusy = true;
+		try {
+			await this.tryOnce();
+		} catch (error) {
+			this.tools.log.debug(`The lease ${this.name} cannot be renewed: ${messageOf(error)}.`);
+		} finally {
+			this.isBusy = false;
+		}
+	}
+
+	private async tryOnce(): Promise<void> {
+		const {table, timers, log} = this.tools;
+		const key = leaseRowKey(this.name);
+		const row = await table.read(key);
+		const reading = {record: row && leaseRecordSchema.parse(JSON.parse(row.value)), version: row?.version ?? 0};
+		const sentAt = timers.now();
+		const record = this.lease.next(reading, sentAt);
+		if (!record) {
+			return;
+		}
+
+		const wasHeld = this.lease.isHeld(sentAt);
+		const outcome = await table.transact([{key, expected: reading.version, value: JSON.stringify(record)}]);
+		if (outcome.isApplied) {
+			this.lease.written(record, reading.version + 1, sentAt);
+			if (!wasHeld) {
+				log.info(`The lease ${this.name} is held with fencing number ${record.fencing}.`);
+			}
+		}
+	}
+}
--- a/src/peers/operator-desk.ts
+++ b/src/peers/operator-desk.ts
@@ -48,39 +48,42 @@
 	}
 }
 
+/** What the operators' procedures need. */
+export type OperatorDeskParts = {
+	readonly self: InstanceView;
+	readonly office: SheetOffice;
+	readonly keeper: ConfigurationKeeper;
+	readonly archive: ConfigurationArchive;
+	readonly platform: Platform;
+	readonly membership: Membership;
+	readonly explainer: RouteExplainer;
+	readonly ledger: ActionLedger;
+	readonly lifecycle: Lifecycle;
+};
+
 /** Answers operators and planners. */
 export class OperatorDesk {
-	constructor(
-		private readonly self: InstanceView,
-		private readonly office: SheetOffice,
-		private readonly keeper: ConfigurationKeeper,
-		private readonly archive: ConfigurationArchive,
-		private readonly platform: Platform,
-		private readonly membership: Membership,
-		private readonly explainer: RouteExplainer,
-		private readonly ledger: ActionLedger,
-		private readonly lifecycle: Lifecycle,
-	) {}
+	constructor(private readonly parts: OperatorDeskParts) {}
 
 	async submitSheet(submission: Submission): Promise<Reply<SubmissionResult>> {
-		return reply(async () => this.office.submit(submission));
+		return reply(async () => this.parts.office.submit(submission));
 	}
 
 	/** The sheet in force at this instance. */
 	showSheet(): {readonly version: number; readonly rows: readonly SheetRow[]} {
-		const current = this.keeper.current();
+		const current = this.parts.keeper.current();
 		return {version: current?.version ?? 0, rows: [...current?.sheet.rows.values() ?? []]};
 	}
 
 	async history(): Promise<Reply<readonly Acceptance[]>> {
-		return reply(async () => this.archive.history());
+		return reply(async () => this.parts.archive.history());
 	}
 
 	/** Tokens charged to each workspace, over all windows in the table. */
 	async usage(): Promise<Reply<readonly WorkspaceUsage[]>> {
 		return reply(async () => {
 			const totals = new Map<string, {tokens: number; windows: number}>();
-			for (const row of await this.platform.table.scan('usage/')) {
+			for (const row of await this.parts.platform.table.scan('usage/')) {
 				const [, workspace] = row.key.split('/');
 				const total = totals.get(workspace) ?? {tokens: 0, windows: 0};
 				total.tokens += chargedBy(usageRecordSchema.parse(JSON.parse(row.value)));
@@ -93,20 +96,20 @@
 	}
 
 	instances(): readonly InstanceView[] {
-		return [{...this.self, state: this.lifecycle.isDraining ? 'draining' : 'alive'}, ...this.membership.all().map(({id, address, state}) => ({id, address, state}))];
+		return [{...this.parts.self, state: this.parts.lifecycle.isDraining ? 'draining' : 'alive'}, ...this.parts.membership.all().map(({id, address, state}) => ({id, address, state}))];
 	}
 
 	/** Begins a planned stop. */
 	drain(): {readonly isDraining: boolean} {
-		this.lifecycle.requestStop();
+		this.parts.lifecycle.requestStop();
 		return {isDraining: true};
 	}
 
 	explainRoute(model: string): RouteExplanation {
-		return this.explainer.explain(model);
+		return this.parts.explainer.explain(model);
 	}
 
 	async lookUpAction(workspace: string, key: string): Promise<Reply<{readonly record?: ActionRecord}>> {
-		return reply(async () => ({record: await this.ledger.lookUp(workspace, key)}));
+		return reply(async () => ({record: await this.parts.ledger.lookUp(workspace, key)}));
 	}
 }
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -17,49 +17,50 @@
 	});
 }
 
+/** What calls of peers need. */
+export type TrpcPeersParts = {
+	/** Address of this instance's peer interface. */
+	readonly self: string;
+	readonly secret: string;
+	/** Milliseconds for an answer. */
+	readonly limit: number;
+	readonly membership: Membership;
+	readonly timers: TimerService;
+};
+
 /** Peers over trpc and HTTP. */
 export class TrpcPeers extends Peers {
 	private readonly clients = new Map<string, ProcedureClient>();
 
-	/**
-	@param self - address of this instance's peer interface
-	@param limit - milliseconds for an answer
-	*/
-	constructor(
-		private readonly self: string,
-		private readonly secret: string,
-		private readonly limit: number,
-		private readonly membership: Membership,
-		private readonly timers: TimerService,
-	) {
+	constructor(private readonly parts: TrpcPeersParts) {
 		super();
 	}
 
 	* addresses(): Iterable<string> {
-		for (const {address} of this.membership.alive()) {
+		for (const {address} of this.parts.membership.alive()) {
 			yield address;
 		}
 	}
 
 	async probe(address: string, message: PeerMessage): Promise<PeerMessage> {
-		return this.call(address, this.limit, async (client, signal) => client.probe.mutate(message, {signal}));
+		return this.call(address, this.parts.limit, async (client, signal) => client.probe.mutate(message, {signal}));
 	}
 
 	async probeThrough(address: string, target: string): Promise<boolean> {
-		return this.call(address, this.limit * 2, async (client, signal) => client.probeThrough.mutate({target}, {signal}));
+		return this.call(address, this.parts.limit * 2, async (client, signal) => client.probeThrough.mutate({target}, {signal}));
 	}
 
 	async update(address: string, version: number): Promise<ConfigurationUpdate | undefined> {
-		return this.call(address, this.limit * 2, async (client, signal) => client.update.query({version}, {signal}));
+		return this.call(address, this.parts.limit * 2, async (client, signal) => client.update.query({version}, {signal}));
 	}
 
 	async listing(address: string): Promise<readonly ListedInstance[]> {
-		return this.call(address, this.limit * 2, async (client, signal) => client.listing.query(undefined, {signal}));
+		return this.call(address, this.parts.limit * 2, async (client, signal) => client.listing.query(undefined, {signal}));
 	}
 
 	async announce(address: string, version: number): Promise<number> {
 		try {
-			return await this.call(address, this.limit * 2, async (client, signal) => client.announce.mutate({address: this.self, version}, {signal}));
+			return await this.call(address, this.parts.limit * 2, async (client, signal) => client.announce.mutate({address: this.parts.self, version}, {signal}));
 		} catch {
 			// The next probe carries the version.
 			return -1;
@@ -69,12 +70,12 @@
 	private async call<Value>(address: string, limit: number, work: (client: ProcedureClient, signal: AbortSignal) => Promise<Value>): Promise<Value> {
 		let client = this.clients.get(address);
 		if (!client) {
-			client = createProcedureClient(address, this.secret);
+			client = createProcedureClient(address, this.parts.secret);
 			this.clients.set(address, client);
 		}
 
 		const cancellation = new AbortController();
-		const timeout = this.timers.after(limit, () => {
+		const timeout = this.parts.timers.after(limit, () => {
 			cancellation.abort();
 		});
 		try {
--- a/src/plain/plain-dispatcher.ts
+++ b/src/plain/plain-dispatcher.ts
@@ -16,24 +16,25 @@
 
 const mostTries = 4;
 
+/** What the dispatcher needs. */
+export type PlainDispatcherParts = {
+	readonly service: PlainService;
+	readonly ledger: ActionLedger;
+	readonly fleet: Fleet;
+	readonly budget: RetryBudget;
+	readonly tracing: Tracing;
+	readonly timers: TimerService;
+	/** Milliseconds for a server's answer. */
+	readonly limit: number;
+};
+
 /** Sends requests to plain services: idempotent ones again where a server fails, one-time actions through the ledger. */
 export class PlainDispatcher {
-	/**
-	@param limit - milliseconds for a server's answer
-	*/
-	constructor(
-		private readonly service: PlainService,
-		private readonly ledger: ActionLedger,
-		private readonly fleet: Fleet,
-		private readonly budget: RetryBudget,
-		private readonly tracing: Tracing,
-		private readonly timers: TimerService,
-		private readonly limit: number,
-	) {}
+	constructor(private readonly parts: PlainDispatcherParts) {}
 
 	/** Carries out a request. Throws Failure. */
 	async dispatch(request: PlainRequest): Promise<PlainAnswer> {
-		this.budget.countRequest(this.timers.now());
+		this.parts.budget.countRequest(this.parts.timers.now());
 		return request.operation.isIdempotent ? this.repeat(request) : this.runOnce(request);
 	}
 
@@ -46,7 +47,7 @@
 			attempt: request.id,
 			deadline: request.deadline,
 		};
-		return this.ledger.run(action, async () => this.sendUntilTransmitted(request));
+		return this.parts.ledger.run(action, async () => this.sendUntilTransmitted(request));
 	}
 
 	/** Sends to one server after another until the bytes of one call may have left. */
@@ -69,7 +70,7 @@
 		let result: SendResult = {execution: Execution.NotRun, reason: 'no live backend server offers the operation'};
 		for (let count = 0; count < mostTries && this.isInTime(request); count++) {
 			const server = this.pick(request, tried) ?? this.pick(request, new Set());
-			if (!server || (count > 0 && !this.budget.take(this.timers.now()))) {
+			if (!server || (count > 0 && !this.parts.budget.take(this.parts.timers.now()))) {
 				break;
 			}
 
@@ -88,14 +89,14 @@
 	}
 
 	private isInTime(request: PlainRequest): boolean {
-		return this.timers.now() < request.deadline;
+		return this.parts.timers.now() < request.deadline;
 	}
 
 	private pick(request: PlainRequest, tried: ReadonlySet<string>): Server | undefined {
-		const now = this.timers.now();
-		const usable = this.fleet.usable(request.operation.service, '', now);
+		const now = this.parts.timers.now();
+		const usable = this.parts.fleet.usable(request.operation.service, '', now);
 		// Suspicion is a hint: where nothing else is left, a suspect is tried.
-		return this.leastLoaded(usable, tried) ?? this.leastLoaded(this.fleet.usable(request.operation.service, '', Number.POSITIVE_INFINITY), tried);
+		return this.leastLoaded(usable, tried) ?? this.leastLoaded(this.parts.fleet.usable(request.operation.service, '', Number.POSITIVE_INFINITY), tried);
 	}
 
 	private leastLoaded(usable: readonly Server[], tried: ReadonlySet<string>): Server | undefined {
@@ -111,19 +112,19 @@
 
 	private async send(server: Server, request: PlainRequest): Promise<SendResult> {
 		const stage = {server: server.listed.id};
-		const limit = Math.max(1, Math.min(this.limit, request.deadline - this.timers.now()));
-		this.fleet.began([stage]);
+		const limit = Math.max(1, Math.min(this.parts.limit, request.deadline - this.parts.timers.now()));
+		this.parts.fleet.began([stage]);
 		try {
-			const result = await this.tracing.inSpan(`plain ${request.operation.name}`, {server: server.listed.id}, async () => this.service.call(server.listed.address, {
-				request: request.id, operation: request.operation.name, body: request.body, key: request.key, headers: this.tracing.inject(),
+			const result = await this.parts.tracing.inSpan(`plain ${request.operation.name}`, {server: server.listed.id}, async () => this.parts.service.call(server.listed.address, {
+				request: request.id, operation: request.operation.name, body: request.body, key: request.key, headers: this.parts.tracing.inject(),
 			}, limit));
 			if (!result.answer && !result.isServiceAnswer) {
-				this.fleet.suspect(server.listed.id, this.timers.now());
+				this.parts.fleet.suspect(server.listed.id, this.parts.timers.now());
 			}
 
 			return result;
 		} finally {
-			this.fleet.ended([stage]);
+			this.parts.fleet.ended([stage]);
 		}
 	}
 }
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -3,7 +3,7 @@
 import {InstanceRole} from '../platform/instance-role.js';
 import {InstanceState} from '../platform/instance-state.js';
 import {type ListedInstance} from '../platform/listed-instance.js';
-import {type Server} from './server.js';
+import {type Server, versionOf} from './server.js';
 
 const firstSuspicionMs = 1000;
 const longestSuspicionMs = 15_000;
@@ -51,10 +51,22 @@
 		return this.servers.values();
 	}
 
+	/** Versions of a model that usable servers of a service hold, the wanted one first. */
+	versionsOf(service: string, wanted: string, now: number): readonly string[] {
+		const versions = new Set([wanted]);
+		for (const server of this.servers.values()) {
+			if (server.listed.service === service && this.isUsable(server, now)) {
+				versions.add(versionOf(server));
+			}
+		}
+
+		return [...versions];
+	}
+
 	/** Servers of a service that may get new work at a time, engines only with the version. */
 	usable(service: string, version: string, now: number): readonly Server[] {
 		return [...this.servers.values()].filter(server => server.listed.service === service
-			&& server.listed.version === version
+			&& versionOf(server) === version
 			&& this.isUsable(server, now));
 	}
 
@@ -64,8 +76,8 @@
 
 	/** Why a server gets no new work, in words; empty where it does. */
 	reasonAgainst(server: Server, version: string, now: number): string {
-		if (server.listed.version !== version) {
-			return `it holds version ${server.listed.version}`;
+		if (versionOf(server) !== version) {
+			return `it holds version ${versionOf(server)}`;
 		}
 
 		if (server.isLeaving || server.listed.state !== InstanceState.Live) {
@@ -82,7 +94,7 @@
 			return;
 		}
 
-		if (report.isLeaving !== server.isLeaving || report.tokenRate !== server.report?.tokenRate) {
+		if (report.isLeaving !== server.isLeaving || report.tokenRate !== server.report?.tokenRate || report.version !== server.report.version) {
 			this.revision++;
 		}
 
--- a/src/routing/server.ts
+++ b/src/routing/server.ts
@@ -1,6 +1,11 @@
 import {type ListedInstance} from '../platform/listed-instance.js';
 import {type LoadReport} from '../backends/load-report.js';
 
+/** The version of the model that a server has, by its own report before the list. */
+export function versionOf({listed, report}: Server): string {
+	return report?.version ?? listed.version;
+}
+
 /** What this instance knows of one backend server. */
 export type Server = {
 	listed: ListedInstance;
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {LogFormat} from '../observation/log.js';
+import {RouteChoice} from '../routing/route-choice.js';
 import {
 	duration, ratio, size, wholeNumber,
 } from './quantity.js';
@@ -29,6 +30,7 @@
 		queue: wholeNumber(256, 0, 100_000),
 		queue_time: duration('2 s'), // eslint-disable-line @typescript-eslint/naming-convention
 		deadline: duration('60 s'),
+		token_gap: duration('72 ms'), // eslint-disable-line @typescript-eslint/naming-convention
 		retry_ratio: ratio(0.2), // eslint-disable-line @typescript-eslint/naming-convention
 	}).prefault({}),
 	backends: z.strictObject({
@@ -38,6 +40,9 @@
 		plain: duration('3 s'),
 		first_token: duration('640 ms'), // eslint-disable-line @typescript-eslint/naming-convention
 	}).prefault({}),
+	routing: z.strictObject({
+		policy: z.enum(RouteChoice).default(RouteChoice.Flow),
+	}).prefault({}),
 	peers: z.strictObject({
 		probe_period: duration('1 s'), // eslint-disable-line @typescript-eslint/naming-convention
 		timeout: duration('400 ms'),
--- a/src/time/system-timer-service.ts
+++ b/src/time/system-timer-service.ts
@@ -23,6 +23,8 @@
 
 	repeat(period: number, callback: () => void): Subscription {
 		const timer = setInterval(callback, period);
+		// Periodic work alone does not keep a process alive.
+		timer.unref();
 		return {
 			cancel() {
 				clearInterval(timer);
--- a/src/usage/meter.ts
+++ b/src/usage/meter.ts
@@ -29,24 +29,25 @@
 	return row ? usageRecordSchema.parse(JSON.parse(row.value)) : {holders: {}};
 }
 
+/** What a meter needs. */
+export type MeterParts = {
+	readonly table: Table;
+	readonly timers: TimerService;
+	/** The instance and the start of its process; unique. */
+	readonly holder: string;
+	/** The number of entry instances on the list; 0 before it was seen. */
+	readonly instances: () => number;
+	readonly invariants: Invariants;
+	readonly log: Logger;
+};
+
 /** Attributes tokens to workspaces and bounds them across all instances, by grants taken from the table in advance. */
 export class Meter {
 	private readonly allowances = new Map<string, Allowance[]>();
 	private readonly refills = new Map<string, Promise<void>>();
 
-	/**
-	@param holder - the instance and the start of its process; unique
-	@param instances - the number of entry instances on the list; 0 before it was seen
-	*/
-	constructor(
-		private readonly table: Table,
-		private readonly timers: TimerService,
-		private readonly holder: string,
-		private readonly instances: () => number,
-		private readonly invariants: Invariants,
-		private readonly log: Logger,
-	) {
-		timers.repeat(settlePeriodMs, () => {
+	constructor(private readonly parts: MeterParts) {
+		parts.timers.repeat(settlePeriodMs, () => {
 			void this.settlePast();
 		});
 	}
@@ -70,7 +71,7 @@
 		}
 
 		if (refusal === AllowanceRefusal.Tokens) {
-			const rest = Math.ceil((windowMs - (this.timers.wallClock() % windowMs)) / 1000);
+			const rest = Math.ceil((windowMs - (this.parts.timers.wallClock() % windowMs)) / 1000);
 			throw new Failure(ResultCode.TokenLimitReached, `${workspace.name} has used its ${workspace.tokensPerMinute} tokens of this minute`, undefined, rest);
 		}
 
@@ -79,7 +80,7 @@
 
 	/** Ends a reservation and charges what was used, which is never more than what was reserved. */
 	settle(reservation: Reservation, used: number): void {
-		this.invariants.check(used <= reservation.tokens, 'a request uses no more tokens than it reserved', `${used} of ${reservation.tokens}`);
+		this.parts.invariants.check(used <= reservation.tokens, 'a request uses no more tokens than it reserved', `${used} of ${reservation.tokens}`);
 		reservation.allowance.settle(reservation.tokens, used);
 		this.allowances.get(reservation.workspace)?.at(-1)?.endStream();
 	}
@@ -92,7 +93,7 @@
 
 	/** The allowance of the current window. Streams that run stay counted in it. */
 	private allowanceOf({name}: Workspace): Allowance {
-		const window = windowAt(this.timers.wallClock());
+		const window = windowAt(this.parts.timers.wallClock());
 		const allowances = this.allowances.get(name) ?? [];
 		this.allowances.set(name, allowances);
 		const newest = allowances.at(-1);
@@ -125,44 +126,44 @@
 
 	private async takeGrant(workspace: Workspace, tokens: number): Promise<void> {
 		const allowance = this.allowanceOf(workspace);
-		const instances = Math.max(1, this.instances());
+		const instances = Math.max(1, this.parts.instances());
 		const chunk = Math.max(tokens, Math.ceil(workspace.tokensPerMinute / (grantFraction * instances)));
 		const streamChunk = Math.max(1, Math.ceil(workspace.concurrentStreams / (4 * instances)));
 		try {
 			for (let attempt = 0; attempt < tries; attempt++) {
-				const row = await this.table.read(usageRowKey(workspace.name, allowance.window)); // eslint-disable-line no-await-in-loop
+				const row = await this.parts.table.read(usageRowKey(workspace.name, allowance.window)); // eslint-disable-line no-await-in-loop
 				const record = grantDemand(parseUsage(row), workspace, {
-					holder: this.holder, granted: allowance.granted, tokens: chunk, streams: allowance.running + streamChunk,
+					holder: this.parts.holder, granted: allowance.granted, tokens: chunk, streams: allowance.running + streamChunk,
 				});
 				const isWritten = await this.writeRow(workspace.name, allowance.window, row, record); // eslint-disable-line no-await-in-loop
 				if (isWritten) {
-					const own = record.holders[this.holder];
+					const own = record.holders[this.parts.holder];
 					allowance.grant(own.granted, own.streams);
 					allowance.closeOutageAllowance();
 					return;
 				}
 			}
 		} catch (error) {
-			this.log.warn(`No grant for ${workspace.name}, the outage allowance applies: ${messageOf(error)}.`);
-			allowance.openOutageAllowance(workspace, this.instances());
+			this.parts.log.warn(`No grant for ${workspace.name}, the outage allowance applies: ${messageOf(error)}.`);
+			allowance.openOutageAllowance(workspace, this.parts.instances());
 		}
 	}
 
 	/** Writes the use of windows that are over and have no running streams. */
 	private async settlePast(): Promise<void> {
-		const window = windowAt(this.timers.wallClock());
+		const window = windowAt(this.parts.timers.wallClock());
 		for (const [workspace, allowances] of this.allowances) {
 			for (const allowance of allowances.filter(past => past.window < window && past.reserved === 0)) {
 				try {
 					await this.writeUse(workspace, allowance); // eslint-disable-line no-await-in-loop
 					allowances.splice(allowances.indexOf(allowance), 1);
 				} catch (error) {
-					this.log.warn(`The use of ${workspace} waits for the table: ${messageOf(error)}.`);
+					this.parts.log.warn(`The use of ${workspace} waits for the table: ${messageOf(error)}.`);
 				}
 			}
 
 			if (allowances.length > keptWindows) {
-				this.log.debug(`${allowances.length} windows of ${workspace} wait to be settled.`);
+				this.parts.log.debug(`${allowances.length} windows of ${workspace} wait to be settled.`);
 			}
 		}
 	}
@@ -173,10 +174,10 @@
 		}
 
 		for (let attempt = 0; attempt < tries; attempt++) {
-			const row = await this.table.read(usageRowKey(workspace, allowance.window)); // eslint-disable-line no-await-in-loop
+			const row = await this.parts.table.read(usageRowKey(workspace, allowance.window)); // eslint-disable-line no-await-in-loop
 			const record = parseUsage(row);
 			const settled = {granted: allowance.granted, used: allowance.used + allowance.reserved, streams: 0};
-			const holders = {...record.holders, [this.holder]: settled};
+			const holders = {...record.holders, [this.parts.holder]: settled};
 			if (await this.writeRow(workspace, allowance.window, row, {holders})) { // eslint-disable-line no-await-in-loop
 				return;
 			}
@@ -187,7 +188,7 @@
 
 	private async writeRow(workspace: string, window: number, row: Row | undefined, record: UsageRecord): Promise<boolean> {
 		const write = {key: usageRowKey(workspace, window), expected: row?.version ?? 0, value: JSON.stringify(record)};
-		const outcome = await this.table.transact([write]);
+		const outcome = await this.parts.table.transact([write]);
 		return outcome.isApplied;
 	}
 }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -15,6 +15,9 @@
 import {Capacity} from './drafts/capacity.js';
 import {DraftService} from './drafts/draft-service.js';
 import {Instance} from './instance.js';
+import {LeaseKeeper} from './leases/lease-keeper.js';
+import {Lease} from './leases/lease.js';
+import {OrderDesk} from './leases/order-desk.js';
 import {Lifecycle} from './lifecycle.js';
 import {Membership} from './membership/membership.js';
 import {Invariants} from './observation/invariants.js';
@@ -34,6 +37,11 @@
 import {TracedTable} from './platform/traced-table.js';
 import {Fleet} from './routing/fleet.js';
 import {FlowPolicy} from './routing/flow-policy.js';
+import {LeastLoadedPolicy} from './routing/least-loaded-policy.js';
+import {RandomPairPolicy} from './routing/random-pair-policy.js';
+import {RouteChoice} from './routing/route-choice.js';
+import {RoundRobinPolicy} from './routing/round-robin-policy.js';
+import {type RoutePolicy} from './routing/route-policy.js';
 import {RandomSource} from './routing/random-source.js';
 import {RouteExplainer} from './routing/route-explainer.js';
 import {type Settings} from './settings/settings.js';
@@ -43,9 +51,30 @@
 const groupWindowMs = 2;
 const mostGroupedWrites = 64;
 const confirmationLimitMs = 5000;
+const leaseDurationMs = 6000;
 const leastRetries = 10;
 const seedRange = 0x7F_FF_FF_FF;
 
+function createPolicy(choice: RouteChoice, random: RandomSource): RoutePolicy {
+	switch (choice) {
+		case RouteChoice.Flow: {
+			return new FlowPolicy(random);
+		}
+
+		case RouteChoice.RoundRobin: {
+			return new RoundRobinPolicy();
+		}
+
+		case RouteChoice.LeastLoaded: {
+			return new LeastLoadedPolicy();
+		}
+
+		case RouteChoice.RandomPair: {
+			return new RandomPairPolicy(random);
+		}
+	}
+}
+
 /** Builds the parts of an entry instance. Nothing else constructs them. */
 export function wire(settings: Settings): Instance {
 	const {instance, platform: platformSettings, backends, limits, peers: peerSettings, secrets} = settings;
@@ -62,35 +91,43 @@
 	const fleet = new Fleet();
 	const membership = new Membership(instance.id, peerSettings.suspicion, random);
 	const instanceCount = () => membership.alive().length + 1;
-	const peers = new TrpcPeers(instance.peers, secrets.peers, peerSettings.timeout, membership, timers);
+	const peers = new TrpcPeers({
+		self: instance.peers, secret: secrets.peers, limit: peerSettings.timeout, membership, timers,
+	});
 
 	const archive = new ConfigurationArchive(table);
 	const keeper = new ConfigurationKeeper(invariants);
 	const freshness = new Freshness(confirmationLimitMs);
-	const follower = new ConfigurationFollower(archive, keeper, freshness, peers, timers, random, metrics, partLog(log, 'configuration'));
+	const follower = new ConfigurationFollower({
+		archive, keeper, freshness, peers, timers, random, metrics, log: partLog(log, 'configuration'),
+	});
 	const office = new SheetOffice(archive, keeper, new Spread(peers, timers), timers);
 
 	const engine = new HttpModelEngine(timers);
 	const plainService = new HttpPlainService(timers);
-	const policy = new FlowPolicy(random);
+	const policy = createPolicy(settings.routing.policy, random);
 	const budget = new RetryBudget(limits.retry_ratio, leastRetries);
-	const meter = new Meter(table, timers, `${instance.id}/${randomUUID()}`, () => fleet.entryInstances().size, invariants, partLog(log, 'usage'));
+	const meter = new Meter({
+		table, timers, holder: `${instance.id}/${randomUUID()}`, instances: () => fleet.entryInstances().size, invariants, log: partLog(log, 'usage'),
+	});
 	const ledger = new ActionLedger(table, timers, instance.id, partLog(log, 'actions'));
-	const drafts = new DraftService(
-		{
+	const drafts = new DraftService({
+		limits: {
 			queue: limits.queue, queueTime: limits.queue_time, stall: backends.stall, firstToken: backends.first_token, streams: limits.streams,
 		},
-		{
+		tools: {
 			engine, fleet, timers, tracing, metrics, log: partLog(log, 'streams'), probeLimit: backends.probe,
 		},
 		policy,
-		new Capacity(fleet, instanceCount),
+		capacity: new Capacity(fleet, instanceCount, limits.token_gap),
 		budget,
 		meter,
 		invariants,
-		partLog(log, 'drafts'),
-	);
-	const plain = new PlainDispatcher(plainService, ledger, fleet, budget, tracing, timers, backends.plain);
+		log: partLog(log, 'drafts'),
+	});
+	const plain = new PlainDispatcher({
+		service: plainService, ledger, fleet, budget, tracing, timers, limit: backends.plain,
+	});
 
 	const gate = new Gate(keeper, freshness, () => ({
 		others: membership.all().length,
@@ -100,28 +137,48 @@
 	const callers = new CallerInterface({body: limits.body, headers: limits.headers, deadline: limits.deadline}, {
 		gate, drafts, plain, ledger, timers, tracing, metrics, invariants, lifecycle, log: partLog(log, 'callers'),
 	});
-	const peerDesk = new PeerDesk({id: instance.id, address: instance.peers}, membership, peers, follower, keeper, fleet, timers);
+	const peerDesk = new PeerDesk({
+		self: {id: instance.id, address: instance.peers}, membership, peers, follower, keeper, fleet, timers,
+	});
 	const explainer = new RouteExplainer(keeper, fleet, policy, timers);
-	const operatorDesk = new OperatorDesk(
-		{id: instance.id, address: instance.peers, state: 'alive'},
-		office,
-		keeper,
-		archive,
-		platform,
-		membership,
-		explainer,
-		ledger,
-		lifecycle,
-	);
+	const operatorDesk = new OperatorDesk({
+		self: {id: instance.id, address: instance.peers, state: 'alive'}, office, keeper, archive, platform, membership, explainer, ledger, lifecycle,
+	});
 	const peerInterface = new PeerInterface(createProcedures(peerDesk, operatorDesk), secrets, metrics);
 	const instanceWatch = new InstanceWatch(platform.instances, ({changed}) => {
 		fleet.update(changed);
 		const entries = [...fleet.entryInstances().values()].map(({id, address}): [string, string] => [id, address]);
 		membership.updateList(new Map(entries), timers.now());
 	}, partLog(log, 'instances'));
-	const loadWatch = new LoadWatch(fleet, engine, plainService, timers, backends.connect);
+	const loadWatch = new LoadWatch({
+		fleet, engine, plain: plainService, timers, limit: backends.connect,
+	});
+	const lease = new Lease(`${instance.id}/${randomUUID()}`, leaseDurationMs);
+	const leaseKeeper = new LeaseKeeper('orders', lease, {table, timers, log: partLog(log, 'leases')});
+	const orderDesk = new OrderDesk(lease, {
+		engine, fleet, keeper, timers, invariants, log: partLog(log, 'orders'),
+	});
 
 	return new Instance(settings, {
-		timers, log: partLog(log, 'daemon'), metrics, invariants, tracing, lifecycle, callers, peerInterface, peerDesk, follower, keeper, instanceWatch, loadWatch, drafts, ledger, meter, membership, fleet,
+		timers,
+		log: partLog(log, 'daemon'),
+		metrics,
+		invariants,
+		tracing,
+		lifecycle,
+		callers,
+		peerInterface,
+		peerDesk,
+		follower,
+		keeper,
+		instanceWatch,
+		loadWatch,
+		drafts,
+		ledger,
+		meter,
+		membership,
+		fleet,
+		leaseKeeper,
+		orderDesk,
 	});
 }
--- a/stand-ins/engine-links.ts
+++ b/stand-ins/engine-links.ts
@@ -21,11 +21,11 @@
 	}
 
 	/** Sends messages over the link to a stage; calls back when it cannot be reached. */
-	send(stage: Stage, path: string, body: unknown, messages: number, onFailed: () => void): void {
+	send(stage: Stage, path: string, body: readonly unknown[], onFailed: () => void): void {
 		const now = this.timers.now();
 		const rate = this.rates[stage.server];
 		const begin = Math.max(now, this.freeAt.get(stage.server) ?? 0);
-		const done = begin + (rate === undefined ? 0 : messages * 1000 / rate);
+		const done = begin + (rate === undefined ? 0 : body.length * 1000 / rate);
 		this.freeAt.set(stage.server, done);
 		const wait = done - now + (this.delays[stage.server] ?? 0);
 		if (wait < 1) {
--- a/stand-ins/engine-stand-in.ts
+++ b/stand-ins/engine-stand-in.ts
@@ -22,6 +22,8 @@
 	/** Factor on the time of each batch. */
 	slowness: z.number().optional(),
 	isLeaving: z.boolean().optional(),
+	/** Whether orders with an old fencing number are taken. */
+	ignoreFencing: z.boolean().optional(),
 });
 
 const orderSchema = z.object({
@@ -35,6 +37,7 @@
 const unreadLimitMs = 3000;
 const loadDurationMs = 300;
 const connectionFaultDelayMs = 20;
+const timerSlackMs = 4;
 const mostSessions = 5000;
 
 /** A model engine without a model: it holds a layer range, batches continuously, and checks all that reaches it. */
@@ -45,6 +48,7 @@
 	private readonly sessions = new Map<string, Session>();
 	private queue: Work[] = [];
 	private isBusy = false;
+	private busyUntil = 0;
 	private slowness = 1;
 	private isLeaving = false;
 	private leavingSince = 0;
@@ -279,7 +283,11 @@
 			this.counts.prefilled += positions === 1 ? 0 : positions;
 		}
 
-		this.timers.after(duration * this.slowness, () => {
+		// Timers are coarse: the end of a batch counts from when the one before should have ended.
+		const now = this.timers.now();
+		const isContinuous = now - this.busyUntil < timerSlackMs;
+		this.busyUntil = (isContinuous ? this.busyUntil : now) + (duration * this.slowness);
+		this.timers.after(Math.max(0, this.busyUntil - now), () => {
 			this.isBusy = false;
 			this.finishBatch(batch);
 			this.runBatch();
@@ -412,7 +420,7 @@
 			return;
 		}
 
-		this.links.send(stage, '/stages/work', works, works.length, () => {
+		this.links.send(stage, '/stages/work', works, () => {
 			for (const {attempt} of works) {
 				this.reportFailure(attempt, stage.server);
 			}
@@ -439,7 +447,7 @@
 
 	private load(): unknown {
 		return {
-			...this.report, tokenRate: this.settings.tokenRate / this.slowness, isLeaving: this.isLeaving, links: this.settings.links,
+			...this.report, tokenRate: this.settings.tokenRate / this.slowness, isLeaving: this.isLeaving, links: this.settings.links, version: this.settings.version,
 		};
 	}
 
@@ -472,6 +480,10 @@
 			this.links.setDelays(faults.linkDelays);
 		}
 
+		if (faults.ignoreFencing !== undefined) {
+			this.settings = {...this.settings, checksOrders: !faults.ignoreFencing};
+		}
+
 		if (faults.isLeaving !== undefined) {
 			this.isLeaving = faults.isLeaving;
 			this.leavingSince = this.timers.now();
