--- a/harness/cluster.ts
+++ b/harness/cluster.ts
@@ -8,7 +8,7 @@
 import {type ListedInstance} from '../src/platform/listed-instance.js';
 import {InstanceRole} from '../src/platform/instance-role.js';
 import {InstanceState} from '../src/platform/instance-state.js';
-import {SystemTimerService} from '../src/time/system-timer-service.js';
+import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {type EngineSettings} from '../stand-ins/engine-settings.js';
 import {freePort} from './ports.js';
 import {Program} from './program.js';
@@ -64,7 +64,7 @@
 	readonly backends: Backend[] = [];
 	readonly directory = mkdtempSync(join(tmpdir(), 'siskinnotch-'));
 	platform = '';
-	readonly timers = new SystemTimerService();
+	readonly timers = new ClockTimerService();
 	private platformProgram?: Program;
 	private readonly overrides: SettingsOverrides;
 
--- a/measures/actions.ts
+++ b/measures/actions.ts
@@ -1,6 +1,6 @@
 import {control, readControl} from '../harness/cluster.js';
 import {callOperation} from '../harness/plain-caller.js';
-import {keyOf} from '../soak/world.js';
+import {keyOf} from '../harness/sheet-text.js';
 import {Durations, type Report, round} from './report.js';
 import {Stage} from './stage.js';
 
--- a/measures/bare.ts
+++ b/measures/bare.ts
@@ -1,9 +1,9 @@
 import process from 'node:process';
 import '../src/wiring.js'; // eslint-disable-line import-x/no-unassigned-import
-import {SystemTimerService} from '../src/time/system-timer-service.js';
+import {ClockTimerService} from '../src/time/clock-timer-service.js';
 
 /** Loads what an entry instance loads, and nothing else. */
-const timers = new SystemTimerService();
+const timers = new ClockTimerService();
 await timers.sleep(1000);
 const {heapUsed, rss} = process.memoryUsage();
 console.log(`memory ${heapUsed} ${rss}`);
--- a/soak/load.ts
+++ b/soak/load.ts
@@ -1,7 +1,8 @@
 import {askForDraft, DraftEnd, type DraftResult} from '../harness/draft-caller.js';
 import {type Entry} from '../harness/cluster.js';
 import {callOperation, type PlainResult} from '../harness/plain-caller.js';
-import {keyOf, workspaces, World} from './world.js';
+import {keyOf} from '../harness/sheet-text.js';
+import {workspaces, World} from './world.js';
 
 const drafters = 10;
 const bookers = 4;
--- a/soak/monitor.ts
+++ b/soak/monitor.ts
@@ -18,7 +18,7 @@
 	async run(): Promise<void> {
 		while (!this.world.isOver) {
 			await Promise.all(this.world.cluster.entries.map(async entry => this.look(entry))); // eslint-disable-line no-await-in-loop
-			this.world.noteProgams();
+			this.world.notePrograms();
 			this.measureSpread();
 			await this.world.cluster.timers.sleep(periodMs); // eslint-disable-line no-await-in-loop
 		}
--- a/src/drafts/draft-service.ts
+++ b/src/drafts/draft-service.ts
@@ -9,6 +9,7 @@
 import {ResultCode} from '../results/result-code.js';
 import {toFailure} from '../results/to-failure.js';
 import {type Route} from '../backends/stage.js';
+import {type RandomSource} from '../routing/random-source.js';
 import {type RoutePolicy} from '../routing/route-policy.js';
 import {StreamEventKind} from '../routing/stream-event.js';
 import {StreamRecovery} from '../routing/stream-recovery.js';
@@ -24,6 +25,8 @@
 	readonly stall: number;
 	/** Milliseconds for the first token before the stages are inspected. */
 	readonly firstToken: number;
+	/** Milliseconds between tokens above which a stream that was faster is moved. */
+	readonly tokenGap: number;
 	/** Most streams that run at this instance. */
 	readonly streams: number;
 };
@@ -44,6 +47,7 @@
 };
 
 const tickMs = 50;
+const retryPauseMs = 25;
 
 /** What the draft service needs. */
 export type DraftServiceParts = {
@@ -53,6 +57,7 @@
 	readonly capacity: Capacity;
 	readonly budget: RetryBudget;
 	readonly meter: Meter;
+	readonly random: RandomSource;
 	readonly invariants: Invariants;
 	readonly log: Logger;
 };
@@ -168,8 +173,10 @@
 			layers: draft.service.layers,
 			stall: this.parts.limits.stall,
 			firstStall: this.parts.limits.firstToken,
+			slowGap: this.parts.limits.tokenGap,
 			deadline: draft.deadline,
 			plan: (excluded, kept, at) => this.plan(pending, excluded, kept, at),
+			pause: attempt => retryPauseMs * (2 ** attempt) * this.parts.random.fraction(),
 			takeRetry: () => this.parts.budget.take(timers.now()),
 		}, now);
 		pending.run = new DraftRun(draft, recovery, this.parts.tools, this.sinkOf(pending));
--- a/src/plain/plain-dispatcher.ts
+++ b/src/plain/plain-dispatcher.ts
@@ -10,11 +10,13 @@
 import {ResultCode} from '../results/result-code.js';
 import {type Fleet} from '../routing/fleet.js';
 import {loadOf} from '../routing/load-of.js';
+import {type RandomSource} from '../routing/random-source.js';
 import {type Server} from '../routing/server.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type PlainRequest} from './plain-request.js';
 
 const mostTries = 4;
+const retryPauseMs = 25;
 
 /** What the dispatcher needs. */
 export type PlainDispatcherParts = {
@@ -24,6 +26,7 @@
 	readonly budget: RetryBudget;
 	readonly tracing: Tracing;
 	readonly timers: TimerService;
+	readonly random: RandomSource;
 	/** Milliseconds for a server's answer. */
 	readonly limit: number;
 };
@@ -74,6 +77,10 @@
 				break;
 			}
 
+			if (count > 0) {
+				await this.parts.timers.sleep(retryPauseMs * (2 ** count) * this.parts.random.fraction()); // eslint-disable-line no-await-in-loop
+			}
+
 			tried.add(server.listed.id);
 			const latest = await this.send(server, request); // eslint-disable-line no-await-in-loop
 			if (latest.answer) {
--- a/src/routing/diagnosis.ts
+++ b/src/routing/diagnosis.ts
@@ -19,6 +19,8 @@
 	readonly diagnosis: Diagnosis;
 	/** Positions in the route. */
 	readonly stages: readonly number[];
+	/** Whether a batch has left one stage and not reached the next: both ends of the link are in `stages`. */
+	readonly isOnLink: boolean;
 };
 
 function isUnmoved(statuses: readonly StageStatus[], previous: ReadonlyArray<StageStatus | undefined>): boolean {
@@ -37,17 +39,20 @@
 	});
 }
 
-/** The first stage that holds a batch or that a batch from the stage before has not reached. */
-function slowestStage(statuses: readonly StageStatus[]): number {
+/** The first stage that holds a batch, or the two ends of the link that a batch is on. */
+function findBatch(statuses: readonly StageStatus[]): Pick<Finding, 'stages' | 'isOnLink'> {
 	for (const [index, status] of statuses.entries()) {
-		const isBatchOnLink = index > 0 && statuses[index - 1].forwarded > status.received;
-		if (isBatchOnLink || status.received > status.forwarded) {
-			return index;
+		if (index > 0 && statuses[index - 1].forwarded > status.received) {
+			return {stages: [index - 1, index], isOnLink: true};
+		}
+
+		if (status.received > status.forwarded) {
+			return {stages: [index], isOnLink: false};
 		}
 	}
 
-	// All was handed on: the way back from the last stage to the first is to blame.
-	return 0;
+	// All was handed on: the batch is on its way back from the last stage to the first.
+	return {stages: statuses.length === 1 ? [0] : [0, statuses.length - 1], isOnLink: true};
 }
 
 /**
@@ -64,18 +69,17 @@
 ): Finding {
 	const lost = [...statuses.keys()].filter(index => statuses[index] === undefined);
 	if (lost.length > 0) {
-		return {diagnosis: Diagnosis.ServersLost, stages: lost};
+		return {diagnosis: Diagnosis.ServersLost, stages: lost, isOnLink: false};
 	}
 
 	const known = statuses.filter(status => status !== undefined);
 	if (isForgotten(known)) {
-		return {diagnosis: Diagnosis.AttemptForgotten, stages: []};
+		return {diagnosis: Diagnosis.AttemptForgotten, stages: [], isOnLink: false};
 	}
 
 	if (known.at(-1)!.emitted > delivered) {
-		return {diagnosis: Diagnosis.ConnectionSilent, stages: []};
+		return {diagnosis: Diagnosis.ConnectionSilent, stages: [], isOnLink: false};
 	}
 
-	const stages = [slowestStage(known)];
-	return {diagnosis: isUnmoved(known, previous) ? Diagnosis.Stuck : Diagnosis.Slow, stages};
+	return {diagnosis: isUnmoved(known, previous) ? Diagnosis.Stuck : Diagnosis.Slow, ...findBatch(known)};
 }
--- a/src/time/system-timer-service.ts
+++ b/src/time/clock-timer-service.ts
@@ -3,7 +3,7 @@
 import {TimerService} from './timer-service.js';
 
 /** The timer service of a running process. */
-export class SystemTimerService extends TimerService {
+export class ClockTimerService extends TimerService {
 	now(): number {
 		return performance.now();
 	}
--- a/src/usage/meter.ts
+++ b/src/usage/meter.ts
@@ -22,7 +22,6 @@
 
 const grantFraction = 16;
 const tries = 5;
-const keptWindows = 3;
 const settlePeriodMs = 5000;
 
 function parseUsage(row: Row | undefined): UsageRecord {
@@ -161,10 +160,6 @@
 					this.parts.log.warn(`The use of ${workspace} waits for the table: ${messageOf(error)}.`);
 				}
 			}
-
-			if (allowances.length > keptWindows) {
-				this.parts.log.debug(`${allowances.length} windows of ${workspace} wait to be settled.`);
-			}
 		}
 	}
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -45,7 +45,7 @@
 import {RandomSource} from './routing/random-source.js';
 import {RouteExplainer} from './routing/route-explainer.js';
 import {type Settings} from './settings/settings.js';
-import {SystemTimerService} from './time/system-timer-service.js';
+import {ClockTimerService} from './time/clock-timer-service.js';
 import {Meter} from './usage/meter.js';
 
 const groupWindowMs = 2;
@@ -78,7 +78,7 @@
 /** Builds the parts of an entry instance. Nothing else constructs them. */
 export function wire(settings: Settings): Instance {
 	const {instance, platform: platformSettings, backends, limits, peers: peerSettings, secrets} = settings;
-	const timers = new SystemTimerService();
+	const timers = new ClockTimerService();
 	const log = createLog(settings.logs.level, settings.logs.format, instance.id);
 	const metrics = new Metrics();
 	const invariants = new Invariants(partLog(log, 'invariants'));
@@ -113,7 +113,7 @@
 	const ledger = new ActionLedger(table, timers, instance.id, partLog(log, 'actions'));
 	const drafts = new DraftService({
 		limits: {
-			queue: limits.queue, queueTime: limits.queue_time, stall: backends.stall, firstToken: backends.first_token, streams: limits.streams,
+			queue: limits.queue, queueTime: limits.queue_time, stall: backends.stall, firstToken: backends.first_token, tokenGap: limits.token_gap, streams: limits.streams,
 		},
 		tools: {
 			engine, fleet, timers, tracing, metrics, log: partLog(log, 'streams'), probeLimit: backends.probe,
@@ -122,11 +122,12 @@
 		capacity: new Capacity(fleet, instanceCount, limits.token_gap),
 		budget,
 		meter,
+		random,
 		invariants,
 		log: partLog(log, 'drafts'),
 	});
 	const plain = new PlainDispatcher({
-		service: plainService, ledger, fleet, budget, tracing, timers, limit: backends.plain,
+		service: plainService, ledger, fleet, budget, tracing, timers, random, limit: backends.plain,
 	});
 
 	const gate = new Gate(keeper, freshness, () => ({
--- a/stand-ins/answers.ts
+++ b/stand-ins/answers.ts
@@ -22,14 +22,26 @@
 	return wanted === undefined ? shortestAnswer + (createHash('sha1').update(prompt).digest().readUInt16BE() % answerSpread) : Number(wanted);
 }
 
+/** Why the answer ends with a token; undefined where it goes on. */
+export function finishAt({prompt, maximumTokens}: {readonly prompt: string; readonly maximumTokens: number}, index: number): FinishReason | undefined {
+	const length = lengthOf(prompt);
+	if (index + 1 < Math.min(length, maximumTokens)) {
+		return undefined;
+	}
+
+	return length <= maximumTokens ? FinishReason.Stop : FinishReason.Length;
+}
+
 /** The whole answer to a prompt. */
 export function expectedAnswer(prompt: string, maximumTokens: number): ExpectedAnswer {
-	const length = lengthOf(prompt);
-	const count = Math.min(length, maximumTokens);
-	return {
-		tokens: Array.from({length: count}, (_, index) => tokenAt(prompt, index)),
-		finish: length <= maximumTokens ? FinishReason.Stop : FinishReason.Length,
-	};
+	const tokens: string[] = [];
+	let finish: FinishReason | undefined;
+	while (finish === undefined) {
+		finish = finishAt({prompt, maximumTokens}, tokens.length);
+		tokens.push(tokenAt(prompt, tokens.length));
+	}
+
+	return {tokens, finish};
 }
 
 const prime = 65_599;
--- /dev/null
+++ b/stand-ins/batch-queue.ts
@@ -0,0 +1,68 @@
+import {priorities} from '../src/configuration/priority.js';
+import {type TimerService} from '../src/time/timer-service.js';
+import {type EngineSettings} from './engine-settings.js';
+import {type Work} from './work.js';
+
+const timerSlackMs = 4;
+
+/** Runs work in batches, by priority, one batch after the other. */
+export class BatchQueue {
+	/** Factor on the time of each batch. */
+	slowness = 1;
+	/** Positions that were prefilled. */
+	prefilled = 0;
+	private queue: Work[] = [];
+	private isBusy = false;
+	private busyUntil = 0;
+
+	/**
+	@param onDone - takes a batch whose time is over
+	*/
+	constructor(private readonly settings: EngineSettings, private readonly timers: TimerService, private readonly onDone: (batch: readonly Work[]) => void) {}
+
+	/** Number of pieces of work that wait. */
+	get size(): number {
+		return this.queue.length;
+	}
+
+	add(work: Work): void {
+		this.queue.push(work);
+		this.runBatch();
+	}
+
+	/** Takes out the work for which the test holds. */
+	remove(isRemoved: (work: Work) => boolean): void {
+		this.queue = this.queue.filter(work => !isRemoved(work));
+	}
+
+	private runBatch(): void {
+		if (this.isBusy || this.queue.length === 0) {
+			return;
+		}
+
+		this.isBusy = true;
+		this.queue.sort((a, b) => priorities.indexOf(a.attempt.priority) - priorities.indexOf(b.attempt.priority));
+		const batch = this.queue.splice(0, this.settings.batch);
+		// Timers are coarse: the end of a batch counts from when the one before should have ended.
+		const now = this.timers.now();
+		const isContinuous = now - this.busyUntil < timerSlackMs;
+		this.busyUntil = (isContinuous ? this.busyUntil : now) + (this.durationOf(batch) * this.slowness);
+		this.timers.after(Math.max(0, this.busyUntil - now), () => {
+			this.isBusy = false;
+			this.onDone(batch);
+			this.runBatch();
+		});
+	}
+
+	private durationOf(batch: readonly Work[]): number {
+		const {step, decode, prefill} = this.settings;
+		let duration = step;
+		for (const work of batch) {
+			const positions = work.end - work.starts[work.stage];
+			duration += positions === 1 ? decode : positions * prefill;
+			this.prefilled += positions === 1 ? 0 : positions;
+		}
+
+		return duration;
+	}
+}
--- /dev/null
+++ b/stand-ins/cache-exchange.ts
@@ -0,0 +1,42 @@
+import {z} from 'zod';
+import {type Stage} from '../src/backends/stage.js';
+import {type EngineCache} from './engine-cache.js';
+import {type EngineLinks} from './engine-links.js';
+import {type StandInAttempt} from './work.js';
+
+const positionsSchema = z.object({positions: z.number()});
+const questionSchema = z.object({request: z.string(), prompt: z.string()});
+const exportSchema = z.object({request: z.string(), to: z.string()});
+const importSchema = z.object({request: z.string(), positions: z.number()});
+
+/** What stand-in engines tell each other of their KV caches. */
+export class CacheExchange {
+	constructor(private readonly cache: EngineCache, private readonly links: EngineLinks) {}
+
+	/** Positions of an attempt that another stage has in its cache; undefined where it cannot be reached. */
+	async positionsAt(stage: Stage, {request, prompt}: StandInAttempt): Promise<number | undefined> {
+		const answer = await this.links.post(stage.address, '/cache/positions', {request, prompt});
+		return answer === undefined ? undefined : positionsSchema.parse(JSON.parse(answer)).positions;
+	}
+
+	/** Answers another stage. */
+	positions(body: unknown): unknown {
+		const {request, prompt} = questionSchema.parse(body);
+		return {positions: this.cache.positionsOf(request, prompt)};
+	}
+
+	/** Copies the cache of a request to another server. */
+	async export(body: unknown): Promise<unknown> {
+		const {request, to} = exportSchema.parse(body);
+		const positions = this.cache.positionsOf(request, '');
+		await this.links.post(to, '/cache/import', {request, positions});
+		return {positions};
+	}
+
+	/** Takes over the cache of a request. */
+	import(body: unknown): unknown {
+		const {request, positions} = importSchema.parse(body);
+		this.cache.put(request, '', positions);
+		return {positions};
+	}
+}
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -1,10 +1,10 @@
 import process from 'node:process';
 import {z} from 'zod';
-import {SystemTimerService} from '../src/time/system-timer-service.js';
+import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {engineSettingsSchema} from './engine-settings.js';
 import {EngineStandIn} from './engine-stand-in.js';
 
-const timers = new SystemTimerService();
+const timers = new ClockTimerService();
 const settings = z.array(engineSettingsSchema).parse(JSON.parse(process.argv[2] ?? '[]'));
 const ports = await Promise.all(settings.map(async one => new EngineStandIn(one, timers).listen()));
 console.log(`listening ${ports.join(' ')}`);
--- /dev/null
+++ b/stand-ins/layer-check.ts
@@ -0,0 +1,25 @@
+import {type EngineSettings} from './engine-settings.js';
+import {type Session} from './session.js';
+import {type Work} from './work.js';
+
+/** What is wrong with a piece of work: a layer run twice, skipped, out of order, or at the wrong server. */
+export function findViolations(work: Work, {nextPosition}: Session, {id, firstLayer, version}: EngineSettings): readonly string[] {
+	const place = `request ${work.attempt.request} attempt ${work.attempt.number} token ${work.index}`;
+	const stage = work.attempt.route[work.stage];
+	const violations: string[] = [];
+	if (stage.server !== id) {
+		violations.push(`${place} is for ${stage.server}`);
+	}
+
+	if (work.layer !== firstLayer) {
+		violations.push(`${place} comes with layer ${work.layer}, but the range begins at ${firstLayer}`);
+	}
+
+	// Where the version changed under way, the receipt tells the router.
+	const start = work.starts[work.stage];
+	if (stage.version === version && nextPosition >= 0 && nextPosition !== start) {
+		violations.push(`${place} runs position ${start} where ${nextPosition} comes next`);
+	}
+
+	return violations;
+}
--- a/stand-ins/work.ts
+++ b/stand-ins/work.ts
@@ -45,3 +45,17 @@
 export function attemptKey({request, number}: {readonly request: string; readonly number: number}): string {
 	return `${request}/${number}`;
 }
+
+/** The work for the token after the one that a piece of work came to. */
+export function workOfNextToken(work: Work): Work {
+	return {
+		...work,
+		stage: 0,
+		index: work.index + 1,
+		starts: work.attempt.route.map(() => work.end),
+		end: work.end + 1,
+		layer: 0,
+		state: 1,
+		receipts: [],
+	};
+}
--- a/test/action-failures.test.ts
+++ b/test/action-failures.test.ts
@@ -4,7 +4,8 @@
 import {callOperation, type PlainResult} from '../harness/plain-caller.js';
 import {actionRowKey} from '../src/actions/action.js';
 import {RecordsFault} from '../stand-ins/records-stand-in.js';
-import {keyOf, startCluster} from './support/running.js';
+import {keyOf} from '../harness/sheet-text.js';
+import {startCluster} from './support/running.js';
 
 const size = {entries: 2, engines: 0, records: 1};
 
--- a/test/command.test.ts
+++ b/test/command.test.ts
@@ -6,7 +6,8 @@
 import {type CommandRun, runCommand, runProgram} from '../harness/run-command.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {resultTable} from '../src/results/result-table.js';
-import {keyOf, sheetText, startCluster} from './support/running.js';
+import {keyOf} from '../harness/sheet-text.js';
+import {sheetText, startCluster} from './support/running.js';
 
 const test = anyTest as TestFn<{cluster: Cluster; sheet: string}>; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 
--- a/test/stream-failures.test.ts
+++ b/test/stream-failures.test.ts
@@ -4,7 +4,8 @@
 } from '../harness/cluster.js';
 import {askForDraft, DraftEnd, type DraftResult} from '../harness/draft-caller.js';
 import {InstanceState} from '../src/platform/instance-state.js';
-import {keyOf, startCluster} from './support/running.js';
+import {keyOf} from '../harness/sheet-text.js';
+import {startCluster} from './support/running.js';
 
 type Checks = {
 	readonly violations: readonly string[];
