--- a/src/routing/stream-recovery.ts
+++ b/src/routing/stream-recovery.ts
@@ -103,14 +103,14 @@
 		}
 	}
 
-	private begin(now: number): readonly StreamCommand[] {
+	/** Plans and starts an attempt; servers that failed the request are used again only where nothing else is left. */
+	private begin(now: number, justLeft: ReadonlySet<string> = new Set()): readonly StreamCommand[] {
 		this.phase = Phase.Planning;
 		if (now < this.notBefore) {
 			return [];
 		}
 
-		// Servers that failed this request are used again only where nothing else is left.
-		const route = this.terms.plan(this.excluded, this.route, now) ?? this.terms.plan(new Set(), this.route, now);
+		const route = this.terms.plan(this.excluded, this.route, now) ?? this.terms.plan(justLeft, this.route, now);
 		if (!route) {
 			return [];
 		}
@@ -151,7 +151,12 @@
 		}
 
 		const deliver = this.deliver(tokens);
-		return finish === undefined ? [deliver, ...this.lookForSlowness()] : this.finish(deliver, finish);
+		if (finish === undefined) {
+			return [deliver, ...this.lookForSlowness()];
+		}
+
+		this.phase = Phase.Over;
+		return [deliver, {kind: StreamCommandKind.Finish, reason: finish}];
 	}
 
 	/** Inspects the stages of a stream that runs much slower than it did. */
@@ -169,11 +174,6 @@
 		return {kind: StreamCommandKind.Deliver, tokens};
 	}
 
-	private finish(deliver: StreamCommand, reason: FinishReason): readonly StreamCommand[] {
-		this.phase = Phase.Over;
-		return [deliver, {kind: StreamCommandKind.Finish, reason}];
-	}
-
 	private closed(serverAtFault: string | undefined, now: number): readonly StreamCommand[] {
 		if (serverAtFault !== undefined && this.route.some(({server}) => server === serverAtFault)) {
 			return this.replace(new Set([serverAtFault]), now);
@@ -284,7 +284,7 @@
 		// The first retry goes at once: a caller waits for the next token.
 		this.notBefore = this.attempt < 2 ? now : now + this.terms.pause(this.attempt);
 		this.planningSince = this.notBefore;
-		return [cancel, ...this.begin(now)];
+		return [cancel, ...this.begin(now, left)];
 	}
 
 	private fail(code: ResultCode, message: string): readonly StreamCommand[] {
