--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -79,8 +79,8 @@
 		['test/decisions.test.ts', 'freshness*'],
 	),
 	mutation(
-		'peers spread a version without the table',
-		['src/configuration/configuration-follower.js', 'this.announce(configuration.version);', ''],
+		'peers teach a version without the table',
+		['src/configuration/configuration-follower.js', 'version <= this.parts.keeper.version()', 'true'],
 		['test/configuration-failures.test.ts', 'an instance that starts in an outage*'],
 	),
 	mutation(
--- a/src/backends/http-model-engine.ts
+++ b/src/backends/http-model-engine.ts
@@ -6,6 +6,7 @@
 import {type Attempt} from './attempt.js';
 import {type AttemptHandle} from './attempt-handle.js';
 import {type AttemptSink} from './attempt-sink.js';
+import {type CacheEvent, cacheEventsSchema} from './cache-event.js';
 import {type EngineOrder} from './engine-order.js';
 import {FinishReason} from './finish-reason.js';
 import {type Frame} from './frame.js';
@@ -89,6 +90,11 @@
 		}
 	}
 
+	async cacheEvents(address: string, after: number, limit: number): Promise<readonly CacheEvent[]> {
+		const response = await requestOnce(this.timers, {url: `http://${address}/cache/events?after=${after}`, limit});
+		return cacheEventsSchema.parse(JSON.parse(response.body)).events;
+	}
+
 	async load(address: string, limit: number): Promise<LoadReport> {
 		const response = await requestOnce(this.timers, {url: `http://${address}/load`, limit});
 		return loadReportSchema.parse(JSON.parse(response.body));
--- a/src/backends/model-engine.ts
+++ b/src/backends/model-engine.ts
@@ -1,6 +1,7 @@
 import {type Attempt} from './attempt.js';
 import {type AttemptHandle} from './attempt-handle.js';
 import {type AttemptSink} from './attempt-sink.js';
+import {type CacheEvent} from './cache-event.js';
 import {type EngineOrder} from './engine-order.js';
 import {type LoadReport} from './load-report.js';
 import {type Stage} from './stage.js';
@@ -29,6 +30,9 @@
 	*/
 	abstract inspect(request: string, attempt: number, stage: Stage, limit: number): Promise<StageStatus | undefined>;
 
+	/** A server's cache events after a sequence number; late, and with gaps. Rejects where it gives no answer. */
+	abstract cacheEvents(address: string, after: number, limit: number): Promise<readonly CacheEvent[]>;
+
 	/** A server's load. Rejects where it gives no answer. */
 	abstract load(address: string, limit: number): Promise<LoadReport>;
 
--- a/src/drafts/draft-service.ts
+++ b/src/drafts/draft-service.ts
@@ -62,6 +62,10 @@
 	readonly log: Logger;
 };
 
+function callerGone(): Failure {
+	return new Failure(ResultCode.CallerGone, 'the caller closed the connection', Execution.Unknown);
+}
+
 /** Admits drafts, runs them along routes and settles what they used. */
 export class DraftService {
 	private readonly admissions = new Map<string, Admission>();
@@ -96,6 +100,7 @@
 				const reservation = await this.parts.meter.reserve(draft.workspace, draft.promptTokens + draft.maximumTokens);
 				if (isGone) {
 					this.parts.meter.settle(reservation, 0);
+					sink.onFail(callerGone());
 				} else {
 					this.enter(draft, sink, reservation);
 				}
@@ -248,7 +253,7 @@
 
 		pending.run?.dispatch({kind: StreamEventKind.CallerGone});
 		this.finish(pending, this.usedBy(pending));
-		pending.sink.onFail(new Failure(ResultCode.CallerGone, 'the caller closed the connection', Execution.Unknown));
+		pending.sink.onFail(callerGone());
 	}
 
 	private tick(): void {
--- a/stand-ins/engine-stand-in.ts
+++ b/stand-ins/engine-stand-in.ts
@@ -40,7 +40,7 @@
 
 	constructor(settings: EngineSettings, private readonly timers: TimerService) {
 		this.links = new EngineLinks(timers, settings.links);
-		this.cache = new EngineCache(settings.cache);
+		this.cache = new EngineCache(settings.cache, settings.reportLag, timers);
 		this.caches = new CacheExchange(this.cache, this.links);
 		this.state = new EngineState(settings, timers);
 		this.queue = new BatchQueue(settings, timers, batch => {
@@ -67,6 +67,7 @@
 			'GET /attempts': ({path}) => this.book.status(`${path[1]}/${path[2]}`),
 			'POST /stages/work': request => this.receive(request),
 			'POST /cache/positions': ({body}) => this.caches.positions(body),
+			'GET /cache/events': ({query}) => ({events: this.cache.eventsAfter(Number(query.get('after') ?? '0'))}),
 			'POST /cache/export': async ({body}) => this.caches.export(body),
 			'POST /cache/import': ({body}) => this.caches.import(body),
 			'GET /load': () => this.state.load(this.report, this.queue.slowness),
--- /dev/null
+++ b/test/stand-ins.test.ts
@@ -0,0 +1,81 @@
+import test from 'ava';
+import {CacheChange} from '../src/backends/cache-event.js';
+import {HttpModelEngine} from '../src/backends/http-model-engine.js';
+import {ClockTimerService} from '../src/time/clock-timer-service.js';
+import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {EngineCache} from '../stand-ins/engine-cache.js';
+import {engineSettingsSchema} from '../stand-ins/engine-settings.js';
+import {EngineStandIn} from '../stand-ins/engine-stand-in.js';
+import {findViolations} from '../stand-ins/layer-check.js';
+import {newSession} from '../stand-ins/session.js';
+import {workSchema} from '../stand-ins/work.js';
+
+function promptOf(index: number): string {
+	return `${index}`.padEnd(64, '.');
+}
+
+test('cache events of the stand-in engine come late and with gaps, and memory is limited', t => {
+	const timers = new ManualTimerService();
+	const cache = new EngineCache(200, 1000, timers);
+	for (let index = 0; index < 30; index++) {
+		cache.put(`r${index}`, promptOf(index), 16);
+	}
+
+	t.deepEqual(cache.eventsAfter(0), []);
+	timers.advance(1000);
+	const events = cache.eventsAfter(0);
+	t.true(events.some(({change}) => change === CacheChange.Evicted));
+	const sequences = new Set(events.map(({sequence}) => sequence));
+	t.false(sequences.has(10));
+	t.true(sequences.has(11));
+	t.is(cache.positionsOf('none', promptOf(0)), 0, 'the oldest prefix is out');
+	t.true(cache.positionsOf('none', promptOf(29)) > 0);
+});
+
+test('a KV cache is exported and imported over the engine class', async t => {
+	const timers = new ClockTimerService();
+	const servers = await Promise.all(['a', 'b'].map(async id => {
+		const settings = engineSettingsSchema.parse({
+			id, firstLayer: 0, endLayer: 4, layers: 4, reportLag: 10,
+		});
+		const standIn = new EngineStandIn(settings, timers);
+		const port = await standIn.listen();
+		return {
+			standIn, stage: {
+				server: id, address: `127.0.0.1:${port}`, firstLayer: 0, endLayer: 4, version: 'v1',
+			},
+		};
+	}));
+	const engine = new HttpModelEngine(timers);
+	const [from, to] = servers.map(({stage}) => stage);
+	t.is(await engine.copyCache('r', from, to, 1000), 0);
+	t.deepEqual(await engine.cacheEvents(from.address, 0, 1000), []);
+	await Promise.all(servers.map(async ({standIn}) => standIn.close()));
+});
+
+test('a layer that is run twice, skipped or out of order is found', t => {
+	const settings = engineSettingsSchema.parse({
+		id: 'b', firstLayer: 8, endLayer: 16, layers: 24,
+	});
+	const stage = (server: string, firstLayer: number) => ({
+		server, address: '', firstLayer, endLayer: firstLayer + 8, version: 'v1',
+	});
+	const work = workSchema.parse({
+		attempt: {
+			request: 'r', number: 1, route: [stage('a', 0), stage('b', 8)], prompt: '', generated: [], maximumTokens: 5, priority: 'normal',
+		},
+		stage: 1,
+		index: 3,
+		starts: [7, 7],
+		end: 8,
+		layer: 8,
+		state: 1,
+		receipts: [],
+	});
+	const session = {...newSession(), nextPosition: 7};
+	t.deepEqual(findViolations(work, session, settings), []);
+	t.is(findViolations({...work, layer: 0}, session, settings).length, 1, 'layers skipped');
+	t.is(findViolations({...work, starts: [6, 6]}, session, settings).length, 1, 'a position run twice');
+	t.is(findViolations({...work, starts: [8, 8]}, session, settings).length, 1, 'a position skipped');
+	t.is(findViolations({...work, stage: 0}, session, settings).length, 1, 'another server\'s work');
+});
