--- a/measures/control.ts
+++ b/measures/control.ts
@@ -1,6 +1,6 @@
 import {readFileSync} from 'node:fs';
-import {InstanceRole} from '../src/platform/instance-role.js';
-import {InstanceState} from '../src/platform/instance-state.js';
+import {InstanceRole} from '../src/store/instance-role.js';
+import {InstanceState} from '../src/store/instance-state.js';
 import {Program} from '../harness/program.js';
 import {fitLine, type Report, round} from './report.js';
 import {Stage} from './stage.js';
--- a/measures/fleet-plan.ts
+++ b/measures/fleet-plan.ts
@@ -1,5 +1,5 @@
-import {InstanceRole} from '../src/platform/instance-role.js';
-import {listedInstanceSchema, type ListedInstance} from '../src/platform/listed-instance.js';
+import {InstanceRole} from '../src/store/instance-role.js';
+import {listedInstanceSchema, type ListedInstance} from '../src/store/listed-instance.js';
 import {type Server} from '../src/routing/server.js';
 import {type RandomSource} from '../src/routing/random-source.js';
 import {type EngineSettings, engineSettingsSchema} from '../stand-ins/engine-settings.js';
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,6 +1,6 @@
 import {type Backend, control, type Entry} from '../harness/cluster.js';
 import {RecordsFault} from '../stand-ins/records-stand-in.js';
-import {InstanceState} from '../src/platform/instance-state.js';
+import {InstanceState} from '../src/store/instance-state.js';
 import {type World} from './world.js';
 
 type Fault = {
--- a/src/actions/action-ledger.ts
+++ b/src/actions/action-ledger.ts
@@ -1,8 +1,8 @@
 import {type Logger} from 'winston';
 import {type PlainAnswer} from '../backends/plain-answer.js';
-import {PlatformError} from '../platform/platform-error.js';
-import {type Row} from '../platform/row.js';
-import {type Table} from '../platform/table.js';
+import {PlatformError} from '../store/platform-error.js';
+import {type Row} from '../store/row.js';
+import {type Table} from '../store/table.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -1,4 +1,4 @@
-const windowMs = 10_000;
+const usualWindow = 10_000;
 
 type Slot = {
 	readonly at: number;
@@ -8,7 +8,7 @@
 /**
 Bounds retries to a share of recent requests, so that a failure of many servers does not multiply the load (B. Beyer et al., Site Reliability Engineering, 2016, chapter 21).
 
-In any window of 10 s, retries are at most `least + ratio × requests`.
+In any window, retries are at most `least + ratio × requests`.
 */
 export class RetryBudget {
 	private slots: Slot[] = [];
@@ -16,8 +16,14 @@
 	/**
 	@param ratio - retries allowed for each request
 	@param least - retries allowed in a window without requests
+	@param window - milliseconds
 	*/
-	constructor(private readonly ratio: number, private readonly least: number) {}
+	constructor(private readonly ratio: number, private least: number, private readonly window = usualWindow) {}
+
+	/** Changes the retries allowed in a window without requests, as when the number of instances that share them changes. */
+	setLeast(least: number): void {
+		this.least = least;
+	}
 
 	/** Counts a request. */
 	countRequest(now: number): void {
@@ -39,7 +45,7 @@
 	}
 
 	private forget(now: number): void {
-		const first = this.slots.findIndex(({at}) => at > now - windowMs);
+		const first = this.slots.findIndex(({at}) => at > now - this.window);
 		this.slots = first === -1 ? [] : this.slots.slice(first);
 	}
 }
--- a/src/backends/load-watch.ts
+++ b/src/backends/load-watch.ts
@@ -1,4 +1,4 @@
-import {InstanceRole} from '../platform/instance-role.js';
+import {InstanceRole} from '../store/instance-role.js';
 import {type Fleet} from '../routing/fleet.js';
 import {type Server} from '../routing/server.js';
 import {type TimerService} from '../time/timer-service.js';
--- /dev/null
+++ b/src/catalog/caller-limits.ts
@@ -0,0 +1,9 @@
+/** Bounds on what a caller may send, and on how long it may take. */
+export type CallerLimits = {
+	readonly headerBytes: number;
+	readonly bodyBytes: number;
+	/** Milliseconds for the headers of a request to arrive. */
+	readonly headerTimeout: number;
+	/** Milliseconds that a connection may stay idle. */
+	readonly idleTimeout: number;
+};
--- /dev/null
+++ b/src/catalog/catalog-keeper.ts
@@ -0,0 +1,51 @@
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type Catalog} from './catalog.js';
+import {CatalogIndex} from './catalog-index.js';
+
+/** Holds the newest catalog that this process has seen. Versions only rise. */
+export class CatalogKeeper {
+	private index?: CatalogIndex;
+	private readonly listeners = new Set<(catalog: Catalog) => void>();
+
+	constructor(private readonly log: DecisionLog, private readonly timers: TimerService) {}
+
+	/** The catalog in force with its look-ups; undefined before the first. */
+	get current(): CatalogIndex | undefined {
+		return this.index;
+	}
+
+	/** Version in force; -1 before the first. */
+	get version(): number {
+		return this.index?.catalog.version ?? -1;
+	}
+
+	/**
+	Puts a catalog in force where it is newer than the one that is.
+
+	@param origin - where it was learnt, for the log
+	@returns whether it was taken
+	*/
+	take(catalog: Catalog, origin: string): boolean {
+		if (catalog.version <= this.version) {
+			return false;
+		}
+
+		const startedAt = this.timers.now();
+		const previous = this.version;
+		this.index = new CatalogIndex(catalog);
+		this.log.write('catalog.taken', {
+			version: catalog.version, previous, origin, routes: catalog.routes.length, tookMs: Math.round(this.timers.now() - startedAt),
+		});
+		for (const listener of this.listeners) {
+			listener(catalog);
+		}
+
+		return true;
+	}
+
+	/** Calls the listener with each catalog that is taken. */
+	onChange(listener: (catalog: Catalog) => void): void {
+		this.listeners.add(listener);
+	}
+}
--- /dev/null
+++ b/src/catalog/catalog-source.ts
@@ -0,0 +1,13 @@
+import {type Catalog} from './catalog.js';
+
+/** Where catalogs come from. */
+export abstract class CatalogSource {
+	/**
+	Waits for a catalog other than the last one that this source gave.
+
+	@param wait - milliseconds to wait at most
+	@returns undefined where none came
+	@throws PlatformError where the source cannot be read
+	*/
+	abstract next(wait: number): Promise<Catalog | undefined>;
+}
--- /dev/null
+++ b/src/catalog/catalog.ts
@@ -0,0 +1,14 @@
+import {type CallerLimits} from './caller-limits.js';
+import {type Route} from './route.js';
+import {type Service} from './service.js';
+import {type Workspace} from './workspace.js';
+
+/** One version of the configuration: what may be called, by whom, and where it goes. */
+export type Catalog = {
+	readonly version: number;
+	readonly routes: readonly Route[];
+	readonly services: ReadonlyMap<string, Service>;
+	readonly limits: CallerLimits;
+	/** Undefined where callers need no keys. */
+	readonly workspaces?: readonly Workspace[];
+};
--- /dev/null
+++ b/src/catalog/service.ts
@@ -0,0 +1,10 @@
+import {type EngineModel} from '../pipelines/engine-model.js';
+
+/** A group of interchangeable backend servers. */
+export type Service = {
+	readonly name: string;
+	/** The most connections that one of its backend servers accepts from all callers together. */
+	readonly maxConnections: number;
+	/** Present where its backend servers hold layer ranges of a model. */
+	readonly engine?: EngineModel;
+};
--- a/src/configuration/configuration-archive.ts
+++ b/src/configuration/configuration-archive.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
-import {type Row} from '../platform/row.js';
-import {type Table} from '../platform/table.js';
-import {type Transaction} from '../platform/transaction.js';
+import {type Row} from '../store/row.js';
+import {type Table} from '../store/table.js';
+import {type Transaction} from '../store/transaction.js';
 import {type Acceptance, acceptanceSchema} from './acceptance.js';
 import {type Configuration} from './configuration.js';
 import {emptyConfiguration} from './configuration-keeper.js';
--- a/src/configuration/sheet-office.ts
+++ b/src/configuration/sheet-office.ts
@@ -1,4 +1,4 @@
-import {PlatformError} from '../platform/platform-error.js';
+import {PlatformError} from '../store/platform-error.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
--- /dev/null
+++ b/src/entry/request-gate.ts
@@ -0,0 +1,84 @@
+import {type CatalogIndex} from '../catalog/catalog-index.js';
+import {type CatalogKeeper} from '../catalog/catalog-keeper.js';
+import {type Route} from '../catalog/route.js';
+import {type Service} from '../catalog/service.js';
+import {type Workspace} from '../catalog/workspace.js';
+import {Failure} from '../results/failure.js';
+import {ResultCode} from '../results/result-code.js';
+import {type RandomSource} from '../routing/random-source.js';
+
+/** What a caller asks for, before it is decided where it goes. */
+export type RequestAddress = {
+	/** The host with or without a port. */
+	readonly host: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly key?: string;
+};
+
+/** A request that the catalog allows. */
+export type Admittance = {
+	readonly route: Route;
+	readonly service: Service;
+	readonly workspace?: Workspace;
+	/** Version of the catalog that allows it. */
+	readonly version: number;
+};
+
+const portPattern = /:\d+$/v;
+
+/** Decides by the catalog in force whether a request is allowed and which service gets it. */
+export class RequestGate {
+	constructor(private readonly keeper: CatalogKeeper, private readonly random: RandomSource) {}
+
+	/** Throws Failure where the request is refused. */
+	admit({host, target, key}: RequestAddress): Admittance {
+		const index = this.keeper.current;
+		if (!index) {
+			throw new Failure(ResultCode.NotReady, 'no configuration has been read yet');
+		}
+
+		const query = target.indexOf('?');
+		const path = query === -1 ? target : target.slice(0, query);
+		const route = index.routeOf(host.replace(portPattern, '').toLowerCase(), path);
+		if (!route) {
+			throw new Failure(ResultCode.PathUnknown, `no route of version ${index.catalog.version} matches`);
+		}
+
+		const workspace = this.workspaceOf(index, route, key);
+		return {
+			route, workspace, service: this.serviceOf(index, route), version: index.catalog.version,
+		};
+	}
+
+	private workspaceOf(index: CatalogIndex, route: Route, key: string | undefined): Workspace | undefined {
+		if (route.isAnonymous || !index.needsKeys) {
+			return undefined;
+		}
+
+		if (!key) {
+			throw new Failure(ResultCode.KeyMissing, 'the request carries no key');
+		}
+
+		const workspace = index.workspaceOf(key);
+		if (!workspace) {
+			throw new Failure(ResultCode.KeyUnknown, `the key belongs to no workspace of version ${index.catalog.version}`);
+		}
+
+		return workspace;
+	}
+
+	private serviceOf(index: CatalogIndex, route: Route): Service {
+		const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
+		let at = this.random.fraction() * total;
+		for (const {service, weight} of route.targets) {
+			at -= weight;
+			const found = index.catalog.services.get(service);
+			if (found && at < 0) {
+				return found;
+			}
+		}
+
+		throw new Failure(ResultCode.NoPipeline, `route ${route.name} names no known service`);
+	}
+}
--- /dev/null
+++ b/src/entry/router.ts
@@ -0,0 +1,114 @@
+import {type CatalogFollower} from '../catalog/catalog-follower.js';
+import {type CatalogKeeper} from '../catalog/catalog-keeper.js';
+import {type LeaseKeeper} from '../leases/lease-keeper.js';
+import {type Lifecycle} from '../lifecycle.js';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {type ServerListFollower} from '../pipelines/server-list-follower.js';
+import {type PlacementDesk} from '../placement/placement-desk.js';
+import {type ExchangeDesk} from '../relay/exchange-desk.js';
+import {type StreamMonitor} from '../relay/stream-monitor.js';
+import {type RouterSettings} from '../settings/router-settings.js';
+import {splitAddress} from '../settings/split-address.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type EntryServer} from './entry-server.js';
+import {type MemberRegister} from './member-register.js';
+import {type StatusServer} from './status-server.js';
+
+/** The parts of a pipeline router. */
+export type RouterParts = {
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	readonly metrics: Metrics;
+	readonly lifecycle: Lifecycle;
+	readonly entry: EntryServer;
+	readonly status: StatusServer;
+	readonly desk: ExchangeDesk;
+	readonly monitor: StreamMonitor;
+	readonly catalog: CatalogKeeper;
+	readonly catalogFollower: CatalogFollower;
+	readonly directory: ServerDirectory;
+	readonly listFollower: ServerListFollower;
+	readonly members: MemberRegister;
+	readonly leaseKeeper: LeaseKeeper;
+	readonly placement: PlacementDesk;
+};
+
+const stopPollMs = 100;
+
+/** A pipeline router from start to stop. */
+export class Router {
+	constructor(private readonly settings: RouterSettings, private readonly parts: RouterParts) {}
+
+	/** Starts all parts. */
+	async start(): Promise<void> {
+		const {settings, parts} = this;
+		parts.catalog.onChange(({limits}) => {
+			parts.entry.setLimits(limits);
+		});
+		await this.listen(settings.instance.readiness, async (host, port) => parts.status.listenReadiness(host, port));
+		await this.listen(settings.instance.metrics, async (host, port) => parts.status.listenMetrics(host, port));
+		await this.listen(settings.instance.callers, async (host, port) => parts.entry.listen(host, port));
+		parts.catalogFollower.start();
+		parts.listFollower.start();
+		parts.members.start();
+		parts.monitor.start();
+		this.subscribe();
+		parts.log.write('process.started', {id: settings.instance.id, zone: settings.instance.availability_zone, callers: settings.instance.callers});
+	}
+
+	/** Whether the balancer may send new connections. */
+	get isReady(): boolean {
+		const {lifecycle, catalog, directory} = this.parts;
+		return !lifecycle.isDraining && catalog.version >= 0 && directory.lastRead > Number.NEGATIVE_INFINITY;
+	}
+
+	/** Begins a planned stop. */
+	requestStop(): void {
+		this.parts.lifecycle.requestStop();
+	}
+
+	/** Resolves when a planned stop is done. */
+	async stopped(): Promise<void> {
+		const {settings, parts} = this;
+		await new Promise<void>(resolve => {
+			parts.lifecycle.onStop(resolve);
+		});
+		const begunAt = parts.timers.now();
+		parts.log.write('process.stopping', {inFlight: parts.desk.size});
+		await parts.timers.sleep(settings.stop.notice);
+		const limit = begunAt + settings.stop.grace - settings.stop.margin;
+		while (parts.timers.now() < limit) {
+			parts.entry.closeIdle();
+			if (parts.desk.size === 0) {
+				break;
+			}
+
+			await parts.timers.sleep(stopPollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		const inFlight = parts.desk.size;
+		parts.entry.stopListening();
+		parts.desk.cutAll('the process ends');
+		parts.log.write('process.stopped', {cut: inFlight, afterMs: Math.round(parts.timers.now() - begunAt)});
+	}
+
+	private async listen(address: string, work: (host: string, port: number) => Promise<void>): Promise<void> {
+		const {host, port} = splitAddress(address);
+		await work(host, port);
+	}
+
+	private subscribe(): void {
+		const {settings, parts} = this;
+		void parts.leaseKeeper.advance();
+		parts.timers.repeat(settings.placement.lease_period, () => {
+			if (!parts.lifecycle.isDraining) {
+				void parts.leaseKeeper.advance();
+			}
+		});
+		parts.timers.repeat(settings.placement.period, () => {
+			parts.placement.advance();
+		});
+	}
+}
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -15,12 +15,13 @@
 import {type Tracing} from './observation/tracing.js';
 import {type PeerDesk} from './peers/peer-desk.js';
 import {type PeerInterface} from './peers/peer-interface.js';
-import {type InstanceWatch} from './platform/instance-watch.js';
+import {type InstanceWatch} from './store/instance-watch.js';
 import {ResultCode} from './results/result-code.js';
 import {messageOf} from './results/to-failure.js';
 import {type Fleet} from './routing/fleet.js';
 import {type Settings} from './settings/settings.js';
 import {SettingsError} from './settings/settings-error.js';
+import {splitAddress} from './settings/split-address.js';
 import {type TimerService} from './time/timer-service.js';
 import {type Meter} from './usage/meter.js';
 
@@ -53,11 +54,6 @@
 const orderPeriodMs = 1000;
 const stopPollMs = 50;
 
-function splitAddress(address: string): {host: string; port: number} {
-	const separator = address.lastIndexOf(':');
-	return {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
-}
-
 /** An entry instance from start to stop. */
 export class Instance {
 	constructor(private readonly settings: Settings, private readonly parts: InstanceParts) {}
--- a/src/leases/lease-keeper.ts
+++ b/src/leases/lease-keeper.ts
@@ -1,5 +1,5 @@
 import {type Logger} from 'winston';
-import {type Table} from '../platform/table.js';
+import {type Table} from '../store/table.js';
 import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {leaseRecordSchema, leaseRowKey} from './lease-record.js';
--- a/src/leases/order-desk.ts
+++ b/src/leases/order-desk.ts
@@ -2,7 +2,7 @@
 import {type ModelEngine} from '../backends/model-engine.js';
 import {type ConfigurationKeeper} from '../configuration/configuration-keeper.js';
 import {type Invariants} from '../observation/invariants.js';
-import {InstanceRole} from '../platform/instance-role.js';
+import {InstanceRole} from '../store/instance-role.js';
 import {messageOf} from '../results/to-failure.js';
 import {type Fleet} from '../routing/fleet.js';
 import {versionOf} from '../routing/server.js';
--- a/src/observation/log.ts
+++ b/src/observation/log.ts
@@ -1,3 +1,4 @@
+import {type Writable} from 'node:stream';
 import winston, {type Logger} from 'winston';
 
 /** How log lines are written. */
@@ -40,3 +41,20 @@
 export function partLog(log: Logger, part: string): Logger {
 	return log.child({part});
 }
+
+/**
+Makes the root logger of a process whose lines are JSON objects on a stream of their own.
+
+@param level - least severity that is written, such as `info`
+@param stream - where lines go
+@param instance - id of the instance, added to each line
+*/
+export function createStructuredLog(level: string, stream: Writable, instance: string): Logger {
+	const {combine, timestamp, json} = winston.format;
+	return winston.createLogger({
+		level,
+		defaultMeta: {instance},
+		format: combine(redaction(), timestamp(), json()),
+		transports: [new winston.transports.Stream({stream, eol: '\n'})],
+	});
+}
--- a/src/peers/operator-desk.ts
+++ b/src/peers/operator-desk.ts
@@ -8,7 +8,7 @@
 import {type Submission, type SubmissionResult} from '../configuration/submission.js';
 import {type RouteExplanation, type RouteExplainer} from '../routing/route-explainer.js';
 import {type Membership} from '../membership/membership.js';
-import {type Platform} from '../platform/platform.js';
+import {type Platform} from '../store/platform.js';
 import {type Execution} from '../results/execution.js';
 import {type ResultCode} from '../results/result-code.js';
 import {toFailure} from '../results/to-failure.js';
--- a/src/peers/peer-desk.ts
+++ b/src/peers/peer-desk.ts
@@ -2,7 +2,7 @@
 import {type ConfigurationUpdate} from '../configuration/configuration-update.js';
 import {type ConfigurationKeeper} from '../configuration/configuration-keeper.js';
 import {type Membership} from '../membership/membership.js';
-import {type ListedInstance} from '../platform/listed-instance.js';
+import {type ListedInstance} from '../store/listed-instance.js';
 import {type Fleet} from '../routing/fleet.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type PeerMessage} from './peer-message.js';
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -1,5 +1,5 @@
 import {type ConfigurationUpdate} from '../configuration/configuration-update.js';
-import {type ListedInstance} from '../platform/listed-instance.js';
+import {type ListedInstance} from '../store/listed-instance.js';
 import {type PeerMessage} from './peer-message.js';
 
 /** The other entry instances, as this one calls them. Calls reject where a peer gives no answer in time. */
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -1,7 +1,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {type ConfigurationUpdate} from '../configuration/configuration-update.js';
 import {type Membership} from '../membership/membership.js';
-import {type ListedInstance} from '../platform/listed-instance.js';
+import {type ListedInstance} from '../store/listed-instance.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type PeerMessage} from './peer-message.js';
 import {Peers} from './peers.js';
--- /dev/null
+++ b/src/pipelines/engine-model.ts
@@ -0,0 +1,62 @@
+/** A kind of accelerator that a backend server has. */
+export type Card = {
+	readonly name: string;
+	/** Memory for layers and requests, in megabytes. */
+	readonly megabytes: number;
+	/** Time of a token step relative to the reference accelerator. */
+	readonly pace: number;
+	/** Time of reading a prompt relative to the reference accelerator. */
+	readonly readFactor: number;
+};
+
+/** What the engines of a service tell of their model and of their speed. Times are of the reference accelerator with all layers. */
+export type EngineModel = {
+	readonly layers: number;
+	readonly layerMegabytes: number;
+	/** Memory of one token in all layers, in bytes. */
+	readonly tokenBytes: number;
+	/** Requests that a backend server runs at once as the first of a pipeline. */
+	readonly slots: number;
+	/** Milliseconds of a token step. */
+	readonly step: number;
+	/** Milliseconds that each running request adds to a step. */
+	readonly stepOfRequest: number;
+	/** Milliseconds that each 1,000 tokens of context add to a step. */
+	readonly stepOfContext: number;
+	/** Prompt tokens read in a millisecond. */
+	readonly readRate: number;
+	/** Tokens in one event of a stream. */
+	readonly tokensOfEvent: number;
+	readonly usualPrompt: number;
+	readonly usualAnswer: number;
+	/** Milliseconds to load all layers while the weight store has room. */
+	readonly loadTime: number;
+	readonly cards: ReadonlyMap<string, Card>;
+};
+
+const bytesOfMegabyte = 1_000_000;
+
+/** Megabytes that one token takes in one layer. */
+export function tokenMegabytes(model: EngineModel): number {
+	return model.tokenBytes / model.layers / bytesOfMegabyte;
+}
+
+/** Tokens of requests that a card has memory for beside a number of layers. */
+export function tokenCapacity(model: EngineModel, card: Card, layers: number): number {
+	if (layers <= 0) {
+		return 0;
+	}
+
+	const free = card.megabytes - (layers * model.layerMegabytes);
+	return Math.max(0, free / (layers * tokenMegabytes(model)));
+}
+
+/** Tokens that a usual request holds at its end. */
+export function tokensOfUsualRequest(model: EngineModel): number {
+	return model.usualPrompt + model.usualAnswer;
+}
+
+/** The most layers whose weights fit on a card. */
+export function mostLayers(model: EngineModel, card: Card): number {
+	return Math.min(model.layers, Math.floor(card.megabytes / model.layerMegabytes));
+}
--- /dev/null
+++ b/src/pipelines/layer-range.ts
@@ -0,0 +1,16 @@
+/** Consecutive layers of a model. */
+export type LayerRange = {
+	readonly from: number;
+	/** Exclusive. */
+	readonly to: number;
+};
+
+/** Whether both ranges hold the same layers. */
+export function isSameRange(left: LayerRange | undefined, right: LayerRange | undefined): boolean {
+	return left?.from === right?.from && left?.to === right?.to;
+}
+
+/** Number of layers of a range. */
+export function lengthOf(range: LayerRange): number {
+	return range.to - range.from;
+}
--- /dev/null
+++ b/src/pipelines/plain-chooser.ts
@@ -0,0 +1,64 @@
+import {type RandomSource} from '../routing/random-source.js';
+import {lifeOf, type BackendServer} from './backend-server.js';
+import {type ServerBeliefs} from './server-beliefs.js';
+import {type ServerDirectory} from './server-directory.js';
+import {type ServerLoad} from './server-load.js';
+
+const loadAgeMs = 1000;
+/** Failures count half after this time. */
+const failureHalfLifeMs = 3000;
+/** Requests that one recent failure counts for when servers are compared. */
+const failureWeight = 2;
+
+type Failures = {
+	count: number;
+	at: number;
+};
+
+/** Chooses a server of a plain service: of two random ones, the one with less work and fewer recent failures. */
+export class PlainChooser {
+	private readonly failures = new Map<string, Failures>();
+
+	constructor(
+		private readonly directory: ServerDirectory,
+		private readonly beliefs: ServerBeliefs,
+		private readonly load: ServerLoad,
+		private readonly random: RandomSource,
+	) {}
+
+	/**
+	The server to use now.
+
+	@param excluded - lives that must not be used
+	@returns undefined where no server is left
+	*/
+	choose(service: string, excluded: ReadonlySet<string>, now: number): BackendServer | undefined {
+		const listed = this.directory.usable(service).filter(server => !excluded.has(lifeOf(server)));
+		const usable = listed.filter(server => this.beliefs.isUsable(server, now));
+		const unsuspected = usable.length > 0 ? usable : listed.filter(server => !this.beliefs.isSuspected(server, now));
+		// Where all are suspected, one of them is still more use than none.
+		const servers = unsuspected.length > 0 ? unsuspected : listed;
+		if (servers.length === 0) {
+			return undefined;
+		}
+
+		const first = this.random.choose(servers);
+		const second = this.random.choose(servers);
+		return this.workOf(second, now) < this.workOf(first, now) ? second : first;
+	}
+
+	/** A request to the server failed, other than by the request's own doing. */
+	countFailure(server: BackendServer, now: number): void {
+		this.failures.set(lifeOf(server), {count: this.failuresOf(server, now) + 1, at: now});
+	}
+
+	private failuresOf(server: BackendServer, now: number): number {
+		const failures = this.failures.get(lifeOf(server));
+		return failures ? failures.count * (0.5 ** ((now - failures.at) / failureHalfLifeMs)) : 0;
+	}
+
+	private workOf(server: BackendServer, now: number): number {
+		const known = this.load.reportedOn(server, now, loadAgeMs) ?? 0;
+		return Math.max(known, this.load.requestsOn(server)) + (this.failuresOf(server, now) * failureWeight);
+	}
+}
--- /dev/null
+++ b/src/pipelines/server-beliefs.ts
@@ -0,0 +1,124 @@
+import {type DecisionLog} from '../observation/decision-log.js';
+import {lifeOf, type BackendServer} from './backend-server.js';
+
+/** What this instance thinks of a backend server from its own evidence and that of its peers. */
+type Belief = {
+	/** Monotonic time in milliseconds until which it gets no new work. */
+	suspectUntil: number;
+	/** Monotonic time until which it is taken to be short of memory or places. */
+	fullUntil: number;
+	/** Monotonic time of the last request that tries a server whose suspicion has run out. */
+	triedAt: number;
+	/** Suspicions since it last worked. */
+	strikes: number;
+};
+
+/** How long beliefs last, in milliseconds. */
+export type BeliefTimes = {
+	/** The first suspicion; it doubles with each further one. */
+	readonly suspicion: number;
+	readonly longestSuspicion: number;
+	/** How long a server is passed over after it said that it is full. */
+	readonly fullness: number;
+	/** Pause between requests that try a server again. */
+	readonly trialPause: number;
+};
+
+/**
+Keeps suspicions of backend servers. A suspected server gets no new work; when the time is over, single requests try it until one succeeds.
+*/
+export class ServerBeliefs {
+	private readonly beliefs = new Map<string, Belief>();
+
+	constructor(private readonly times: BeliefTimes, private readonly log: DecisionLog) {}
+
+	/** Number of lives that are suspected. */
+	suspected(now: number): number {
+		return [...this.beliefs.values()].filter(({suspectUntil}) => suspectUntil > now).length;
+	}
+
+	/**
+	There is evidence that the server does not work.
+
+	@returns whether it was not suspected before
+	*/
+	suspect(server: BackendServer, reason: string, now: number): boolean {
+		const belief = this.beliefOf(server);
+		if (belief.suspectUntil > now) {
+			return false;
+		}
+
+		belief.strikes++;
+		const duration = Math.min(this.times.longestSuspicion, this.times.suspicion * (2 ** (belief.strikes - 1)));
+		belief.suspectUntil = now + duration;
+		this.log.warn('server.suspected', {
+			server: server.id, address: server.address, reason, strikes: belief.strikes, forMs: duration,
+		});
+		return true;
+	}
+
+	/** The server said that it has no place or no memory. */
+	markFull(server: BackendServer, now: number): void {
+		this.beliefOf(server).fullUntil = now + this.times.fullness;
+	}
+
+	/** The server did work that was sent after the suspicion began. */
+	clear(server: BackendServer, now: number): void {
+		const belief = this.beliefs.get(lifeOf(server));
+		if (!belief) {
+			return;
+		}
+
+		if (belief.strikes > 0) {
+			this.log.write('server.cleared', {server: server.id, strikes: belief.strikes, wasSuspected: belief.suspectUntil > now});
+		}
+
+		this.beliefs.delete(lifeOf(server));
+	}
+
+	/** Whether there is reason to think that the server is down. */
+	isSuspected(server: BackendServer, now: number): boolean {
+		return (this.beliefs.get(lifeOf(server))?.suspectUntil ?? 0) > now;
+	}
+
+	/** Whether the server may be chosen for new work. */
+	isUsable(server: BackendServer, now: number): boolean {
+		const belief = this.beliefs.get(lifeOf(server));
+		if (!belief) {
+			return true;
+		}
+
+		if (belief.suspectUntil > now || belief.fullUntil > now) {
+			return false;
+		}
+
+		return belief.strikes === 0 || now - belief.triedAt >= this.times.trialPause;
+	}
+
+	/** A request is sent to the server. */
+	countStart(server: BackendServer, now: number): void {
+		const belief = this.beliefs.get(lifeOf(server));
+		if (belief) {
+			belief.triedAt = now;
+		}
+	}
+
+	/** Forgets lives that are not on the list any more. */
+	retain(servers: Iterable<BackendServer>): void {
+		const lives = new Set([...servers].map(server => lifeOf(server)));
+		for (const life of this.beliefs.keys()) {
+			if (!lives.has(life)) {
+				this.beliefs.delete(life);
+			}
+		}
+	}
+
+	private beliefOf(server: BackendServer): Belief {
+		const life = lifeOf(server);
+		const belief = this.beliefs.get(life) ?? {
+			suspectUntil: 0, fullUntil: 0, triedAt: Number.NEGATIVE_INFINITY, strikes: 0,
+		};
+		this.beliefs.set(life, belief);
+		return belief;
+	}
+}
--- /dev/null
+++ b/src/pipelines/server-directory.ts
@@ -0,0 +1,124 @@
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type TimerService} from '../time/timer-service.js';
+import {lifeOf, type BackendServer} from './backend-server.js';
+import {isSameRange} from './layer-range.js';
+
+type Entry = {
+	server: BackendServer;
+	/** Monotonic time of the reading that last showed it. */
+	seenAt: number;
+};
+
+/** A reading of the list of backend servers. */
+export type ListReading = {
+	readonly servers: readonly BackendServer[];
+	/** Monotonic time at which the reading was asked for. */
+	readonly askedAt: number;
+	/** Whether entries may be missing because their leases ran out while the list was unavailable. */
+	readonly mayLack: boolean;
+};
+
+/**
+The backend servers as last listed.
+
+A server that is missing from a reading is taken as gone, except while the list comes back from an outage. A server that was once seen leaving stays so for that life.
+*/
+export class ServerDirectory {
+	private readonly entries = new Map<string, Entry>();
+	private readonly leaving = new Set<string>();
+	private readAt = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly timers: TimerService, private readonly log: DecisionLog) {}
+
+	/** Monotonic time of the last reading. */
+	get lastRead(): number {
+		return this.readAt;
+	}
+
+	/** All listed servers, leaving ones included. */
+	all(): readonly BackendServer[] {
+		return [...this.entries.values()].map(({server}) => server);
+	}
+
+	/** The servers of a service that may get new work. */
+	usable(service: string): readonly BackendServer[] {
+		return this.all().filter(server => server.service === service && !server.isLeaving);
+	}
+
+	/** The listed server at an address; undefined where there is none. */
+	at(address: string): BackendServer | undefined {
+		return this.all().find(server => server.address === address);
+	}
+
+	/** Whether this life is still listed and not leaving. */
+	isListed(server: BackendServer): boolean {
+		const current = this.entries.get(server.id)?.server;
+		return current !== undefined && lifeOf(current) === lifeOf(server) && !current.isLeaving;
+	}
+
+	/** Takes over a reading; readings that were asked for before the last one are dropped. */
+	take({servers, askedAt, mayLack}: ListReading): void {
+		if (askedAt < this.readAt) {
+			return;
+		}
+
+		this.readAt = askedAt;
+		const listed = new Set<string>();
+		for (const server of servers) {
+			listed.add(server.id);
+			this.update(server, askedAt);
+		}
+
+		if (!mayLack) {
+			this.removeMissing(listed);
+		}
+	}
+
+	/** The server said itself that it is leaving. */
+	markLeaving(server: BackendServer): void {
+		const entry = this.entries.get(server.id);
+		if (entry && lifeOf(entry.server) === lifeOf(server) && !entry.server.isLeaving) {
+			this.leaving.add(lifeOf(server));
+			entry.server = {...entry.server, isLeaving: true};
+			this.log.write('server.leaving', {server: server.id, address: server.address, origin: 'server'});
+		}
+	}
+
+	private update(server: BackendServer, seenAt: number): void {
+		const known = this.entries.get(server.id);
+		if (known && server.startedAt < known.server.startedAt) {
+			return;
+		}
+
+		const life = lifeOf(server);
+		const isLeaving = server.isLeaving || this.leaving.has(life);
+		const isNewLife = !known || lifeOf(known.server) !== life;
+		if (isNewLife) {
+			this.log.write('server.listed', {
+				server: server.id, address: server.address, zone: server.availabilityZone, card: server.card, leaving: isLeaving, from: server.range?.from, to: server.range?.to,
+			});
+		} else if (isLeaving && !known.server.isLeaving) {
+			this.log.write('server.leaving', {server: server.id, address: server.address, origin: 'list'});
+		} else if (!isSameRange(known.server.range, server.range)) {
+			this.log.write('server.range', {server: server.id, from: server.range?.from, to: server.range?.to});
+		}
+
+		if (isLeaving) {
+			this.leaving.add(life);
+		}
+
+		this.entries.set(server.id, {server: {...server, isLeaving}, seenAt});
+	}
+
+	private removeMissing(listed: ReadonlySet<string>): void {
+		for (const [id, {server, seenAt}] of this.entries) {
+			if (listed.has(id)) {
+				continue;
+			}
+
+			this.entries.delete(id);
+			this.leaving.delete(lifeOf(server));
+			this.log.write('server.gone', {server: id, address: server.address, unseenMs: Math.round(this.timers.now() - seenAt)});
+		}
+	}
+}
--- /dev/null
+++ b/src/pipelines/stage-reporter.ts
@@ -0,0 +1,24 @@
+import {type BackendServer} from './backend-server.js';
+import {type LayerRange} from './layer-range.js';
+
+/** What a backend server tells of itself when asked. */
+export type StageReport = {
+	/** Speed relative to the usual; above 1 it is slow. */
+	readonly pace: number;
+	/** Unix time in milliseconds of its start; undefined where it does not tell. */
+	readonly startedAt?: number;
+	/** Layers that it holds; undefined where it holds none. */
+	readonly range?: LayerRange;
+	/** Orders that it has accepted in this life. */
+	readonly orders: number;
+	/** Whether an order is being carried out. */
+	readonly isBusy: boolean;
+	/** Its requests that wait for another stage, by request id, with the address of that stage. */
+	readonly blocked: ReadonlyMap<string, string>;
+};
+
+/** Asks backend servers for their state. */
+export abstract class StageReporter {
+	/** Rejects where the server gives no answer. */
+	abstract ask(server: BackendServer): Promise<StageReport>;
+}
--- /dev/null
+++ b/src/placement/placement-desk.ts
@@ -0,0 +1,188 @@
+import {type CatalogKeeper} from '../catalog/catalog-keeper.js';
+import {type Service} from '../catalog/service.js';
+import {type Lease} from '../leases/lease.js';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+import {type EngineModel} from '../pipelines/engine-model.js';
+import {isSameRange, lengthOf, type LayerRange} from '../pipelines/layer-range.js';
+import {groupByZone} from '../pipelines/pipeline-chooser.js';
+import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
+import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {type StageReporter} from '../pipelines/stage-reporter.js';
+import {messageOf} from '../results/to-failure.js';
+import {type TimerService} from '../time/timer-service.js';
+import {planChains, type Placement} from './chain-plan.js';
+import {OrderOutcome, type OrderSender} from './order-sender.js';
+import {planRepair} from './repair-plan.js';
+
+/** The parts of a placement desk. */
+export type PlacementParts = {
+	readonly lease: Lease;
+	readonly catalog: CatalogKeeper;
+	readonly directory: ServerDirectory;
+	readonly beliefs: ServerBeliefs;
+	readonly reporter: StageReporter;
+	readonly sender: OrderSender;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+};
+
+/** Times of placement, in milliseconds. */
+export type PlacementTimes = {
+	/** How long no new server must have been listed before the first placement. */
+	readonly settle: number;
+	/** How long an empty server is kept for a gap before it strengthens other layers. */
+	readonly spare: number;
+	/** How long after an order its result must show, beside the time of loading. */
+	readonly order: number;
+};
+
+type PendingOrder = {
+	readonly range: LayerRange;
+	readonly until: number;
+};
+
+/** Decides which layers each backend server holds, and orders it, while this instance holds the lease for it. */
+export class PlacementDesk {
+	private readonly pending = new Map<string, PendingOrder>();
+	private readonly seenAt = new Map<string, number>();
+
+	constructor(private readonly parts: PlacementParts, private readonly times: PlacementTimes) {}
+
+	/** Looks at all services and gives the orders that are due. */
+	advance(): void {
+		const {lease, catalog, timers, directory} = this.parts;
+		const now = timers.now();
+		this.noteNew(directory.all(), now);
+		if (!lease.isHeld(now) || !catalog.current) {
+			return;
+		}
+
+		for (const service of catalog.current.catalog.services.values()) {
+			if (service.engine) {
+				this.advanceService(service, service.engine, now);
+			}
+		}
+	}
+
+	private noteNew(servers: readonly BackendServer[], now: number): void {
+		const lives = new Set(servers.map(server => lifeOf(server)));
+		for (const life of lives) {
+			if (!this.seenAt.has(life)) {
+				this.seenAt.set(life, now);
+			}
+		}
+
+		for (const life of this.seenAt.keys()) {
+			if (!lives.has(life)) {
+				this.seenAt.delete(life);
+				this.pending.delete(life);
+			}
+		}
+	}
+
+	private advanceService({name}: Service, model: EngineModel, now: number): void {
+		const servers = this.parts.directory.usable(name).filter(server => !this.parts.beliefs.isSuspected(server, now));
+		this.forgetFulfilled(servers, now);
+		const isEmpty = servers.every(server => !this.rangeOf(server));
+		if (isEmpty) {
+			this.placeAll(servers, model, now);
+			return;
+		}
+
+		for (const members of groupByZone(servers).values()) {
+			this.repair(members, model, now);
+		}
+	}
+
+	private rangeOf(server: BackendServer): LayerRange | undefined {
+		return this.pending.get(lifeOf(server))?.range ?? server.range;
+	}
+
+	private forgetFulfilled(servers: readonly BackendServer[], now: number): void {
+		for (const server of servers) {
+			const life = lifeOf(server);
+			const order = this.pending.get(life);
+			if (order && (isSameRange(order.range, server.range) || now > order.until)) {
+				this.pending.delete(life);
+			}
+		}
+	}
+
+	private placeAll(servers: readonly BackendServer[], model: EngineModel, now: number): void {
+		const newest = Math.max(...servers.map(server => this.seenAt.get(lifeOf(server)) ?? now));
+		if (servers.length === 0 || now - newest < this.times.settle) {
+			return;
+		}
+
+		const leftOver: BackendServer[] = [];
+		for (const [zone, members] of groupByZone(servers)) {
+			const placements = planChains(members, model);
+			if (placements.length === 0) {
+				leftOver.push(...members);
+			}
+
+			this.order(placements, model, now, `first placement of zone ${zone}`);
+		}
+
+		this.order(planChains(leftOver, model), model, now, 'first placement across zones');
+	}
+
+	private repair(members: readonly BackendServer[], model: EngineModel, now: number): void {
+		if (members.every(server => !this.rangeOf(server))) {
+			this.order(planChains(members, model), model, now, 'placement of an empty zone');
+			return;
+		}
+
+		const pending = new Map([...this.pending].map(([life, {range}]) => [life, range]));
+		const mayStrengthen = members.every(server => this.rangeOf(server) !== undefined || now - (this.seenAt.get(lifeOf(server)) ?? now) >= this.times.spare);
+		const moves = planRepair(members, pending, model, mayStrengthen);
+		this.order(moves.filter(({server}) => !this.pending.has(lifeOf(server))), model, now, 'repair');
+	}
+
+	private order(placements: readonly Placement[], model: EngineModel, now: number, reason: string): void {
+		const layers = placements.reduce((sum, {range}) => sum + lengthOf(range), 0);
+		const loadTime = model.loadTime * Math.max(1, layers / model.layers);
+		for (const placement of placements) {
+			this.pending.set(lifeOf(placement.server), {range: placement.range, until: now + this.times.order + loadTime});
+			void this.give(placement, reason);
+		}
+	}
+
+	private async give(placement: Placement, reason: string): Promise<void> {
+		const {log, metrics} = this.parts;
+		const {server, range} = placement;
+		const outcome = await this.orderAsReported(placement);
+		metrics.count('siskinnotch_orders', 1, {outcome});
+		log.write('placement.ordered', {
+			server: server.id, card: server.card, zone: server.availabilityZone, from: range.from, to: range.to, held: server.range ? `${server.range.from}-${server.range.to}` : undefined, reason, outcome,
+		});
+		if (outcome === OrderOutcome.Refused) {
+			this.pending.delete(lifeOf(server));
+		}
+	}
+
+	/** Orders over the state that the server itself reports, so that an order that arrives late, after others, is refused. */
+	private async orderAsReported(placement: Placement): Promise<OrderOutcome> {
+		const {reporter, sender, lease, timers, log} = this.parts;
+		const {server, range} = placement;
+		try {
+			const report = await reporter.ask(server);
+			if (isSameRange(report.range, range)) {
+				return OrderOutcome.Accepted;
+			}
+
+			const isOtherLife = report.startedAt !== undefined && report.startedAt !== server.startedAt;
+			if (isOtherLife || report.isBusy || !lease.isHeld(timers.now())) {
+				return OrderOutcome.Refused;
+			}
+
+			return await sender.place(placement, report.orders);
+		} catch (error) {
+			log.warn('placement.no_report', {server: server.id, reason: messageOf(error)});
+			return OrderOutcome.Refused;
+		}
+	}
+}
--- /dev/null
+++ b/src/relay/exchange-codec.ts
@@ -0,0 +1,32 @@
+import {type IncomingMessage} from 'node:http';
+import {type Attempt} from './attempt.js';
+import {type Reply} from './reply.js';
+
+/** What the headers of a caller's request say. */
+export type CallerFields = {
+	/** The caller's id of the request; empty where it sent none. */
+	readonly id: string;
+	readonly key?: string;
+	/** Milliseconds that the caller will wait; undefined where it did not say. */
+	readonly patience?: number;
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+	readonly lastEventId?: number;
+	/** Names and values in turn, to be passed on to a backend server. */
+	readonly forwarded: readonly string[];
+};
+
+/** Translates between the headers on the wire and the types of the relay. */
+export abstract class ExchangeCodec {
+	/** Decodes the headers of a caller's request. */
+	abstract readRequest(message: IncomingMessage): CallerFields;
+
+	/** All headers of an attempt, names and values in turn. */
+	abstract attemptHeaders(attempt: Attempt): string[];
+
+	/** Decodes the head of a backend server's answer. */
+	abstract readReply(message: IncomingMessage): Reply;
+
+	/** Headers that name the request in an answer of our own, names and values in turn. */
+	abstract ownHeaders(requestId: string): string[];
+}
--- /dev/null
+++ b/src/relay/exchange-desk.ts
@@ -0,0 +1,56 @@
+import {type PlainChooser} from '../pipelines/plain-chooser.js';
+import {type CallerReply} from './caller-reply.js';
+import {type ExchangeParts} from './exchange-parts.js';
+import {type Exchange} from './exchange.js';
+import {PlainExchange, type PlainLimits} from './plain-exchange.js';
+import {type RelayRequest} from './relay-request.js';
+import {StreamExchange, type StreamParts} from './stream-exchange.js';
+
+/** Begins exchanges and knows those under way. */
+export class ExchangeDesk {
+	private readonly plain = new Set<Exchange>();
+	private readonly running = new Set<StreamExchange>();
+
+	constructor(
+		private readonly parts: ExchangeParts,
+		private readonly plainParts: {readonly chooser: PlainChooser; readonly limits: PlainLimits},
+		private readonly streamParts: StreamParts,
+	) {}
+
+	/** Exchanges under way. */
+	get size(): number {
+		return this.plain.size + this.running.size;
+	}
+
+	/** Streams under way. */
+	get streams(): ReadonlySet<StreamExchange> {
+		return this.running;
+	}
+
+	/** Begins the exchange of an accepted request. */
+	begin(request: RelayRequest, reply: CallerReply): void {
+		this.parts.budgets.of(request.service.name).countRequest(this.parts.timers.now());
+		const {engine} = request.service;
+		if (engine) {
+			const exchange = new StreamExchange(this.parts, request, reply, engine, this.streamParts);
+			this.running.add(exchange);
+			exchange.start(() => {
+				this.running.delete(exchange);
+			});
+			return;
+		}
+
+		const exchange = new PlainExchange(this.parts, request, reply, this.plainParts.chooser, this.plainParts.limits);
+		this.plain.add(exchange);
+		exchange.start(() => {
+			this.plain.delete(exchange);
+		});
+	}
+
+	/** Breaks off all exchanges, as the process ends. */
+	cutAll(reason: string): void {
+		for (const exchange of [...this.plain, ...this.running]) {
+			exchange.cut(reason);
+		}
+	}
+}
--- /dev/null
+++ b/src/relay/exchange-parts.ts
@@ -0,0 +1,25 @@
+import {type RetryBudget} from '../admission/retry-budget.js';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
+import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {type ServerLoad} from '../pipelines/server-load.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type BackendClient} from './backend-client.js';
+
+/** Retries of one service, counted over all its requests. */
+export type ServiceBudgets = {
+	of(service: string): RetryBudget;
+};
+
+/** What the exchanges of all requests share. */
+export type ExchangeParts = {
+	readonly client: BackendClient;
+	readonly directory: ServerDirectory;
+	readonly beliefs: ServerBeliefs;
+	readonly load: ServerLoad;
+	readonly budgets: ServiceBudgets;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+};
--- /dev/null
+++ b/src/relay/exchange.ts
@@ -0,0 +1,123 @@
+import {type Failure} from '../results/failure.js';
+import {type Subscription} from '../time/subscription.js';
+import {type RunningAttempt} from './backend-client.js';
+import {type CallerReply} from './caller-reply.js';
+import {type ExchangeParts} from './exchange-parts.js';
+import {type RelayRequest} from './relay-request.js';
+
+/** A request from its acceptance to its final answer. */
+export abstract class Exchange {
+	protected running?: RunningAttempt;
+	protected attempts = 0;
+	private isOver = false;
+	private deadlineTimer?: Subscription;
+	private endListener: () => void = () => undefined;
+
+	constructor(protected readonly parts: ExchangeParts, readonly request: RelayRequest, protected readonly reply: CallerReply) {}
+
+	/** Whether the final answer has been given. */
+	get isDone(): boolean {
+		return this.isOver;
+	}
+
+	/**
+	Begins the exchange.
+
+	@param onEnd - called once when it is over
+	*/
+	start(onEnd: () => void): void {
+		this.endListener = onEnd;
+		const {timers} = this.parts;
+		this.deadlineTimer = timers.after(Math.max(0, this.request.deadline - timers.now()), () => {
+			this.expire();
+		});
+		this.reply.onGone(() => {
+			this.leave();
+		});
+		this.reply.onDrain(() => {
+			this.running?.resume();
+		});
+		this.dispatch();
+	}
+
+	/** Breaks the exchange off, as the process ends. */
+	cut(reason: string): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.parts.log.warn('request.cut', {request: this.request.id, reason, attempts: this.attempts});
+		this.running?.cancel();
+		this.reply.abort();
+		this.finish('cut');
+	}
+
+	/** Milliseconds until the final answer is due. */
+	protected get remaining(): number {
+		return this.request.deadline - this.parts.timers.now();
+	}
+
+	/** Ends the exchange with a whole answer. */
+	protected complete(status: number): void {
+		this.reply.end();
+		this.finish(`status_${Math.floor(status / 100)}xx`);
+	}
+
+	/** Ends the exchange with a refusal or failure of our own. */
+	protected refuse(failure: Failure): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.parts.log.warn('request.failed', {
+			request: this.request.id, route: this.request.route.name, code: failure.code, execution: failure.execution, reason: failure.message, attempts: this.attempts, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt), retryAfterS: failure.retryAfterSeconds,
+		});
+		this.running?.cancel();
+		if (this.reply.isStarted) {
+			this.reply.abort();
+		} else {
+			this.reply.fail(failure);
+		}
+
+		this.finish(`code_${failure.code}`);
+	}
+
+	/** The time is over: the final answer is due now. */
+	private expire(): void {
+		if (!this.isOver) {
+			this.refuse(this.expiry());
+		}
+	}
+
+	private leave(): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.parts.log.write('request.left', {
+			request: this.request.id, attempts: this.attempts, isStarted: this.reply.isStarted, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt),
+		});
+		this.running?.cancel();
+		this.finish('caller_gone');
+	}
+
+	private finish(outcome: string): void {
+		this.isOver = true;
+		this.running = undefined;
+		this.deadlineTimer?.cancel();
+		this.release();
+		const {metrics, timers} = this.parts;
+		metrics.count('siskinnotch_requests', 1, {kind: this.request.route.kind, outcome});
+		metrics.record(`siskinnotch_request_ms_${this.request.route.kind}`, timers.now() - this.request.arrivedAt);
+		this.endListener();
+	}
+
+	/** Sends the request, or waits for a place. */
+	protected abstract dispatch(): void;
+
+	/** The failure to answer with when the time is over. */
+	protected abstract expiry(): Failure;
+
+	/** Gives back what the exchange holds. */
+	protected abstract release(): void;
+}
--- /dev/null
+++ b/src/relay/plain-exchange.ts
@@ -0,0 +1,270 @@
+import {isRepeatable} from '../catalog/route.js';
+import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+import {type PlainChooser} from '../pipelines/plain-chooser.js';
+import {Execution} from '../results/execution.js';
+import {Failure} from '../results/failure.js';
+import {ResultCode} from '../results/result-code.js';
+import {type Subscription} from '../time/subscription.js';
+import {AttemptFailureReason, type AttemptFailure} from './attempt-failure.js';
+import {type CallerReply} from './caller-reply.js';
+import {type ExchangeParts} from './exchange-parts.js';
+import {Exchange} from './exchange.js';
+import {ReplyListener} from './reply-listener.js';
+import {type RelayRequest} from './relay-request.js';
+import {type Reply} from './reply.js';
+
+/** Limits of plain requests. */
+export type PlainLimits = {
+	/** Bytes of an answer that are held back until it is whole, so that another server can still be tried. */
+	readonly heldBytes: number;
+	/** Part of the latency target after which a silent server is given up for another one. */
+	readonly patience: number;
+};
+
+const firstServerError = 500;
+const firstFailure = 300;
+const lastFailure = 599;
+const attemptsBeyondRuns = 3;
+const retryDelaySeconds = 0.5;
+
+/** A request to a plain service: one answer, which is held back until it is whole where it is not large. */
+export class PlainExchange extends Exchange {
+	private readonly tried = new Set<string>();
+	private runs = 0;
+	private server?: BackendServer;
+	private endLoad?: () => void;
+	private patienceTimer?: Subscription;
+	private held: Uint8Array[] = [];
+	private heldLength = 0;
+	private head?: Reply;
+
+	constructor(parts: ExchangeParts, request: RelayRequest, reply: CallerReply, private readonly chooser: PlainChooser, private readonly limits: PlainLimits) {
+		super(parts, request, reply);
+	}
+
+	protected dispatch(): void {
+		const {parts, request} = this;
+		const now = parts.timers.now();
+		const server = this.chooser.choose(request.service.name, this.tried, now) ?? this.chooser.choose(request.service.name, new Set(), now);
+		if (!server) {
+			this.refuse(new Failure(ResultCode.NoPipeline, `no server of service ${request.service.name} is listed`, this.execution, retryDelaySeconds));
+			return;
+		}
+
+		this.server = server;
+		this.tried.add(lifeOf(server));
+		this.attempts++;
+		this.runs++;
+		this.endLoad = parts.load.start([{server, range: {from: 0, to: 0}}], 0);
+		parts.beliefs.countStart(server, now);
+		parts.log.write('request.sent', {
+			request: request.id, server: server.id, attempt: this.attempts, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - parts.directory.lastRead),
+		});
+		this.running = parts.client.send({
+			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
+		}, new PlainListener(this));
+		this.watchPatience(server);
+	}
+
+	protected expiry(): Failure {
+		return this.attempts === 0
+			? new Failure(ResultCode.DeadlineUnreachable, 'the time ran out before the request was sent', Execution.NotRun, retryDelaySeconds)
+			: new Failure(ResultCode.DeadlinePassed, `no answer within ${Math.round(this.request.deadline - this.request.arrivedAt)} ms`, Execution.Unknown);
+	}
+
+	protected release(): void {
+		this.patienceTimer?.cancel();
+		this.endLoad?.();
+		this.endLoad = undefined;
+	}
+
+	/** The head of an answer came. */
+	receiveHead(reply: Reply): void {
+		const {parts, server} = this;
+		const now = parts.timers.now();
+		if (reply.load) {
+			parts.load.observe(server!, reply.load, now);
+		}
+
+		this.head = reply;
+	}
+
+	/** A part of the answer came. */
+	receiveData(chunk: Uint8Array): void {
+		if (this.reply.isStarted) {
+			this.pass(chunk);
+			return;
+		}
+
+		this.held.push(chunk);
+		this.heldLength += chunk.length;
+		if (this.heldLength > this.limits.heldBytes && this.head && !this.head.isNotRun) {
+			this.deliverHeld(this.head);
+		}
+	}
+
+	/** The answer is whole. */
+	receiveEnd(): void {
+		const reply = this.head!;
+		this.endAttempt();
+		if (reply.isNotRun) {
+			this.runs--;
+			this.parts.beliefs.markFull(this.server!, this.parts.timers.now());
+			this.tryNext(`the server did not run it (${reply.status})`, reply);
+			return;
+		}
+
+		if (reply.status >= firstServerError) {
+			this.chooser.countFailure(this.server!, this.parts.timers.now());
+			this.tryNext(`the server answered ${reply.status}`, reply);
+			return;
+		}
+
+		if (!reply.isSigned && reply.status < firstFailure) {
+			this.tryNext('the answer is not signed', undefined);
+			return;
+		}
+
+		this.parts.beliefs.clear(this.server!, this.parts.timers.now());
+		this.deliver(reply);
+	}
+
+	/** No whole answer comes. */
+	receiveFailure({reason, detail, wasReused}: AttemptFailure): void {
+		const now = this.parts.timers.now();
+		this.endAttempt();
+		this.chooser.countFailure(this.server!, now);
+		if (reason === AttemptFailureReason.NotConnected) {
+			this.runs--;
+			this.parts.beliefs.suspect(this.server!, detail, now);
+		}
+
+		if (this.reply.isStarted) {
+			this.refuse(new Failure(ResultCode.BackendFailed, `the answer broke off: ${detail}`, Execution.Unknown));
+			return;
+		}
+
+		this.tryNext(`${detail}${wasReused ? ' (kept connection)' : ''}`, undefined);
+	}
+
+	/** Whether the request may have run. */
+	private get execution(): Execution {
+		return this.runs > 0 ? Execution.Unknown : Execution.NotRun;
+	}
+
+	private deliver(reply: Reply): void {
+		if (!this.reply.isStarted) {
+			this.deliverHeld(reply);
+		}
+
+		this.parts.log.write('request.answered', {
+			request: this.request.id, status: reply.status, server: this.server!.id, attempts: this.attempts, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt),
+		});
+		this.complete(reply.status);
+	}
+
+	private deliverHeld(reply: Reply): void {
+		this.reply.begin(reply.status, reply.headers);
+		for (const chunk of this.held.splice(0)) {
+			this.pass(chunk);
+		}
+	}
+
+	private pass(chunk: Uint8Array): void {
+		if (!this.reply.write(chunk)) {
+			this.running?.pause();
+		}
+	}
+
+	/** Tries another server where that is allowed, or gives the final answer. */
+	private tryNext(reason: string, reply: Reply | undefined): void {
+		const isAllowed = this.takeRetry();
+		this.logFailedAttempt(reason, isAllowed);
+		if (isAllowed) {
+			this.dispatchAgain();
+			return;
+		}
+
+		if (reply && !reply.isNotRun && reply.status <= lastFailure) {
+			this.deliver(reply);
+			return;
+		}
+
+		if (this.runs === 0) {
+			this.refuse(new Failure(ResultCode.Overloaded, reason, Execution.NotRun, retryDelaySeconds));
+			return;
+		}
+
+		this.refuse(new Failure(ResultCode.BackendFailed, reason, Execution.Unknown));
+	}
+
+	/** Whether the request may be sent once more; takes a retry from the budget where it may. */
+	private takeRetry(): boolean {
+		const {request, parts} = this;
+		const mayRun = this.runs === 0 || (isRepeatable(request.route) && this.runs < request.route.maxRuns);
+		const isWorth = this.attempts < request.route.maxRuns + attemptsBeyondRuns && this.remaining > 0;
+		return mayRun && isWorth && parts.budgets.of(request.service.name).take(parts.timers.now());
+	}
+
+	private logFailedAttempt(reason: string, isRepeated: boolean): void {
+		this.parts.log.warn('request.attempt_failed', {
+			request: this.request.id, server: this.server!.id, attempt: this.attempts, reason, isRepeated,
+		});
+	}
+
+	private dispatchAgain(): void {
+		this.held = [];
+		this.heldLength = 0;
+		this.head = undefined;
+		this.dispatch();
+	}
+
+	/** Gives up a server that stays silent, while there is time for another one. */
+	private watchPatience(server: BackendServer): void {
+		const {request, parts, limits} = this;
+		if (!isRepeatable(request.route) || this.runs >= request.route.maxRuns) {
+			return;
+		}
+
+		const patience = Math.min(this.remaining / 2, request.route.latencyTarget * limits.patience);
+		this.patienceTimer = parts.timers.after(patience, () => {
+			const others = parts.directory.usable(request.service.name).filter(other => !this.tried.has(lifeOf(other)));
+			if (this.isDone || this.head !== undefined || others.length === 0 || !this.takeRetry()) {
+				return;
+			}
+
+			this.running?.cancel();
+			this.endAttempt();
+			this.chooser.countFailure(server, parts.timers.now());
+			this.logFailedAttempt(`no answer within ${Math.round(patience)} ms`, true);
+			this.dispatchAgain();
+		});
+	}
+
+	private endAttempt(): void {
+		this.running = undefined;
+		this.release();
+	}
+}
+
+class PlainListener extends ReplyListener {
+	constructor(private readonly exchange: PlainExchange) {
+		super();
+	}
+
+	head(reply: Reply): void {
+		this.exchange.receiveHead(reply);
+	}
+
+	data(chunk: Uint8Array): void {
+		this.exchange.receiveData(chunk);
+	}
+
+	ended(): void {
+		this.exchange.receiveEnd();
+	}
+
+	failed(failure: AttemptFailure): void {
+		this.exchange.receiveFailure(failure);
+	}
+}
--- /dev/null
+++ b/src/relay/reply-listener.ts
@@ -0,0 +1,17 @@
+import {type AttemptFailure} from './attempt-failure.js';
+import {type Reply} from './reply.js';
+
+/** Receives what comes of one attempt. After `ended` or `failed` nothing follows. */
+export abstract class ReplyListener {
+	/** The head of the answer. */
+	abstract head(reply: Reply): void;
+
+	/** A part of the body. */
+	abstract data(chunk: Uint8Array): void;
+
+	/** The answer is whole. */
+	abstract ended(): void;
+
+	/** No whole answer comes. */
+	abstract failed(failure: AttemptFailure): void;
+}
--- /dev/null
+++ b/src/relay/stream-monitor.ts
@@ -0,0 +1,108 @@
+import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
+import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {messageOf} from '../results/to-failure.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type ExchangeDesk} from './exchange-desk.js';
+import {type StageReporter} from '../pipelines/stage-reporter.js';
+import {type StreamExchange} from './stream-exchange.js';
+
+/** The parts of a stream monitor. */
+export type StreamMonitorParts = {
+	readonly desk: ExchangeDesk;
+	readonly reporter: StageReporter;
+	readonly beliefs: ServerBeliefs;
+	readonly directory: ServerDirectory;
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	/** Called when a server seems to be down, so that others hear of it. */
+	readonly onSuspicion: (server: BackendServer, reason: string) => void;
+};
+
+/** Times of watching streams, in milliseconds. */
+export type MonitorTimes = {
+	readonly period: number;
+	/** Silence after which the first stage is asked what its requests wait for. */
+	readonly inquiry: number;
+	/** Silence after which a stream moves, whatever its first stage says. */
+	readonly silence: number;
+	/** Between two questions to one server. */
+	readonly pause: number;
+};
+
+/**
+Watches streams for silence. The first stage of a silent stream is asked which stage its requests wait for; the streams through that stage move to other pipelines.
+*/
+export class StreamMonitor {
+	private readonly askedAt = new Map<string, number>();
+
+	constructor(private readonly parts: StreamMonitorParts, private readonly times: MonitorTimes) {}
+
+	/** Begins to watch. */
+	start(): void {
+		this.parts.timers.repeat(this.times.period, () => {
+			this.check();
+		});
+	}
+
+	/** A server is thought to be down: its streams move. */
+	moveOff(server: BackendServer, reason: string): void {
+		const life = lifeOf(server);
+		for (const exchange of this.parts.desk.streams) {
+			if (exchange.stages?.some(stage => lifeOf(stage.server) === life)) {
+				exchange.moveOff(server, reason);
+			}
+		}
+	}
+
+	private check(): void {
+		const now = this.parts.timers.now();
+		const silentFirst = new Map<string, BackendServer>();
+		for (const exchange of this.parts.desk.streams) {
+			const silence = exchange.silenceAt(now);
+			const first = exchange.stages?.[0].server;
+			if (!first || silence < this.times.inquiry) {
+				continue;
+			}
+
+			if (silence >= this.times.silence) {
+				exchange.moveOff(undefined, `no event for ${Math.round(silence)} ms`);
+			} else {
+				silentFirst.set(lifeOf(first), first);
+			}
+		}
+
+		for (const [life, server] of silentFirst) {
+			if (now - (this.askedAt.get(life) ?? Number.NEGATIVE_INFINITY) >= this.times.pause) {
+				this.askedAt.set(life, now);
+				void this.ask(server);
+			}
+		}
+	}
+
+	private async ask(server: BackendServer): Promise<void> {
+		const {reporter, directory, log} = this.parts;
+		try {
+			const {blocked, pace} = await reporter.ask(server);
+			log.write('stage.asked', {server: server.id, blocked: blocked.size, pace});
+			for (const address of new Set(blocked.values())) {
+				const faulty = directory.at(address);
+				if (faulty) {
+					this.suspect(faulty, `${server.id} waits for it`);
+				}
+			}
+		} catch (error) {
+			this.suspect(server, `it does not answer: ${messageOf(error)}`);
+		}
+	}
+
+	private suspect(server: BackendServer, reason: string): void {
+		const {beliefs, timers, onSuspicion} = this.parts;
+		if (beliefs.suspect(server, reason, timers.now())) {
+			onSuspicion(server, reason);
+		}
+
+		this.moveOff(server, reason);
+	}
+}
--- /dev/null
+++ b/src/relay/waiting-room.ts
@@ -0,0 +1,98 @@
+import {type Subscription} from '../time/subscription.js';
+import {type TimerService} from '../time/timer-service.js';
+
+/** A request that waits for a place. */
+export type WaitingRequest = {
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Tries to start the request; false where there is still no place. */
+	readonly tryStart: () => boolean;
+	/** The request has waited for as long as it may. */
+	readonly giveUp: () => void;
+};
+
+type Entry = {
+	readonly request: WaitingRequest;
+	readonly order: number;
+	readonly timeout: Subscription;
+};
+
+/** Limits of waiting. */
+export type WaitingLimits = {
+	/** Milliseconds that a request waits at most. */
+	readonly longestWait: number;
+	/** Requests that wait at most. */
+	readonly places: number;
+	/** Milliseconds between attempts to start those that wait. */
+	readonly period: number;
+};
+
+/** Holds requests for which no pipeline has room, the most urgent first and in the order of their arrival. */
+export class WaitingRoom {
+	private entries: Entry[] = [];
+	private nextOrder = 0;
+	private ticker?: Subscription;
+
+	constructor(private readonly timers: TimerService, private readonly limits: WaitingLimits) {}
+
+	/** Requests that wait. */
+	get size(): number {
+		return this.entries.length;
+	}
+
+	/**
+	Lets a request wait.
+
+	@returns a subscription that takes it out, or undefined where all places are taken
+	*/
+	add(request: WaitingRequest): Subscription | undefined {
+		if (this.entries.length >= this.limits.places) {
+			return undefined;
+		}
+
+		const timeout = this.timers.after(this.limits.longestWait, () => {
+			if (this.remove(entry)) {
+				request.giveUp();
+			}
+		});
+		const entry: Entry = {request, order: this.nextOrder++, timeout};
+		this.entries.push(entry);
+		this.entries.sort((left, right) => (left.request.priority - right.request.priority) || (left.order - right.order));
+		this.ticker ??= this.timers.repeat(this.limits.period, () => {
+			this.admit();
+		});
+		return {
+			cancel: () => {
+				this.remove(entry);
+			},
+		};
+	}
+
+	/** Starts those that find a place now. */
+	admit(): void {
+		while (this.entries.length > 0) {
+			const [first] = this.entries;
+			if (!first.request.tryStart()) {
+				return;
+			}
+
+			this.remove(first);
+		}
+	}
+
+	private remove(entry: Entry): boolean {
+		const at = this.entries.indexOf(entry);
+		if (at === -1) {
+			return false;
+		}
+
+		this.entries.splice(at, 1);
+		entry.timeout.cancel();
+		if (this.entries.length === 0) {
+			this.ticker?.cancel();
+			this.ticker = undefined;
+		}
+
+		return true;
+	}
+}
--- /dev/null
+++ b/src/router-wiring.ts
@@ -0,0 +1,165 @@
+import {randomUUID} from 'node:crypto';
+import {RetryBudget} from './admission/retry-budget.js';
+import {CatalogFollower} from './catalog/catalog-follower.js';
+import {CatalogKeeper} from './catalog/catalog-keeper.js';
+import {type CatalogSource} from './catalog/catalog-source.js';
+import {EntryServer} from './entry/entry-server.js';
+import {MemberRegister} from './entry/member-register.js';
+import {RequestGate} from './entry/request-gate.js';
+import {Router} from './entry/router.js';
+import {StatusServer} from './entry/status-server.js';
+import {Lease} from './leases/lease.js';
+import {LeaseKeeper} from './leases/lease-keeper.js';
+import {Lifecycle} from './lifecycle.js';
+import {type DecisionLog} from './observation/decision-log.js';
+import {partLog} from './observation/log.js';
+import {Metrics} from './observation/metrics.js';
+import {type BackendServer} from './pipelines/backend-server.js';
+import {PipelineChooser} from './pipelines/pipeline-chooser.js';
+import {PlainChooser} from './pipelines/plain-chooser.js';
+import {ServerBeliefs} from './pipelines/server-beliefs.js';
+import {ServerDirectory} from './pipelines/server-directory.js';
+import {ServerListFollower} from './pipelines/server-list-follower.js';
+import {type ServerList} from './pipelines/server-list.js';
+import {ServerLoad} from './pipelines/server-load.js';
+import {type OrderSender} from './placement/order-sender.js';
+import {PlacementDesk} from './placement/placement-desk.js';
+import {BackendAgent} from './relay/backend-agent.js';
+import {BackendClient} from './relay/backend-client.js';
+import {type ExchangeCodec} from './relay/exchange-codec.js';
+import {ExchangeDesk} from './relay/exchange-desk.js';
+import {type ExchangeParts} from './relay/exchange-parts.js';
+import {type StageReporter} from './pipelines/stage-reporter.js';
+import {StreamMonitor} from './relay/stream-monitor.js';
+import {WaitingRoom} from './relay/waiting-room.js';
+import {RandomSource} from './routing/random-source.js';
+import {type RouterSettings} from './settings/router-settings.js';
+import {type Table} from './store/table.js';
+import {type TimerService} from './time/timer-service.js';
+import {type Logger} from 'winston';
+
+/** What a pipeline router needs of the platform that it runs on. */
+export type RouterPorts = {
+	readonly table: Table;
+	readonly catalogs: CatalogSource;
+	readonly servers: ServerList;
+	readonly orders: OrderSender;
+	readonly reports: StageReporter;
+	readonly codec: ExchangeCodec;
+	/** The path at which the balancer asks whether the instance is ready. */
+	readonly readinessPath: string;
+};
+
+/** What the parts of a pipeline router share with the adapter of its platform. */
+export type RouterBase = {
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	readonly logger: Logger;
+};
+
+const seedRange = 0x7F_FF_FF_FF;
+const beliefTimes = {
+	suspicion: 2000, longestSuspicion: 8000, fullness: 150, trialPause: 700,
+};
+const chooserWeights = {
+	remoteZone: 1.3, foreignStage: 4, crowding: 3, loadAge: 1500,
+};
+const waitingPeriodMs = 40;
+const rejectionLimit = 6;
+const monitorTimes = {
+	period: 100, inquiry: 450, silence: 1300, pause: 300,
+};
+const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
+const plainPatience = 0.8;
+const slowListMs = 400;
+
+/** Builds the parts of a pipeline router. */
+export function wireRouter(settings: RouterSettings, {timers, log, logger}: RouterBase, ports: RouterPorts): Router {
+	const {instance, store, limits, placement: placementSettings} = settings;
+	const metrics = new Metrics();
+	const lifecycle = new Lifecycle();
+	const random = new RandomSource(Math.floor(Math.random() * seedRange));
+	const directory = new ServerDirectory(timers, log);
+	const beliefs = new ServerBeliefs(beliefTimes, log);
+	const load = new ServerLoad();
+	const catalog = new CatalogKeeper(log, timers);
+
+	const budgets = new Map<string, RetryBudget>();
+	const members = new MemberRegister(
+		{id: instance.id, availabilityZone: instance.availability_zone, peers: instance.peers},
+		{
+			table: ports.table, timers, log, onChange() {
+				for (const budget of budgets.values()) {
+					budget.setLeast(ownAllowance());
+				}
+			},
+		},
+		registerTimes,
+	);
+	// Half of the allowance stays unused, so that it holds while instances are added.
+	const ownAllowance = () => limits.retry_allowance / (2 * members.all().length);
+	const budgetOf = (service: string) => {
+		const budget = budgets.get(service) ?? new RetryBudget(limits.retry_ratio, ownAllowance(), limits.retry_window);
+		budgets.set(service, budget);
+		return budget;
+	};
+
+	const client = new BackendClient({
+		codec: ports.codec, agent: new BackendAgent(limits.idle_connection), timers, connectLimit: limits.connect,
+	});
+	const exchangeParts: ExchangeParts = {
+		client, directory, beliefs, load, budgets: {of: budgetOf}, timers, metrics, log,
+	};
+	const onSuspicion = (server: BackendServer, reason: string) => {
+		monitor.moveOff(server, reason);
+	};
+
+	const waitingRoom = new WaitingRoom(timers, {longestWait: limits.queue_wait, places: limits.queue_places, period: waitingPeriodMs});
+	const desk = new ExchangeDesk(
+		exchangeParts,
+		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
+		{
+			chooser: new PipelineChooser({
+				directory, beliefs, load, availabilityZone: instance.availability_zone, sharersOf: zone => members.countIn(zone),
+			}, chooserWeights),
+			waitingRoom,
+			limits: {rejections: rejectionLimit, silence: limits.stall / 2, comeBack: limits.come_back},
+			onSuspicion,
+		},
+	);
+	const monitor = new StreamMonitor({
+		desk, reporter: ports.reports, beliefs, directory, timers, log, onSuspicion,
+	}, monitorTimes);
+
+	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
+	const leaseKeeper = new LeaseKeeper('placement', lease, {table: ports.table, timers, log: partLog(logger, 'leases')});
+	const placement = new PlacementDesk({
+		lease, catalog, directory, beliefs, reporter: ports.reports, sender: ports.orders, timers, metrics, log,
+	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order});
+
+	const listFollower = new ServerListFollower({
+		list: ports.servers, directory, timers, metrics, log, onReading() {
+			beliefs.retain(directory.all());
+			load.retain(directory.all());
+			waitingRoom.admit();
+		},
+	}, {period: store.list_period, returnGrace: store.return_grace, slow: slowListMs});
+	const catalogFollower = new CatalogFollower({
+		source: ports.catalogs, keeper: catalog, timers, metrics, log,
+	}, {wait: store.configuration_wait, retryPause: store.retry_pause});
+
+	const entry = new EntryServer({
+		gate: new RequestGate(catalog, random), codec: ports.codec, desk, lifecycle, timers, metrics, log,
+	});
+	const status = new StatusServer(ports.readinessPath, (): boolean => router.isReady, metrics);
+	metrics.gauge('siskinnotch_exchanges', () => desk.size);
+	metrics.gauge('siskinnotch_waiting', () => waitingRoom.size);
+	metrics.gauge('siskinnotch_configuration_version', () => catalog.version);
+	metrics.gauge('siskinnotch_list_age_ms', () => timers.now() - directory.lastRead);
+	metrics.gauge('siskinnotch_servers', () => directory.all().length);
+	metrics.gauge('siskinnotch_servers_suspected', () => beliefs.suspected(timers.now()));
+	const router: Router = new Router(settings, {
+		timers, log, metrics, lifecycle, entry, status, desk, monitor, catalog, catalogFollower, directory, listFollower, members, leaseKeeper, placement,
+	});
+	return router;
+}
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -1,8 +1,8 @@
 import {type LoadReport} from '../backends/load-report.js';
 import {type Stage} from '../backends/stage.js';
-import {InstanceRole} from '../platform/instance-role.js';
-import {InstanceState} from '../platform/instance-state.js';
-import {type ListedInstance} from '../platform/listed-instance.js';
+import {InstanceRole} from '../store/instance-role.js';
+import {InstanceState} from '../store/instance-state.js';
+import {type ListedInstance} from '../store/listed-instance.js';
 import {type Server, versionOf} from './server.js';
 
 const firstSuspicionMs = 1000;
--- a/src/routing/server.ts
+++ b/src/routing/server.ts
@@ -1,4 +1,4 @@
-import {type ListedInstance} from '../platform/listed-instance.js';
+import {type ListedInstance} from '../store/listed-instance.js';
 import {type LoadReport} from '../backends/load-report.js';
 
 /** The version of the model that a server has, by its own report before the list. */
--- a/src/settings/settings-reader.ts
+++ b/src/settings/settings-reader.ts
@@ -4,6 +4,7 @@
 import {ResultCode} from '../results/result-code.js';
 import {messageOf} from '../results/to-failure.js';
 import {SettingsError} from './settings-error.js';
+import {routerSettingsSchema, type RouterSettings} from './router-settings.js';
 import {settingsSchema, type Settings} from './settings.js';
 
 const sectionPattern = /^\s*\[(?<section>[^\]]*)\]/v;
@@ -64,13 +65,22 @@
 @throws SettingsError that names every problem with file, section and key
 */
 export function parseSettings(file: string, text: string): Settings {
+	return parseWith(settingsSchema, file, text);
+}
+
+/** Checks the text of a settings file of a pipeline router. Throws SettingsError. */
+export function parseRouterSettings(file: string, text: string): RouterSettings {
+	return parseWith(routerSettingsSchema, file, text);
+}
+
+function parseWith<Schema extends z.ZodType>(schema: Schema, file: string, text: string): z.infer<Schema> {
 	const duplicates = duplicatesIn(text);
 	if (duplicates.length > 0) {
 		throw new SettingsError(ResultCode.SettingsInvalid, `${file}: ${duplicates.join('; ')}`);
 	}
 
 	const plain = structuredClone(parse(text));
-	const reading = settingsSchema.safeParse(plain);
+	const reading = schema.safeParse(plain);
 	if (!reading.success) {
 		const problems = reading.error.issues.map(issue => `${file}: ${describe(issue, plain)}`);
 		throw new SettingsError(ResultCode.SettingsInvalid, problems.join('\n'));
@@ -81,12 +91,18 @@
 
 /** Reads and checks a settings file. Throws SettingsError. */
 export function readSettings(file: string): Settings {
-	let text: string;
+	return parseSettings(file, readText(file));
+}
+
+/** Reads and checks a settings file of a pipeline router. Throws SettingsError. */
+export function readRouterSettings(file: string): RouterSettings {
+	return parseRouterSettings(file, readText(file));
+}
+
+function readText(file: string): string {
 	try {
-		text = readFileSync(file, 'utf8');
+		return readFileSync(file, 'utf8');
 	} catch (error) {
 		throw new SettingsError(ResultCode.SettingsMissing, `${file}: cannot be read: ${messageOf(error)}`);
 	}
-
-	return parseSettings(file, text);
 }
--- a/src/platform/http-client.ts
+++ b/src/store/http-client.ts
@@ -1,5 +1,6 @@
 import {Agent} from 'node:http';
 import got, {RequestError} from 'got';
+import {type Subscription} from '../time/subscription.js';
 import {type TimerService} from '../time/timer-service.js';
 import {PlatformError} from './platform-error.js';
 
@@ -14,21 +15,26 @@
 /** Sends JSON requests to the platform over connections that are retired by age. */
 export class HttpClient {
 	private agent = new Agent({keepAlive: true});
+	private readonly retirement: Subscription;
 
 	/**
 	@param base - URL of the platform without a slash at the end
 	@param limit - milliseconds that a request may take
 	*/
 	constructor(private readonly base: string, private readonly limit: number, private readonly timers: TimerService) {
-		timers.repeat(connectionRetirementMs, () => {
+		this.retirement = timers.repeat(connectionRetirementMs, () => {
 			this.retire();
 		});
 	}
 
-	/** Sends one request; statuses 200 to 499 are answers, all else throws PlatformError. */
-	async send(method: 'GET' | 'POST' | 'PUT', path: string, body?: unknown): Promise<Answer> {
+	/**
+	Sends one request; statuses 200 to 499 are answers, all else throws PlatformError.
+
+	@param limit - milliseconds that this request may take
+	*/
+	async send(method: 'GET' | 'POST' | 'PUT', path: string, body?: unknown, limit = this.limit): Promise<Answer> {
 		const cancellation = new AbortController();
-		const timeout = this.timers.after(this.limit, () => {
+		const timeout = this.timers.after(limit, () => {
 			cancellation.abort();
 		});
 		try {
@@ -53,6 +59,12 @@
 		}
 	}
 
+	/** Ends the use of this client. */
+	close(): void {
+		this.retirement.cancel();
+		this.retire();
+	}
+
 	/** Leaves the idle connections, so that the next request opens a new one. */
 	retire(): void {
 		const old = this.agent;
--- a/src/platform/row.ts
+++ b/src/store/row.ts
@@ -1,7 +1,7 @@
 /** One row of the platform's table. */
 export type Row = {
 	readonly key: string;
-	/** Rises by one with every write of the row; 0 stands for a row that does not exist. */
+	/** Rises with every write of the row; 0 stands for a row that does not exist. */
 	readonly version: number;
 	/** JSON text. */
 	readonly value: string;
--- a/src/usage/meter.ts
+++ b/src/usage/meter.ts
@@ -1,8 +1,8 @@
 import {type Logger} from 'winston';
 import {type Workspace} from '../configuration/sheet-row.js';
 import {type Invariants} from '../observation/invariants.js';
-import {type Row} from '../platform/row.js';
-import {type Table} from '../platform/table.js';
+import {type Row} from '../store/row.js';
+import {type Table} from '../store/table.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {messageOf} from '../results/to-failure.js';
--- a/stand-ins/platform-stand-in.ts
+++ b/stand-ins/platform-stand-in.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
-import {listedInstanceSchema, type ListedInstance} from '../src/platform/listed-instance.js';
-import {type Row} from '../src/platform/row.js';
+import {listedInstanceSchema, type ListedInstance} from '../src/store/listed-instance.js';
+import {type Row} from '../src/store/row.js';
 import {type TimerService} from '../src/time/timer-service.js';
 import {type JsonRequest, JsonServer, StatusAnswer} from './json-server.js';
 
--- a/test/stream-failures.test.ts
+++ b/test/stream-failures.test.ts
@@ -3,7 +3,7 @@
 	type Backend, type Cluster, control, readControl,
 } from '../harness/cluster.js';
 import {askForDraft, DraftEnd, type DraftResult} from '../harness/draft-caller.js';
-import {InstanceState} from '../src/platform/instance-state.js';
+import {InstanceState} from '../src/store/instance-state.js';
 import {keyOf} from '../harness/sheet-text.js';
 import {startCluster} from './support/running.js';
 
--- a/test/support/fake-table.ts
+++ b/test/support/fake-table.ts
@@ -1,8 +1,8 @@
-import {PlatformError} from '../../src/platform/platform-error.js';
-import {type Row} from '../../src/platform/row.js';
-import {Table} from '../../src/platform/table.js';
-import {type Transaction} from '../../src/platform/transaction.js';
-import {type Write} from '../../src/platform/write.js';
+import {PlatformError} from '../../src/store/platform-error.js';
+import {type Row} from '../../src/store/row.js';
+import {Table} from '../../src/store/table.js';
+import {type Transaction} from '../../src/store/transaction.js';
+import {type Write} from '../../src/store/write.js';
 
 /** What happens to one call of the fake table. */
 export enum TableFate {
