--- a/src/placement/chain-plan.ts
+++ b/src/placement/chain-plan.ts
@@ -1,6 +1,6 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {mostLayers, tokenCapacity, tokenMegabytes, tokensOfUsualRequest, type Card, type EngineModel} from '../pipelines/engine-model.js';
-import {type LayerRange} from '../pipelines/layer-range.js';
+import {mostLayers, tokenMegabytes, tokensOfUsualRequest, type Card, type EngineModel} from '../pipelines/engine-model.js';
+import {lengthOf, type LayerRange} from '../pipelines/layer-range.js';
 
 /** A server and the layers that it shall hold. */
 export type Placement = {
@@ -11,45 +11,54 @@
 type Member = {
 	readonly server: BackendServer;
 	readonly card: Card;
-	layers: number;
 };
 
-/** Isolation of faults is worth this part of the requests that run at once. */
-const isolationWorth = 0.2;
-const mostChains = 8;
 const searchSteps = 40;
 
+/** The servers with a known card, the fastest first. */
 function membersOf(servers: readonly BackendServer[], model: EngineModel): readonly Member[] {
-	return servers.flatMap(server => {
+	const members = servers.flatMap(server => {
 		const card = model.cards.get(server.card);
-		return card ? [{server, card, layers: 0}] : [];
+		return card ? [{server, card}] : [];
 	});
+	return members.toSorted((left, right) => (left.card.pace - right.card.pace) || (left.server.id < right.server.id ? -1 : 1));
 }
 
-function layersFor(model: EngineModel, card: Card, tokens: number): number {
-	return Math.min(mostLayers(model, card), card.megabytes / (model.layerMegabytes + (tokens * tokenMegabytes(model))));
+/** Layers that leave a card room for a number of tokens. */
+export function layersWithRoom(model: EngineModel, card: Card, tokens: number): number {
+	return Math.min(mostLayers(model, card), Math.floor(card.megabytes / (model.layerMegabytes + (tokens * tokenMegabytes(model)))));
 }
 
 /**
-The tokens that fit into each stage when the servers share all layers so that none has room for fewer than another.
+Tokens for which each stage of a chain shall have room.
 
-@returns 0 where the layers do not fit
+@param share - part of a server's places that shall fit into memory
 */
-function balancedCapacity(members: readonly Member[], model: EngineModel): number {
-	const fit = (tokens: number) => members.reduce((sum, {card}) => sum + layersFor(model, card, tokens), 0);
-	if (fit(0) < model.layers) {
-		return 0;
+export function wantedRoom(model: EngineModel, share: number): number {
+	return model.slots * share * tokensOfUsualRequest(model);
+}
+
+/** Room for all places of a server, beyond which more memory is of no use. */
+function mostRoom(model: EngineModel): number {
+	return wantedRoom(model, 1);
+}
+
+/** The most room, up to the wanted one, with which the members hold all layers; undefined where their weights do not fit. */
+function roomOf(members: readonly Member[], model: EngineModel, wanted: number): number | undefined {
+	const doFit = (tokens: number) => members.reduce((sum, {card}) => sum + layersWithRoom(model, card, tokens), 0) >= model.layers;
+	if (!doFit(0)) {
+		return undefined;
 	}
 
 	let low = 0;
-	let high = 1;
-	while (fit(high) >= model.layers) {
-		high *= 2;
+	let high = wanted;
+	if (doFit(high)) {
+		return high;
 	}
 
 	for (let step = 0; step < searchSteps; step++) {
 		const middle = (low + high) / 2;
-		if (fit(middle) >= model.layers) {
+		if (doFit(middle)) {
 			low = middle;
 		} else {
 			high = middle;
@@ -59,103 +68,70 @@
 	return low;
 }
 
-/** Rounds the layers of each member so that they add up to all; undefined where the weights do not fit. */
-function roundLayers(members: readonly Member[], model: EngineModel): boolean {
-	const tokens = balancedCapacity(members, model);
-	let missing = model.layers;
-	for (const member of members) {
-		member.layers = Math.floor(layersFor(model, member.card, tokens));
-		missing -= member.layers;
-	}
-
-	for (; missing > 0; missing--) {
-		let best: Member | undefined;
-		let most = 0;
-		for (const member of members) {
-			const capacity = member.layers < mostLayers(model, member.card) ? tokenCapacity(model, member.card, member.layers + 1) : 0;
-			if (capacity > most) {
-				best = member;
-				most = capacity;
-			}
+/** Deals consecutive layers to members in order, as many to each as leave the room; stops when layers or members run out. */
+function deal(members: Member[], range: LayerRange, model: EngineModel, room: number): readonly Placement[] {
+	const placements: Placement[] = [];
+	let {from} = range;
+	while (from < range.to) {
+		const member = members.shift();
+		if (!member) {
+			break;
 		}
 
-		if (!best) {
-			return false;
+		const layers = Math.min(range.to - from, layersWithRoom(model, member.card, room));
+		if (layers > 0) {
+			placements.push({server: member.server, range: {from, to: from + layers}});
+			from += layers;
 		}
-
-		best.layers++;
 	}
 
-	return true;
+	return placements;
 }
 
-function splitIntoChains(members: readonly Member[], count: number): readonly Member[][] {
-	const chains = Array.from({length: count}, (): Member[] => []);
-	const sizes = chains.map(() => 0);
-	for (const member of members.toSorted((left, right) => (right.card.megabytes - left.card.megabytes) || (left.server.id < right.server.id ? -1 : 1))) {
-		const smallest = sizes.indexOf(Math.min(...sizes));
-		chains[smallest].push(member);
-		sizes[smallest] += member.card.megabytes;
-	}
-
-	return chains;
+/** Places all layers on the first members that hold them with the room, dealt so that each of these keeps as much room as the others. */
+function planChain(members: Member[], model: EngineModel, room: number): readonly Placement[] {
+	let layers = 0;
+	const count = 1 + members.findIndex(({card}) => {
+		layers += layersWithRoom(model, card, room);
+		return layers >= model.layers;
+	});
+	const used = members.splice(0, count);
+	return deal(used, {from: 0, to: model.layers}, model, roomOf(used, model, mostRoom(model)) ?? room);
 }
 
-/** Requests that chains of these servers run at once: bounded by memory in all stages and by places in the first. */
-function requestsAtOnce(chains: readonly Member[][], model: EngineModel): number {
-	let sum = 0;
-	for (const chain of chains) {
-		const memory = balancedCapacity(chain, model) / tokensOfUsualRequest(model);
-		if (memory < 1) {
-			return 0;
+/** Places the remaining members as further copies, of the longest ranges first, since losing those loses most. */
+function placeSpares(members: Member[], chain: readonly Placement[], model: EngineModel, room: number): readonly Placement[] {
+	const spares: Placement[] = [];
+	while (members.length > 0) {
+		const before = members.length;
+		for (const {range} of chain.toSorted((left, right) => lengthOf(right.range) - lengthOf(left.range))) {
+			spares.push(...deal(members, range, model, room));
 		}
 
-		sum += Math.min(model.slots, memory);
-	}
-
-	return sum;
-}
-
-/** The number of chains that runs the most requests at once; more chains where that costs little, since a lost server then takes less with it. */
-function bestChains(members: readonly Member[], model: EngineModel): readonly Member[][] {
-	let best: readonly Member[][] = [];
-	let most = 0;
-	for (let count = 1; count <= Math.min(mostChains, members.length); count++) {
-		const chains = splitIntoChains(members, count);
-		const requests = requestsAtOnce(chains, model);
-		if (requests > most * (1 - isolationWorth)) {
-			best = chains;
+		if (members.length === before) {
+			break;
 		}
-
-		most = Math.max(most, requests);
 	}
 
-	return best;
+	return spares;
 }
 
 /**
-Places all layers on servers that hold none, as one or more chains of the servers of one group.
+Places all layers on servers that hold none: a chain on the fastest of them, then further copies on the others.
 
-Within a chain each server gets as many layers as leave every stage room for the same number of tokens, since a request holds memory in each stage that it crosses.
+Each server gets as many layers as leave room for the wanted tokens, since a request holds memory in each stage that it crosses; few layers a server would make the chain long, many would leave it no room. Fast cards first make streams short, so that fewer run at once.
 
 @param servers - the servers of one availability zone, or of several that are served together
+@param wanted - tokens for which each stage shall have room
 @returns nothing where their memory does not hold the model
 */
-export function planChains(servers: readonly BackendServer[], model: EngineModel): readonly Placement[] {
-	const placements: Placement[] = [];
-	for (const chain of bestChains(membersOf(servers, model), model)) {
-		if (!roundLayers(chain, model)) {
-			return [];
-		}
-
-		let from = 0;
-		for (const {server, layers} of chain) {
-			if (layers > 0) {
-				placements.push({server, range: {from, to: from + layers}});
-				from += layers;
-			}
-		}
+export function planChains(servers: readonly BackendServer[], model: EngineModel, wanted: number): readonly Placement[] {
+	const members = [...membersOf(servers, model)];
+	const room = roomOf(members, model, wanted);
+	if (room === undefined) {
+		return [];
 	}
 
-	return placements;
+	const chain = planChain(members, model, room);
+	return [...chain, ...placeSpares(members, chain, model, room)];
 }
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -12,7 +12,7 @@
 import {type StageReporter} from '../pipelines/stage-reporter.js';
 import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
-import {planChains, type Placement} from './chain-plan.js';
+import {planChains, wantedRoom, type Placement} from './chain-plan.js';
 import {OrderOutcome, type OrderSender} from './order-sender.js';
 import {planRepair} from './repair-plan.js';
 
@@ -49,7 +49,10 @@
 	private readonly pending = new Map<string, PendingOrder>();
 	private readonly seenAt = new Map<string, number>();
 
-	constructor(private readonly parts: PlacementParts, private readonly times: PlacementTimes) {}
+	/**
+	@param share - part of a server's places for whose requests its memory shall have room
+	*/
+	constructor(private readonly parts: PlacementParts, private readonly times: PlacementTimes, private readonly share: number) {}
 
 	/** Looks at all services and gives the orders that are due. */
 	advance(): void {
@@ -119,7 +122,7 @@
 
 		const leftOver: BackendServer[] = [];
 		for (const [zone, members] of groupByZone(servers)) {
-			const placements = planChains(members, model);
+			const placements = planChains(members, model, wantedRoom(model, this.share));
 			if (placements.length === 0) {
 				leftOver.push(...members);
 			}
@@ -127,12 +130,12 @@
 			this.order(placements, model, now, `first placement of zone ${zone}`);
 		}
 
-		this.order(planChains(leftOver, model), model, now, 'first placement across zones');
+		this.order(planChains(leftOver, model, wantedRoom(model, this.share)), model, now, 'first placement across zones');
 	}
 
 	private repair(members: readonly BackendServer[], model: EngineModel, now: number): void {
 		if (members.every(server => !this.rangeOf(server))) {
-			this.order(planChains(members, model), model, now, 'placement of an empty zone');
+			this.order(planChains(members, model, wantedRoom(model, this.share)), model, now, 'placement of an empty zone');
 			return;
 		}
 
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -55,6 +55,10 @@
 	private splitter = new EventSplitter();
 	private lastEventId?: number;
 	private progressAt = 0;
+	/** When the caller was last given an event; undefined before the first. */
+	private passedAt?: number;
+	private firstEventMs = 0;
+	private longestPauseMs = 0;
 	private eventsPassed = 0;
 	/** Whether any attempt may have run. */
 	private hasRun = false;
@@ -231,24 +235,38 @@
 
 	private pass(bytes: Uint8Array, head: Reply): void {
 		if (!this.reply.isStarted) {
-			const {metrics, timers, beliefs} = this.parts;
+			const {timers, beliefs} = this.parts;
 			this.reply.begin(head.status, head.headers);
-			metrics.record('siskinnotch_first_event_ms', timers.now() - this.request.arrivedAt);
 			for (const {server} of this.pipeline!) {
 				beliefs.clear(server, timers.now());
 			}
 		}
 
+		this.notePause();
 		this.eventsPassed++;
 		if (!this.reply.write(bytes)) {
 			this.running?.pause();
 		}
 	}
 
+	/** Notes how long the caller waited for this event. */
+	private notePause(): void {
+		const now = this.parts.timers.now();
+		if (this.passedAt === undefined) {
+			this.firstEventMs = now - this.request.arrivedAt;
+			this.parts.metrics.record('siskinnotch_first_event_ms', this.firstEventMs);
+		} else {
+			this.longestPauseMs = Math.max(this.longestPauseMs, now - this.passedAt);
+		}
+
+		this.passedAt = now;
+	}
+
 	private finishStream(head: Reply, pipeline: Pipeline): void {
 		this.parts.log.write('request.answered', {
-			request: this.request.id, status: head.status, pipeline: describePipeline(pipeline), events: this.eventsPassed, attempts: this.attempts, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt),
+			request: this.request.id, status: head.status, pipeline: describePipeline(pipeline), events: this.eventsPassed, firstEventMs: Math.round(this.firstEventMs), longestPauseMs: Math.round(this.longestPauseMs), attempts: this.attempts, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt),
 		});
+		this.parts.metrics.record('siskinnotch_longest_pause_ms', this.longestPauseMs);
 		this.complete(head.status);
 	}
 
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -135,7 +135,7 @@
 	const leaseKeeper = new LeaseKeeper('placement', lease, {table: ports.table, timers, log: partLog(logger, 'leases')});
 	const placement = new PlacementDesk({
 		lease, catalog, directory, beliefs, reporter: ports.reports, sender: ports.orders, timers, metrics, log,
-	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order});
+	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order}, placementSettings.room);
 
 	const listFollower = new ServerListFollower({
 		list: ports.servers, directory, timers, metrics, log, onReading() {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -41,6 +41,8 @@
 		held_answer: size('256 kB'),
 	}).prefault({}),
 	placement: z.object({
+		/** Part of a server's places for whose requests its memory shall have room. */
+		room: ratio(0.6),
 		settle: duration('1600 ms'),
 		spare: duration('2 s'),
 		order: duration('4 s'),
