--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -6,6 +6,8 @@
 /** One version of the configuration: what may be called, by whom, and where it goes. */
 export type Catalog = {
 	readonly version: number;
+	/** As the source wrote it, to be passed on to other instances. */
+	readonly text: string;
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<string, Service>;
 	readonly limits: CallerLimits;
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -26,6 +26,8 @@
 
 const mostHeaderBytes = 65_536;
 const lowestPriority = 9;
+/** Another instance takes the request at once. */
+const drainingRetrySeconds = 0.2;
 const defaultBodyLimit = 4_194_304;
 
 /** Accepts callers' requests over HTTP and hands those that are allowed to the exchange desk. */
@@ -73,6 +75,7 @@
 		const fields = parts.codec.readRequest(message);
 		const reply = new HttpCallerReply(message, response, () => parts.codec.ownHeaders(fields.id), () => parts.lifecycle.isDraining);
 		try {
+			this.checkOpen();
 			const address = {host: message.headers.host ?? '', target: message.url ?? '/', key: fields.key};
 			parts.gate.admit(address);
 			const body = await this.readBody(message);
@@ -106,6 +109,12 @@
 		}
 	}
 
+	private checkOpen(): void {
+		if (this.parts.lifecycle.isRefusing) {
+			throw new Failure(ResultCode.Draining, 'the instance is about to stop', Execution.NotRun, drainingRetrySeconds);
+		}
+	}
+
 	private refuse(reply: HttpCallerReply, id: string, failure: Failure, message: IncomingMessage): void {
 		this.parts.log.warn('request.refused', {request: id, code: failure.code, execution: failure.execution, reason: failure.message});
 		this.parts.metrics.count('siskinnotch_refusals', 1, {code: String(failure.code)});
--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -28,7 +28,12 @@
 		return this.response.headersSent;
 	}
 
-	begin(status: number, headers: readonly string[]): void {
+	begin(status: number, headers: readonly string[], isFramed: boolean): void {
+		if (!isFramed) {
+			this.response.useChunkedEncodingByDefault = false;
+			this.response.shouldKeepAlive = false;
+		}
+
 		this.response.writeHead(status, this.withConnection(headers));
 	}
 
--- a/src/entry/member-register.ts
+++ b/src/entry/member-register.ts
@@ -6,6 +6,8 @@
 
 const memberSchema = z.object({availabilityZone: z.string(), peers: z.string()});
 const prefix = 'members/';
+/** Instances that start together write their rows at about the same time, so the first reading may miss some. */
+const earlyReadingsMs = [1500, 5000];
 
 /** An instance of the system as its row tells. */
 export type RegisteredMember = z.infer<typeof memberSchema> & {readonly id: string};
@@ -32,6 +34,7 @@
 	private readonly seen = new Map<string, Seen>();
 	private ownVersion = 0;
 	private isBusy = false;
+	private wasRead = false;
 
 	constructor(
 		private readonly self: RegisteredMember,
@@ -43,6 +46,12 @@
 	start(): void {
 		void this.refresh();
 		void this.read();
+		for (const delay of earlyReadingsMs) {
+			this.parts.timers.after(delay, () => {
+				void this.read();
+			});
+		}
+
 		this.parts.timers.repeat(this.times.refresh, () => {
 			void this.refresh();
 		});
@@ -51,6 +60,11 @@
 		});
 	}
 
+	/** Whether the other instances are known. */
+	get isKnown(): boolean {
+		return this.wasRead;
+	}
+
 	/** All instances that are thought to run, this one included. */
 	all(): readonly RegisteredMember[] {
 		return [this.self, ...[...this.seen.values()].map(({member}) => member).filter(({id}) => id !== this.self.id)];
@@ -88,6 +102,7 @@
 				this.note(key.slice(prefix.length), version, value, now);
 			}
 
+			this.wasRead = true;
 			this.expire(now);
 			this.parts.onChange();
 		} catch (error) {
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -6,6 +6,8 @@
 import {type Metrics} from '../observation/metrics.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type ServerListFollower} from '../pipelines/server-list-follower.js';
+import {type NewsDesk} from '../peers/news-desk.js';
+import {type NewsLinks} from '../peers/news-links.js';
 import {type PlacementDesk} from '../placement/placement-desk.js';
 import {type ExchangeDesk} from '../relay/exchange-desk.js';
 import {type StreamMonitor} from '../relay/stream-monitor.js';
@@ -31,6 +33,8 @@
 	readonly directory: ServerDirectory;
 	readonly listFollower: ServerListFollower;
 	readonly members: MemberRegister;
+	readonly news: NewsDesk;
+	readonly links: NewsLinks;
 	readonly leaseKeeper: LeaseKeeper;
 	readonly placement: PlacementDesk;
 };
@@ -50,10 +54,12 @@
 		await this.listen(settings.instance.readiness, async (host, port) => parts.status.listenReadiness(host, port));
 		await this.listen(settings.instance.metrics, async (host, port) => parts.status.listenMetrics(host, port));
 		await this.listen(settings.instance.callers, async (host, port) => parts.entry.listen(host, port));
+		await this.listen(settings.instance.peers, async (host, port) => parts.links.listen(host, port, parts.news));
 		parts.catalogFollower.start();
 		parts.listFollower.start();
 		parts.members.start();
 		parts.monitor.start();
+		parts.news.start();
 		this.subscribe();
 		parts.log.write('process.started', {id: settings.instance.id, zone: settings.instance.availability_zone, callers: settings.instance.callers});
 	}
@@ -78,6 +84,7 @@
 		const begunAt = parts.timers.now();
 		parts.log.write('process.stopping', {inFlight: parts.desk.size});
 		await parts.timers.sleep(settings.stop.notice);
+		parts.lifecycle.refuseRequests();
 		const limit = begunAt + settings.stop.grace - settings.stop.margin;
 		while (parts.timers.now() < limit) {
 			parts.entry.closeIdle();
@@ -90,6 +97,7 @@
 
 		const inFlight = parts.desk.size;
 		parts.entry.stopListening();
+		parts.links.close();
 		parts.desk.cutAll('the process ends');
 		parts.log.write('process.stopped', {cut: inFlight, afterMs: Math.round(parts.timers.now() - begunAt)});
 	}
--- a/src/lifecycle.ts
+++ b/src/lifecycle.ts
@@ -1,6 +1,7 @@
 /** Phases of a process: it serves, gives notice that it will stop, and stops. */
 export class Lifecycle {
 	private isStopRequested = false;
+	private areRequestsRefused = false;
 	private readonly listeners = new Set<() => void>();
 
 	/** Whether a planned stop has begun. */
@@ -8,6 +9,16 @@
 		return this.isStopRequested;
 	}
 
+	/** Whether new requests are refused, since too little time is left for them. */
+	get isRefusing(): boolean {
+		return this.areRequestsRefused;
+	}
+
+	/** Begins to refuse new requests. */
+	refuseRequests(): void {
+		this.areRequestsRefused = true;
+	}
+
 	/** Begins a planned stop; once. */
 	requestStop(): void {
 		if (this.isStopRequested) {
--- /dev/null
+++ b/src/peers/instance-news.ts
@@ -0,0 +1,21 @@
+import {z} from 'zod';
+
+/** Checks what an instance tells another one. */
+export const instanceNewsSchema = z.object({
+	/** Id of the instance that tells. */
+	from: z.string(),
+	/** Tokens that its running requests hold, by life of the backend server. */
+	loads: z.record(z.string(), z.number().nonnegative()),
+	/** Lives of backend servers that it found not to work, with the reason. */
+	suspicions: z.array(z.object({
+		life: z.string(),
+		/** Whether another backend server says that it waits for this one; otherwise this instance could not reach it itself. */
+		isBlocking: z.boolean(),
+		reason: z.string(),
+	})),
+	/** Version of its catalog. */
+	version: z.number().int(),
+});
+
+/** What an instance tells another one: its part of the load, and what it found broken. */
+export type InstanceNews = z.infer<typeof instanceNewsSchema>;
--- /dev/null
+++ b/src/peers/news-desk.ts
@@ -0,0 +1,160 @@
+import {type CatalogKeeper} from '../catalog/catalog-keeper.js';
+import {type MemberRegister, type RegisteredMember} from '../entry/member-register.js';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
+import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {type ServerLoad} from '../pipelines/server-load.js';
+import {messageOf} from '../results/to-failure.js';
+import {type RandomSource} from '../routing/random-source.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type InstanceNews} from './instance-news.js';
+import {type NewsLinks} from './news-links.js';
+import {type NewsReceiver} from './news-procedures.js';
+import {type PeerLoads} from './peer-loads.js';
+import {type SuspicionBoard} from './suspicion-board.js';
+
+/** The parts of a news desk. */
+export type NewsDeskParts = {
+	readonly self: RegisteredMember;
+	readonly members: MemberRegister;
+	readonly links: NewsLinks;
+	readonly loads: PeerLoads;
+	readonly board: SuspicionBoard;
+	readonly load: ServerLoad;
+	readonly directory: ServerDirectory;
+	readonly beliefs: ServerBeliefs;
+	readonly catalog: CatalogKeeper;
+	readonly timers: TimerService;
+	readonly random: RandomSource;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+	/** Puts the text of a catalog that another instance has in force. */
+	readonly takeCatalog: (text: string, from: string) => void;
+	/** The text of the catalog in force. */
+	readonly catalogText: () => string | undefined;
+	/** Called when a backend server is suspected because of what others found. */
+	readonly onSuspicion: (server: BackendServer, reason: string) => void;
+};
+
+/** Bounds of telling others. */
+export type NewsTimes = {
+	/** Milliseconds between rounds. */
+	readonly period: number;
+	/** Instances of other availability zones that are told in a round. */
+	readonly fanout: number;
+};
+
+type Suspicion = InstanceNews['suspicions'][number];
+
+/** Tells the other instances this one's part of the load and what it found broken, and takes over what they tell. */
+export class NewsDesk implements NewsReceiver {
+	private suspicions: Suspicion[] = [];
+	private readonly busy = new Set<string>();
+	private fetching = false;
+
+	constructor(private readonly parts: NewsDeskParts, private readonly times: NewsTimes) {}
+
+	/** Begins to tell. */
+	start(): void {
+		this.parts.timers.repeat(this.times.period, () => {
+			this.tellAll();
+		});
+	}
+
+	/** This instance found a backend server broken; the others hear of it at once. */
+	report(server: BackendServer, isBlocking: boolean, reason: string): void {
+		this.suspicions.push({life: lifeOf(server), isBlocking, reason});
+		this.tellAll();
+	}
+
+	receive(news: InstanceNews): void {
+		const {loads, board, timers, catalog} = this.parts;
+		const now = timers.now();
+		loads.take(news.from, news.loads, now);
+		for (const {life, isBlocking, reason} of news.suspicions) {
+			if (board.accuse({life, isBlocking, from: news.from}, now)) {
+				this.suspect(life, `${news.from}: ${reason}`, now);
+			}
+		}
+
+		if (news.version > catalog.version) {
+			void this.fetchCatalog(news.from);
+		}
+	}
+
+	catalogAfter(version: number): string | undefined {
+		return this.parts.catalog.version > version ? this.parts.catalogText() : undefined;
+	}
+
+	private suspect(life: string, reason: string, now: number): void {
+		const server = this.parts.directory.all().find(listed => lifeOf(listed) === life);
+		if (server && this.parts.beliefs.suspect(server, reason, now)) {
+			this.parts.onSuspicion(server, reason);
+		}
+	}
+
+	private tellAll(): void {
+		const news = this.nextNews();
+		for (const member of this.listeners()) {
+			if (!this.busy.has(member.id)) {
+				void this.tell(member, news);
+			}
+		}
+	}
+
+	private nextNews(): InstanceNews {
+		const {self, load, catalog} = this.parts;
+		const news = {
+			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, version: catalog.version,
+		};
+		this.suspicions = [];
+		return news;
+	}
+
+	/** All instances of the own availability zone, and some of the others. */
+	private listeners(): readonly RegisteredMember[] {
+		const {self, members, random} = this.parts;
+		const others = members.all().filter(({id}) => id !== self.id);
+		const near = others.filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
+		const far = others.filter(({availabilityZone}) => availabilityZone !== self.availabilityZone);
+		while (far.length > this.times.fanout) {
+			far.splice(random.below(far.length), 1);
+		}
+
+		return [...near, ...far];
+	}
+
+	private async tell(member: RegisteredMember, news: InstanceNews): Promise<void> {
+		this.busy.add(member.id);
+		try {
+			await this.parts.links.tell(member.peers, news);
+		} catch (error) {
+			this.parts.metrics.count('siskinnotch_news_failures');
+			this.parts.log.write('peers.not_told', {peer: member.id, reason: messageOf(error)});
+		} finally {
+			this.busy.delete(member.id);
+		}
+	}
+
+	private async fetchCatalog(from: string): Promise<void> {
+		const {members, links, catalog, log, takeCatalog} = this.parts;
+		const member = members.all().find(({id}) => id === from);
+		if (!member || this.fetching) {
+			return;
+		}
+
+		this.fetching = true;
+		try {
+			const text = await links.catalogAfter(member.peers, catalog.version);
+			if (text !== undefined) {
+				takeCatalog(text, from);
+			}
+		} catch (error) {
+			log.write('peers.no_catalog', {peer: from, reason: messageOf(error)});
+		} finally {
+			this.fetching = false;
+		}
+	}
+}
--- /dev/null
+++ b/src/peers/news-links.ts
@@ -0,0 +1,68 @@
+import {createServer, type Server} from 'node:http';
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {type TimerService} from '../time/timer-service.js';
+import {type InstanceNews} from './instance-news.js';
+import {createNewsProcedures, type NewsProcedures, type NewsReceiver} from './news-procedures.js';
+
+/** Calls between pipeline routers over trpc and HTTP. */
+export class NewsLinks {
+	private readonly clients = new Map<string, TRPCClient<NewsProcedures>>();
+	private server?: Server;
+
+	/**
+	@param limit - milliseconds that a call may take
+	*/
+	constructor(private readonly timers: TimerService, private readonly limit: number) {}
+
+	/** Begins to answer other instances. */
+	async listen(host: string, port: number, receiver: NewsReceiver): Promise<void> {
+		const server = createServer(createHTTPHandler({router: createNewsProcedures(receiver)}));
+		this.server = server;
+		return new Promise((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, host, () => {
+				server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	/** Stops answering. */
+	close(): void {
+		this.server?.close();
+	}
+
+	/** Tells an instance. Rejects where it gives no answer. */
+	async tell(address: string, news: InstanceNews): Promise<void> {
+		await this.call(address, async (client, signal) => client.tell.mutate(news, {signal}));
+	}
+
+	/** Asks an instance for a newer catalog than a version. Rejects where it gives no answer. */
+	async catalogAfter(address: string, version: number): Promise<string | undefined> {
+		return this.call(address, async (client, signal) => client.catalog.query({version}, {signal}));
+	}
+
+	/** Forgets the clients of instances that are gone. */
+	retain(addresses: ReadonlySet<string>): void {
+		for (const address of this.clients.keys()) {
+			if (!addresses.has(address)) {
+				this.clients.delete(address);
+			}
+		}
+	}
+
+	private async call<Value>(address: string, work: (client: TRPCClient<NewsProcedures>, signal: AbortSignal) => Promise<Value>): Promise<Value> {
+		const client = this.clients.get(address) ?? createTRPCClient<NewsProcedures>({links: [httpLink({url: `http://${address}`})]});
+		this.clients.set(address, client);
+		const cancellation = new AbortController();
+		const timeout = this.timers.after(this.limit, () => {
+			cancellation.abort();
+		});
+		try {
+			return await work(client, cancellation.signal);
+		} finally {
+			timeout.cancel();
+		}
+	}
+}
--- a/src/pipelines/pipeline-chooser.ts
+++ b/src/pipelines/pipeline-chooser.ts
@@ -15,6 +15,8 @@
 	readonly tokens: number;
 	/** Lives of servers that must not be used. */
 	readonly excluded: ReadonlySet<string>;
+	/** Lives of the servers that may be the first stage; any where undefined. */
+	readonly firstAmong?: ReadonlySet<string>;
 };
 
 /** How the chooser weighs pipelines. */
@@ -23,6 +25,8 @@
 	readonly remoteZone: number;
 	/** Cost of a stage that makes a pipeline cross availability zones, relative to one that does not. */
 	readonly foreignStage: number;
+	/** Part of a server's memory up to which requests are sent to it. */
+	readonly fullest: number;
 	/** How strongly memory in use raises the cost of a stage. */
 	readonly crowding: number;
 	/** Milliseconds for which a server's word of its load counts. */
@@ -36,8 +40,8 @@
 	readonly load: ServerLoad;
 	/** Availability zone of this instance. */
 	readonly availabilityZone: string;
-	/** Number of instances that send work to the servers of an availability zone, as far as known. */
-	readonly sharersOf: (availabilityZone: string) => number;
+	/** Tokens that requests of other instances hold on a server, as far as known. */
+	readonly otherTokensOn: (server: BackendServer, now: number) => number;
 };
 
 /** Groups servers by availability zone. */
@@ -83,8 +87,8 @@
 	private chooseAcrossZones({model}: PipelineRequest, servers: readonly BackendServer[], zones: readonly string[], costOf: StageCost): Pipeline | undefined {
 		let best: PricedPipeline | undefined;
 		for (const zone of zones) {
-			const found = findPipeline(servers, model.layers, (server, layers) =>
-				costOf(server, layers) * (server.availabilityZone === zone ? 1 : this.weights.foreignStage));
+			const found = findPipeline(servers, model.layers, (server, range) =>
+				costOf(server, range) * (server.availabilityZone === zone ? 1 : this.weights.foreignStage));
 			if (found && found.cost < (best?.cost ?? Number.POSITIVE_INFINITY)) {
 				best = found;
 			}
@@ -93,29 +97,30 @@
 		return best?.pipeline;
 	}
 
-	private costOf({model, tokens}: PipelineRequest, now: number): StageCost {
-		return (server, layers) => {
+	private costOf({model, tokens, firstAmong}: PipelineRequest, now: number): StageCost {
+		const occupancies = new Map<BackendServer, number>();
+		return (server, range) => {
 			const card = model.cards.get(server.card);
-			if (!card || !server.range) {
+			const isAllowed = range.from > 0 || !firstAmong || firstAmong.has(lifeOf(server));
+			if (!card || !server.range || !isAllowed) {
 				return Number.POSITIVE_INFINITY;
 			}
 
 			const capacity = tokenCapacity(model, card, lengthOf(server.range));
-			if (tokens > capacity) {
+			const occupancy = occupancies.get(server) ?? this.occupancyOf(server, capacity, now);
+			occupancies.set(server, occupancy);
+			if (occupancy + (tokens / capacity) > this.weights.fullest) {
 				return Number.POSITIVE_INFINITY;
 			}
 
-			const occupancy = this.occupancyOf(server, capacity, now);
-			return layers * card.pace * (1 + (this.weights.crowding * (occupancy ** 2)));
+			return lengthOf(range) * card.pace * (1 + (this.weights.crowding * (occupancy ** 2)));
 		};
 	}
 
 	private occupancyOf(server: BackendServer, capacity: number, now: number): number {
-		const {load, sharersOf} = this.parts;
-		const sharers = sharersOf(server.availabilityZone);
-		const memory = load.tokensOn(server) * sharers / capacity;
+		const {load, otherTokensOn} = this.parts;
+		const memory = (load.tokensOn(server) + otherTokensOn(server, now)) / capacity;
 		const reported = load.reportedOn(server, now, this.weights.loadAge) ?? 0;
-		const places = Math.max(reported, load.requestsOn(server) * sharers) / Math.max(1, server.slots);
-		return Math.max(memory, places);
+		return Math.max(memory, Math.max(reported, load.requestsOn(server)) / Math.max(1, server.slots));
 	}
 }
--- a/src/pipelines/pipeline-finder.ts
+++ b/src/pipelines/pipeline-finder.ts
@@ -6,9 +6,9 @@
 Cost of running some layers on a server; infinite where it must not be used.
 
 @param server - the server
-@param layers - how many layers the request would run there
+@param range - the layers that the request would run there
 */
-export type StageCost = (server: BackendServer, layers: number) => number;
+export type StageCost = (server: BackendServer, range: LayerRange) => number;
 
 /** A pipeline with the sum of the costs of its stages. */
 export type PricedPipeline = {
@@ -83,7 +83,7 @@
 					continue;
 				}
 
-				const cost = step.cost + costOf(server, to - from);
+				const cost = step.cost + costOf(server, {from, to});
 				if (cost < (best.get(to)?.cost ?? Number.POSITIVE_INFINITY)) {
 					best.set(to, {cost, stage: {server, range: {from, to}}, previous: step});
 				}
--- a/src/pipelines/server-load.ts
+++ b/src/pipelines/server-load.ts
@@ -55,6 +55,11 @@
 		return this.loads.get(lifeOf(server))?.tokens ?? 0;
 	}
 
+	/** Tokens that own requests hold, by life of the server. */
+	tokensByLife(): Iterable<[string, number]> {
+		return [...this.loads].filter(([, {tokens}]) => tokens > 0).map(([life, {tokens}]) => [life, tokens]);
+	}
+
 	/** Own requests on the server. */
 	requestsOn(server: BackendServer): number {
 		return this.loads.get(lifeOf(server))?.requests ?? 0;
--- a/src/relay/caller-reply.ts
+++ b/src/relay/caller-reply.ts
@@ -8,8 +8,12 @@
 	/** Whether the head has been sent. */
 	abstract get isStarted(): boolean;
 
-	/** Sends status and headers, names and values in turn. */
-	abstract begin(status: number, headers: readonly string[]): void;
+	/**
+	Sends status and headers, names and values in turn.
+
+	@param isFramed - whether the answer tells where its body ends; otherwise it ends with the connection
+	*/
+	abstract begin(status: number, headers: readonly string[], isFramed: boolean): void;
 
 	/**
 	Sends a part of the body.
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -125,6 +125,11 @@
 			return;
 		}
 
+		if (!reply.isFramed) {
+			this.tryNext('nobody can tell whether the answer is whole', reply);
+			return;
+		}
+
 		this.parts.beliefs.clear(this.server!, this.parts.timers.now());
 		this.deliver(reply);
 	}
@@ -164,7 +169,7 @@
 	}
 
 	private deliverHeld(reply: Reply): void {
-		this.reply.begin(reply.status, reply.headers);
+		this.reply.begin(reply.status, reply.headers, reply.isFramed);
 		for (const chunk of this.held.splice(0)) {
 			this.pass(chunk);
 		}
@@ -201,7 +206,7 @@
 	/** Whether the request may be sent once more; takes a retry from the budget where it may. */
 	private takeRetry(): boolean {
 		const {request, parts} = this;
-		const mayRun = this.runs === 0 || (isRepeatable(request.route) && this.runs < request.route.maxRuns);
+		const mayRun = !this.reply.isStarted && (this.runs === 0 || (isRepeatable(request.route) && this.runs < request.route.maxRuns));
 		const isWorth = this.attempts < request.route.maxRuns + attemptsBeyondRuns && this.remaining > 0;
 		return mayRun && isWorth && parts.budgets.of(request.service.name).take(parts.timers.now());
 	}
--- a/src/relay/reply.ts
+++ b/src/relay/reply.ts
@@ -11,6 +11,8 @@
 	readonly isSigned: boolean;
 	/** Whether the backend server says that it did not run the request. */
 	readonly isNotRun: boolean;
+	/** Whether the answer says where its body ends; otherwise it ends with the connection, and nobody can tell whether it is whole. */
+	readonly isFramed: boolean;
 	/** Whether the body was encoded on the way, so that it is not the backend server's. */
 	readonly isEncoded: boolean;
 	/** Address of the stage that is at fault; undefined where none is named. */
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -23,7 +23,7 @@
 	readonly waitingRoom: WaitingRoom;
 	readonly limits: StreamLimits;
 	/** Called when a server seems to be down, so that others hear of it. */
-	readonly onSuspicion: (server: BackendServer, reason: string) => void;
+	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
 
 /** Limits of stream exchanges. */
@@ -49,8 +49,10 @@
 	private waiting?: Subscription;
 	private readonly excluded = new Set<string>();
 	private rejections = 0;
-	/** Runs on servers that still live; those of servers that ended do not count against the route's limit. */
-	private runs = 0;
+	/** Whether no earlier attempt ran on the first stage in use. */
+	private isFirstOnServer = true;
+	/** First stages on which it ran or runs, by life. */
+	private readonly ranOn = new Map<string, BackendServer>();
 	private head?: Reply;
 	private splitter = new EventSplitter();
 	private lastEventId?: number;
@@ -60,8 +62,6 @@
 	private firstEventMs = 0;
 	private longestPauseMs = 0;
 	private eventsPassed = 0;
-	/** Whether any attempt may have run. */
-	private hasRun = false;
 
 	constructor(parts: ExchangeParts, request: RelayRequest, reply: CallerReply, private readonly model: EngineModel, private readonly streams: StreamParts) {
 		super(parts, request, reply);
@@ -90,7 +90,7 @@
 		}
 
 		this.endAttempt();
-		this.runAgain(reason, faulty !== undefined);
+		this.runAgain(reason);
 	}
 
 	protected dispatch(): void {
@@ -114,7 +114,7 @@
 	}
 
 	protected expiry(): Failure {
-		return !this.hasRun && !this.running
+		return this.ranOn.size === 0
 			? this.noRoom('the time ran out before the request was sent')
 			: new Failure(ResultCode.DeadlinePassed, `the stream was not whole within ${Math.round(this.request.deadline - this.request.arrivedAt)} ms`, Execution.Unknown);
 	}
@@ -167,8 +167,8 @@
 		}
 
 		if (head.status === success && head.isSigned) {
-			if (this.splitter.hasRest || !this.reply.isStarted) {
-				this.runAgain('the stream ended within an event', false);
+			if (this.splitter.hasRest || !this.reply.isStarted || !head.isFramed) {
+				this.runAgain('the stream ended and may not be whole');
 				return;
 			}
 
@@ -184,13 +184,13 @@
 		const [{server}] = this.pipeline!;
 		this.endAttempt();
 		if (reason === AttemptFailureReason.NotConnected) {
-			this.runs--;
-			this.suspect(server, detail);
+			this.noteNotRun(server);
+			this.suspect(server, false, detail);
 			this.reject(detail, server);
 			return;
 		}
 
-		this.runAgain(detail, false);
+		this.runAgain(detail);
 	}
 
 	private held: Uint8Array[] = [];
@@ -200,7 +200,7 @@
 		const now = parts.timers.now();
 		const tokens = request.promptTokens + request.answerTokens;
 		const pipeline = this.streams.chooser.choose({
-			service: request.service.name, model: this.model, tokens, excluded: this.excluded,
+			service: request.service.name, model: this.model, tokens, excluded: this.excluded, firstAmong: this.firstAmong(now),
 		}, now);
 		if (!pipeline) {
 			return false;
@@ -215,7 +215,8 @@
 		this.pipeline = pipeline;
 		this.waiting = undefined;
 		this.attempts++;
-		this.runs++;
+		this.isFirstOnServer = !this.ranOn.has(lifeOf(pipeline[0].server));
+		this.ranOn.set(lifeOf(pipeline[0].server), pipeline[0].server);
 		this.head = undefined;
 		this.held = [];
 		this.splitter = new EventSplitter();
@@ -236,7 +237,8 @@
 	private pass(bytes: Uint8Array, head: Reply): void {
 		if (!this.reply.isStarted) {
 			const {timers, beliefs} = this.parts;
-			this.reply.begin(head.status, head.headers);
+			// A stream that loses its end is resumed, so its own framing tells the truth.
+			this.reply.begin(head.status, head.headers, true);
 			for (const {server} of this.pipeline!) {
 				beliefs.clear(server, timers.now());
 			}
@@ -270,15 +272,22 @@
 		this.complete(head.status);
 	}
 
+	/** The attempt under way did not run on its first stage. */
+	private noteNotRun(server: BackendServer): void {
+		if (this.isFirstOnServer) {
+			this.ranOn.delete(lifeOf(server));
+		}
+	}
+
 	private receiveRejection(head: Reply, pipeline: Pipeline): void {
-		this.runs--;
+		this.noteNotRun(pipeline[0].server);
 		const now = this.parts.timers.now();
 		const named = head.faultyAddress === undefined ? undefined : pipeline.find(({server}) => server.address === head.faultyAddress)?.server;
 		const server = named ?? pipeline[0].server;
 		const tookMs = Math.round(now - this.progressAt);
 		const reason = `${server.id} rejected it with ${head.status} after ${tookMs} ms`;
 		if (tookMs >= this.streams.limits.silence) {
-			this.suspect(server, reason);
+			this.suspect(server, named !== undefined, reason);
 		} else {
 			this.parts.beliefs.markFull(server, now);
 		}
@@ -289,16 +298,16 @@
 	private receiveOtherStatus(head: Reply, pipeline: Pipeline): void {
 		const reason = `${pipeline[0].server.id} answered ${head.status}`;
 		if (this.reply.isStarted || (head.status < firstFailure && !head.isSigned)) {
-			this.runAgain(reason, false);
+			this.runAgain(reason);
 			return;
 		}
 
-		if (this.mayRunAgain(false)) {
-			this.runAgain(reason, false);
+		if (this.mayRunAgain && this.ranOn.size < this.request.route.maxRuns) {
+			this.runAgain(reason);
 			return;
 		}
 
-		this.reply.begin(head.status, head.headers);
+		this.reply.begin(head.status, head.headers, head.isFramed);
 		for (const chunk of this.held.splice(0)) {
 			this.reply.write(chunk);
 		}
@@ -324,13 +333,8 @@
 	}
 
 	/** The attempt ran and broke off: the stream goes on along another pipeline where the route allows it. */
-	private runAgain(reason: string, didServerEnd: boolean): void {
-		this.hasRun = true;
-		if (didServerEnd) {
-			this.runs--;
-		}
-
-		const isAllowed = this.mayRunAgain(didServerEnd) && this.parts.budgets.of(this.request.service.name).take(this.parts.timers.now());
+	private runAgain(reason: string): void {
+		const isAllowed = this.mayRunAgain && this.parts.budgets.of(this.request.service.name).take(this.parts.timers.now());
 		this.parts.log.warn('request.attempt_failed', {
 			request: this.request.id, server: this.pipeline![0].server.id, attempt: this.attempts, reason, afterEvent: this.lastEventId, isRepeated: isAllowed,
 		});
@@ -342,20 +346,25 @@
 		this.refuse(new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown));
 	}
 
-	private mayRunAgain(didServerEnd: boolean): boolean {
-		const {route} = this.request;
-		const isWithinRuns = this.runs < route.maxRuns || didServerEnd;
-		return isRepeatable(route) && isWithinRuns && this.remaining > 0;
+	private get mayRunAgain(): boolean {
+		return isRepeatable(this.request.route) && this.remaining > 0;
+	}
+
+	/** The first stages to choose from when the route allows no further ones; those that ended do not count. */
+	private firstAmong(now: number): ReadonlySet<string> | undefined {
+		const {directory, beliefs} = this.parts;
+		const living = [...this.ranOn].filter(([, server]) => directory.isListed(server) && !beliefs.isSuspected(server, now));
+		return living.length < this.request.route.maxRuns ? undefined : new Set(living.map(([life]) => life));
 	}
 
-	private suspect(server: BackendServer, reason: string): void {
+	private suspect(server: BackendServer, isBlocking: boolean, reason: string): void {
 		if (this.parts.beliefs.suspect(server, reason, this.parts.timers.now())) {
-			this.streams.onSuspicion(server, reason);
+			this.streams.onSuspicion(server, isBlocking, reason);
 		}
 	}
 
 	private noRoom(reason: string): Failure {
-		if (this.hasRun) {
+		if (this.ranOn.size > 0) {
 			return new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown);
 		}
 
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -17,7 +17,7 @@
 	readonly timers: TimerService;
 	readonly log: DecisionLog;
 	/** Called when a server seems to be down, so that others hear of it. */
-	readonly onSuspicion: (server: BackendServer, reason: string) => void;
+	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
 
 /** Times of watching streams, in milliseconds. */
@@ -89,18 +89,18 @@
 			for (const address of new Set(blocked.values())) {
 				const faulty = directory.at(address);
 				if (faulty) {
-					this.suspect(faulty, `${server.id} waits for it`);
+					this.suspect(faulty, true, `${server.id} waits for it`);
 				}
 			}
 		} catch (error) {
-			this.suspect(server, `it does not answer: ${messageOf(error)}`);
+			this.suspect(server, false, `it does not answer: ${messageOf(error)}`);
 		}
 	}
 
-	private suspect(server: BackendServer, reason: string): void {
+	private suspect(server: BackendServer, isBlocking: boolean, reason: string): void {
 		const {beliefs, timers, onSuspicion} = this.parts;
 		if (beliefs.suspect(server, reason, timers.now())) {
-			onSuspicion(server, reason);
+			onSuspicion(server, isBlocking, reason);
 		}
 
 		this.moveOff(server, reason);
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -24,6 +24,10 @@
 import {ServerLoad} from './pipelines/server-load.js';
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementDesk} from './placement/placement-desk.js';
+import {NewsDesk} from './peers/news-desk.js';
+import {NewsLinks} from './peers/news-links.js';
+import {PeerLoads} from './peers/peer-loads.js';
+import {SuspicionBoard} from './peers/suspicion-board.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
 import {type ExchangeCodec} from './relay/exchange-codec.js';
@@ -62,14 +66,21 @@
 	suspicion: 2000, longestSuspicion: 8000, fullness: 150, trialPause: 700,
 };
 const chooserWeights = {
-	remoteZone: 1.3, foreignStage: 4, crowding: 3, loadAge: 1500,
+	remoteZone: 1.3, foreignStage: 4, fullest: 1, crowding: 3, loadAge: 1500,
 };
+/** Retries in a window while it is not known how many instances share them. */
+const allowanceWhileAlone = 5;
 const waitingPeriodMs = 40;
 const rejectionLimit = 6;
 const monitorTimes = {
 	period: 100, inquiry: 450, silence: 1300, pause: 300,
 };
 const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
+const newsTimes = {period: 300, fanout: 12};
+const newsExpiryMs = 1500;
+const newsLimitMs = 400;
+const accusationWindowMs = 2000;
+const accusersNeeded = 2;
 const plainPatience = 0.8;
 const slowListMs = 400;
 
@@ -85,8 +96,11 @@
 	const catalog = new CatalogKeeper(log, timers);
 
 	const budgets = new Map<string, RetryBudget>();
+	const self = {id: instance.id, availabilityZone: instance.availability_zone, peers: instance.peers};
+	const peerLoads = new PeerLoads(newsExpiryMs);
+	const links = new NewsLinks(timers, newsLimitMs);
 	const members = new MemberRegister(
-		{id: instance.id, availabilityZone: instance.availability_zone, peers: instance.peers},
+		self,
 		{
 			table: ports.table, timers, log, onChange() {
 				for (const budget of budgets.values()) {
@@ -97,7 +111,7 @@
 		registerTimes,
 	);
 	// Half of the allowance stays unused, so that it holds while instances are added.
-	const ownAllowance = () => limits.retry_allowance / (2 * members.all().length);
+	const ownAllowance = () => members.isKnown ? limits.retry_allowance / (2 * members.all().length) : allowanceWhileAlone;
 	const budgetOf = (service: string) => {
 		const budget = budgets.get(service) ?? new RetryBudget(limits.retry_ratio, ownAllowance(), limits.retry_window);
 		budgets.set(service, budget);
@@ -110,8 +124,9 @@
 	const exchangeParts: ExchangeParts = {
 		client, directory, beliefs, load, budgets: {of: budgetOf}, timers, metrics, log,
 	};
-	const onSuspicion = (server: BackendServer, reason: string) => {
+	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
 		monitor.moveOff(server, reason);
+		news.report(server, isBlocking, reason);
 	};
 
 	const waitingRoom = new WaitingRoom(timers, {longestWait: limits.queue_wait, places: limits.queue_places, period: waitingPeriodMs});
@@ -120,7 +135,7 @@
 		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
 		{
 			chooser: new PipelineChooser({
-				directory, beliefs, load, availabilityZone: instance.availability_zone, sharersOf: zone => members.countIn(zone),
+				directory, beliefs, load, availabilityZone: instance.availability_zone, otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
 			}, chooserWeights),
 			waitingRoom,
 			limits: {rejections: rejectionLimit, silence: limits.stall / 2, comeBack: limits.come_back},
@@ -131,6 +146,29 @@
 		desk, reporter: ports.reports, beliefs, directory, timers, log, onSuspicion,
 	}, monitorTimes);
 
+	const news = new NewsDesk({
+		self,
+		members,
+		links,
+		loads: peerLoads,
+		board: new SuspicionBoard(accusationWindowMs, accusersNeeded),
+		load,
+		directory,
+		beliefs,
+		catalog,
+		timers,
+		random,
+		metrics,
+		log,
+		takeCatalog(text, from) {
+			catalog.take(ports.catalogs.decode(text), from);
+		},
+		catalogText: () => catalog.current?.catalog.text,
+		onSuspicion(server, reason) {
+			monitor.moveOff(server, reason);
+		},
+	}, newsTimes);
+
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const leaseKeeper = new LeaseKeeper('placement', lease, {table: ports.table, timers, log: partLog(logger, 'leases')});
 	const placement = new PlacementDesk({
@@ -159,7 +197,7 @@
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => beliefs.suspected(timers.now()));
 	const router: Router = new Router(settings, {
-		timers, log, metrics, lifecycle, entry, status, desk, monitor, catalog, catalogFollower, directory, listFollower, members, leaseKeeper, placement,
+		timers, log, metrics, lifecycle, entry, status, desk, monitor, catalog, catalogFollower, directory, listFollower, members, news, links, leaseKeeper, placement,
 	});
 	return router;
 }
