Repair placement by small moves: empty servers, neighbours, spares; relieve cramped ones

Now: a server counts for placement only once it has worked again; a gap is a layer that nobody holds; returned cards are widened into weak layers; cramped servers give layers back; peers hear at once of a range that was taken on.

--- a/src/peers/instance-news.ts
+++ b/src/peers/instance-news.ts
@@ -13,6 +13,8 @@
 		isBlocking: z.boolean(),
 		reason: z.string(),
 	})),
+	/** Ranges that backend servers took on by order, by life. */
+	ranges: z.array(z.object({life: z.string(), from: z.number().int().nonnegative(), to: z.number().int().positive()})),
 	/** Version of its catalog. */
 	version: z.number().int(),
 });
--- a/src/peers/news-desk.ts
+++ b/src/peers/news-desk.ts
@@ -3,6 +3,7 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+import {type LayerRange} from '../pipelines/layer-range.js';
 import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type ServerLoad} from '../pipelines/server-load.js';
@@ -47,10 +48,12 @@
 };
 
 type Suspicion = InstanceNews['suspicions'][number];
+type Range = InstanceNews['ranges'][number];
 
 /** Tells the other instances this one's part of the load and what it found broken, and takes over what they tell. */
 export class NewsDesk implements NewsReceiver {
 	private suspicions: Suspicion[] = [];
+	private ranges: Range[] = [];
 	private readonly busy = new Set<string>();
 	private fetching = false;
 
@@ -69,6 +72,12 @@
 		this.tellAll();
 	}
 
+	/** A backend server took on a range by order; the others hear of it at once. */
+	reportRange(server: BackendServer, {from, to}: LayerRange): void {
+		this.ranges.push({life: lifeOf(server), from, to});
+		this.tellAll();
+	}
+
 	receive(news: InstanceNews): void {
 		const {loads, board, timers, catalog} = this.parts;
 		const now = timers.now();
@@ -79,6 +88,10 @@
 			}
 		}
 
+		for (const {life, from, to} of news.ranges) {
+			this.parts.directory.learnRange(life, {from, to});
+		}
+
 		if (news.version > catalog.version) {
 			void this.fetchCatalog(news.from);
 		}
@@ -107,9 +120,10 @@
 	private nextNews(): InstanceNews {
 		const {self, load, catalog} = this.parts;
 		const news = {
-			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, version: catalog.version,
+			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, ranges: this.ranges, version: catalog.version,
 		};
 		this.suspicions = [];
+		this.ranges = [];
 		return news;
 	}
 
--- a/src/pipelines/server-beliefs.ts
+++ b/src/pipelines/server-beliefs.ts
@@ -81,6 +81,11 @@
 		return (this.beliefs.get(lifeOf(server))?.suspectUntil ?? 0) > now;
 	}
 
+	/** Whether the server has worked since it was last suspected. */
+	isTrusted(server: BackendServer): boolean {
+		return (this.beliefs.get(lifeOf(server))?.strikes ?? 0) === 0;
+	}
+
 	/** Whether the server may be chosen for new work. */
 	isUsable(server: BackendServer, now: number): boolean {
 		const belief = this.beliefs.get(lifeOf(server));
--- a/src/pipelines/server-directory.ts
+++ b/src/pipelines/server-directory.ts
@@ -1,7 +1,7 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type TimerService} from '../time/timer-service.js';
 import {lifeOf, type BackendServer} from './backend-server.js';
-import {isSameRange} from './layer-range.js';
+import {isSameRange, type LayerRange} from './layer-range.js';
 
 type Entry = {
 	server: BackendServer;
@@ -9,6 +9,14 @@
 	seenAt: number;
 };
 
+type LearntRange = {
+	readonly range: LayerRange;
+	readonly at: number;
+};
+
+/** How long a range that was learnt elsewhere goes before the list. */
+const learntRangeMs = 4000;
+
 /** A reading of the list of backend servers. */
 export type ListReading = {
 	readonly servers: readonly BackendServer[];
@@ -26,6 +34,7 @@
 export class ServerDirectory {
 	private readonly entries = new Map<string, Entry>();
 	private readonly leaving = new Set<string>();
+	private readonly learnt = new Map<string, LearntRange>();
 	private readAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly timers: TimerService, private readonly log: DecisionLog) {}
@@ -74,6 +83,19 @@
 		}
 	}
 
+	/** A server holds other layers than the list shows so far. */
+	learnRange(life: string, range: LayerRange): void {
+		for (const entry of this.entries.values()) {
+			if (lifeOf(entry.server) === life && !isSameRange(entry.server.range, range)) {
+				this.learnt.set(life, {range, at: this.timers.now()});
+				entry.server = {...entry.server, range};
+				this.log.write('server.range', {
+					server: entry.server.id, from: range.from, to: range.to, origin: 'order',
+				});
+			}
+		}
+	}
+
 	/** The server said itself that it is leaving. */
 	markLeaving(server: BackendServer): void {
 		const entry = this.entries.get(server.id);
@@ -84,7 +106,24 @@
 		}
 	}
 
-	private update(server: BackendServer, seenAt: number): void {
+	/** The server as listed, with the range that was learnt since where the list does not show it yet. */
+	private withLearntRange(server: BackendServer): BackendServer {
+		const life = lifeOf(server);
+		const learnt = this.learnt.get(life);
+		if (!learnt) {
+			return server;
+		}
+
+		if (isSameRange(learnt.range, server.range) || this.timers.now() - learnt.at > learntRangeMs) {
+			this.learnt.delete(life);
+			return server;
+		}
+
+		return {...server, range: learnt.range};
+	}
+
+	private update(listed: BackendServer, seenAt: number): void {
+		const server = this.withLearntRange(listed);
 		const known = this.entries.get(server.id);
 		if (known && server.startedAt < known.server.startedAt) {
 			return;
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -27,6 +27,8 @@
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
+	/** Called when a server is known to hold a range that it was ordered to hold. */
+	readonly onRange: (server: BackendServer, range: LayerRange) => void;
 };
 
 /** Times of placement, in milliseconds. */
@@ -35,6 +37,8 @@
 	readonly settle: number;
 	/** How long an empty server is kept for a gap before it strengthens other layers. */
 	readonly spare: number;
+	/** Between questions whether an order has been carried out. */
+	readonly check: number;
 	/** How long after an order its result must show, beside the time of loading. */
 	readonly order: number;
 };
@@ -87,7 +91,7 @@
 	}
 
 	private advanceService({name}: Service, model: EngineModel, now: number): void {
-		const servers = this.parts.directory.usable(name).filter(server => !this.parts.beliefs.isSuspected(server, now));
+		const servers = this.parts.directory.usable(name).filter(server => this.parts.beliefs.isTrusted(server));
 		this.forgetFulfilled(servers, now);
 		const isEmpty = servers.every(server => !this.rangeOf(server));
 		if (isEmpty) {
@@ -139,9 +143,9 @@
 			return;
 		}
 
-		const pending = new Map([...this.pending].map(([life, {range}]) => [life, range]));
 		const mayStrengthen = members.every(server => this.rangeOf(server) !== undefined || now - (this.seenAt.get(lifeOf(server)) ?? now) >= this.times.spare);
-		const moves = planRepair(members, pending, model, mayStrengthen);
+		const holdings = members.map(server => ({server, range: this.rangeOf(server), isLoaded: !this.pending.has(lifeOf(server))}));
+		const moves = planRepair(holdings, model, {wanted: wantedRoom(model, this.share), mayStrengthen});
 		this.order(moves.filter(({server}) => !this.pending.has(lifeOf(server))), model, now, 'repair');
 	}
 
@@ -164,6 +168,34 @@
 		});
 		if (outcome === OrderOutcome.Refused) {
 			this.pending.delete(lifeOf(server));
+			return;
+		}
+
+		await this.followOrder(placement);
+	}
+
+	/** Asks the server until it holds the range, so that the instances need not wait for the list. */
+	private async followOrder({server, range}: Placement): Promise<void> {
+		const {timers, reporter, onRange, log} = this.parts;
+		const until = this.pending.get(lifeOf(server))?.until ?? 0;
+		const held = server.range;
+		if (held && range.from >= held.from && range.to <= held.to) {
+			// Layers that are given up take no new work from now on.
+			onRange(server, range);
+			return;
+		}
+
+		while (timers.now() < until && this.pending.has(lifeOf(server))) {
+			await timers.sleep(this.times.check); // eslint-disable-line no-await-in-loop
+			try {
+				const report = await reporter.ask(server); // eslint-disable-line no-await-in-loop
+				if (isSameRange(report.range, range) && !report.isBusy) {
+					onRange(server, range);
+					return;
+				}
+			} catch (error) {
+				log.write('placement.no_report', {server: server.id, reason: messageOf(error)});
+			}
 		}
 	}
 
--- a/src/placement/repair-plan.ts
+++ b/src/placement/repair-plan.ts
@@ -1,119 +1,97 @@
-import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
-import {mostLayers, tokenCapacity, tokensOfUsualRequest, type EngineModel} from '../pipelines/engine-model.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
+import {mostLayers, tokensOfUsualRequest, type EngineModel} from '../pipelines/engine-model.js';
 import {lengthOf, type LayerRange} from '../pipelines/layer-range.js';
-import {type Placement} from './chain-plan.js';
+import {layersWithRoom, type Placement} from './chain-plan.js';
+import {gapsBelow, roomByLayer, roomOn, widen, type Holding} from './layer-room.js';
 
-/** Layers that have less room for requests than this part of the usual layer of the group are filled by moving servers. */
-const lostShare = 0.35;
-/** Servers that hold nothing strengthen layers below this part of the usual. */
-const weakShare = 0.8;
+/** Layers with less than this part of the wanted room are weak; servers that hold nothing strengthen them. */
+const weakShare = 0.9;
+/** A server with less than this part of the wanted room gives up layers that others hold. */
+const crampedShare = 0.7;
 /** Requests for which a server must keep room when it takes on more layers. */
 const leastRequests = 8;
 
-type Holding = {
-	readonly server: BackendServer;
-	readonly range: LayerRange | undefined;
+/** What a repair may do beside filling gaps. */
+export type RepairTerms = {
+	/** Tokens for which each layer shall have room. */
+	readonly wanted: number;
+	/** Whether servers that hold nothing are put to use where nothing is missing. */
+	readonly mayStrengthen: boolean;
 };
 
-function capacityOf(server: BackendServer, range: LayerRange, model: EngineModel): number {
-	const card = model.cards.get(server.card);
-	return card ? tokenCapacity(model, card, lengthOf(range)) : 0;
-}
-
-/** Tokens that fit into each layer. */
-function capacityByLayer(holdings: readonly Holding[], model: EngineModel): readonly number[] {
-	const capacities = Array.from({length: model.layers}, () => 0);
-	for (const {server, range} of holdings) {
-		if (range) {
-			const capacity = capacityOf(server, range, model);
-			for (let layer = range.from; layer < Math.min(range.to, model.layers); layer++) {
-				capacities[layer] += capacity;
-			}
-		}
-	}
-
-	return capacities;
-}
-
-function medianOf(values: readonly number[]): number {
-	return values.toSorted((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
-}
-
-/** The runs of layers whose capacity is below a bound, the emptiest first. */
-function gapsBelow(capacities: readonly number[], bound: number): readonly LayerRange[] {
-	const gaps: LayerRange[] = [];
-	let from = -1;
-	for (let layer = 0; layer <= capacities.length; layer++) {
-		const isShort = layer < capacities.length && capacities[layer] < bound;
-		if (isShort && from === -1) {
-			from = layer;
-		} else if (!isShort && from !== -1) {
-			gaps.push({from, to: layer});
-			from = -1;
-		}
-	}
-
-	return gaps.toSorted((left, right) => capacities[left.from] - capacities[right.from]);
-}
-
-/** Plans the smallest change of ranges that gives back what was lost. */
 class RepairPlanner {
 	private readonly moves: Placement[] = [];
-	private holdings: Holding[];
+	private holdings: readonly Holding[];
+	private readonly least: number;
 
-	constructor(servers: readonly Holding[], private readonly model: EngineModel) {
-		this.holdings = [...servers];
+	constructor(holdings: readonly Holding[], private readonly model: EngineModel, private readonly terms: RepairTerms) {
+		this.holdings = holdings;
+		this.least = tokensOfUsualRequest(model) * leastRequests;
 	}
 
-	plan(mayStrengthen: boolean): readonly Placement[] {
-		const usual = medianOf(capacityByLayer(this.holdings, this.model));
-		const least = tokensOfUsualRequest(this.model) * leastRequests;
-		for (const gap of gapsBelow(capacityByLayer(this.holdings, this.model), Math.max(1, usual * lostShare))) {
-			if (!this.fillByEmpty(gap, least)) {
-				this.fillByNeighbours(gap, least);
+	plan(): readonly Placement[] {
+		for (const gap of gapsBelow(this.rooms(), 1)) {
+			const isFilled = this.fillByEmpty(gap) || this.fillByNeighbours(gap) || this.fillBySpare(gap);
+			if (!isFilled) {
+				this.fillPartly(gap);
 			}
 		}
 
-		if (mayStrengthen) {
+		if (this.terms.mayStrengthen) {
 			this.strengthen();
 		}
 
+		this.relieve();
 		return this.moves;
 	}
 
+	private rooms(without?: BackendServer): readonly number[] {
+		return roomByLayer(this.holdings.filter(({server}) => server !== without), this.model);
+	}
+
 	private move(server: BackendServer, range: LayerRange): void {
 		this.moves.push({server, range});
-		this.holdings = this.holdings.map(holding => holding.server === server ? {server, range} : holding);
+		this.holdings = this.holdings.map(holding => holding.server === server ? {server, range, isLoaded: false} : holding);
+	}
+
+	private sizeOf(server: BackendServer): number {
+		return this.model.cards.get(server.card)?.megabytes ?? 0;
 	}
 
 	/** Servers that hold nothing, those with the most memory first. */
 	private emptyServers(): readonly BackendServer[] {
-		const sizeOf = (server: BackendServer) => this.model.cards.get(server.card)?.megabytes ?? 0;
-		return this.holdings.filter(({range, server}) => !range && sizeOf(server) > 0).map(({server}) => server).toSorted((left, right) => sizeOf(right) - sizeOf(left));
+		return this.holdings.filter(({range, server}) => !range && this.sizeOf(server) > 0)
+			.map(({server}) => server)
+			.toSorted((left, right) => this.sizeOf(right) - this.sizeOf(left));
 	}
 
-	private fillByEmpty(gap: LayerRange, least: number): boolean {
+	/** A server that holds nothing takes the gap, and with the room that it has left weak layers beside it. */
+	private fillByEmpty(gap: LayerRange): boolean {
 		// The smallest server that is large enough, so that larger ones stay for larger gaps.
-		const server = this.emptyServers().findLast(candidate => capacityOf(candidate, gap, this.model) >= least);
+		const server = this.emptyServers().findLast(candidate => roomOn(candidate, gap, this.model) >= this.least);
 		if (!server) {
 			return false;
 		}
 
-		this.move(server, gap);
+		this.move(server, widen(gap, this.rooms(), this.fairLength(server)));
 		return true;
 	}
 
-	/** Lets the servers before and after a gap take on its layers, so that both keep as much room as they can. */
-	private fillByNeighbours(gap: LayerRange, least: number): boolean {
-		const before = this.roomiest(holding => holding.range?.to === gap.from);
-		const after = this.roomiest(holding => holding.range?.from === gap.to);
-		let best: {split: number; room: number} | undefined;
+	private fairLength(server: BackendServer): number {
+		return layersWithRoom(this.model, this.model.cards.get(server.card)!, this.terms.wanted);
+	}
+
+	/** The servers before and after a gap take on its layers, so that both keep as much room as they can. */
+	private fillByNeighbours(gap: LayerRange): boolean {
+		const before = this.roomiest(({range}) => range?.to === gap.from);
+		const after = this.roomiest(({range}) => range?.from === gap.to);
+		let best: {readonly split: number; readonly room: number} | undefined;
 		for (let split = gap.from; split <= gap.to; split++) {
 			const room = Math.min(
-				this.roomAfter(before, {from: before?.range?.from ?? gap.from, to: split}, split > gap.from),
-				this.roomAfter(after, {from: split, to: after?.range?.to ?? gap.to}, split < gap.to),
+				split > gap.from ? this.roomWith(before, {from: before?.range?.from ?? gap.from, to: split}) : Number.POSITIVE_INFINITY,
+				split < gap.to ? this.roomWith(after, {from: split, to: after?.range?.to ?? gap.to}) : Number.POSITIVE_INFINITY,
 			);
-			if (room >= least && room > (best?.room ?? 0)) {
+			if (room >= this.least && room > (best?.room ?? 0)) {
 				best = {split, room};
 			}
 		}
@@ -133,19 +111,15 @@
 		return true;
 	}
 
-	private roomAfter(holding: Holding | undefined, range: LayerRange, isUsed: boolean): number {
-		if (!isUsed) {
-			return Number.POSITIVE_INFINITY;
-		}
-
-		return holding ? capacityOf(holding.server, range, this.model) : 0;
+	private roomWith(holding: Holding | undefined, range: LayerRange): number {
+		return holding ? roomOn(holding.server, range, this.model) : 0;
 	}
 
 	private roomiest(test: (holding: Holding) => boolean): Holding | undefined {
 		let best: Holding | undefined;
 		let most = 0;
 		for (const holding of this.holdings) {
-			const room = holding.range && test(holding) ? capacityOf(holding.server, holding.range, this.model) : 0;
+			const room = holding.range && test(holding) ? roomOn(holding.server, holding.range, this.model) : 0;
 			if (room > most) {
 				best = holding;
 				most = room;
@@ -155,56 +129,88 @@
 		return best;
 	}
 
+	/** A server whose layers others hold too takes the gap in place of its own layers. */
+	private fillBySpare(gap: LayerRange): boolean {
+		const spare = this.spareServers().findLast(server => roomOn(server, gap, this.model) >= this.least);
+		if (!spare) {
+			return false;
+		}
+
+		this.move(spare, gap);
+		return true;
+	}
+
+	/** Servers without which each layer still has room, those with the most memory first. */
+	private spareServers(): readonly BackendServer[] {
+		const spares = this.holdings.filter(({server, range}) => {
+			const others = range && this.rooms(server).slice(range.from, range.to);
+			return others?.every(room => room >= this.least);
+		});
+		return spares.map(({server}) => server).toSorted((left, right) => this.sizeOf(right) - this.sizeOf(left));
+	}
+
+	/** Where no server can take a gap alone, the largest free one takes its beginning; the rest follows. */
+	private fillPartly(gap: LayerRange): void {
+		let {from} = gap;
+		while (from < gap.to) {
+			const server = this.emptyServers().at(0) ?? this.spareServers().at(0);
+			const card = server && this.model.cards.get(server.card);
+			const length = card ? Math.min(gap.to - from, layersWithRoom(this.model, card, this.least)) : 0;
+			if (!server || length <= 0) {
+				return;
+			}
+
+			this.move(server, {from, to: from + length});
+			from += length;
+		}
+	}
+
 	/** Servers that hold nothing take the layers with the least room. */
 	private strengthen(): void {
 		for (const server of this.emptyServers()) {
-			const range = this.weakestRange(server);
-			if (range) {
-				this.move(server, range);
+			const rooms = this.rooms();
+			const weakest = rooms.indexOf(Math.min(...rooms));
+			const length = Math.min(this.fairLength(server), mostLayers(this.model, this.model.cards.get(server.card)!));
+			if (length > 0) {
+				this.move(server, widen({from: weakest, to: weakest + 1}, rooms, length));
 			}
 		}
 	}
 
-	private weakestRange(server: BackendServer): LayerRange | undefined {
-		const capacities = capacityByLayer(this.holdings, this.model);
-		const usual = medianOf(capacities);
-		if (usual === 0) {
-			return undefined;
+	/** Servers with little room give up layers at the ends of their ranges that others have loaded. */
+	private relieve(): void {
+		for (const {server, range, isLoaded} of this.holdings) {
+			if (range && isLoaded && roomOn(server, range, this.model) < this.terms.wanted * crampedShare) {
+				const kept = this.neededPart(server, range);
+				if (lengthOf(kept) > 0 && lengthOf(kept) < lengthOf(range)) {
+					this.move(server, kept);
+				}
+			}
 		}
-
-		const [gap] = gapsBelow(capacities, usual * weakShare);
-		const weakest = gap ?? this.weakestHolding(capacities);
-		return weakest && this.partThatFits(server, weakest, usual);
 	}
 
-	private weakestHolding(capacities: readonly number[]): LayerRange | undefined {
-		const least = Math.min(...capacities);
-		return this.holdings.find(({range}) => range && capacities.slice(range.from, range.to).includes(least))?.range;
-	}
+	private neededPart(server: BackendServer, range: LayerRange): LayerRange {
+		const loaded = this.holdings.filter(holding => holding.isLoaded && holding.server !== server);
+		const rooms = roomByLayer(loaded, this.model);
+		const isHeld = (layer: number) => rooms[layer] >= this.terms.wanted * weakShare;
+		let {from, to} = range;
+		while (from < to && isHeld(from)) {
+			from++;
+		}
 
-	/** As many layers from the start of the range as leave the server a fair room for requests. */
-	private partThatFits(server: BackendServer, range: LayerRange, usual: number): LayerRange | undefined {
-		const card = this.model.cards.get(server.card)!;
-		for (let length = Math.min(lengthOf(range), mostLayers(this.model, card)); length > 0; length--) {
-			if (tokenCapacity(this.model, card, length) >= usual * lostShare) {
-				return {from: range.from, to: range.from + length};
-			}
+		while (to > from && isHeld(to - 1)) {
+			to--;
 		}
 
-		return undefined;
+		return {from, to};
 	}
 }
 
 /**
-Plans how a group of servers makes up for lost or added ones: an empty server takes a gap, else its neighbours do; empty servers that are left strengthen the layers with the least room.
+Plans how a group of servers makes up for lost or added ones with few moves. A layer that nobody holds goes to a server that holds nothing, else to the servers beside it, else to one whose layers others hold too. Servers that hold nothing then take the layers with the least room, and servers with little room give up what others hold.
 
-@param servers - the servers that work and are not leaving
-@param pending - ranges that were ordered and not yet shown, by life
-@param mayStrengthen - whether empty servers are put to use where nothing is missing
+@param holdings - the servers that work and are not leaving
 */
-export function planRepair(
-	servers: readonly BackendServer[], pending: ReadonlyMap<string, LayerRange>, model: EngineModel, mayStrengthen: boolean,
-): readonly Placement[] {
-	const holdings = servers.map(server => ({server, range: pending.get(lifeOf(server)) ?? server.range}));
-	return new RepairPlanner(holdings, model).plan(mayStrengthen);
+export function planRepair(holdings: readonly Holding[], model: EngineModel, terms: RepairTerms): readonly Placement[] {
+	return new RepairPlanner(holdings, model, terms).plan();
 }
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -14,7 +14,7 @@
 import {type DecisionLog} from './observation/decision-log.js';
 import {partLog} from './observation/log.js';
 import {Metrics} from './observation/metrics.js';
-import {type BackendServer} from './pipelines/backend-server.js';
+import {lifeOf, type BackendServer} from './pipelines/backend-server.js';
 import {PipelineChooser} from './pipelines/pipeline-chooser.js';
 import {PlainChooser} from './pipelines/plain-chooser.js';
 import {ServerBeliefs} from './pipelines/server-beliefs.js';
@@ -172,8 +172,11 @@
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const leaseKeeper = new LeaseKeeper('placement', lease, {table: ports.table, timers, log: partLog(logger, 'leases')});
 	const placement = new PlacementDesk({
-		lease, catalog, directory, beliefs, reporter: ports.reports, sender: ports.orders, timers, metrics, log,
-	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order}, placementSettings.room);
+		lease, catalog, directory, beliefs, reporter: ports.reports, sender: ports.orders, timers, metrics, log, onRange(server, range) {
+			directory.learnRange(lifeOf(server), range);
+			news.reportRange(server, range);
+		},
+	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order, check: placementSettings.check}, placementSettings.room);
 
 	const listFollower = new ServerListFollower({
 		list: ports.servers, directory, timers, metrics, log, onReading() {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -46,6 +46,7 @@
 		settle: duration('1600 ms'),
 		spare: duration('2 s'),
 		order: duration('4 s'),
+		check: duration('400 ms'),
 		order_answer: duration('800 ms'),
 		lease: duration('6 s'),
 		lease_period: duration('2500 ms'),
