--- a/src/pipelines/engine-model.ts
+++ b/src/pipelines/engine-model.ts
@@ -27,6 +27,10 @@
 	readonly readRate: number;
 	/** Tokens in one event of a stream. */
 	readonly tokensOfEvent: number;
+	/** Bytes that a stage passes on for each token. */
+	readonly activationBytes: number;
+	/** Megabits a second between availability zones, for all servers together. */
+	readonly pipeMegabits: number;
 	readonly usualPrompt: number;
 	readonly usualAnswer: number;
 	/** Milliseconds to load all layers while the weight store has room. */
--- a/src/pipelines/pipeline-chooser.ts
+++ b/src/pipelines/pipeline-chooser.ts
@@ -1,7 +1,8 @@
 import {lifeOf, type BackendServer} from './backend-server.js';
 import {tokenCapacity, type EngineModel} from './engine-model.js';
-import {lengthOf} from './layer-range.js';
-import {findPipeline, type PricedPipeline, type StageCost} from './pipeline-finder.js';
+import {lengthOf, type LayerRange} from './layer-range.js';
+import {type PipeBudget} from './pipe-budget.js';
+import {findPipeline, type PipelineCosts} from './pipeline-finder.js';
 import {type Pipeline} from './pipeline.js';
 import {type ServerBeliefs} from './server-beliefs.js';
 import {type ServerDirectory} from './server-directory.js';
@@ -21,10 +22,10 @@
 
 /** How the chooser weighs pipelines. */
 export type ChooserWeights = {
-	/** Cost of a pipeline in another availability zone, relative to the own. */
+	/** Cost of beginning in another availability zone, relative to all layers on the fastest card. */
 	readonly remoteZone: number;
-	/** Cost of a stage that makes a pipeline cross availability zones, relative to one that does not. */
-	readonly foreignStage: number;
+	/** Cost of passing from one availability zone to another, relative to all layers on the fastest card. */
+	readonly crossing: number;
 	/** Part of a server's memory up to which requests are sent to it. */
 	readonly fullest: number;
 	/** How strongly memory in use raises the cost of a stage. */
@@ -40,6 +41,8 @@
 	readonly load: ServerLoad;
 	/** Availability zone of this instance. */
 	readonly availabilityZone: string;
+	/** What may be passed between availability zones. */
+	readonly pipe: PipeBudget;
 	/** Tokens that requests of other instances hold on a server, as far as known. */
 	readonly otherTokensOn: (server: BackendServer, now: number) => number;
 };
@@ -56,27 +59,24 @@
 	return zones;
 }
 
+/** How often a pipeline passes from one availability zone to another. */
+function crossingsOf(pipeline: Pipeline): number {
+	return pipeline.filter(({server}, index) => index > 0 && server.availabilityZone !== pipeline[index - 1].server.availabilityZone).length;
+}
+
 /**
-Chooses the pipeline of a request: the cheapest within one availability zone, by time on its accelerators and memory in use; across availability zones only where none has all layers.
+Chooses the pipeline of a request: the cheapest by time on its accelerators and memory in use. It stays within one availability zone where one has all layers, since all servers share the pipe between zones; where none has, it crosses as far as the pipe allows.
 */
 export class PipelineChooser {
 	constructor(private readonly parts: ChooserParts, private readonly weights: ChooserWeights) {}
 
-	/** The pipeline to use now; undefined where no usable servers cover all layers. */
+	/** The pipeline to use now; undefined where no usable servers with room cover all layers. */
 	choose(request: PipelineRequest, now: number): Pipeline | undefined {
-		const servers = this.usableServers(request, now);
-		const zones = groupByZone(servers);
-		const costOf = this.costOf(request, now);
-		let best: PricedPipeline | undefined;
-		for (const [zone, members] of zones) {
-			const found = findPipeline(members, request.model.layers, costOf);
-			const factor = zone === this.parts.availabilityZone ? 1 : this.weights.remoteZone;
-			if (found && found.cost * factor < (best?.cost ?? Number.POSITIVE_INFINITY)) {
-				best = {pipeline: found.pipeline, cost: found.cost * factor};
-			}
-		}
-
-		return best?.pipeline ?? this.chooseAcrossZones(request, servers, [...zones.keys()], costOf);
+		const {model} = request;
+		const pipeline = findPipeline(this.usableServers(request, now), model.layers, this.costsOf(request, now))?.pipeline;
+		const crossings = pipeline ? crossingsOf(pipeline) : 0;
+		const bytes = crossings * request.tokens * model.activationBytes;
+		return crossings === 0 || this.parts.pipe.take(bytes, model.pipeMegabits, now) ? pipeline : undefined;
 	}
 
 	private usableServers({service, excluded}: PipelineRequest, now: number): readonly BackendServer[] {
@@ -84,37 +84,36 @@
 			server.range !== undefined && !excluded.has(lifeOf(server)) && this.parts.beliefs.isUsable(server, now));
 	}
 
-	private chooseAcrossZones({model}: PipelineRequest, servers: readonly BackendServer[], zones: readonly string[], costOf: StageCost): Pipeline | undefined {
-		let best: PricedPipeline | undefined;
-		for (const zone of zones) {
-			const found = findPipeline(servers, model.layers, (server, range) =>
-				costOf(server, range) * (server.availabilityZone === zone ? 1 : this.weights.foreignStage));
-			if (found && found.cost < (best?.cost ?? Number.POSITIVE_INFINITY)) {
-				best = found;
-			}
-		}
-
-		return best?.pipeline;
-	}
-
-	private costOf({model, tokens, firstAmong}: PipelineRequest, now: number): StageCost {
-		const occupancies = new Map<BackendServer, number>();
-		return (server, range) => {
-			const card = model.cards.get(server.card);
+	private costsOf({model, tokens, firstAmong}: PipelineRequest, now: number): PipelineCosts {
+		const fastest = model.layers * Math.min(...[...model.cards.values()].map(({pace}) => pace));
+		const factors = new Map<BackendServer, number>();
+		const stage = (server: BackendServer, range: LayerRange) => {
 			const isAllowed = range.from > 0 || !firstAmong || firstAmong.has(lifeOf(server));
-			if (!card || !server.range || !isAllowed) {
+			if (!isAllowed) {
 				return Number.POSITIVE_INFINITY;
 			}
 
-			const capacity = tokenCapacity(model, card, lengthOf(server.range));
-			const occupancy = occupancies.get(server) ?? this.occupancyOf(server, capacity, now);
-			occupancies.set(server, occupancy);
-			if (occupancy + (tokens / capacity) > this.weights.fullest) {
-				return Number.POSITIVE_INFINITY;
-			}
-
-			return lengthOf(range) * card.pace * (1 + (this.weights.crowding * (occupancy ** 2)));
+			const factor = factors.get(server) ?? this.costOfLayer(server, model, tokens, now);
+			factors.set(server, factor);
+			const isRemote = range.from === 0 && server.availabilityZone !== this.parts.availabilityZone;
+			return (lengthOf(range) * factor) + (isRemote ? fastest * this.weights.remoteZone : 0);
 		};
+
+		return {stage, crossing: fastest * this.weights.crossing};
+	}
+
+	/** Cost of one layer on a server; infinite where it has no room for the tokens. */
+	private costOfLayer(server: BackendServer, model: EngineModel, tokens: number, now: number): number {
+		const card = model.cards.get(server.card);
+		if (!card || !server.range) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const capacity = tokenCapacity(model, card, lengthOf(server.range));
+		const occupancy = this.occupancyOf(server, capacity, now);
+		return occupancy + (tokens / capacity) > this.weights.fullest
+			? Number.POSITIVE_INFINITY
+			: card.pace * (1 + (this.weights.crowding * (occupancy ** 2)));
 	}
 
 	private occupancyOf(server: BackendServer, capacity: number, now: number): number {
--- a/src/pipelines/pipeline-finder.ts
+++ b/src/pipelines/pipeline-finder.ts
@@ -2,15 +2,15 @@
 import {type LayerRange} from './layer-range.js';
 import {type Pipeline, type Stage} from './pipeline.js';
 
-/**
-Cost of running some layers on a server; infinite where it must not be used.
-
-@param server - the server
-@param range - the layers that the request would run there
-*/
-export type StageCost = (server: BackendServer, range: LayerRange) => number;
+/** Costs of a pipeline; infinite where a stage must not be used. */
+export type PipelineCosts = {
+	/** Cost of running layers on a server. */
+	readonly stage: (server: BackendServer, range: LayerRange) => number;
+	/** Cost of passing activations to a server in another availability zone. */
+	readonly crossing: number;
+};
 
-/** A pipeline with the sum of the costs of its stages. */
+/** A pipeline with the sum of its costs. */
 export type PricedPipeline = {
 	readonly pipeline: Pipeline;
 	readonly cost: number;
@@ -27,21 +27,15 @@
 	readonly range: LayerRange;
 };
 
+/** The cheapest ways to each place between layers, by the availability zone of the last server. */
+type Frontier = Map<number, Map<string, Step>>;
+
 const maximumStages = 32;
 
 function holdersOf(servers: readonly BackendServer[]): readonly Holder[] {
 	return servers.flatMap(server => server.range ? [{server, range: server.range}] : []);
 }
 
-function stagesOf(last: Step): Pipeline {
-	const stages: Stage[] = [];
-	for (let step: Step | undefined = last; step?.stage; step = step.previous) {
-		stages.unshift(step.stage);
-	}
-
-	return stages;
-}
-
 /** The places at which a pipeline may pass from one server to the next, in ascending order. */
 function boundariesOf(holders: readonly Holder[], layers: number): readonly number[] {
 	const boundaries = new Set([0, layers]);
@@ -53,59 +47,78 @@
 	return [...boundaries].filter(boundary => boundary >= 0 && boundary <= layers).toSorted((left, right) => left - right);
 }
 
-/**
-The cheapest pipeline through servers that each hold a range of layers: a shortest path over the layer boundaries.
+function isUsedBy(last: Step, server: BackendServer): boolean {
+	for (let step: Step | undefined = last; step?.stage; step = step.previous) {
+		if (step.stage.server === server) {
+			return true;
+		}
+	}
 
-A server may run a part of its range, so ranges may overlap.
+	return false;
+}
 
-@param servers - the servers to choose from; those without layers are passed over
-@param layers - number of layers of the model
-@param costOf - the cost of a stage
-@returns undefined where the usable servers do not cover all layers
-*/
-export function findPipeline(servers: readonly BackendServer[], layers: number, costOf: StageCost): PricedPipeline | undefined {
-	const holders = holdersOf(servers);
-	const boundaries = boundariesOf(holders, layers);
-	const best = new Map<number, Step>([[0, {cost: 0}]]);
-	for (const from of boundaries) {
-		const step = best.get(from);
-		if (!step) {
-			continue;
-		}
+function stagesOf(last: Step): Pipeline {
+	const stages: Stage[] = [];
+	for (let step: Step | undefined = last; step?.stage; step = step.previous) {
+		stages.unshift(step.stage);
+	}
 
+	return stages;
+}
+
+function offer(frontier: Frontier, to: number, zone: string, step: Step): void {
+	const steps = frontier.get(to) ?? new Map<string, Step>();
+	if (step.cost < (steps.get(zone)?.cost ?? Number.POSITIVE_INFINITY)) {
+		steps.set(zone, step);
+		frontier.set(to, steps);
+	}
+}
+
+/** Takes each way to a place on through each server that holds the next layer. */
+function extend(frontier: Frontier, from: number, holders: readonly Holder[], boundaries: readonly number[], costs: PipelineCosts): void {
+	for (const step of frontier.get(from)?.values() ?? []) {
+		const previousZone = step.stage?.server.availabilityZone;
 		for (const {server, range} of holders) {
 			if (range.from > from || range.to <= from || isUsedBy(step, server)) {
 				continue;
 			}
 
+			const zone = server.availabilityZone;
+			const crossing = previousZone === undefined || previousZone === zone ? 0 : costs.crossing;
 			for (const to of boundaries) {
-				if (to <= from || to > range.to) {
-					continue;
-				}
-
-				const cost = step.cost + costOf(server, {from, to});
-				if (cost < (best.get(to)?.cost ?? Number.POSITIVE_INFINITY)) {
-					best.set(to, {cost, stage: {server, range: {from, to}}, previous: step});
+				if (to > from && to <= range.to) {
+					const part = {from, to};
+					offer(frontier, to, zone, {cost: step.cost + crossing + costs.stage(server, part), stage: {server, range: part}, previous: step});
 				}
 			}
 		}
 	}
+}
 
-	const last = best.get(layers);
-	if (!last) {
-		return undefined;
-	}
+/**
+The cheapest pipeline through servers that each hold a range of layers: a shortest path over the layer boundaries.
 
-	const pipeline = stagesOf(last);
-	return pipeline.length > maximumStages ? undefined : {pipeline, cost: last.cost};
-}
+A server may run a part of its range, so ranges may overlap.
 
-function isUsedBy(last: Step, server: BackendServer): boolean {
-	for (let step: Step | undefined = last; step?.stage; step = step.previous) {
-		if (step.stage.server === server) {
-			return true;
+@param servers - the servers to choose from; those without layers are passed over
+@param layers - number of layers of the model
+@returns undefined where the usable servers do not cover all layers
+*/
+export function findPipeline(servers: readonly BackendServer[], layers: number, costs: PipelineCosts): PricedPipeline | undefined {
+	const holders = holdersOf(servers);
+	const boundaries = boundariesOf(holders, layers);
+	const frontier: Frontier = new Map([[0, new Map([['', {cost: 0}]])]]);
+	for (const from of boundaries) {
+		extend(frontier, from, holders, boundaries, costs);
+	}
+
+	let best: Step | undefined;
+	for (const step of frontier.get(layers)?.values() ?? []) {
+		if (step.cost < (best?.cost ?? Number.POSITIVE_INFINITY)) {
+			best = step;
 		}
 	}
 
-	return false;
+	const pipeline = best && stagesOf(best);
+	return best && pipeline && pipeline.length <= maximumStages ? {pipeline, cost: best.cost} : undefined;
 }
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -177,7 +177,7 @@
 	/** Asks the server until it holds the range, so that the instances need not wait for the list. */
 	private async followOrder({server, range}: Placement): Promise<void> {
 		const {timers, reporter, onRange, log} = this.parts;
-		const until = this.pending.get(lifeOf(server))?.until ?? 0;
+		const order = this.pending.get(lifeOf(server));
 		const held = server.range;
 		if (held && range.from >= held.from && range.to <= held.to) {
 			// Layers that are given up take no new work from now on.
@@ -185,10 +185,15 @@
 			return;
 		}
 
-		while (timers.now() < until && this.pending.has(lifeOf(server))) {
+		while (order && timers.now() < order.until) {
 			await timers.sleep(this.times.check); // eslint-disable-line no-await-in-loop
 			try {
 				const report = await reporter.ask(server); // eslint-disable-line no-await-in-loop
+				if (this.pending.get(lifeOf(server)) !== order) {
+					// The list shows the result, or a later order changes it again.
+					return;
+				}
+
 				if (isSameRange(report.range, range) && !report.isBusy) {
 					onRange(server, range);
 					return;
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -32,6 +32,8 @@
 	readonly rejections: number;
 	/** Milliseconds without an event after which a pipeline is given up. */
 	readonly silence: number;
+	/** Part of the latency target within which a request must be sent to be answered on time. */
+	readonly onTimeShare: number;
 	/** Milliseconds after which a refused caller may come back. */
 	readonly comeBack: number;
 };
@@ -100,6 +102,7 @@
 
 		this.waiting = this.streams.waitingRoom.add({
 			priority: this.request.priority,
+			onTimeUntil: this.passedAt === undefined ? this.request.arrivedAt + (this.request.route.latencyTarget * this.streams.limits.onTimeShare) : Number.POSITIVE_INFINITY,
 			tryStart: () => this.tryStart(),
 			giveUp: () => {
 				this.refuse(this.noRoom('no pipeline had room in time'));
--- a/src/relay/waiting-room.ts
+++ b/src/relay/waiting-room.ts
@@ -5,6 +5,8 @@
 export type WaitingRequest = {
 	/** 0 is the most urgent. */
 	readonly priority: number;
+	/** Monotonic time until which an answer that begins now would be on time. */
+	readonly onTimeUntil: number;
 	/** Tries to start the request; false where there is still no place. */
 	readonly tryStart: () => boolean;
 	/** The request has waited for as long as it may. */
@@ -27,7 +29,11 @@
 	readonly period: number;
 };
 
-/** Holds requests for which no pipeline has room, the most urgent first and in the order of their arrival. */
+/**
+Holds requests for which no pipeline has room. The most urgent go first; of these, those that can still be answered on time, in the order of their arrival, then the others.
+
+Under overload a queue in the mere order of arrival would make all answers late (B. Maurer, "Fail at scale", ACM Queue, 2015).
+*/
 export class WaitingRoom {
 	private entries: Entry[] = [];
 	private nextOrder = 0;
@@ -71,7 +77,7 @@
 	/** Starts those that find a place now. */
 	admit(): void {
 		while (this.entries.length > 0) {
-			const [first] = this.entries;
+			const first = this.next();
 			if (!first.request.tryStart()) {
 				return;
 			}
@@ -80,6 +86,13 @@
 		}
 	}
 
+	private next(): Entry {
+		const now = this.timers.now();
+		const [{request: {priority}}] = this.entries;
+		const onTime = this.entries.find(({request}) => request.priority === priority && request.onTimeUntil >= now);
+		return onTime ?? this.entries[0];
+	}
+
 	private remove(entry: Entry): boolean {
 		const at = this.entries.indexOf(entry);
 		if (at === -1) {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -15,6 +15,7 @@
 import {partLog} from './observation/log.js';
 import {Metrics} from './observation/metrics.js';
 import {lifeOf, type BackendServer} from './pipelines/backend-server.js';
+import {PipeBudget} from './pipelines/pipe-budget.js';
 import {PipelineChooser} from './pipelines/pipeline-chooser.js';
 import {PlainChooser} from './pipelines/plain-chooser.js';
 import {ServerBeliefs} from './pipelines/server-beliefs.js';
@@ -66,12 +67,15 @@
 	suspicion: 2000, longestSuspicion: 8000, fullness: 150, trialPause: 700,
 };
 const chooserWeights = {
-	remoteZone: 1.3, foreignStage: 4, fullest: 1, crowding: 3, loadAge: 1500,
+	remoteZone: 0.4, crossing: 5, fullest: 1, crowding: 3, loadAge: 1500,
 };
 /** Retries in a window while it is not known how many instances share them. */
 const allowanceWhileAlone = 5;
+const pipeShare = 0.5;
+const pipeBurstMs = 1000;
 const waitingPeriodMs = 40;
 const rejectionLimit = 6;
+const onTimeShare = 0.75;
 const monitorTimes = {
 	period: 100, inquiry: 450, silence: 1300, pause: 300,
 };
@@ -135,10 +139,10 @@
 		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
 		{
 			chooser: new PipelineChooser({
-				directory, beliefs, load, availabilityZone: instance.availability_zone, otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
+				directory, beliefs, load, availabilityZone: instance.availability_zone, pipe: new PipeBudget(pipeShare, pipeBurstMs, () => members.all().length), otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
 			}, chooserWeights),
 			waitingRoom,
-			limits: {rejections: rejectionLimit, silence: limits.stall / 2, comeBack: limits.come_back},
+			limits: {rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, comeBack: limits.come_back},
 			onSuspicion,
 		},
 	);
