Take over placement sooner; avoid servers that say they are slow

The lease now lasts 2.5 s; others try it when they no longer hear its holder. Stages of streams that pause are asked how slow they are, and cost as much more.

--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -1,5 +1,6 @@
 import {type CatalogFollower} from '../catalog/catalog-follower.js';
 import {type CatalogKeeper} from '../catalog/catalog-keeper.js';
+import {type Lease} from '../leases/lease.js';
 import {type LeaseKeeper} from '../leases/lease-keeper.js';
 import {type Lifecycle} from '../lifecycle.js';
 import {type DecisionLog} from '../observation/decision-log.js';
@@ -35,6 +36,7 @@
 	readonly members: MemberRegister;
 	readonly news: NewsDesk;
 	readonly links: NewsLinks;
+	readonly lease: Lease;
 	readonly leaseKeeper: LeaseKeeper;
 	readonly placement: PlacementDesk;
 };
@@ -102,6 +104,14 @@
 		parts.log.write('process.stopped', {cut: inFlight, afterMs: Math.round(parts.timers.now() - begunAt)});
 	}
 
+	/** Whether to take or renew the lease for placement: its holder does, and the others once they no longer hear of it. */
+	private mayPlace(): boolean {
+		const {settings, parts} = this;
+		const now = parts.timers.now();
+		const isHeldElsewhere = !parts.lease.isHeld(now) && now - parts.news.placingHeard < settings.placement.holder_silence;
+		return !parts.lifecycle.isDraining && !isHeldElsewhere;
+	}
+
 	private async listen(address: string, work: (host: string, port: number) => Promise<void>): Promise<void> {
 		const {host, port} = splitAddress(address);
 		await work(host, port);
@@ -111,7 +121,7 @@
 		const {settings, parts} = this;
 		void parts.leaseKeeper.advance();
 		parts.timers.repeat(settings.placement.lease_period, () => {
-			if (!parts.lifecycle.isDraining) {
+			if (this.mayPlace()) {
 				void parts.leaseKeeper.advance();
 			}
 		});
--- a/src/peers/instance-news.ts
+++ b/src/peers/instance-news.ts
@@ -15,6 +15,8 @@
 	})),
 	/** Ranges that backend servers took on by order, by life. */
 	ranges: z.array(z.object({life: z.string(), from: z.number().int().nonnegative(), to: z.number().int().positive()})),
+	/** Whether it holds the lease for placement. */
+	isPlacing: z.boolean(),
 	/** Version of its catalog. */
 	version: z.number().int(),
 });
--- a/src/peers/news-desk.ts
+++ b/src/peers/news-desk.ts
@@ -1,5 +1,6 @@
 import {type CatalogKeeper} from '../catalog/catalog-keeper.js';
 import {type MemberRegister, type RegisteredMember} from '../entry/member-register.js';
+import {type Lease} from '../leases/lease.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
@@ -24,6 +25,7 @@
 	readonly loads: PeerLoads;
 	readonly board: SuspicionBoard;
 	readonly load: ServerLoad;
+	readonly lease: Lease;
 	readonly directory: ServerDirectory;
 	readonly beliefs: ServerBeliefs;
 	readonly catalog: CatalogKeeper;
@@ -56,6 +58,7 @@
 	private ranges: Range[] = [];
 	private readonly busy = new Set<string>();
 	private fetching = false;
+	private placingHeardAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly parts: NewsDeskParts, private readonly times: NewsTimes) {}
 
@@ -82,6 +85,10 @@
 		const {loads, board, timers, catalog} = this.parts;
 		const now = timers.now();
 		loads.take(news.from, news.loads, now);
+		if (news.isPlacing) {
+			this.placingHeardAt = now;
+		}
+
 		for (const {life, isBlocking, reason} of news.suspicions) {
 			if (board.accuse({life, isBlocking, from: news.from}, now)) {
 				this.suspect(life, `${news.from}: ${reason}`, now);
@@ -97,6 +104,11 @@
 		}
 	}
 
+	/** Monotonic time at which another instance last said that it holds the lease for placement. */
+	get placingHeard(): number {
+		return this.placingHeardAt;
+	}
+
 	catalogAfter(version: number): string | undefined {
 		return this.parts.catalog.version > version ? this.parts.catalogText() : undefined;
 	}
@@ -118,9 +130,9 @@
 	}
 
 	private nextNews(): InstanceNews {
-		const {self, load, catalog} = this.parts;
+		const {self, load, catalog, lease, timers} = this.parts;
 		const news = {
-			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, ranges: this.ranges, version: catalog.version,
+			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, ranges: this.ranges, isPlacing: lease.isHeld(timers.now()), version: catalog.version,
 		};
 		this.suspicions = [];
 		this.ranges = [];
--- a/src/pipelines/pipeline-chooser.ts
+++ b/src/pipelines/pipeline-chooser.ts
@@ -6,6 +6,7 @@
 import {type Pipeline} from './pipeline.js';
 import {type ServerBeliefs} from './server-beliefs.js';
 import {type ServerDirectory} from './server-directory.js';
+import {type ServerPaces} from './server-paces.js';
 import {type ServerLoad} from './server-load.js';
 
 /** What a request needs of a pipeline. */
@@ -39,6 +40,7 @@
 	readonly directory: ServerDirectory;
 	readonly beliefs: ServerBeliefs;
 	readonly load: ServerLoad;
+	readonly paces: ServerPaces;
 	/** Availability zone of this instance. */
 	readonly availabilityZone: string;
 	/** What may be passed between availability zones. */
@@ -113,7 +115,7 @@
 		const occupancy = this.occupancyOf(server, capacity, now);
 		return occupancy + (tokens / capacity) > this.weights.fullest
 			? Number.POSITIVE_INFINITY
-			: card.pace * (1 + (this.weights.crowding * (occupancy ** 2)));
+			: card.pace * this.parts.paces.paceOf(server, now) * (1 + (this.weights.crowding * (occupancy ** 2)));
 	}
 
 	private occupancyOf(server: BackendServer, capacity: number, now: number): number {
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -230,7 +230,7 @@
 		}
 
 		parts.log.write('request.sent', {
-			request: request.id, pipeline: describePipeline(pipeline), attempt: this.attempts, afterEvent: this.lastEventId, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - parts.directory.lastRead),
+			request: request.id, pipeline: describePipeline(pipeline), tokens, attempt: this.attempts, afterEvent: this.lastEventId, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - parts.directory.lastRead),
 		});
 		this.running = parts.client.send({
 			request, server: pipeline[0].server, pipeline, remaining: this.remaining, lastEventId: this.lastEventId, needsNewConnection: !isRepeatable(request.route),
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -1,5 +1,6 @@
 import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
 import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
+import {type ServerPaces} from '../pipelines/server-paces.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {messageOf} from '../results/to-failure.js';
@@ -13,6 +14,7 @@
 	readonly desk: ExchangeDesk;
 	readonly reporter: StageReporter;
 	readonly beliefs: ServerBeliefs;
+	readonly paces: ServerPaces;
 	readonly directory: ServerDirectory;
 	readonly timers: TimerService;
 	readonly log: DecisionLog;
@@ -23,6 +25,10 @@
 /** Times of watching streams, in milliseconds. */
 export type MonitorTimes = {
 	readonly period: number;
+	/** Silence after which the stages are asked how slow they are. */
+	readonly slowness: number;
+	/** Between two questions to one stage how slow it is. */
+	readonly slownessPause: number;
 	/** Silence after which the first stage is asked what its requests wait for. */
 	readonly inquiry: number;
 	/** Silence after which a stream moves, whatever its first stage says. */
@@ -31,10 +37,14 @@
 	readonly pause: number;
 };
 
+/** A pace from which on a line is logged. */
+const notablePace = 1.5;
+
 /**
 Watches streams for silence. The first stage of a silent stream is asked which stage its requests wait for; the streams through that stage move to other pipelines.
 */
 export class StreamMonitor {
+	private readonly paceAskedAt = new Map<string, number>();
 	private readonly askedAt = new Map<string, number>();
 
 	constructor(private readonly parts: StreamMonitorParts, private readonly times: MonitorTimes) {}
@@ -62,6 +72,10 @@
 		for (const exchange of this.parts.desk.streams) {
 			const silence = exchange.silenceAt(now);
 			const first = exchange.stages?.[0].server;
+			if (first && silence >= this.times.slowness) {
+				this.askPaces(exchange, now);
+			}
+
 			if (!first || silence < this.times.inquiry) {
 				continue;
 			}
@@ -81,6 +95,29 @@
 		}
 	}
 
+	private askPaces(exchange: StreamExchange, now: number): void {
+		for (const {server} of exchange.stages ?? []) {
+			const life = lifeOf(server);
+			if (now - (this.paceAskedAt.get(life) ?? Number.NEGATIVE_INFINITY) >= this.times.slownessPause) {
+				this.paceAskedAt.set(life, now);
+				void this.askPace(server);
+			}
+		}
+	}
+
+	private async askPace(server: BackendServer): Promise<void> {
+		const {reporter, paces, timers, log} = this.parts;
+		try {
+			const {pace} = await reporter.ask(server);
+			paces.take(server, pace, timers.now());
+			if (pace >= notablePace) {
+				log.write('server.slow', {server: server.id, pace});
+			}
+		} catch (error) {
+			log.write('server.no_pace', {server: server.id, reason: messageOf(error)});
+		}
+	}
+
 	private async ask(server: BackendServer): Promise<void> {
 		const {reporter, directory, log} = this.parts;
 		try {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -22,6 +22,7 @@
 import {ServerDirectory} from './pipelines/server-directory.js';
 import {ServerListFollower} from './pipelines/server-list-follower.js';
 import {type ServerList} from './pipelines/server-list.js';
+import {ServerPaces} from './pipelines/server-paces.js';
 import {ServerLoad} from './pipelines/server-load.js';
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementDesk} from './placement/placement-desk.js';
@@ -67,7 +68,7 @@
 	suspicion: 2000, longestSuspicion: 8000, fullness: 150, trialPause: 700,
 };
 const chooserWeights = {
-	remoteZone: 0.4, crossing: 5, fullest: 1, crowding: 3, loadAge: 1500,
+	remoteZone: 0.4, crossing: 5, fullest: 1.1, crowding: 3, loadAge: 1500,
 };
 /** Retries in a window while it is not known how many instances share them. */
 const allowanceWhileAlone = 5;
@@ -77,9 +78,10 @@
 const rejectionLimit = 6;
 const onTimeShare = 0.75;
 const monitorTimes = {
-	period: 100, inquiry: 450, silence: 1300, pause: 300,
+	period: 100, slowness: 250, slownessPause: 1500, inquiry: 450, silence: 1300, pause: 300,
 };
 const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
+const paceExpiryMs = 3000;
 const newsTimes = {period: 300, fanout: 12};
 const newsExpiryMs = 1500;
 const newsLimitMs = 400;
@@ -97,6 +99,7 @@
 	const directory = new ServerDirectory(timers, log);
 	const beliefs = new ServerBeliefs(beliefTimes, log);
 	const load = new ServerLoad();
+	const paces = new ServerPaces(paceExpiryMs);
 	const catalog = new CatalogKeeper(log, timers);
 
 	const budgets = new Map<string, RetryBudget>();
@@ -139,7 +142,7 @@
 		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
 		{
 			chooser: new PipelineChooser({
-				directory, beliefs, load, availabilityZone: instance.availability_zone, pipe: new PipeBudget(pipeShare, pipeBurstMs, () => members.all().length), otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
+				directory, beliefs, load, paces, availabilityZone: instance.availability_zone, pipe: new PipeBudget(pipeShare, pipeBurstMs, () => members.all().length), otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
 			}, chooserWeights),
 			waitingRoom,
 			limits: {rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, comeBack: limits.come_back},
@@ -147,9 +150,11 @@
 		},
 	);
 	const monitor = new StreamMonitor({
-		desk, reporter: ports.reports, beliefs, directory, timers, log, onSuspicion,
+		desk, reporter: ports.reports, beliefs, paces, directory, timers, log, onSuspicion,
 	}, monitorTimes);
 
+	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
+	const leaseKeeper = new LeaseKeeper('placement', lease, {table: ports.table, timers, log: partLog(logger, 'leases')});
 	const news = new NewsDesk({
 		self,
 		members,
@@ -157,6 +162,7 @@
 		loads: peerLoads,
 		board: new SuspicionBoard(accusationWindowMs, accusersNeeded),
 		load,
+		lease,
 		directory,
 		beliefs,
 		catalog,
@@ -173,8 +179,6 @@
 		},
 	}, newsTimes);
 
-	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
-	const leaseKeeper = new LeaseKeeper('placement', lease, {table: ports.table, timers, log: partLog(logger, 'leases')});
 	const placement = new PlacementDesk({
 		lease, catalog, directory, beliefs, reporter: ports.reports, sender: ports.orders, timers, metrics, log, onRange(server, range) {
 			directory.learnRange(lifeOf(server), range);
@@ -186,6 +190,7 @@
 		list: ports.servers, directory, timers, metrics, log, onReading() {
 			beliefs.retain(directory.all());
 			load.retain(directory.all());
+			paces.retain(directory.all());
 			waitingRoom.admit();
 		},
 	}, {period: store.list_period, returnGrace: store.return_grace, slow: slowListMs});
@@ -204,7 +209,7 @@
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => beliefs.suspected(timers.now()));
 	const router: Router = new Router(settings, {
-		timers, log, metrics, lifecycle, entry, status, desk, monitor, catalog, catalogFollower, directory, listFollower, members, news, links, leaseKeeper, placement,
+		timers, log, metrics, lifecycle, entry, status, desk, monitor, catalog, catalogFollower, directory, listFollower, members, news, links, lease, leaseKeeper, placement,
 	});
 	return router;
 }
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -48,8 +48,10 @@
 		order: duration('4 s'),
 		check: duration('400 ms'),
 		order_answer: duration('800 ms'),
-		lease: duration('6 s'),
-		lease_period: duration('2500 ms'),
+		lease: duration('2500 ms'),
+		lease_period: duration('800 ms'),
+		/** How long the holder of the lease is not heard of before others try to take it. */
+		holder_silence: duration('1200 ms'),
 		period: duration('500 ms'),
 	}).prefault({}),
 	stop: z.object({
