Learn from peers while the store is away; date the lease by the store's clock; expect usual answers

Now: seeds give catalog, list and members; the lease is dated by the store's clock and given up at a planned stop; its last holder goes on while the store is away, since its orders are conditional on what the server reports.

--- a/src/entry/member-register.ts
+++ b/src/entry/member-register.ts
@@ -70,6 +70,19 @@
 		return [this.self, ...[...this.seen.values()].map(({member}) => member).filter(({id}) => id !== this.self.id)];
 	}
 
+	/** Takes over instances that another one knows. */
+	learn(members: readonly RegisteredMember[]): void {
+		const now = this.parts.timers.now();
+		for (const member of members) {
+			if (member.id !== this.self.id && !this.seen.has(member.id)) {
+				this.seen.set(member.id, {member, version: 0, changedAt: now});
+			}
+		}
+
+		this.wasRead = true;
+		this.parts.onChange();
+	}
+
 	/** Number of instances in an availability zone; at least one. */
 	countIn(availabilityZone: string): number {
 		return Math.max(1, this.all().filter(member => member.availabilityZone === availabilityZone).length);
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -85,6 +85,7 @@
 		});
 		const begunAt = parts.timers.now();
 		parts.log.write('process.stopping', {inFlight: parts.desk.size});
+		void parts.leaseKeeper.release();
 		await parts.timers.sleep(settings.stop.notice);
 		parts.lifecycle.refuseRequests();
 		const limit = begunAt + settings.stop.grace - settings.stop.margin;
@@ -108,7 +109,7 @@
 	private mayPlace(): boolean {
 		const {settings, parts} = this;
 		const now = parts.timers.now();
-		const isHeldElsewhere = !parts.lease.isHeld(now) && now - parts.news.placingHeard < settings.placement.holder_silence;
+		const isHeldElsewhere = !parts.lease.mayAct(now) && now - parts.news.placingHeard < settings.placement.holder_silence;
 		return !parts.lifecycle.isDraining && !isHeldElsewhere;
 	}
 
@@ -124,6 +125,10 @@
 			if (this.mayPlace()) {
 				void parts.leaseKeeper.advance();
 			}
+
+			if (!this.isReady && !parts.lifecycle.isDraining) {
+				void parts.news.learnFromSeeds(settings.seeds.peers);
+			}
 		});
 		parts.timers.repeat(settings.placement.period, () => {
 			parts.placement.advance();
--- a/src/leases/lease-keeper.ts
+++ b/src/leases/lease-keeper.ts
@@ -31,11 +31,29 @@
 		}
 	}
 
+	/** Gives the lease up, so that another takes it at once. */
+	async release(): Promise<void> {
+		const {table, timers, log} = this.tools;
+		const record = this.lease.giveUp(timers.now());
+		if (!record) {
+			return;
+		}
+
+		try {
+			const key = leaseRowKey(this.name);
+			const row = await table.read(key);
+			await table.transact([{key, expected: row?.version ?? 0, value: JSON.stringify(record)}]);
+			log.info(`The lease ${this.name} is given up.`);
+		} catch (error) {
+			log.info(`The lease ${this.name} is not given up in the table and runs out: ${messageOf(error)}.`);
+		}
+	}
+
 	private async tryOnce(): Promise<void> {
 		const {table, timers, log} = this.tools;
 		const key = leaseRowKey(this.name);
 		const row = await table.read(key);
-		const reading = {record: row && leaseRecordSchema.parse(JSON.parse(row.value)), version: row?.version ?? 0};
+		const reading = {record: row && leaseRecordSchema.parse(JSON.parse(row.value)), version: row?.version ?? 0, tableNow: row?.tableNow};
 		const sentAt = timers.now();
 		const record = this.lease.next(reading, sentAt);
 		if (!record) {
--- a/src/leases/lease-record.ts
+++ b/src/leases/lease-record.ts
@@ -6,6 +6,8 @@
 	holder: z.string(),
 	/** Rises by one with each new holder. */
 	fencing: z.number().int(),
+	/** The table's steady clock at the last renewal, in milliseconds; 0 where the holder gave it up. */
+	renewedAt: z.number().optional(),
 });
 
 /** The row of a lease in the platform's table. Its row version rises with each renewal. */
--- a/src/peers/instance-news.ts
+++ b/src/peers/instance-news.ts
@@ -17,6 +17,8 @@
 	ranges: z.array(z.object({life: z.string(), from: z.number().int().nonnegative(), to: z.number().int().positive()})),
 	/** Whether it holds the lease for placement. */
 	isPlacing: z.boolean(),
+	/** Milliseconds since it read the list of servers; -1 where it never did. */
+	listAge: z.number(),
 	/** Version of its catalog. */
 	version: z.number().int(),
 });
--- a/src/peers/news-desk.ts
+++ b/src/peers/news-desk.ts
@@ -12,6 +12,7 @@
 import {type RandomSource} from '../routing/random-source.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type InstanceNews} from './instance-news.js';
+import {type InstanceSnapshot} from './instance-snapshot.js';
 import {type NewsLinks} from './news-links.js';
 import {type NewsReceiver} from './news-procedures.js';
 import {type PeerLoads} from './peer-loads.js';
@@ -35,8 +36,6 @@
 	readonly log: DecisionLog;
 	/** Puts the text of a catalog that another instance has in force. */
 	readonly takeCatalog: (text: string, from: string) => void;
-	/** The text of the catalog in force. */
-	readonly catalogText: () => string | undefined;
 	/** Called when a backend server is suspected because of what others found. */
 	readonly onSuspicion: (server: BackendServer, reason: string) => void;
 };
@@ -47,6 +46,8 @@
 	readonly period: number;
 	/** Instances of other availability zones that are told in a round. */
 	readonly fanout: number;
+	/** Milliseconds by which another instance's list must be newer to be asked for. */
+	readonly staleness: number;
 };
 
 type Suspicion = InstanceNews['suspicions'][number];
@@ -57,7 +58,7 @@
 	private suspicions: Suspicion[] = [];
 	private ranges: Range[] = [];
 	private readonly busy = new Set<string>();
-	private fetching = false;
+	private isLearning = false;
 	private placingHeardAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly parts: NewsDeskParts, private readonly times: NewsTimes) {}
@@ -99,8 +100,10 @@
 			this.parts.directory.learnRange(life, {from, to});
 		}
 
-		if (news.version > catalog.version) {
-			void this.fetchCatalog(news.from);
+		const isListNewer = news.listAge >= 0 && this.listAge(now) - news.listAge > this.times.staleness;
+		const sender = this.parts.members.all().find(({id}) => id === news.from);
+		if (sender && (isListNewer || news.version > catalog.version)) {
+			void this.learnFrom(sender.peers);
 		}
 	}
 
@@ -109,8 +112,29 @@
 		return this.placingHeardAt;
 	}
 
-	catalogAfter(version: number): string | undefined {
-		return this.parts.catalog.version > version ? this.parts.catalogText() : undefined;
+	snapshotFor(version: number): InstanceSnapshot {
+		const {catalog, directory, members, timers} = this.parts;
+		const age = this.listAge(timers.now());
+		return {
+			catalog: catalog.version > version ? catalog.current?.catalog.text : undefined,
+			servers: [...directory.all()],
+			serversAge: Number.isFinite(age) ? age : undefined,
+			members: [...members.all()],
+		};
+	}
+
+	/** Learns from the first of some instances that answers, as after a start while the store is away. */
+	async learnFromSeeds(seeds: readonly string[]): Promise<void> {
+		for (const seed of seeds) {
+			const isLearnt = seed !== this.parts.self.peers && await this.learnFrom(seed); // eslint-disable-line no-await-in-loop
+			if (isLearnt && this.parts.catalog.version >= 0) {
+				return;
+			}
+		}
+	}
+
+	private listAge(now: number): number {
+		return now - this.parts.directory.lastRead;
 	}
 
 	private suspect(life: string, reason: string, now: number): void {
@@ -131,8 +155,9 @@
 
 	private nextNews(): InstanceNews {
 		const {self, load, catalog, lease, timers} = this.parts;
+		const listAge = this.listAge(timers.now());
 		const news = {
-			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, ranges: this.ranges, isPlacing: lease.isHeld(timers.now()), version: catalog.version,
+			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, ranges: this.ranges, listAge: Number.isFinite(listAge) ? Math.round(listAge) : -1, isPlacing: lease.mayAct(timers.now()), version: catalog.version,
 		};
 		this.suspicions = [];
 		this.ranges = [];
@@ -164,23 +189,32 @@
 		}
 	}
 
-	private async fetchCatalog(from: string): Promise<void> {
-		const {members, links, catalog, log, takeCatalog} = this.parts;
-		const member = members.all().find(({id}) => id === from);
-		if (!member || this.fetching) {
-			return;
+	/** Learns from an instance what this one cannot read itself. */
+	private async learnFrom(address: string): Promise<boolean> {
+		const {links, catalog, log, directory, timers, members} = this.parts;
+		if (this.isLearning) {
+			return false;
 		}
 
-		this.fetching = true;
+		this.isLearning = true;
 		try {
-			const text = await links.catalogAfter(member.peers, catalog.version);
-			if (text !== undefined) {
-				takeCatalog(text, from);
+			const askedAt = timers.now();
+			const snapshot = await links.snapshot(address, catalog.version);
+			if (snapshot.catalog !== undefined) {
+				this.parts.takeCatalog(snapshot.catalog, address);
 			}
+
+			members.learn(snapshot.members);
+			if (snapshot.serversAge !== undefined) {
+				directory.take({servers: snapshot.servers, askedAt: askedAt - snapshot.serversAge, mayLack: true});
+			}
+
+			return true;
 		} catch (error) {
-			log.write('peers.no_catalog', {peer: from, reason: messageOf(error)});
+			log.write('peers.no_snapshot', {peer: address, reason: messageOf(error)});
+			return false;
 		} finally {
-			this.fetching = false;
+			this.isLearning = false;
 		}
 	}
 }
--- a/src/peers/news-links.ts
+++ b/src/peers/news-links.ts
@@ -2,6 +2,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {type TimerService} from '../time/timer-service.js';
+import {instanceSnapshotSchema, type InstanceSnapshot} from './instance-snapshot.js';
 import {type InstanceNews} from './instance-news.js';
 import {createNewsProcedures, type NewsProcedures, type NewsReceiver} from './news-procedures.js';
 
@@ -38,9 +39,9 @@
 		await this.call(address, async (client, signal) => client.tell.mutate(news, {signal}));
 	}
 
-	/** Asks an instance for a newer catalog than a version. Rejects where it gives no answer. */
-	async catalogAfter(address: string, version: number): Promise<string | undefined> {
-		return this.call(address, async (client, signal) => client.catalog.query({version}, {signal}));
+	/** Asks an instance what it knows, with its catalog where that is newer than a version. Rejects where it gives no answer. */
+	async snapshot(address: string, version: number): Promise<InstanceSnapshot> {
+		return this.call(address, async (client, signal) => instanceSnapshotSchema.parse(await client.snapshot.query({version}, {signal})));
 	}
 
 	/** Forgets the clients of instances that are gone. */
--- a/src/peers/news-procedures.ts
+++ b/src/peers/news-procedures.ts
@@ -1,12 +1,13 @@
 import {initTRPC} from '@trpc/server';
+import {type InstanceSnapshot} from './instance-snapshot.js';
 import {instanceNewsSchema, type InstanceNews} from './instance-news.js';
 
 /** What an instance does with calls of others. */
 export type NewsReceiver = {
 	/** Takes over what another instance tells. */
 	receive(news: InstanceNews): void;
-	/** The text of the catalog in force, where its version is newer than the one asked with. */
-	catalogAfter(version: number): string | undefined;
+	/** What this instance knows; the catalog only where it is newer than a version. */
+	snapshotFor(version: number): InstanceSnapshot;
 };
 
 const trpc = initTRPC.create();
@@ -17,7 +18,7 @@
 		tell: trpc.procedure.input(instanceNewsSchema).mutation(({input}) => {
 			receiver.receive(input);
 		}),
-		catalog: trpc.procedure.input(instanceNewsSchema.pick({version: true})).query(({input}) => receiver.catalogAfter(input.version)),
+		snapshot: trpc.procedure.input(instanceNewsSchema.pick({version: true})).query(({input}) => receiver.snapshotFor(input.version)),
 	});
 }
 
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -37,6 +37,8 @@
 	readonly settle: number;
 	/** How long an empty server is kept for a gap before it strengthens other layers. */
 	readonly spare: number;
+	/** How long a server that refused an order is left alone. */
+	readonly refusal: number;
 	/** Between questions whether an order has been carried out. */
 	readonly check: number;
 	/** How long after an order its result must show, beside the time of loading. */
@@ -51,6 +53,7 @@
 /** Decides which layers each backend server holds, and orders it, while this instance holds the lease for it. */
 export class PlacementDesk {
 	private readonly pending = new Map<string, PendingOrder>();
+	private readonly refusedAt = new Map<string, number>();
 	private readonly seenAt = new Map<string, number>();
 
 	/**
@@ -63,7 +66,7 @@
 		const {lease, catalog, timers, directory} = this.parts;
 		const now = timers.now();
 		this.noteNew(directory.all(), now);
-		if (!lease.isHeld(now) || !catalog.current) {
+		if (!lease.mayAct(now) || !catalog.current) {
 			return;
 		}
 
@@ -86,6 +89,7 @@
 			if (!lives.has(life)) {
 				this.seenAt.delete(life);
 				this.pending.delete(life);
+				this.refusedAt.delete(life);
 			}
 		}
 	}
@@ -146,7 +150,12 @@
 		const mayStrengthen = members.every(server => this.rangeOf(server) !== undefined || now - (this.seenAt.get(lifeOf(server)) ?? now) >= this.times.spare);
 		const holdings = members.map(server => ({server, range: this.rangeOf(server), isLoaded: !this.pending.has(lifeOf(server))}));
 		const moves = planRepair(holdings, model, {wanted: wantedRoom(model, this.share), mayStrengthen});
-		this.order(moves.filter(({server}) => !this.pending.has(lifeOf(server))), model, now, 'repair');
+		this.order(moves.filter(({server}) => this.mayOrder(server, now)), model, now, 'repair');
+	}
+
+	private mayOrder(server: BackendServer, now: number): boolean {
+		const life = lifeOf(server);
+		return !this.pending.has(life) && now - (this.refusedAt.get(life) ?? Number.NEGATIVE_INFINITY) >= this.times.refusal;
 	}
 
 	private order(placements: readonly Placement[], model: EngineModel, now: number, reason: string): void {
@@ -168,6 +177,7 @@
 		});
 		if (outcome === OrderOutcome.Refused) {
 			this.pending.delete(lifeOf(server));
+			this.refusedAt.set(lifeOf(server), this.parts.timers.now());
 			return;
 		}
 
@@ -215,7 +225,7 @@
 			}
 
 			const isOtherLife = report.startedAt !== undefined && report.startedAt !== server.startedAt;
-			if (isOtherLife || report.isBusy || !lease.isHeld(timers.now())) {
+			if (isOtherLife || report.isBusy || !lease.mayAct(timers.now())) {
 				return OrderOutcome.Refused;
 			}
 
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -201,7 +201,8 @@
 	private tryStart(): boolean {
 		const {parts, request} = this;
 		const now = parts.timers.now();
-		const tokens = request.promptTokens + request.answerTokens;
+		// The caller's bound on the answer is far above what most answers need.
+		const tokens = request.promptTokens + Math.min(request.answerTokens, this.model.usualAnswer);
 		const pipeline = this.streams.chooser.choose({
 			service: request.service.name, model: this.model, tokens, excluded: this.excluded, firstAmong: this.firstAmong(now),
 		}, now);
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -82,7 +82,7 @@
 };
 const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
 const paceExpiryMs = 3000;
-const newsTimes = {period: 300, fanout: 12};
+const newsTimes = {period: 300, fanout: 12, staleness: 2500};
 const newsExpiryMs = 1500;
 const newsLimitMs = 400;
 const accusationWindowMs = 2000;
@@ -173,7 +173,6 @@
 		takeCatalog(text, from) {
 			catalog.take(ports.catalogs.decode(text), from);
 		},
-		catalogText: () => catalog.current?.catalog.text,
 		onSuspicion(server, reason) {
 			monitor.moveOff(server, reason);
 		},
@@ -184,7 +183,7 @@
 			directory.learnRange(lifeOf(server), range);
 			news.reportRange(server, range);
 		},
-	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order, check: placementSettings.check}, placementSettings.room);
+	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order, check: placementSettings.check, refusal: placementSettings.refusal}, placementSettings.room);
 
 	const listFollower = new ServerListFollower({
 		list: ports.servers, directory, timers, metrics, log, onReading() {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -18,6 +18,10 @@
 		/** Where metrics are read. */
 		metrics: address,
 	}),
+	/** Peer addresses of instances that may know what a new one cannot read. */
+	seeds: z.object({
+		peers: z.string().default('').transform(text => text.split(',').map(part => part.trim()).filter(part => part !== '')),
+	}).prefault({}),
 	store: z.object({
 		address,
 		timeout: duration('700 ms'),
@@ -46,6 +50,7 @@
 		settle: duration('1600 ms'),
 		spare: duration('2 s'),
 		order: duration('4 s'),
+		refusal: duration('1500 ms'),
 		check: duration('400 ms'),
 		order_answer: duration('800 ms'),
 		lease: duration('2500 ms'),
--- a/src/store/row.ts
+++ b/src/store/row.ts
@@ -5,4 +5,6 @@
 	readonly version: number;
 	/** JSON text. */
 	readonly value: string;
+	/** The table's own steady clock at the reading, in milliseconds; undefined where it has none. */
+	readonly tableNow?: number;
 };
