--- a/src/peers/news-links.ts
+++ b/src/peers/news-links.ts
@@ -2,6 +2,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {type TimerService} from '../time/timer-service.js';
+import {HttpFetch} from './http-fetch.js';
 import {instanceSnapshotSchema, type InstanceSnapshot} from './instance-snapshot.js';
 import {type InstanceNews} from './instance-news.js';
 import {createNewsProcedures, type NewsProcedures, type NewsReceiver} from './news-procedures.js';
@@ -9,6 +10,7 @@
 /** Calls between pipeline routers over trpc and HTTP. */
 export class NewsLinks {
 	private readonly clients = new Map<string, TRPCClient<NewsProcedures>>();
+	private readonly http = new HttpFetch();
 	private server?: Server;
 
 	/**
@@ -54,7 +56,7 @@
 	}
 
 	private async call<Value>(address: string, work: (client: TRPCClient<NewsProcedures>, signal: AbortSignal) => Promise<Value>): Promise<Value> {
-		const client = this.clients.get(address) ?? createTRPCClient<NewsProcedures>({links: [httpLink({url: `http://${address}`})]});
+		const client = this.clients.get(address) ?? createTRPCClient<NewsProcedures>({links: [httpLink({url: `http://${address}`, fetch: async (url, options) => this.http.fetch(String(url), options ?? {})})]});
 		this.clients.set(address, client);
 		const cancellation = new AbortController();
 		const timeout = this.timers.after(this.limit, () => {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -82,8 +82,8 @@
 };
 const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
 const paceExpiryMs = 3000;
-const newsTimes = {period: 300, fanout: 12, staleness: 2500};
-const newsExpiryMs = 1500;
+const newsTimes = {period: 500, fanout: 12, staleness: 2500};
+const newsExpiryMs = 2000;
 const newsLimitMs = 400;
 const accusationWindowMs = 2000;
 const accusersNeeded = 2;
