--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -1,4 +1,7 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {type CallerLimits} from '../catalog/caller-limits.js';
 import {type Lifecycle} from '../lifecycle.js';
 import {type DecisionLog} from '../observation/decision-log.js';
@@ -116,7 +119,9 @@
 	}
 
 	private refuse(reply: HttpCallerReply, id: string, failure: Failure, message: IncomingMessage): void {
-		this.parts.log.warn('request.refused', {request: id, code: failure.code, execution: failure.execution, reason: failure.message});
+		this.parts.log.warn('request.refused', {
+			request: id, code: failure.code, execution: failure.execution, reason: failure.message,
+		});
 		this.parts.metrics.count('siskinnotch_refusals', 1, {code: String(failure.code)});
 		if (!reply.isGone && !reply.isStarted) {
 			reply.fail(failure);
--- a/src/observation/bounded-writer.ts
+++ b/src/observation/bounded-writer.ts
@@ -11,7 +11,7 @@
 	private pendingLength = 0;
 	private droppedLines = 0;
 	private isWriting = false;
-	private idleListeners: Array<() => void> = [];
+	private readonly idleListeners: Array<() => void> = [];
 
 	/**
 	@param descriptor - file descriptor to write to
--- a/src/peers/http-fetch.ts
+++ b/src/peers/http-fetch.ts
@@ -1,10 +1,11 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request as startRequest} from 'node:http';
 
 type FetchOptions = {
 	readonly method?: string;
-	readonly headers?: unknown;
-	readonly body?: unknown;
-	readonly signal?: AbortSignal | null;
+	readonly headers?: ConstructorParameters<typeof Headers>[0];
+	readonly body?: string;
+	readonly signal?: AbortSignal;
 };
 
 type FetchAnswer = {
@@ -24,7 +25,7 @@
 	async fetch(url: string, {method, headers, body, signal}: FetchOptions): Promise<FetchAnswer> {
 		return new Promise((resolve, reject) => {
 			const request = startRequest(url, {
-				agent: this.agent, method, headers: headers as Record<string, string>, signal: signal ?? undefined,
+				agent: this.agent, method, headers: Object.fromEntries(new Headers(headers)), signal: signal ?? undefined,
 			}, response => {
 				const chunks: Uint8Array[] = [];
 				response.on('data', (chunk: Uint8Array) => {
@@ -43,7 +44,7 @@
 				});
 			});
 			request.on('error', reject);
-			request.end(body as string | undefined);
+			request.end(body);
 		});
 	}
 }
--- a/src/peers/news-desk.ts
+++ b/src/peers/news-desk.ts
@@ -157,7 +157,13 @@
 		const {self, load, catalog, lease, timers} = this.parts;
 		const listAge = this.listAge(timers.now());
 		const news = {
-			from: self.id, loads: Object.fromEntries(load.tokensByLife()), suspicions: this.suspicions, ranges: this.ranges, listAge: Number.isFinite(listAge) ? Math.round(listAge) : -1, isPlacing: lease.mayAct(timers.now()), version: catalog.version,
+			from: self.id,
+			loads: Object.fromEntries(load.tokensByLife()),
+			suspicions: this.suspicions,
+			ranges: this.ranges,
+			listAge: Number.isFinite(listAge) ? Math.round(listAge) : -1,
+			isPlacing: lease.mayAct(timers.now()),
+			version: catalog.version,
 		};
 		this.suspicions = [];
 		this.ranges = [];
--- a/src/peers/news-links.ts
+++ b/src/peers/news-links.ts
@@ -56,7 +56,13 @@
 	}
 
 	private async call<Value>(address: string, work: (client: TRPCClient<NewsProcedures>, signal: AbortSignal) => Promise<Value>): Promise<Value> {
-		const client = this.clients.get(address) ?? createTRPCClient<NewsProcedures>({links: [httpLink({url: `http://${address}`, fetch: async (url, options) => this.http.fetch(String(url), options ?? {})})]});
+		const client = this.clients.get(address) ?? createTRPCClient<NewsProcedures>({
+			links: [httpLink({
+				url: `http://${address}`, fetch: async (url, options) => this.http.fetch(String(url), {
+					method: options?.method, headers: options?.headers, body: typeof options?.body === 'string' ? options.body : undefined, signal: options?.signal ?? undefined,
+				}),
+			})],
+		});
 		this.clients.set(address, client);
 		const cancellation = new AbortController();
 		const timeout = this.timers.after(this.limit, () => {
--- a/src/pipelines/pipeline-finder.ts
+++ b/src/pipelines/pipeline-finder.ts
@@ -27,6 +27,12 @@
 	readonly range: LayerRange;
 };
 
+type Layout = {
+	readonly holders: readonly Holder[];
+	/** The places at which a pipeline may pass from one server to the next, in ascending order. */
+	readonly boundaries: readonly number[];
+};
+
 /** The cheapest ways to each place between layers, by the availability zone of the last server. */
 type Frontier = Map<number, Map<string, Step>>;
 
@@ -75,7 +81,7 @@
 }
 
 /** Takes each way to a place on through each server that holds the next layer. */
-function extend(frontier: Frontier, from: number, holders: readonly Holder[], boundaries: readonly number[], costs: PipelineCosts): void {
+function extend(frontier: Frontier, from: number, {holders, boundaries}: Layout, costs: PipelineCosts): void {
 	for (const step of frontier.get(from)?.values() ?? []) {
 		const previousZone = step.stage?.server.availabilityZone;
 		for (const {server, range} of holders) {
@@ -109,7 +115,7 @@
 	const boundaries = boundariesOf(holders, layers);
 	const frontier: Frontier = new Map([[0, new Map([['', {cost: 0}]])]]);
 	for (const from of boundaries) {
-		extend(frontier, from, holders, boundaries, costs);
+		extend(frontier, from, {holders, boundaries}, costs);
 	}
 
 	let best: Step | undefined;
--- a/src/pipelines/server-beliefs.ts
+++ b/src/pipelines/server-beliefs.ts
@@ -1,4 +1,5 @@
 import {type DecisionLog} from '../observation/decision-log.js';
+import {type Pipeline} from './pipeline.js';
 import {lifeOf, type BackendServer} from './backend-server.js';
 
 /** What this instance thinks of a backend server from its own evidence and that of its peers. */
@@ -76,6 +77,13 @@
 		this.beliefs.delete(lifeOf(server));
 	}
 
+	/** A pipeline did work: each of its stages works. */
+	clearAll(pipeline: Pipeline, now: number): void {
+		for (const {server} of pipeline) {
+			this.clear(server, now);
+		}
+	}
+
 	/** Whether there is reason to think that the server is down. */
 	isSuspected(server: BackendServer, now: number): boolean {
 		return (this.beliefs.get(lifeOf(server))?.suspectUntil ?? 0) > now;
@@ -108,6 +116,13 @@
 		}
 	}
 
+	/** A request is sent along a pipeline. */
+	countStarts(pipeline: Pipeline, now: number): void {
+		for (const {server} of pipeline) {
+			this.countStart(server, now);
+		}
+	}
+
 	/** Forgets lives that are not on the list any more. */
 	retain(servers: Iterable<BackendServer>): void {
 		const lives = new Set([...servers].map(server => lifeOf(server)));
--- a/src/placement/chain-plan.ts
+++ b/src/placement/chain-plan.ts
@@ -1,5 +1,7 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {mostLayers, tokenMegabytes, tokensOfUsualRequest, type Card, type EngineModel} from '../pipelines/engine-model.js';
+import {
+	mostLayers, tokenMegabytes, tokensOfUsualRequest, type Card, type EngineModel,
+} from '../pipelines/engine-model.js';
 import {lengthOf, type LayerRange} from '../pipelines/layer-range.js';
 
 /** A server and the layers that it shall hold. */
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -173,7 +173,14 @@
 		const outcome = await this.orderAsReported(placement);
 		metrics.count('siskinnotch_orders', 1, {outcome});
 		log.write('placement.ordered', {
-			server: server.id, card: server.card, zone: server.availabilityZone, from: range.from, to: range.to, held: server.range ? `${server.range.from}-${server.range.to}` : undefined, reason, outcome,
+			server: server.id,
+			card: server.card,
+			zone: server.availabilityZone,
+			from: range.from,
+			to: range.to,
+			held: server.range ? `${server.range.from}-${server.range.to}` : undefined,
+			reason,
+			outcome,
 		});
 		if (outcome === OrderOutcome.Refused) {
 			this.pending.delete(lifeOf(server));
@@ -195,7 +202,7 @@
 			return;
 		}
 
-		while (order && timers.now() < order.until) {
+		for (const until = order?.until ?? 0; timers.now() < until;) {
 			await timers.sleep(this.times.check); // eslint-disable-line no-await-in-loop
 			try {
 				const report = await reporter.ask(server); // eslint-disable-line no-await-in-loop
--- a/src/placement/repair-plan.ts
+++ b/src/placement/repair-plan.ts
@@ -2,7 +2,9 @@
 import {mostLayers, tokensOfUsualRequest, type EngineModel} from '../pipelines/engine-model.js';
 import {lengthOf, type LayerRange} from '../pipelines/layer-range.js';
 import {layersWithRoom, type Placement} from './chain-plan.js';
-import {gapsBelow, roomByLayer, roomOn, widen, type Holding} from './layer-room.js';
+import {
+	gapsBelow, roomByLayer, roomOn, widen, type Holding,
+} from './layer-room.js';
 
 /** Layers with less than this part of the wanted room are weak; servers that hold nothing strengthen them. */
 const weakShare = 0.9;
@@ -19,6 +21,12 @@
 	readonly mayStrengthen: boolean;
 };
 
+type NeighbourSplit = {
+	readonly moves: readonly Placement[];
+	/** Tokens for which the more cramped of both keeps room. */
+	readonly room: number;
+};
+
 class RepairPlanner {
 	private readonly moves: Placement[] = [];
 	private holdings: readonly Holding[];
@@ -85,30 +93,38 @@
 	private fillByNeighbours(gap: LayerRange): boolean {
 		const before = this.roomiest(({range}) => range?.to === gap.from);
 		const after = this.roomiest(({range}) => range?.from === gap.to);
-		let best: {readonly split: number; readonly room: number} | undefined;
+		let best: NeighbourSplit | undefined;
 		for (let split = gap.from; split <= gap.to; split++) {
-			const room = Math.min(
-				split > gap.from ? this.roomWith(before, {from: before?.range?.from ?? gap.from, to: split}) : Number.POSITIVE_INFINITY,
-				split < gap.to ? this.roomWith(after, {from: split, to: after?.range?.to ?? gap.to}) : Number.POSITIVE_INFINITY,
-			);
-			if (room >= this.least && room > (best?.room ?? 0)) {
-				best = {split, room};
+			const candidate = this.splitAt(split, gap, before, after);
+			if (candidate.room >= this.least && candidate.room > (best?.room ?? 0)) {
+				best = candidate;
 			}
 		}
 
-		if (!best) {
-			return false;
+		for (const {server, range} of best?.moves ?? []) {
+			this.move(server, range);
 		}
 
-		if (before?.range && best.split > gap.from) {
-			this.move(before.server, {from: before.range.from, to: best.split});
+		return best !== undefined;
+	}
+
+	/** What becomes of both neighbours when the gap is split between them at a layer. */
+	private splitAt(split: number, gap: LayerRange, before: Holding | undefined, after: Holding | undefined): NeighbourSplit {
+		const moves: Placement[] = [];
+		let room = Number.POSITIVE_INFINITY;
+		if (split > gap.from) {
+			const range = {from: before?.range?.from ?? gap.from, to: split};
+			room = Math.min(room, this.roomWith(before, range));
+			moves.push(...(before ? [{server: before.server, range}] : []));
 		}
 
-		if (after?.range && best.split < gap.to) {
-			this.move(after.server, {from: best.split, to: after.range.to});
+		if (split < gap.to) {
+			const range = {from: split, to: after?.range?.to ?? gap.to};
+			room = Math.min(room, this.roomWith(after, range));
+			moves.push(...(after ? [{server: after.server, range}] : []));
 		}
 
-		return true;
+		return {moves, room};
 	}
 
 	private roomWith(holding: Holding | undefined, range: LayerRange): number {
--- a/src/relay/backend-agent.ts
+++ b/src/relay/backend-agent.ts
@@ -1,7 +1,12 @@
 import {Agent} from 'node:http';
 import {type Socket} from 'node:net';
+import {type Subscription} from '../time/subscription.js';
+import {type TimerService} from '../time/timer-service.js';
 
-type KeptSocket = Socket & {dropUnexpected?: (chunk: unknown) => void};
+type KeptSocket = Socket & {
+	dropUnexpected?: () => void;
+	idleTimer?: Subscription;
+};
 
 /**
 Keeps connections to backend servers for further requests. A connection on which anything arrives while no request waits is dropped, so that leftover bytes never become the answer to a later request.
@@ -10,24 +15,24 @@
 	/**
 	@param idleLimit - milliseconds that a connection is kept idle
 	*/
-	constructor(private readonly idleLimit: number) {
+	constructor(private readonly timers: TimerService, private readonly idleLimit: number) {
 		super({keepAlive: true, scheduling: 'lifo', noDelay: true});
 	}
 
-	// eslint-disable-next-line @typescript-eslint/naming-convention
+	// The declared type has no result, but the agent keeps a socket only where this returns true.
+	// eslint-disable-next-line @typescript-eslint/strict-void-return
 	override keepSocketAlive(socket: KeptSocket): boolean {
-		if (socket.readableLength > 0 || !(super.keepSocketAlive(socket) as unknown as boolean)) {
+		const keep: (kept: KeptSocket) => unknown = super.keepSocketAlive.bind(this);
+		if (socket.readableLength > 0 || keep(socket) !== true) {
 			return false;
 		}
 
-		if (socket.timeout === undefined || socket.timeout === 0 || socket.timeout > this.idleLimit) {
-			socket.setTimeout(this.idleLimit);
-		}
-
 		socket.dropUnexpected = () => {
 			socket.destroy();
 		};
+
 		socket.on('data', socket.dropUnexpected);
+		socket.idleTimer = this.timers.after(this.idleLimit, socket.dropUnexpected);
 		return true;
 	}
 
@@ -37,7 +42,7 @@
 			socket.dropUnexpected = undefined;
 		}
 
-		socket.setTimeout(0);
+		socket.idleTimer?.cancel();
 		super.reuseSocket(socket, request);
 	}
 }
--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 /** One event of a stream. */
 export type StreamedEvent = {
 	/** Undefined for an event without a number. */
--- a/src/relay/exchange-desk.ts
+++ b/src/relay/exchange-desk.ts
@@ -1,10 +1,10 @@
-import {type PlainChooser} from '../pipelines/plain-chooser.js';
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeParts} from './exchange-parts.js';
 import {type Exchange} from './exchange.js';
-import {PlainExchange, type PlainLimits} from './plain-exchange.js';
+import {PlainExchange, type PlainParts} from './plain-exchange.js';
 import {type RelayRequest} from './relay-request.js';
-import {StreamExchange, type StreamParts} from './stream-exchange.js';
+import {StreamExchange} from './stream-exchange.js';
+import {type StreamParts} from './stream-parts.js';
 
 /** Begins exchanges and knows those under way. */
 export class ExchangeDesk {
@@ -13,7 +13,7 @@
 
 	constructor(
 		private readonly parts: ExchangeParts,
-		private readonly plainParts: {readonly chooser: PlainChooser; readonly limits: PlainLimits},
+		private readonly plainParts: PlainParts,
 		private readonly streamParts: StreamParts,
 	) {}
 
@@ -32,7 +32,7 @@
 		this.parts.budgets.of(request.service.name).countRequest(this.parts.timers.now());
 		const {engine} = request.service;
 		if (engine) {
-			const exchange = new StreamExchange(this.parts, request, reply, engine, this.streamParts);
+			const exchange = new StreamExchange(this.parts, request, reply, {...this.streamParts, model: engine});
 			this.running.add(exchange);
 			exchange.start(() => {
 				this.running.delete(exchange);
@@ -40,7 +40,7 @@
 			return;
 		}
 
-		const exchange = new PlainExchange(this.parts, request, reply, this.plainParts.chooser, this.plainParts.limits);
+		const exchange = new PlainExchange(this.parts, request, reply, this.plainParts);
 		this.plain.add(exchange);
 		exchange.start(() => {
 			this.plain.delete(exchange);
--- /dev/null
+++ b/src/relay/exchange-listener.ts
@@ -0,0 +1,27 @@
+import {type AttemptFailure} from './attempt-failure.js';
+import {type Exchange} from './exchange.js';
+import {ReplyListener} from './reply-listener.js';
+import {type Reply} from './reply.js';
+
+/** Passes what comes of an attempt to its exchange. */
+export class ExchangeListener extends ReplyListener {
+	constructor(private readonly exchange: Exchange) {
+		super();
+	}
+
+	head(reply: Reply): void {
+		this.exchange.receiveHead(reply);
+	}
+
+	data(chunk: Uint8Array): void {
+		this.exchange.receiveData(chunk);
+	}
+
+	ended(): void {
+		this.exchange.receiveEnd();
+	}
+
+	failed(failure: AttemptFailure): void {
+		this.exchange.receiveFailure(failure);
+	}
+}
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,9 +1,11 @@
 import {type Failure} from '../results/failure.js';
 import {type Subscription} from '../time/subscription.js';
+import {type AttemptFailure} from './attempt-failure.js';
 import {type RunningAttempt} from './backend-client.js';
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeParts} from './exchange-parts.js';
 import {type RelayRequest} from './relay-request.js';
+import {type Reply} from './reply.js';
 
 /** A request from its acceptance to its final answer. */
 export abstract class Exchange {
@@ -11,7 +13,7 @@
 	protected attempts = 0;
 	private isOver = false;
 	private deadlineTimer?: Subscription;
-	private endListener: () => void = () => undefined;
+	private endListener?: () => void;
 
 	constructor(protected readonly parts: ExchangeParts, readonly request: RelayRequest, protected readonly reply: CallerReply) {}
 
@@ -52,6 +54,18 @@
 		this.finish('cut');
 	}
 
+	/** The head of an answer came. */
+	abstract receiveHead(reply: Reply): void;
+
+	/** A part of the answer came. */
+	abstract receiveData(chunk: Uint8Array): void;
+
+	/** The answer is whole. */
+	abstract receiveEnd(): void;
+
+	/** No whole answer comes. */
+	abstract receiveFailure(failure: AttemptFailure): void;
+
 	/** Milliseconds until the final answer is due. */
 	protected get remaining(): number {
 		return this.request.deadline - this.parts.timers.now();
@@ -70,7 +84,14 @@
 		}
 
 		this.parts.log.warn('request.failed', {
-			request: this.request.id, route: this.request.route.name, code: failure.code, execution: failure.execution, reason: failure.message, attempts: this.attempts, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt), retryAfterS: failure.retryAfterSeconds,
+			request: this.request.id,
+			route: this.request.route.name,
+			code: failure.code,
+			execution: failure.execution,
+			reason: failure.message,
+			attempts: this.attempts,
+			afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt),
+			retryAfterS: failure.retryAfterSeconds,
 		});
 		this.running?.cancel();
 		if (this.reply.isStarted) {
@@ -82,6 +103,21 @@
 		this.finish(`code_${failure.code}`);
 	}
 
+	/** Takes a retry from the budget of the service; false where it is spent. */
+	protected takeRetry(): boolean {
+		const {budgets, timers} = this.parts;
+		return budgets.of(this.request.service.name).take(timers.now());
+	}
+
+	/** Sends the request, or waits for a place. */
+	protected abstract dispatch(): void;
+
+	/** The failure to answer with when the time is over. */
+	protected abstract expiry(): Failure;
+
+	/** Gives back what the exchange holds. */
+	protected abstract release(): void;
+
 	/** The time is over: the final answer is due now. */
 	private expire(): void {
 		if (!this.isOver) {
@@ -109,15 +145,6 @@
 		const {metrics, timers} = this.parts;
 		metrics.count('siskinnotch_requests', 1, {kind: this.request.route.kind, outcome});
 		metrics.record(`siskinnotch_request_ms_${this.request.route.kind}`, timers.now() - this.request.arrivedAt);
-		this.endListener();
+		this.endListener?.();
 	}
-
-	/** Sends the request, or waits for a place. */
-	protected abstract dispatch(): void;
-
-	/** The failure to answer with when the time is over. */
-	protected abstract expiry(): Failure;
-
-	/** Gives back what the exchange holds. */
-	protected abstract release(): void;
 }
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -7,9 +7,9 @@
 import {type Subscription} from '../time/subscription.js';
 import {AttemptFailureReason, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
+import {ExchangeListener} from './exchange-listener.js';
 import {type ExchangeParts} from './exchange-parts.js';
 import {Exchange} from './exchange.js';
-import {ReplyListener} from './reply-listener.js';
 import {type RelayRequest} from './relay-request.js';
 import {type Reply} from './reply.js';
 
@@ -21,6 +21,12 @@
 	readonly patience: number;
 };
 
+/** The parts of plain exchanges beside those of all exchanges. */
+export type PlainParts = {
+	readonly chooser: PlainChooser;
+	readonly limits: PlainLimits;
+};
+
 const firstServerError = 500;
 const firstFailure = 300;
 const lastFailure = 599;
@@ -38,47 +44,10 @@
 	private heldLength = 0;
 	private head?: Reply;
 
-	constructor(parts: ExchangeParts, request: RelayRequest, reply: CallerReply, private readonly chooser: PlainChooser, private readonly limits: PlainLimits) {
+	constructor(parts: ExchangeParts, request: RelayRequest, reply: CallerReply, private readonly plain: PlainParts) {
 		super(parts, request, reply);
 	}
 
-	protected dispatch(): void {
-		const {parts, request} = this;
-		const now = parts.timers.now();
-		const server = this.chooser.choose(request.service.name, this.tried, now) ?? this.chooser.choose(request.service.name, new Set(), now);
-		if (!server) {
-			this.refuse(new Failure(ResultCode.NoPipeline, `no server of service ${request.service.name} is listed`, this.execution, retryDelaySeconds));
-			return;
-		}
-
-		this.server = server;
-		this.tried.add(lifeOf(server));
-		this.attempts++;
-		this.runs++;
-		this.endLoad = parts.load.start([{server, range: {from: 0, to: 0}}], 0);
-		parts.beliefs.countStart(server, now);
-		parts.log.write('request.sent', {
-			request: request.id, server: server.id, attempt: this.attempts, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - parts.directory.lastRead),
-		});
-		this.running = parts.client.send({
-			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
-		}, new PlainListener(this));
-		this.watchPatience(server);
-	}
-
-	protected expiry(): Failure {
-		return this.attempts === 0
-			? new Failure(ResultCode.DeadlineUnreachable, 'the time ran out before the request was sent', Execution.NotRun, retryDelaySeconds)
-			: new Failure(ResultCode.DeadlinePassed, `no answer within ${Math.round(this.request.deadline - this.request.arrivedAt)} ms`, Execution.Unknown);
-	}
-
-	protected release(): void {
-		this.patienceTimer?.cancel();
-		this.endLoad?.();
-		this.endLoad = undefined;
-	}
-
-	/** The head of an answer came. */
 	receiveHead(reply: Reply): void {
 		const {parts, server} = this;
 		const now = parts.timers.now();
@@ -89,7 +58,6 @@
 		this.head = reply;
 	}
 
-	/** A part of the answer came. */
 	receiveData(chunk: Uint8Array): void {
 		if (this.reply.isStarted) {
 			this.pass(chunk);
@@ -98,12 +66,11 @@
 
 		this.held.push(chunk);
 		this.heldLength += chunk.length;
-		if (this.heldLength > this.limits.heldBytes && this.head && !this.head.isNotRun) {
+		if (this.heldLength > this.plain.limits.heldBytes && this.head && !this.head.isNotRun) {
 			this.deliverHeld(this.head);
 		}
 	}
 
-	/** The answer is whole. */
 	receiveEnd(): void {
 		const reply = this.head!;
 		this.endAttempt();
@@ -115,7 +82,7 @@
 		}
 
 		if (reply.status >= firstServerError) {
-			this.chooser.countFailure(this.server!, this.parts.timers.now());
+			this.plain.chooser.countFailure(this.server!, this.parts.timers.now());
 			this.tryNext(`the server answered ${reply.status}`, reply);
 			return;
 		}
@@ -134,11 +101,10 @@
 		this.deliver(reply);
 	}
 
-	/** No whole answer comes. */
 	receiveFailure({reason, detail, wasReused}: AttemptFailure): void {
 		const now = this.parts.timers.now();
 		this.endAttempt();
-		this.chooser.countFailure(this.server!, now);
+		this.plain.chooser.countFailure(this.server!, now);
 		if (reason === AttemptFailureReason.NotConnected) {
 			this.runs--;
 			this.parts.beliefs.suspect(this.server!, detail, now);
@@ -152,6 +118,42 @@
 		this.tryNext(`${detail}${wasReused ? ' (kept connection)' : ''}`, undefined);
 	}
 
+	protected dispatch(): void {
+		const {parts, request} = this;
+		const now = parts.timers.now();
+		const server = this.plain.chooser.choose(request.service.name, this.tried, now) ?? this.plain.chooser.choose(request.service.name, new Set(), now);
+		if (!server) {
+			this.refuse(new Failure(ResultCode.NoPipeline, `no server of service ${request.service.name} is listed`, this.execution, retryDelaySeconds));
+			return;
+		}
+
+		this.server = server;
+		this.tried.add(lifeOf(server));
+		this.attempts++;
+		this.runs++;
+		this.endLoad = parts.load.start([{server, range: {from: 0, to: 0}}], 0);
+		parts.beliefs.countStart(server, now);
+		parts.log.write('request.sent', {
+			request: request.id, server: server.id, attempt: this.attempts, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - parts.directory.lastRead),
+		});
+		this.running = parts.client.send({
+			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
+		}, new ExchangeListener(this));
+		this.watchPatience(server);
+	}
+
+	protected expiry(): Failure {
+		return this.attempts === 0
+			? new Failure(ResultCode.DeadlineUnreachable, 'the time ran out before the request was sent', Execution.NotRun, retryDelaySeconds)
+			: new Failure(ResultCode.DeadlinePassed, `no answer within ${Math.round(this.request.deadline - this.request.arrivedAt)} ms`, Execution.Unknown);
+	}
+
+	protected release(): void {
+		this.patienceTimer?.cancel();
+		this.endLoad?.();
+		this.endLoad = undefined;
+	}
+
 	/** Whether the request may have run. */
 	private get execution(): Execution {
 		return this.runs > 0 ? Execution.Unknown : Execution.NotRun;
@@ -183,7 +185,7 @@
 
 	/** Tries another server where that is allowed, or gives the final answer. */
 	private tryNext(reason: string, reply: Reply | undefined): void {
-		const isAllowed = this.takeRetry();
+		const isAllowed = this.takeNextRun();
 		this.logFailedAttempt(reason, isAllowed);
 		if (isAllowed) {
 			this.dispatchAgain();
@@ -204,11 +206,11 @@
 	}
 
 	/** Whether the request may be sent once more; takes a retry from the budget where it may. */
-	private takeRetry(): boolean {
-		const {request, parts} = this;
+	private takeNextRun(): boolean {
+		const {request} = this;
 		const mayRun = !this.reply.isStarted && (this.runs === 0 || (isRepeatable(request.route) && this.runs < request.route.maxRuns));
 		const isWorth = this.attempts < request.route.maxRuns + attemptsBeyondRuns && this.remaining > 0;
-		return mayRun && isWorth && parts.budgets.of(request.service.name).take(parts.timers.now());
+		return mayRun && isWorth && this.takeRetry();
 	}
 
 	private logFailedAttempt(reason: string, isRepeated: boolean): void {
@@ -226,7 +228,7 @@
 
 	/** Gives up a server that stays silent, while there is time for another one. */
 	private watchPatience(server: BackendServer): void {
-		const {request, parts, limits} = this;
+		const {request, parts, plain: {limits}} = this;
 		if (!isRepeatable(request.route) || this.runs >= request.route.maxRuns) {
 			return;
 		}
@@ -234,13 +236,13 @@
 		const patience = Math.min(this.remaining / 2, request.route.latencyTarget * limits.patience);
 		this.patienceTimer = parts.timers.after(patience, () => {
 			const others = parts.directory.usable(request.service.name).filter(other => !this.tried.has(lifeOf(other)));
-			if (this.isDone || this.head !== undefined || others.length === 0 || !this.takeRetry()) {
+			if (this.isDone || this.head !== undefined || others.length === 0 || !this.takeNextRun()) {
 				return;
 			}
 
 			this.running?.cancel();
 			this.endAttempt();
-			this.chooser.countFailure(server, parts.timers.now());
+			this.plain.chooser.countFailure(server, parts.timers.now());
 			this.logFailedAttempt(`no answer within ${Math.round(patience)} ms`, true);
 			this.dispatchAgain();
 		});
@@ -251,25 +253,3 @@
 		this.release();
 	}
 }
-
-class PlainListener extends ReplyListener {
-	constructor(private readonly exchange: PlainExchange) {
-		super();
-	}
-
-	head(reply: Reply): void {
-		this.exchange.receiveHead(reply);
-	}
-
-	data(chunk: Uint8Array): void {
-		this.exchange.receiveData(chunk);
-	}
-
-	ended(): void {
-		this.exchange.receiveEnd();
-	}
-
-	failed(failure: AttemptFailure): void {
-		this.exchange.receiveFailure(failure);
-	}
-}
--- /dev/null
+++ b/src/relay/run-record.ts
@@ -0,0 +1,45 @@
+import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+
+/** The backend servers on which a request ran or may have run, so that it runs on no more of them than its route allows. */
+export class RunRecord {
+	private readonly servers = new Map<string, BackendServer>();
+	private isLatestNew = true;
+
+	/**
+	@param most - backend servers that the route allows; those that ended do not count
+	@param isLiving - whether a server still runs
+	*/
+	constructor(private readonly most: number, private readonly isLiving: (server: BackendServer) => boolean) {}
+
+	/** Whether the request may have run anywhere. */
+	get hasRun(): boolean {
+		return this.servers.size > 0;
+	}
+
+	/** Whether the request may run on a server on which it has not run. */
+	get allowsFurther(): boolean {
+		return this.living().length < this.most;
+	}
+
+	/** Lives of the servers to choose from when no further one is allowed; undefined where any may be chosen. */
+	get allowed(): ReadonlySet<string> | undefined {
+		return this.allowsFurther ? undefined : new Set(this.living());
+	}
+
+	/** The request is sent to a server. */
+	start(server: BackendServer): void {
+		this.isLatestNew = !this.servers.has(lifeOf(server));
+		this.servers.set(lifeOf(server), server);
+	}
+
+	/** The request did not run on the server to which it was last sent. */
+	takeBack(server: BackendServer): void {
+		if (this.isLatestNew) {
+			this.servers.delete(lifeOf(server));
+		}
+	}
+
+	private living(): readonly string[] {
+		return [...this.servers].filter(([, server]) => this.isLiving(server)).map(([life]) => life);
+	}
+}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,42 +1,22 @@
 import {isRepeatable} from '../catalog/route.js';
 import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
-import {type PipelineChooser} from '../pipelines/pipeline-chooser.js';
-import {describePipeline, type Pipeline} from '../pipelines/pipeline.js';
+import {type Pipeline} from '../pipelines/pipeline.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type Subscription} from '../time/subscription.js';
 import {AttemptFailureReason, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
-import {EventSplitter} from './event-splitter.js';
+import {ExchangeListener} from './exchange-listener.js';
 import {type ExchangeParts} from './exchange-parts.js';
 import {Exchange} from './exchange.js';
-import {ReplyListener} from './reply-listener.js';
 import {type RelayRequest} from './relay-request.js';
 import {type Reply} from './reply.js';
-import {type WaitingRoom} from './waiting-room.js';
-
-/** The parts of stream exchanges beside those of all exchanges. */
-export type StreamParts = {
-	readonly chooser: PipelineChooser;
-	readonly waitingRoom: WaitingRoom;
-	readonly limits: StreamLimits;
-	/** Called when a server seems to be down, so that others hear of it. */
-	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
-};
-
-/** Limits of stream exchanges. */
-export type StreamLimits = {
-	/** Attempts that did not run, beyond the runs that the route allows. */
-	readonly rejections: number;
-	/** Milliseconds without an event after which a pipeline is given up. */
-	readonly silence: number;
-	/** Part of the latency target within which a request must be sent to be answered on time. */
-	readonly onTimeShare: number;
-	/** Milliseconds after which a refused caller may come back. */
-	readonly comeBack: number;
-};
+import {RunRecord} from './run-record.js';
+import {StreamLog} from './stream-log.js';
+import {type StreamParts} from './stream-parts.js';
+import {StreamProgress} from './stream-progress.js';
 
 const success = 200;
 const firstFailure = 300;
@@ -50,24 +30,19 @@
 	private endLoad?: () => void;
 	private waiting?: Subscription;
 	private readonly excluded = new Set<string>();
+	private readonly runs: RunRecord;
+	private readonly progress: StreamProgress;
+	private readonly log: StreamLog;
 	private rejections = 0;
-	/** Whether no earlier attempt ran on the first stage in use. */
-	private isFirstOnServer = true;
-	/** First stages on which it ran or runs, by life. */
-	private readonly ranOn = new Map<string, BackendServer>();
 	private head?: Reply;
-	private splitter = new EventSplitter();
-	private lastEventId?: number;
-	private progressAt = 0;
-	/** When the caller was last given an event; undefined before the first. */
-	private passedAt?: number;
-	private firstEventMs = 0;
-	private longestPauseMs = 0;
-	private eventsPassed = 0;
-
-	constructor(parts: ExchangeParts, request: RelayRequest, reply: CallerReply, private readonly model: EngineModel, private readonly streams: StreamParts) {
+	private failureBody: Uint8Array[] = [];
+
+	constructor(parts: ExchangeParts, request: RelayRequest, reply: CallerReply, private readonly streams: StreamParts & {readonly model: EngineModel}) {
 		super(parts, request, reply);
-		this.lastEventId = request.lastEventId;
+		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
+		this.log = new StreamLog(parts.log, request, this.progress);
+		this.runs = new RunRecord(request.route.maxRuns, server =>
+			parts.directory.isListed(server) && !parts.beliefs.isSuspected(server, parts.timers.now()));
 	}
 
 	/** The stages in use; undefined while it waits. */
@@ -77,7 +52,7 @@
 
 	/** Milliseconds since the last event or the start of the attempt. */
 	silenceAt(now: number): number {
-		return this.running ? now - this.progressAt : 0;
+		return this.running ? now - this.progress.lastHeard : 0;
 	}
 
 	/** Moves the stream to another pipeline, since a stage of its own does not work. */
@@ -95,116 +70,107 @@
 		this.runAgain(reason);
 	}
 
-	protected dispatch(): void {
-		if (this.tryStart()) {
-			return;
-		}
-
-		this.waiting = this.streams.waitingRoom.add({
-			priority: this.request.priority,
-			onTimeUntil: this.passedAt === undefined ? this.request.arrivedAt + (this.request.route.latencyTarget * this.streams.limits.onTimeShare) : Number.POSITIVE_INFINITY,
-			tryStart: () => this.tryStart(),
-			giveUp: () => {
-				this.refuse(this.noRoom('no pipeline had room in time'));
-			},
-		});
-		if (!this.waiting) {
-			this.refuse(this.noRoom('too many requests wait for a pipeline'));
-			return;
-		}
-
-		this.parts.log.write('request.waiting', {request: this.request.id, waiting: this.streams.waitingRoom.size, attempts: this.attempts});
-	}
-
-	protected expiry(): Failure {
-		return this.ranOn.size === 0
-			? this.noRoom('the time ran out before the request was sent')
-			: new Failure(ResultCode.DeadlinePassed, `the stream was not whole within ${Math.round(this.request.deadline - this.request.arrivedAt)} ms`, Execution.Unknown);
-	}
-
-	protected release(): void {
-		this.waiting?.cancel();
-		this.waiting = undefined;
-		this.endLoad?.();
-		this.endLoad = undefined;
-	}
-
-	/** The head of an answer came. */
 	receiveHead(reply: Reply): void {
 		this.head = reply;
 		if (reply.load) {
-			this.parts.load.observe(this.pipeline![0].server, reply.load, this.parts.timers.now());
+			this.parts.load.observe(this.first, reply.load, this.parts.timers.now());
 		}
 	}
 
-	/** A part of the answer came. */
 	receiveData(chunk: Uint8Array): void {
-		const {head} = this;
-		if (head?.status !== success || !head.isSigned) {
-			if (head && !head.isNotRun && !this.reply.isStarted && head.isSigned) {
-				this.held.push(chunk);
-			}
-
+		const {head, parts, progress} = this;
+		if (!head?.isSigned || head.isNotRun) {
 			return;
 		}
 
-		for (const event of this.splitter.push(chunk)) {
-			this.progressAt = this.parts.timers.now();
-			if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
-				continue;
-			}
+		if (head.status !== success) {
+			this.failureBody.push(chunk);
+			return;
+		}
 
+		const now = parts.timers.now();
+		for (const event of progress.take(chunk, now)) {
 			this.pass(event.bytes, head);
-			this.lastEventId = event.id ?? this.lastEventId;
+			progress.pass(event, now);
 		}
 	}
 
-	/** The answer is whole. */
 	receiveEnd(): void {
 		const head = this.head!;
 		const pipeline = this.pipeline!;
 		this.endAttempt();
 		if (head.isNotRun) {
 			this.receiveRejection(head, pipeline);
-			return;
-		}
-
-		if (head.status === success && head.isSigned) {
-			if (this.splitter.hasRest || !this.reply.isStarted || !head.isFramed) {
-				this.runAgain('the stream ended and may not be whole');
-				return;
-			}
-
+		} else if (head.status !== success || !head.isSigned) {
+			this.receiveOtherStatus(head);
+		} else if (this.progress.hasRest || !this.reply.isStarted || !head.isFramed) {
+			this.runAgain('the stream ended and may not be whole');
+		} else {
 			this.finishStream(head, pipeline);
-			return;
 		}
-
-		this.receiveOtherStatus(head, pipeline);
 	}
 
-	/** No whole answer comes. */
 	receiveFailure({reason, detail}: AttemptFailure): void {
-		const [{server}] = this.pipeline!;
+		const {first} = this;
 		this.endAttempt();
 		if (reason === AttemptFailureReason.NotConnected) {
-			this.noteNotRun(server);
-			this.suspect(server, false, detail);
-			this.reject(detail, server);
+			this.runs.takeBack(first);
+			this.suspect(first, false, detail);
+			this.reject(detail, first);
 			return;
 		}
 
 		this.runAgain(detail);
 	}
 
-	private held: Uint8Array[] = [];
+	protected dispatch(): void {
+		if (this.tryStart()) {
+			return;
+		}
+
+		const {request, streams, progress} = this;
+		const {latencyTarget} = request.route;
+		this.waiting = streams.waitingRoom.add({
+			priority: request.priority,
+			onTimeUntil: progress.hasBegun ? Number.POSITIVE_INFINITY : request.arrivedAt + (latencyTarget * streams.limits.onTimeShare),
+			tryStart: () => this.tryStart(),
+			giveUp: () => {
+				this.refuse(this.noRoom('no pipeline had room in time'));
+			},
+		});
+		if (!this.waiting) {
+			this.refuse(this.noRoom('too many requests wait for a pipeline'));
+			return;
+		}
+
+		this.parts.log.write('request.waiting', {request: request.id, waiting: streams.waitingRoom.size, attempts: this.attempts});
+	}
+
+	protected expiry(): Failure {
+		const limit = Math.round(this.request.deadline - this.request.arrivedAt);
+		return this.runs.hasRun
+			? new Failure(ResultCode.DeadlinePassed, `the stream was not whole within ${limit} ms`, Execution.Unknown)
+			: this.noRoom('the time ran out before the request was sent');
+	}
+
+	protected release(): void {
+		this.waiting?.cancel();
+		this.waiting = undefined;
+		this.endLoad?.();
+		this.endLoad = undefined;
+	}
+
+	private get first(): BackendServer {
+		return this.pipeline![0].server;
+	}
 
 	private tryStart(): boolean {
-		const {parts, request} = this;
+		const {parts, request, streams} = this;
 		const now = parts.timers.now();
 		// The caller's bound on the answer is far above what most answers need.
-		const tokens = request.promptTokens + Math.min(request.answerTokens, this.model.usualAnswer);
-		const pipeline = this.streams.chooser.choose({
-			service: request.service.name, model: this.model, tokens, excluded: this.excluded, firstAmong: this.firstAmong(now),
+		const tokens = request.promptTokens + Math.min(request.answerTokens, streams.model.usualAnswer);
+		const pipeline = streams.chooser.choose({
+			service: request.service.name, model: streams.model, tokens, excluded: this.excluded, firstAmong: this.runs.allowed,
 		}, now);
 		if (!pipeline) {
 			return false;
@@ -215,119 +181,83 @@
 	}
 
 	private send(pipeline: Pipeline, tokens: number, now: number): void {
-		const {parts, request} = this;
+		const {parts, request, progress} = this;
+		const [{server}] = pipeline;
 		this.pipeline = pipeline;
 		this.waiting = undefined;
 		this.attempts++;
-		this.isFirstOnServer = !this.ranOn.has(lifeOf(pipeline[0].server));
-		this.ranOn.set(lifeOf(pipeline[0].server), pipeline[0].server);
+		this.runs.start(server);
 		this.head = undefined;
-		this.held = [];
-		this.splitter = new EventSplitter();
-		this.progressAt = now;
+		this.failureBody = [];
+		progress.beginAttempt(now);
 		this.endLoad = parts.load.start(pipeline, tokens);
-		for (const {server} of pipeline) {
-			parts.beliefs.countStart(server, now);
-		}
-
-		parts.log.write('request.sent', {
-			request: request.id, pipeline: describePipeline(pipeline), tokens, attempt: this.attempts, afterEvent: this.lastEventId, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - parts.directory.lastRead),
+		parts.beliefs.countStarts(pipeline, now);
+		this.log.sent(pipeline, {
+			tokens, attempt: this.attempts, remaining: this.remaining, listAge: now - parts.directory.lastRead,
 		});
 		this.running = parts.client.send({
-			request, server: pipeline[0].server, pipeline, remaining: this.remaining, lastEventId: this.lastEventId, needsNewConnection: !isRepeatable(request.route),
-		}, new StreamListener(this));
+			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection: !isRepeatable(request.route),
+		}, new ExchangeListener(this));
 	}
 
 	private pass(bytes: Uint8Array, head: Reply): void {
 		if (!this.reply.isStarted) {
-			const {timers, beliefs} = this.parts;
 			// A stream that loses its end is resumed, so its own framing tells the truth.
 			this.reply.begin(head.status, head.headers, true);
-			for (const {server} of this.pipeline!) {
-				beliefs.clear(server, timers.now());
-			}
+			this.parts.metrics.record('siskinnotch_first_event_ms', this.parts.timers.now() - this.request.arrivedAt);
+			this.parts.beliefs.clearAll(this.pipeline!, this.parts.timers.now());
 		}
 
-		this.notePause();
-		this.eventsPassed++;
 		if (!this.reply.write(bytes)) {
 			this.running?.pause();
 		}
 	}
 
-	/** Notes how long the caller waited for this event. */
-	private notePause(): void {
-		const now = this.parts.timers.now();
-		if (this.passedAt === undefined) {
-			this.firstEventMs = now - this.request.arrivedAt;
-			this.parts.metrics.record('siskinnotch_first_event_ms', this.firstEventMs);
-		} else {
-			this.longestPauseMs = Math.max(this.longestPauseMs, now - this.passedAt);
-		}
-
-		this.passedAt = now;
-	}
-
 	private finishStream(head: Reply, pipeline: Pipeline): void {
-		this.parts.log.write('request.answered', {
-			request: this.request.id, status: head.status, pipeline: describePipeline(pipeline), events: this.eventsPassed, firstEventMs: Math.round(this.firstEventMs), longestPauseMs: Math.round(this.longestPauseMs), attempts: this.attempts, afterMs: Math.round(this.parts.timers.now() - this.request.arrivedAt),
-		});
-		this.parts.metrics.record('siskinnotch_longest_pause_ms', this.longestPauseMs);
+		this.parts.metrics.record('siskinnotch_longest_pause_ms', this.progress.longestPauseMs);
+		this.log.answered(head.status, pipeline, this.attempts, this.parts.timers.now());
 		this.complete(head.status);
 	}
 
-	/** The attempt under way did not run on its first stage. */
-	private noteNotRun(server: BackendServer): void {
-		if (this.isFirstOnServer) {
-			this.ranOn.delete(lifeOf(server));
-		}
-	}
-
 	private receiveRejection(head: Reply, pipeline: Pipeline): void {
-		this.noteNotRun(pipeline[0].server);
-		const now = this.parts.timers.now();
-		const named = head.faultyAddress === undefined ? undefined : pipeline.find(({server}) => server.address === head.faultyAddress)?.server;
+		const {parts, streams, progress} = this;
+		this.runs.takeBack(pipeline[0].server);
+		const now = parts.timers.now();
+		const named = pipeline.find(({server}) => server.address === head.faultyAddress)?.server;
 		const server = named ?? pipeline[0].server;
-		const tookMs = Math.round(now - this.progressAt);
+		const tookMs = Math.round(now - progress.lastHeard);
 		const reason = `${server.id} rejected it with ${head.status} after ${tookMs} ms`;
-		if (tookMs >= this.streams.limits.silence) {
+		if (tookMs >= streams.limits.silence) {
 			this.suspect(server, named !== undefined, reason);
 		} else {
-			this.parts.beliefs.markFull(server, now);
+			parts.beliefs.markFull(server, now);
 		}
 
 		this.reject(reason, server);
 	}
 
-	private receiveOtherStatus(head: Reply, pipeline: Pipeline): void {
-		const reason = `${pipeline[0].server.id} answered ${head.status}`;
-		if (this.reply.isStarted || (head.status < firstFailure && !head.isSigned)) {
-			this.runAgain(reason);
-			return;
-		}
-
-		if (this.mayRunAgain && this.ranOn.size < this.request.route.maxRuns) {
+	private receiveOtherStatus(head: Reply): void {
+		const reason = `${this.first.id} answered ${head.status}`;
+		const isFinal = head.status >= firstFailure && !this.reply.isStarted && !(this.mayRunAgain && this.runs.allowsFurther);
+		if (!isFinal) {
 			this.runAgain(reason);
 			return;
 		}
 
 		this.reply.begin(head.status, head.headers, head.isFramed);
-		for (const chunk of this.held.splice(0)) {
+		for (const chunk of this.failureBody) {
 			this.reply.write(chunk);
 		}
 
-		this.parts.log.warn('request.answered', {request: this.request.id, status: head.status, attempts: this.attempts});
+		this.log.answeredWithFailure(head.status, this.attempts);
 		this.complete(head.status);
 	}
 
 	/** The attempt did not run: the next pipeline at once, within the budget. */
 	private reject(reason: string, server: BackendServer): void {
-		const {parts, request, streams} = this;
 		this.rejections++;
-		const isAllowed = this.rejections <= streams.limits.rejections && this.remaining > 0 && parts.budgets.of(request.service.name).take(parts.timers.now());
-		parts.log.warn('request.rejected', {
-			request: request.id, server: server.id, attempt: this.attempts, reason, isRepeated: isAllowed,
-		});
+		const isAllowed = this.rejections <= this.streams.limits.rejections && this.remaining > 0 && this.takeRetry();
+		this.log.rejected(server, this.attempts, reason, isAllowed);
 		if (isAllowed) {
 			this.dispatch();
 			return;
@@ -338,10 +268,8 @@
 
 	/** The attempt ran and broke off: the stream goes on along another pipeline where the route allows it. */
 	private runAgain(reason: string): void {
-		const isAllowed = this.mayRunAgain && this.parts.budgets.of(this.request.service.name).take(this.parts.timers.now());
-		this.parts.log.warn('request.attempt_failed', {
-			request: this.request.id, server: this.pipeline![0].server.id, attempt: this.attempts, reason, afterEvent: this.lastEventId, isRepeated: isAllowed,
-		});
+		const isAllowed = this.mayRunAgain && this.takeRetry();
+		this.log.attemptFailed(this.first, this.attempts, reason, isAllowed);
 		if (isAllowed) {
 			this.dispatch();
 			return;
@@ -354,13 +282,6 @@
 		return isRepeatable(this.request.route) && this.remaining > 0;
 	}
 
-	/** The first stages to choose from when the route allows no further ones; those that ended do not count. */
-	private firstAmong(now: number): ReadonlySet<string> | undefined {
-		const {directory, beliefs} = this.parts;
-		const living = [...this.ranOn].filter(([, server]) => directory.isListed(server) && !beliefs.isSuspected(server, now));
-		return living.length < this.request.route.maxRuns ? undefined : new Set(living.map(([life]) => life));
-	}
-
 	private suspect(server: BackendServer, isBlocking: boolean, reason: string): void {
 		if (this.parts.beliefs.suspect(server, reason, this.parts.timers.now())) {
 			this.streams.onSuspicion(server, isBlocking, reason);
@@ -368,11 +289,9 @@
 	}
 
 	private noRoom(reason: string): Failure {
-		if (this.ranOn.size > 0) {
-			return new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown);
-		}
-
-		return new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.streams.limits.comeBack / millisecondsOfSecond);
+		return this.runs.hasRun
+			? new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown)
+			: new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.streams.limits.comeBack / millisecondsOfSecond);
 	}
 
 	private endAttempt(): void {
@@ -382,25 +301,3 @@
 		this.streams.waitingRoom.admit();
 	}
 }
-
-class StreamListener extends ReplyListener {
-	constructor(private readonly exchange: StreamExchange) {
-		super();
-	}
-
-	head(reply: Reply): void {
-		this.exchange.receiveHead(reply);
-	}
-
-	data(chunk: Uint8Array): void {
-		this.exchange.receiveData(chunk);
-	}
-
-	ended(): void {
-		this.exchange.receiveEnd();
-	}
-
-	failed(failure: AttemptFailure): void {
-		this.exchange.receiveFailure(failure);
-	}
-}
--- /dev/null
+++ b/src/relay/stream-log.ts
@@ -0,0 +1,61 @@
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
+import {describePipeline, type Pipeline} from '../pipelines/pipeline.js';
+import {type RelayRequest} from './relay-request.js';
+import {type StreamProgress} from './stream-progress.js';
+
+/** The log lines of one stream exchange. */
+export class StreamLog {
+	constructor(private readonly log: DecisionLog, private readonly request: RelayRequest, private readonly progress: StreamProgress) {}
+
+	/** It waits for a pipeline with room. */
+	waiting(others: number, attempts: number): void {
+		this.log.write('request.waiting', {request: this.request.id, waiting: others, attempts});
+	}
+
+	/** It goes along a pipeline. */
+	sent(pipeline: Pipeline, inputs: {readonly tokens: number; readonly attempt: number; readonly remaining: number; readonly listAge: number}): void {
+		this.log.write('request.sent', {
+			request: this.request.id,
+			pipeline: describePipeline(pipeline),
+			tokens: inputs.tokens,
+			attempt: inputs.attempt,
+			afterEvent: this.progress.lastEventId,
+			remainingMs: Math.round(inputs.remaining),
+			listAgeMs: Math.round(inputs.listAge),
+		});
+	}
+
+	/** The caller has the whole answer. */
+	answered(status: number, pipeline: Pipeline, attempts: number, now: number): void {
+		this.log.write('request.answered', {
+			request: this.request.id,
+			status,
+			pipeline: describePipeline(pipeline),
+			events: this.progress.events,
+			firstEventMs: Math.round(this.progress.firstEventMs),
+			longestPauseMs: Math.round(this.progress.longestPauseMs),
+			attempts,
+			afterMs: Math.round(now - this.request.arrivedAt),
+		});
+	}
+
+	/** The caller has an answer that is a failure of the backend server. */
+	answeredWithFailure(status: number, attempts: number): void {
+		this.log.warn('request.answered', {request: this.request.id, status, attempts});
+	}
+
+	/** An attempt did not run. */
+	rejected(server: BackendServer, attempt: number, reason: string, isRepeated: boolean): void {
+		this.log.warn('request.rejected', {
+			request: this.request.id, server: server.id, attempt, reason, isRepeated,
+		});
+	}
+
+	/** An attempt ran and broke off. */
+	attemptFailed(server: BackendServer, attempt: number, reason: string, isRepeated: boolean): void {
+		this.log.warn('request.attempt_failed', {
+			request: this.request.id, server: server.id, attempt, reason, afterEvent: this.progress.lastEventId, isRepeated,
+		});
+	}
+}
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -5,8 +5,8 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
-import {type ExchangeDesk} from './exchange-desk.js';
 import {type StageReporter} from '../pipelines/stage-reporter.js';
+import {type ExchangeDesk} from './exchange-desk.js';
 import {type StreamExchange} from './stream-exchange.js';
 
 /** The parts of a stream monitor. */
--- /dev/null
+++ b/src/relay/stream-parts.ts
@@ -0,0 +1,24 @@
+import {type BackendServer} from '../pipelines/backend-server.js';
+import {type PipelineChooser} from '../pipelines/pipeline-chooser.js';
+import {type WaitingRoom} from './waiting-room.js';
+
+/** Limits of stream exchanges. */
+export type StreamLimits = {
+	/** Attempts that did not run before a request is given up. */
+	readonly rejections: number;
+	/** Milliseconds after which a rejection speaks of a stage that is down, not of one that is full. */
+	readonly silence: number;
+	/** Part of the latency target within which a request must be sent to be answered on time. */
+	readonly onTimeShare: number;
+	/** Milliseconds after which a refused caller may come back. */
+	readonly comeBack: number;
+};
+
+/** The parts of stream exchanges beside those of all exchanges. */
+export type StreamParts = {
+	readonly chooser: PipelineChooser;
+	readonly waitingRoom: WaitingRoom;
+	readonly limits: StreamLimits;
+	/** Called when a server seems to be down, so that others hear of it. */
+	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
+};
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {type Logger} from 'winston';
 import {RetryBudget} from './admission/retry-budget.js';
 import {CatalogFollower} from './catalog/catalog-follower.js';
 import {CatalogKeeper} from './catalog/catalog-keeper.js';
@@ -42,7 +43,6 @@
 import {type RouterSettings} from './settings/router-settings.js';
 import {type Table} from './store/table.js';
 import {type TimerService} from './time/timer-service.js';
-import {type Logger} from 'winston';
 
 /** What a pipeline router needs of the platform that it runs on. */
 export type RouterPorts = {
@@ -126,7 +126,7 @@
 	};
 
 	const client = new BackendClient({
-		codec: ports.codec, agent: new BackendAgent(limits.idle_connection), timers, connectLimit: limits.connect,
+		codec: ports.codec, agent: new BackendAgent(timers, limits.idle_connection), timers, connectLimit: limits.connect,
 	});
 	const exchangeParts: ExchangeParts = {
 		client, directory, beliefs, load, budgets: {of: budgetOf}, timers, metrics, log,
@@ -142,10 +142,18 @@
 		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
 		{
 			chooser: new PipelineChooser({
-				directory, beliefs, load, paces, availabilityZone: instance.availability_zone, pipe: new PipeBudget(pipeShare, pipeBurstMs, () => members.all().length), otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
+				directory,
+				beliefs,
+				load,
+				paces,
+				availabilityZone: instance.availability_zone,
+				pipe: new PipeBudget(pipeShare, pipeBurstMs, () => members.all().length),
+				otherTokensOn: (server, now) => peerLoads.tokensOn(server, now),
 			}, chooserWeights),
 			waitingRoom,
-			limits: {rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, comeBack: limits.come_back},
+			limits: {
+				rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, comeBack: limits.come_back,
+			},
 			onSuspicion,
 		},
 	);
@@ -183,7 +191,9 @@
 			directory.learnRange(lifeOf(server), range);
 			news.reportRange(server, range);
 		},
-	}, {settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order, check: placementSettings.check, refusal: placementSettings.refusal}, placementSettings.room);
+	}, {
+		settle: placementSettings.settle, spare: placementSettings.spare, order: placementSettings.order, check: placementSettings.check, refusal: placementSettings.refusal,
+	}, placementSettings.room);
 
 	const listFollower = new ServerListFollower({
 		list: ports.servers, directory, timers, metrics, log, onReading() {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,5 +1,7 @@
 import {z} from 'zod';
-import {duration, ratio, size, wholeNumber} from './quantity.js';
+import {
+	duration, ratio, size, wholeNumber,
+} from './quantity.js';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, {error: 'an IP address and a port, such as 10.1.0.40:8080'});
 const filled = z.string().min(1, {error: 'a text'});
--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,154 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {type BackendServer} from '../src/pipelines/backend-server.js';
+import {PipeBudget} from '../src/pipelines/pipe-budget.js';
+import {PipelineChooser} from '../src/pipelines/pipeline-chooser.js';
+import {findPipeline} from '../src/pipelines/pipeline-finder.js';
+import {isWhole} from '../src/pipelines/pipeline.js';
+import {ServerBeliefs} from '../src/pipelines/server-beliefs.js';
+import {ServerDirectory} from '../src/pipelines/server-directory.js';
+import {ServerLoad} from '../src/pipelines/server-load.js';
+import {ServerPaces} from '../src/pipelines/server-paces.js';
+import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {KeptLog, sampleModel, sampleServer} from './support/sample-fleet.js';
+import {seed} from './support/seed.js';
+
+const beliefTimes = {
+	suspicion: 2000, longestSuspicion: 8000, fullness: 150, trialPause: 700,
+};
+
+function createChooser(servers: readonly BackendServer[]) {
+	const timers = new ManualTimerService();
+	const directory = new ServerDirectory(timers, new KeptLog());
+	directory.take({servers, askedAt: 0, mayLack: false});
+	const beliefs = new ServerBeliefs(beliefTimes, new KeptLog());
+	const load = new ServerLoad();
+	const paces = new ServerPaces(3000);
+	const chooser = new PipelineChooser({
+		directory,
+		beliefs,
+		load,
+		paces,
+		availabilityZone: 'zone-a',
+		pipe: new PipeBudget(0.5, 1000, () => 1),
+		otherTokensOn: () => 0,
+	}, {
+		remoteZone: 0.4, crossing: 5, fullest: 1.1, crowding: 3, loadAge: 1500,
+	});
+	const choose = (now = 0, tokens = 1000) => chooser.choose({
+		service: 'model', model: sampleModel, tokens, excluded: new Set(),
+	}, now)?.map(({server}) => server.id);
+	return {
+		choose, directory, beliefs, load, paces, timers,
+	};
+}
+
+function chain(zone: string, name: string): readonly BackendServer[] {
+	return [
+		sampleServer(`${name}1`, 'large', {from: 0, to: 28}, {availabilityZone: zone}),
+		sampleServer(`${name}2`, 'large', {from: 28, to: 56}, {availabilityZone: zone}),
+		sampleServer(`${name}3`, 'large', {from: 56, to: 80}, {availabilityZone: zone}),
+	];
+}
+
+test('every pipeline that is found runs each layer once and in order, on each server at most once', t => {
+	const range = fc.tuple(fc.nat(79), fc.integer({min: 1, max: 60})).map(([from, length]) => ({from, to: Math.min(80, from + length)}));
+	fc.assert(fc.property(fc.array(fc.tuple(range, fc.constantFrom('zone-a', 'zone-b')), {maxLength: 14}), holders => {
+		const servers = holders.map(([held, zone], index) => sampleServer(`s${index}`, 'large', held, {availabilityZone: zone}));
+		const pipeline = findPipeline(servers, 80, {stage: (_server, part) => part.to - part.from, crossing: 7})?.pipeline;
+		const isCovered = Array.from({length: 80}, (_, layer) => layer).every(layer => servers.some(server => server.range!.from <= layer && layer < server.range!.to));
+		t.true(isCovered || pipeline === undefined);
+		const stages = pipeline ?? [];
+		t.true(pipeline === undefined || isWhole(pipeline, 80));
+		t.is(new Set(stages.map(({server}) => server)).size, stages.length);
+		t.true(stages.every(({server, range: part}) => server.range!.from <= part.from && part.to <= server.range!.to));
+	}), {seed: seed()});
+});
+
+test('a pipeline stays in its own availability zone, then in another one, and crosses zones last', t => {
+	const {choose, directory, timers} = createChooser([...chain('zone-a', 'a'), ...chain('zone-b', 'b')]);
+	t.deepEqual(choose(), ['a1', 'a2', 'a3']);
+	const withoutA2 = [...chain('zone-a', 'a'), ...chain('zone-b', 'b')].filter(({id}) => id !== 'a2');
+	directory.take({servers: withoutA2, askedAt: 1, mayLack: false});
+	t.deepEqual(choose(), ['b1', 'b2', 'b3']);
+	directory.take({servers: withoutA2.filter(({id}) => id !== 'b3'), askedAt: 2, mayLack: false});
+	t.deepEqual(choose(timers.now() + 1000, 100), ['b1', 'b2', 'a3']);
+});
+
+test('a burst does not fill the pipe between zones beyond its part', t => {
+	const {choose} = createChooser([...chain('zone-a', 'a').slice(0, 1), ...chain('zone-b', 'b').slice(1)]);
+	// Half of 18,000 Mbit/s carries 17 crossings of 1,000 tokens a second.
+	const started = Array.from({length: 60}, (_, index) => choose(index * 50)).filter(Boolean).length;
+	t.true(started >= 40 && started <= 70, `${started} of 60 within 3 s`);
+});
+
+test('requests that hold memory crowd a pipeline and then close it', t => {
+	const {choose, load, directory} = createChooser([...chain('zone-a', 'a'), ...chain('zone-b', 'b')]);
+	const pipeline = directory.all().filter(({availabilityZone}) => availabilityZone === 'zone-a').map(server => ({server, range: server.range!}));
+	const ends = Array.from({length: 50}, () => load.start(pipeline, 1000));
+	t.deepEqual(choose(), ['b1', 'b2', 'b3']);
+	for (const end of ends) {
+		end();
+	}
+
+	t.deepEqual(choose(), ['a1', 'a2', 'a3']);
+});
+
+test('a slow server is avoided while it says that it is slow', t => {
+	const {choose, paces, directory} = createChooser([...chain('zone-a', 'a'), ...chain('zone-b', 'b')]);
+	paces.take(directory.all().find(({id}) => id === 'a2')!, 12, 0);
+	t.deepEqual(choose(0), ['b1', 'b2', 'b3']);
+	t.deepEqual(choose(5000), ['a1', 'a2', 'a3']);
+});
+
+test('a crashed server gets no work, then single requests that try it, until one succeeds', t => {
+	const server = sampleServer('a1', 'large', {from: 0, to: 80});
+	const beliefs = new ServerBeliefs(beliefTimes, new KeptLog());
+	t.true(beliefs.suspect(server, 'no connection', 0));
+	t.false(beliefs.suspect(server, 'no connection', 10), 'one suspicion at a time');
+	t.false(beliefs.isUsable(server, 1999));
+	t.true(beliefs.isUsable(server, 2000));
+	beliefs.countStart(server, 2000);
+	t.false(beliefs.isUsable(server, 2500), 'one trial at a time');
+	t.false(beliefs.isTrusted(server));
+	beliefs.suspect(server, 'no connection', 2600);
+	t.false(beliefs.isUsable(server, 6500), 'the second suspicion lasts twice as long');
+	beliefs.clear(server, 6700);
+	t.true(beliefs.isUsable(server, 6700) && beliefs.isTrusted(server));
+});
+
+test('a server whose entry lapsed in an outage of the list is kept until the list is whole again', t => {
+	const timers = new ManualTimerService();
+	const directory = new ServerDirectory(timers, new KeptLog());
+	const [first, second] = [sampleServer('a', 'large'), sampleServer('b', 'large')];
+	directory.take({servers: [first, second], askedAt: 1, mayLack: false});
+	directory.take({servers: [first], askedAt: 2, mayLack: true});
+	t.is(directory.usable('model').length, 2);
+	directory.take({servers: [first], askedAt: 3, mayLack: false});
+	t.deepEqual(directory.usable('model').map(({id}) => id), ['a']);
+});
+
+test('a leaving server stays leaving for its life, and an old entry does not bring an earlier life back', t => {
+	const directory = new ServerDirectory(new ManualTimerService(), new KeptLog());
+	const server = sampleServer('a', 'large');
+	directory.take({servers: [{...server, isLeaving: true}], askedAt: 1, mayLack: false});
+	directory.take({servers: [server], askedAt: 2, mayLack: false});
+	t.is(directory.usable('model').length, 0);
+	directory.take({servers: [{...server, startedAt: 5}], askedAt: 3, mayLack: false});
+	t.is(directory.usable('model').length, 1);
+	directory.take({servers: [{...server, startedAt: 4, isLeaving: true}], askedAt: 4, mayLack: false});
+	t.is(directory.usable('model').length, 1);
+});
+
+test('a range that was ordered holds before the list shows it, and not for ever', t => {
+	const timers = new ManualTimerService();
+	const directory = new ServerDirectory(timers, new KeptLog());
+	const server = sampleServer('a', 'large', {from: 0, to: 10});
+	directory.take({servers: [server], askedAt: 0, mayLack: false});
+	directory.learnRange('a@1', {from: 0, to: 20});
+	directory.take({servers: [server], askedAt: 1, mayLack: false});
+	t.deepEqual(directory.all()[0].range, {from: 0, to: 20});
+	timers.advance(5000);
+	directory.take({servers: [server], askedAt: 2, mayLack: false});
+	t.deepEqual(directory.all()[0].range, {from: 0, to: 10});
+});
