--- /dev/null
+++ b/stand-ins/stage-stand-in.ts
@@ -0,0 +1,153 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {z} from 'zod';
+import {type TimerService} from '../src/time/timer-service.js';
+import {listeningPort} from './json-server.js';
+
+const orderSchema = z.object({from: z.number(), to: z.number(), expectedRevision: z.number().optional()});
+
+/** A request that reached the stand-in. */
+export type StageArrival = {
+	readonly id: string;
+	readonly path: string;
+	readonly pipeline?: string;
+	readonly workspace?: string;
+	readonly remaining: number;
+	readonly lastEventId?: number;
+	readonly body: string;
+	/** Whether the caller of the stand-in closed the connection before the answer was whole. */
+	wasCut: boolean;
+};
+
+/** How the stand-in answers. */
+export type StageBehaviour = {
+	/** Events of a stream. */
+	events: number;
+	/** Milliseconds between events, and before the answer to a plain request. */
+	pause: number;
+	/** The stream breaks off within this event. */
+	dieWithin?: number;
+	/** Requests are answered with this status and are not run. */
+	rejectWith?: number;
+};
+
+async function readText(message: IncomingMessage): Promise<string> {
+	let text = '';
+	for await (const chunk of message) {
+		text += String(chunk);
+	}
+
+	return text;
+}
+
+function headerOf(message: IncomingMessage, name: string): string | undefined {
+	const value = message.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+/** A replica of the users' platform: takes layers by order, streams events along a pipeline, and answers plain requests. */
+export class StageStandIn {
+	readonly arrivals: StageArrival[] = [];
+	readonly behaviour: StageBehaviour = {events: 5, pause: 5};
+	orders = 0;
+	range: {from: number; to: number} | null = null; // eslint-disable-line @typescript-eslint/no-restricted-types
+	private readonly server: Server;
+
+	constructor(readonly id: string, readonly born: number, private readonly timers: TimerService) {
+		this.server = createServer((message, response) => {
+			void this.answer(message, response);
+		});
+	}
+
+	async listen(port: number): Promise<number> {
+		await new Promise<void>(resolve => {
+			this.server.listen(port, '127.0.0.1', resolve);
+		});
+		return listeningPort(this.server);
+	}
+
+	async close(): Promise<void> {
+		this.server.closeAllConnections();
+		await new Promise(resolve => {
+			this.server.close(resolve);
+		});
+	}
+
+	private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await readText(message);
+		if (message.url === '/v1/report') {
+			response.end(JSON.stringify({
+				sequence: this.orders, born: this.born, busy: false, pace: 1, layers: this.range,
+			}));
+			return;
+		}
+
+		if (message.url === '/v1/order') {
+			this.take(orderSchema.parse(JSON.parse(body)), response);
+			return;
+		}
+
+		await this.serve(message, response, body);
+	}
+
+	private take({from, to, expectedRevision}: z.infer<typeof orderSchema>, response: ServerResponse): void {
+		if (expectedRevision !== this.orders) {
+			response.writeHead(409).end();
+			return;
+		}
+
+		this.orders++;
+		this.range = {from, to};
+		response.writeHead(202).end();
+	}
+
+	private async serve(message: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+		const lastEventId = headerOf(message, 'last-event-id');
+		const arrival: StageArrival = {
+			id: headerOf(message, 'siskinnotch-attempt-id') ?? '',
+			path: message.url ?? '',
+			pipeline: headerOf(message, 'siskinnotch-hop-count'),
+			workspace: headerOf(message, 'siskinnotch-tenant-name'),
+			remaining: Number(headerOf(message, 'siskinnotch-deadline-remaining')),
+			lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
+			body,
+			wasCut: false,
+		};
+		this.arrivals.push(arrival);
+		response.on('close', () => {
+			arrival.wasCut ||= !response.writableFinished;
+		});
+		response.setHeader('Siskinnotch-Attempt-Id', arrival.id);
+		if (this.behaviour.rejectWith !== undefined) {
+			response.writeHead(this.behaviour.rejectWith, {'Siskinnotch-Not-Executed': '1'}).end();
+			return;
+		}
+
+		response.setHeader('Siskinnotch-Replica-Signature', `signature of ${this.id}`);
+		await (arrival.pipeline === undefined ? this.answerPlainly(response) : this.stream(response, arrival.lastEventId ?? 0));
+	}
+
+	private async answerPlainly(response: ServerResponse): Promise<void> {
+		await this.timers.sleep(this.behaviour.pause);
+		response.end(`answer of ${this.id}`);
+	}
+
+	private async stream(response: ServerResponse, after: number): Promise<void> {
+		const {events, pause, dieWithin} = this.behaviour;
+		response.writeHead(200, {'content-type': 'text/event-stream'});
+		for (let id = after + 1; id <= events && !response.destroyed; id++) {
+			await this.timers.sleep(pause); // eslint-disable-line no-await-in-loop
+			if (id === dieWithin) {
+				response.write(`id: ${id}\ndata: ha`);
+				await this.timers.sleep(pause); // eslint-disable-line no-await-in-loop
+				response.destroy();
+				return;
+			}
+
+			response.write(`id: ${id}\ndata: token ${id}\n\n`);
+		}
+
+		response.end();
+	}
+}
