--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -7,7 +7,9 @@
 import {
 	createKey, drainInstance, explainRoute, listInstances, listWorkspaces, lookUpAction, showUsage,
 } from './instance-commands.js';
+import {explainRequest} from './log-commands.js';
 import {type CommandResult, failure, print} from './output.js';
+import {planPlacement} from './placement-commands.js';
 import {
 	checkSheet, diffSheet, showHistory, showSheet, submitSheet,
 } from './sheet-commands.js';
@@ -108,6 +110,29 @@
 			},
 		)
 		.demandCommand(1, 'name an action command'))
+	.command('log', 'saved logs', log => log
+		.command(
+			'explain ID FILES..',
+			'print the life of a request from saved logs, with the cause of its end last',
+			command => command
+				.positional('ID', {type: 'string', demandOption: true})
+				.positional('FILES', {type: 'string', array: true, demandOption: true})
+				.example('$0 log explain 9c41d07be2a35f68 entry-a.log entry-b.log', ''),
+			async argv => {
+				finish(await explainRequest(argv.ID, argv.FILES), argv);
+			},
+		)
+		.demandCommand(1, 'name a log command'))
+	.command('placement', 'layers of the backend servers', placement => placement
+		.command(
+			'plan FILE',
+			'print which layers each server of a described fleet would hold',
+			command => command.positional('FILE', {type: 'string', demandOption: true}).example('$0 placement plan samples/fleet.json', ''),
+			async argv => {
+				finish(await planPlacement(argv.FILE), argv);
+			},
+		)
+		.demandCommand(1, 'name a placement command'))
 	.command('key', 'keys of workspaces', key => key
 		.command('create', 'print a new key once, and its digest for the sheet', command => command.example('$0 key create', ''), argv => {
 			finish(createKey(), argv);
--- /dev/null
+++ b/src/command/placement-commands.ts
@@ -0,0 +1,100 @@
+import {readFile} from 'node:fs/promises';
+import {z} from 'zod';
+import {type BackendServer} from '../pipelines/backend-server.js';
+import {tokensOfUsualRequest, type EngineModel} from '../pipelines/engine-model.js';
+import {groupByZone} from '../pipelines/pipeline-chooser.js';
+import {planChains, wantedRoom} from '../placement/chain-plan.js';
+import {roomByLayer, roomOn} from '../placement/layer-room.js';
+import {ResultCode} from '../results/result-code.js';
+import {messageOf} from '../results/to-failure.js';
+import {
+	type CommandResult, failure, layOut, success,
+} from './output.js';
+
+const fleetSchema = z.strictObject({
+	model: z.strictObject({
+		layers: z.int().positive(),
+		layerMegabytes: z.number().positive(),
+		tokenBytes: z.number().positive(),
+		slots: z.int().positive(),
+		usualPrompt: z.number().positive(),
+		usualAnswer: z.number().positive(),
+	}),
+	cards: z.array(z.strictObject({name: z.string(), megabytes: z.number().positive(), pace: z.number().positive()})).min(1),
+	servers: z.array(z.strictObject({availabilityZone: z.string(), card: z.string(), count: z.int().positive()})).min(1),
+	room: z.number().min(0).max(1).default(0.6),
+});
+
+type FleetFile = z.infer<typeof fleetSchema>;
+
+function modelOf({model, cards}: FleetFile): EngineModel {
+	return {
+		...model,
+		step: 1,
+		stepOfRequest: 0,
+		stepOfContext: 0,
+		readRate: 1,
+		tokensOfEvent: 1,
+		activationBytes: 0,
+		pipeMegabits: 0,
+		loadTime: 0,
+		cards: new Map(cards.map(card => [card.name, {...card, readFactor: 1}])),
+	};
+}
+
+function serversOf({servers}: FleetFile): readonly BackendServer[] {
+	return servers.flatMap(({availabilityZone, card, count}, group) => Array.from({length: count}, (_, index) => ({
+		id: `${availabilityZone}/${card}-${group}-${index + 1}`,
+		address: '',
+		service: '',
+		availabilityZone,
+		isLeaving: false,
+		startedAt: 0,
+		slots: 0,
+		card,
+	})));
+}
+
+/** What one availability zone holds. */
+type ZonePlan = {
+	readonly availabilityZone: string;
+	readonly placements: ReadonlyArray<{readonly server: string; readonly card: string; readonly from: number; readonly to: number; readonly tokens: number}>;
+	/** Usual requests that run at once: bounded by the layer with the least room. */
+	readonly requests: number;
+};
+
+function planZone(availabilityZone: string, members: readonly BackendServer[], model: EngineModel, room: number): ZonePlan {
+	const placements = planChains(members, model, wantedRoom(model, room));
+	const rooms = roomByLayer(placements.map(placement => ({...placement, isLoaded: true})), model);
+	return {
+		availabilityZone,
+		placements: placements.map(({server, range}) => ({
+			server: server.id, card: server.card, from: range.from, to: range.to, tokens: Math.round(roomOn(server, range, model)),
+		})),
+		requests: placements.length === 0 ? 0 : Math.floor(Math.min(...rooms) / tokensOfUsualRequest(model)),
+	};
+}
+
+function describeZone({availabilityZone, placements, requests}: ZonePlan): string {
+	if (placements.length === 0) {
+		return `${availabilityZone}: its memory does not hold the model`;
+	}
+
+	const rows = placements.map(({server, card, from, to, tokens}) => [server, card, `${from}-${to}`, tokens]);
+	return `${availabilityZone}: ${requests} usual requests at once\n${layOut(['server', 'card', 'layers', 'room for tokens'], rows)}`;
+}
+
+/** `placement plan`: prints which layers each server of a described fleet would hold. */
+export async function planPlacement(file: string): Promise<CommandResult> {
+	let fleet: FleetFile;
+	try {
+		fleet = fleetSchema.parse(JSON.parse(await readFile(file, 'utf8')));
+	} catch (error) {
+		const reason = error instanceof z.ZodError ? z.prettifyError(error) : messageOf(error);
+		return failure(ResultCode.UsageError, `${file} describes no fleet: ${reason}`);
+	}
+
+	const model = modelOf(fleet);
+	const plans = [...groupByZone(serversOf(fleet))].map(([zone, members]) => planZone(zone, members, model, fleet.room));
+	return success({zones: plans}, plans.map(plan => describeZone(plan)).join('\n\n'));
+}
--- /dev/null
+++ b/src/command/request-story.ts
@@ -0,0 +1,68 @@
+import {type LoggedDecision} from './log-reading.js';
+
+/** The life of one request as the logs of several processes tell it. */
+export type RequestStory = {
+	/** Its decisions, in the order of their time. */
+	readonly decisions: readonly LoggedDecision[];
+	/** Changes of beliefs about the servers that it used, from its beginning to its end. */
+	readonly beliefs: readonly LoggedDecision[];
+	/** What it ended with, and why. */
+	readonly cause: string;
+};
+
+const finalKinds = new Set(['request.answered', 'request.failed', 'request.refused', 'request.left', 'request.cut']);
+const beliefKinds = new Set(['server.suspected', 'server.leaving', 'server.gone', 'server.slow', 'dependency.lost', 'placement.ordered']);
+
+function serversOf(decisions: readonly LoggedDecision[]): ReadonlySet<string> {
+	const servers = decisions.flatMap(({server, pipeline}) => [
+		...(server === undefined ? [] : [server]),
+		...(pipeline === undefined ? [] : pipeline.split(',').map(stage => stage.split(':')[0])),
+	]);
+	return new Set(servers);
+}
+
+function fieldOf(decision: LoggedDecision, name: string): string | undefined {
+	const value = decision[name];
+	return value === undefined ? undefined : (typeof value === 'string' ? value : JSON.stringify(value));
+}
+
+function describeEnd(decision: LoggedDecision): string {
+	const code = fieldOf(decision, 'code');
+	const reason = fieldOf(decision, 'reason') ?? fieldOf(decision, 'status');
+	return [decision.message, code && `code ${code}`, fieldOf(decision, 'execution'), reason].filter(part => part !== undefined).join(', ');
+}
+
+function causeOf(decisions: readonly LoggedDecision[], beliefs: readonly LoggedDecision[]): string {
+	const last = decisions.findLast(({message}) => finalKinds.has(message));
+	if (!last) {
+		return 'no final decision is in these logs: the process ended first, or its line was left out (look for "suppressed")';
+	}
+
+	const trouble = decisions.findLast(({message}) => message === 'request.attempt_failed' || message === 'request.rejected');
+	const suspicion = beliefs.findLast(({message}) => message === 'server.suspected');
+	const parts = [
+		describeEnd(last),
+		trouble && `after ${trouble.message} at ${trouble.server ?? 'an unknown server'}: ${fieldOf(trouble, 'reason') ?? ''}`,
+		suspicion && `while ${suspicion.server ?? ''} was suspected: ${fieldOf(suspicion, 'reason') ?? ''}`,
+	];
+	return parts.filter(part => part !== undefined).join('; ');
+}
+
+/**
+Tells the life of a request.
+
+@returns undefined where no line names it
+*/
+export function tellRequest(all: readonly LoggedDecision[], id: string): RequestStory | undefined {
+	const byTime = (left: LoggedDecision, right: LoggedDecision) => left.timestamp < right.timestamp ? -1 : 1;
+	const decisions = all.filter(({request}) => request === id).toSorted(byTime);
+	if (decisions.length === 0) {
+		return undefined;
+	}
+
+	const servers = serversOf(decisions);
+	const [from, to] = [decisions[0].timestamp, decisions.at(-1)!.timestamp];
+	const beliefs = all.filter(({message, server, timestamp}) =>
+		beliefKinds.has(message) && (server === undefined || servers.has(server)) && timestamp >= from && timestamp <= to).toSorted(byTime);
+	return {decisions, beliefs, cause: causeOf(decisions, beliefs)};
+}
--- /dev/null
+++ b/test/observation.test.ts
@@ -0,0 +1,49 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {Writable} from 'node:stream';
+import test from 'ava';
+import {z} from 'zod';
+import {createStructuredLog} from '../src/observation/log.js';
+import {DecisionLog} from '../src/observation/decision-log.js';
+import {ManualTimerService} from '../src/time/manual-timer-service.js';
+
+test('a log reader that stops reading does not stop the process; lines are dropped and counted', async t => {
+	const child = spawn(process.execPath, [new URL('support/log-flood.js', import.meta.url).pathname], {stdio: ['ignore', 'pipe', 'pipe']});
+	t.teardown(() => child.kill('SIGKILL'));
+	// Standard output is never read.
+	let report = '';
+	child.stderr.setEncoding('utf8');
+	child.stderr.on('data', (text: string) => {
+		report += text;
+	});
+	const [code] = await once(child, 'exit') as [number]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	t.is(code, 0);
+	const {turns, dropped} = z.object({turns: z.number(), dropped: z.number()}).parse(JSON.parse(report));
+	t.true(turns > 0, 'the event loop went on');
+	t.true(dropped > 10_000, `${dropped} dropped`);
+});
+
+test('a flood of one kind of line is thinned out and counted, failures last', t => {
+	const timers = new ManualTimerService();
+	const written: string[] = [];
+	const stream = new Writable({
+		write(chunk: unknown, _encoding, done) {
+			written.push(String(chunk));
+			done();
+		},
+	});
+	const logger = createStructuredLog('info', stream, 'entry-a');
+	const log = new DecisionLog(logger, timers, {perSecond: 10, burst: 20});
+	for (let line = 0; line < 200; line++) {
+		log.write('request.accepted', {line});
+		log.warn('request.failed', {line});
+	}
+
+	const count = (kind: string) => written.filter(line => line.includes(`"message":"${kind}"`)).length;
+	t.is(count('request.accepted'), 20);
+	t.is(count('request.failed'), 80);
+	timers.advance(1000);
+	log.write('request.accepted', {line: 201});
+	t.like(JSON.parse(written.at(-1)!), {message: 'request.accepted', suppressed: 180, instance: 'entry-a'});
+});
