--- a/src/placement/repair-plan.ts
+++ b/src/placement/repair-plan.ts
@@ -13,6 +13,9 @@
 /** Requests for which a server must keep room when it takes on more layers. */
 const leastRequests = 8;
 
+/** Spare servers that a gap takes at most. */
+const mostSpares = 3;
+
 /** What a repair may do beside filling gaps. */
 export type RepairTerms = {
 	/** Tokens for which each layer shall have room. */
@@ -39,7 +42,7 @@
 
 	plan(): readonly Placement[] {
 		for (const gap of gapsBelow(this.rooms(), 1)) {
-			const isFilled = this.fillByEmpty(gap) || this.fillByNeighbours(gap) || this.fillBySpare(gap);
+			const isFilled = this.fillByEmpty(gap) || this.fillBySpares(gap) || this.fillByNeighbours(gap);
 			if (!isFilled) {
 				this.fillPartly(gap);
 			}
@@ -86,7 +89,7 @@
 	}
 
 	private fairLength(server: BackendServer): number {
-		return layersWithRoom(this.model, this.model.cards.get(server.card)!, this.terms.wanted);
+		return this.layersFor(server, this.terms.wanted);
 	}
 
 	/** The servers before and after a gap take on its layers, so that both keep as much room as they can. */
@@ -145,22 +148,42 @@
 		return best;
 	}
 
-	/** A server whose layers others hold too takes the gap in place of its own layers. */
-	private fillBySpare(gap: LayerRange): boolean {
-		const spare = this.spareServers().findLast(server => roomOn(server, gap, this.model) >= this.least);
-		if (!spare) {
+	/** Servers whose layers others hold too take the gap in place of their own layers, where few of them keep a fair room so. */
+	private fillBySpares(gap: LayerRange): boolean {
+		const {holdings} = this;
+		const first = this.moves.length;
+		let {from} = gap;
+		while (from < gap.to && this.moves.length - first < mostSpares) {
+			// The smallest first: the fast cards stay where they are.
+			const spare = this.spareServers(this.terms.wanted * crampedShare).at(-1);
+			const length = spare ? Math.min(gap.to - from, this.layersFor(spare, this.terms.wanted * crampedShare)) : 0;
+			if (!spare || length <= 0) {
+				break;
+			}
+
+			this.move(spare, {from, to: from + length});
+			from += length;
+		}
+
+		if (from < gap.to) {
+			this.holdings = holdings;
+			this.moves.length = first;
 			return false;
 		}
 
-		this.move(spare, gap);
 		return true;
 	}
 
-	/** Servers without which each layer still has room, those with the most memory first. */
-	private spareServers(): readonly BackendServer[] {
-		const spares = this.holdings.filter(({server, range}) => {
-			const others = range && this.rooms(server).slice(range.from, range.to);
-			return others?.every(room => room >= this.least);
+	private layersFor(server: BackendServer, room: number): number {
+		const card = this.model.cards.get(server.card);
+		return card ? layersWithRoom(this.model, card, room) : 0;
+	}
+
+	/** Servers without which each of their layers still has some room, those with the most memory first. */
+	private spareServers(least: number): readonly BackendServer[] {
+		const spares = this.holdings.filter(({server, range, isLoaded}) => {
+			const others = range && isLoaded && this.rooms(server).slice(range.from, range.to);
+			return others && others.every(room => room >= least);
 		});
 		return spares.map(({server}) => server).toSorted((left, right) => this.sizeOf(right) - this.sizeOf(left));
 	}
@@ -169,9 +192,8 @@
 	private fillPartly(gap: LayerRange): void {
 		let {from} = gap;
 		while (from < gap.to) {
-			const server = this.emptyServers().at(0) ?? this.spareServers().at(0);
-			const card = server && this.model.cards.get(server.card);
-			const length = card ? Math.min(gap.to - from, layersWithRoom(this.model, card, this.least)) : 0;
+			const server = this.emptyServers().at(0) ?? this.spareServers(this.least).at(-1);
+			const length = server ? Math.min(gap.to - from, this.layersFor(server, this.least)) : 0;
 			if (!server || length <= 0) {
 				return;
 			}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -172,7 +172,8 @@
 		const pipeline = streams.chooser.choose({
 			service: request.service.name, model: streams.model, tokens, excluded: this.excluded, firstAmong: this.runs.allowed,
 		}, now);
-		if (!pipeline) {
+		// A further sending waits until the retry budget has one for it.
+		if (!pipeline || (this.attempts > 0 && !this.takeRetry())) {
 			return false;
 		}
 
@@ -253,10 +254,10 @@
 		this.complete(head.status);
 	}
 
-	/** The attempt did not run: the next pipeline at once, within the budget. */
+	/** The attempt did not run: the next pipeline, as soon as there is one and the budget allows it. */
 	private reject(reason: string, server: BackendServer): void {
 		this.rejections++;
-		const isAllowed = this.rejections <= this.streams.limits.rejections && this.remaining > 0 && this.takeRetry();
+		const isAllowed = this.rejections <= this.streams.limits.rejections && this.remaining > 0;
 		this.log.rejected(server, this.attempts, reason, isAllowed);
 		if (isAllowed) {
 			this.dispatch();
@@ -268,7 +269,7 @@
 
 	/** The attempt ran and broke off: the stream goes on along another pipeline where the route allows it. */
 	private runAgain(reason: string): void {
-		const isAllowed = this.mayRunAgain && this.takeRetry();
+		const isAllowed = this.mayRunAgain;
 		this.log.attemptFailed(this.first, this.attempts, reason, isAllowed);
 		if (isAllowed) {
 			this.dispatch();
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -65,20 +65,21 @@
 
 const seedRange = 0x7F_FF_FF_FF;
 const beliefTimes = {
-	suspicion: 2000, longestSuspicion: 8000, fullness: 150, trialPause: 700,
+	suspicion: 2000, longestSuspicion: 8000, fullness: 250, trialPause: 700,
 };
 const chooserWeights = {
-	remoteZone: 0.4, crossing: 5, fullest: 1.1, crowding: 3, loadAge: 1500,
+	remoteZone: 0.4, crossing: 5, fullest: 1, crowding: 3, loadAge: 1500,
 };
 /** Retries in a window while it is not known how many instances share them. */
 const allowanceWhileAlone = 5;
+const allowanceShare = 0.7;
 const pipeShare = 0.5;
 const pipeBurstMs = 1000;
 const waitingPeriodMs = 40;
 const rejectionLimit = 6;
 const onTimeShare = 0.75;
 const monitorTimes = {
-	period: 100, slowness: 250, slownessPause: 1500, inquiry: 450, silence: 1300, pause: 300,
+	period: 100, slowness: 250, slownessPause: 1500, inquiry: 330, silence: 1300, pause: 300,
 };
 const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
 const paceExpiryMs = 3000;
@@ -117,8 +118,8 @@
 		},
 		registerTimes,
 	);
-	// Half of the allowance stays unused, so that it holds while instances are added.
-	const ownAllowance = () => members.isKnown ? limits.retry_allowance / (2 * members.all().length) : allowanceWhileAlone;
+	// A part of the allowance stays unused, so that it holds while instances are added.
+	const ownAllowance = () => members.isKnown ? limits.retry_allowance * allowanceShare / members.all().length : allowanceWhileAlone;
 	const budgetOf = (service: string) => {
 		const budget = budgets.get(service) ?? new RetryBudget(limits.retry_ratio, ownAllowance(), limits.retry_window);
 		budgets.set(service, budget);
