--- a/test/platform-process.test.ts
+++ b/test/platform-process.test.ts
@@ -138,6 +138,20 @@
 	t.is(await site.statusOf('/records/1'), 200);
 });
 
+test.serial('settings that change while it runs: streams go on, and the change is noted; a broken file is refused', async t => {
+	const site = await startSite(t);
+	const sending = site.send('/drafts/1');
+	site.changeSettings('[logs]\nburst = 50\n');
+	site.signal('SIGHUP');
+	await site.until(() => site.lines.some(line => line.includes('process.reloaded')));
+	site.changeSettings('[limits]\nstall = soon\n');
+	site.signal('SIGHUP');
+	await site.until(() => site.lines.some(line => line.includes('process.reload_refused')));
+	const {text} = await sending;
+	t.is(text, events);
+	t.is(await site.statusOf('/records/1'), 200);
+});
+
 test.serial('a planned stop lets a stream run to its end and exits with 0', async t => {
 	const site = await startSite(t);
 	for (const stage of site.stages) {
--- a/test/support/router-site.ts
+++ b/test/support/router-site.ts
@@ -1,4 +1,4 @@
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {appendFileSync, mkdtempSync, writeFileSync} from 'node:fs';
 import {request as startRequest, type IncomingMessage} from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -141,6 +141,11 @@
 		await this.until(async () => (await this.ask(this.ports.readiness, '/v1/readyz')) === 200);
 	}
 
+	/** Adds lines to the settings file. */
+	changeSettings(lines: string): void {
+		appendFileSync(this.file, lines);
+	}
+
 	/** Sends a signal to the router. */
 	signal(name: NodeJS.Signals): void {
 		this.router!.kill(name);
