--- a/src/peers/news-links.ts
+++ b/src/peers/news-links.ts
@@ -2,7 +2,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {type TimerService} from '../time/timer-service.js';
-import {HttpFetch} from './http-fetch.js';
+import {HttpFetch} from '../store/http-fetch.js';
 import {instanceSnapshotSchema, type InstanceSnapshot} from './instance-snapshot.js';
 import {type InstanceNews} from './instance-news.js';
 import {createNewsProcedures, type NewsProcedures, type NewsReceiver} from './news-procedures.js';
--- a/src/pipelines/server-beliefs.ts
+++ b/src/pipelines/server-beliefs.ts
@@ -2,6 +2,9 @@
 import {type Pipeline} from './pipeline.js';
 import {lifeOf, type BackendServer} from './backend-server.js';
 
+/** The most times that the first time of being full is lengthened. */
+const longestFullness = 3;
+
 /** What this instance thinks of a backend server from its own evidence and that of its peers. */
 type Belief = {
 	/** Monotonic time in milliseconds until which it gets no new work. */
@@ -12,6 +15,8 @@
 	triedAt: number;
 	/** Suspicions since it last worked. */
 	strikes: number;
+	/** Requests that it rejected one after the other, with none that it took in between. */
+	rejections: number;
 };
 
 /** How long beliefs last, in milliseconds. */
@@ -58,9 +63,16 @@
 		return true;
 	}
 
-	/** The server said that it has no place or no memory. */
-	markFull(server: BackendServer, now: number): void {
-		this.beliefOf(server).fullUntil = now + this.times.fullness;
+	/**
+	The server said that it takes no request; it is passed over for longer each time.
+
+	@returns how many it rejected one after the other
+	*/
+	reject(server: BackendServer, now: number): number {
+		const belief = this.beliefOf(server);
+		belief.rejections++;
+		belief.fullUntil = now + (this.times.fullness * Math.min(longestFullness, belief.rejections));
+		return belief.rejections;
 	}
 
 	/** The server did work that was sent after the suspicion began. */
@@ -136,7 +148,7 @@
 	private beliefOf(server: BackendServer): Belief {
 		const life = lifeOf(server);
 		const belief = this.beliefs.get(life) ?? {
-			suspectUntil: 0, fullUntil: 0, triedAt: Number.NEGATIVE_INFINITY, strikes: 0,
+			suspectUntil: 0, fullUntil: 0, triedAt: Number.NEGATIVE_INFINITY, strikes: 0, rejections: 0,
 		};
 		this.beliefs.set(life, belief);
 		return belief;
--- a/src/pipelines/stage-reporter.ts
+++ b/src/pipelines/stage-reporter.ts
@@ -17,8 +17,20 @@
 	readonly blocked: ReadonlyMap<string, string>;
 };
 
+/** What a backend server says of its health. */
+export enum Health {
+	Good = 'good',
+	/** It fails or is leaving. */
+	Bad = 'bad',
+	/** It had no place for the question. */
+	Busy = 'busy',
+}
+
 /** Asks backend servers for their state. */
 export abstract class StageReporter {
 	/** Rejects where the server gives no answer. */
 	abstract ask(server: BackendServer): Promise<StageReport>;
+
+	/** Rejects where the server gives no answer. */
+	abstract askHealth(server: BackendServer, path: string): Promise<Health>;
 }
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -76,7 +76,7 @@
 		this.endAttempt();
 		if (reply.isNotRun) {
 			this.runs--;
-			this.parts.beliefs.markFull(this.server!, this.parts.timers.now());
+			this.parts.beliefs.reject(this.server!, this.parts.timers.now());
 			this.tryNext(`the server did not run it (${reply.status})`, reply);
 			return;
 		}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -231,7 +231,8 @@
 		if (tookMs >= streams.limits.silence) {
 			this.suspect(server, named !== undefined, reason);
 		} else {
-			parts.beliefs.markFull(server, now);
+			const rejections = parts.beliefs.reject(server, now);
+			streams.onRejection(server, rejections);
 		}
 
 		this.reject(reason, server);
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -5,7 +5,7 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
-import {type StageReporter} from '../pipelines/stage-reporter.js';
+import {Health, type StageReporter} from '../pipelines/stage-reporter.js';
 import {type ExchangeDesk} from './exchange-desk.js';
 import {type StreamExchange} from './stream-exchange.js';
 
@@ -18,13 +18,19 @@
 	readonly directory: ServerDirectory;
 	readonly timers: TimerService;
 	readonly log: DecisionLog;
+	/** Where the servers of a service tell of their health. */
+	readonly healthPathOf: (service: string) => string;
 	/** Called when a server seems to be down, so that others hear of it. */
 	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
 
-/** Times of watching streams, in milliseconds. */
+/** Bounds of watching streams; times in milliseconds. */
 export type MonitorTimes = {
 	readonly period: number;
+	/** Rejections one after the other, after which a server is asked whether it is well. */
+	readonly rejections: number;
+	/** Between two questions whether a server is well. */
+	readonly healthPause: number;
 	/** Silence after which the stages are asked how slow they are. */
 	readonly slowness: number;
 	/** Between two questions to one stage how slow it is. */
@@ -45,6 +51,7 @@
 */
 export class StreamMonitor {
 	private readonly paceAskedAt = new Map<string, number>();
+	private readonly healthAskedAt = new Map<string, number>();
 	private readonly askedAt = new Map<string, number>();
 
 	constructor(private readonly parts: StreamMonitorParts, private readonly times: MonitorTimes) {}
@@ -56,6 +63,17 @@
 		});
 	}
 
+	/** A server rejected requests one after the other: it may be leaving while the list cannot be read. */
+	noteRejections(server: BackendServer, rejections: number): void {
+		const {timers, healthPathOf} = this.parts;
+		const life = lifeOf(server);
+		const isDue = timers.now() - (this.healthAskedAt.get(life) ?? Number.NEGATIVE_INFINITY) >= this.times.healthPause;
+		if (rejections >= this.times.rejections && isDue) {
+			this.healthAskedAt.set(life, timers.now());
+			void this.askHealth(server, healthPathOf(server.service));
+		}
+	}
+
 	/** A server is thought to be down: its streams move. */
 	moveOff(server: BackendServer, reason: string): void {
 		const life = lifeOf(server);
@@ -105,6 +123,18 @@
 		}
 	}
 
+	private async askHealth(server: BackendServer, path: string): Promise<void> {
+		try {
+			const health = await this.parts.reporter.askHealth(server, path);
+			this.parts.log.write('server.health', {server: server.id, health});
+			if (health === Health.Bad) {
+				this.suspect(server, true, 'it rejects requests and says that it fails or is leaving');
+			}
+		} catch (error) {
+			this.suspect(server, false, `it rejects requests and does not answer: ${messageOf(error)}`);
+		}
+	}
+
 	private async askPace(server: BackendServer): Promise<void> {
 		const {reporter, paces, timers, log} = this.parts;
 		try {
--- a/src/relay/stream-parts.ts
+++ b/src/relay/stream-parts.ts
@@ -19,6 +19,8 @@
 	readonly chooser: PipelineChooser;
 	readonly waitingRoom: WaitingRoom;
 	readonly limits: StreamLimits;
+	/** Called when a server rejected a request, with how many it rejected one after the other. */
+	readonly onRejection: (server: BackendServer, rejections: number) => void;
 	/** Called when a server seems to be down, so that others hear of it. */
 	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -79,7 +79,7 @@
 const rejectionLimit = 6;
 const onTimeShare = 0.75;
 const monitorTimes = {
-	period: 100, slowness: 250, slownessPause: 1500, inquiry: 330, silence: 1300, pause: 300,
+	period: 100, rejections: 4, healthPause: 1500, slowness: 250, slownessPause: 1500, inquiry: 330, silence: 1300, pause: 300,
 };
 const registerTimes = {refresh: 10_000, period: 10_000, expiry: 25_000};
 const paceExpiryMs = 3000;
@@ -156,10 +156,20 @@
 				rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, comeBack: limits.come_back,
 			},
 			onSuspicion,
+			onRejection(server, rejections) {
+				monitor.noteRejections(server, rejections);
+			},
 		},
 	);
 	const monitor = new StreamMonitor({
-		desk, reporter: ports.reports, beliefs, paces, directory, timers, log, onSuspicion,
+		desk, reporter: ports.reports,
+		beliefs,
+		paces,
+		directory,
+		timers,
+		log,
+		healthPathOf: service => catalog.current?.catalog.services.get(service)?.healthPath ?? '/',
+		onSuspicion,
 	}, monitorTimes);
 
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
--- a/src/peers/http-fetch.ts
+++ b/src/store/http-fetch.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request as startRequest} from 'node:http';
+import {Agent, request as startRequest, type IncomingHttpHeaders} from 'node:http';
 
 type FetchOptions = {
 	readonly method?: string;
@@ -8,9 +8,12 @@
 	readonly signal?: AbortSignal;
 };
 
-type FetchAnswer = {
+/** An answer with its whole body. */
+export type FetchAnswer = {
 	readonly ok: boolean;
 	readonly status: number;
+	/** By name in lower case. */
+	readonly headers: IncomingHttpHeaders;
 	json(): Promise<unknown>;
 	text(): Promise<string>;
 };
@@ -38,6 +41,7 @@
 					resolve({
 						ok: status >= 200 && status < 300,
 						status,
+						headers: response.headers,
 						json: async () => JSON.parse(text) as unknown,
 						text: async () => text,
 					});
--- a/test/catalog.test.ts
+++ b/test/catalog.test.ts
@@ -35,7 +35,7 @@
 		version,
 		text: '',
 		routes,
-		services: new Map([['a', {name: 'a', maxConnections: 1}], ['b', {name: 'b', maxConnections: 1}]]),
+		services: new Map(['a', 'b'].map(name => [name, {name, healthPath: '/healthz', maxConnections: 1}])),
 		limits: {
 			headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1,
 		},
--- /dev/null
+++ b/test/stream-monitor.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava';
+import {type BackendServer} from '../src/pipelines/backend-server.js';
+import {ServerBeliefs} from '../src/pipelines/server-beliefs.js';
+import {ServerDirectory} from '../src/pipelines/server-directory.js';
+import {ServerPaces} from '../src/pipelines/server-paces.js';
+import {Health, StageReporter, type StageReport} from '../src/pipelines/stage-reporter.js';
+import {type ExchangeDesk} from '../src/relay/exchange-desk.js';
+import {StreamMonitor} from '../src/relay/stream-monitor.js';
+import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {KeptLog, sampleServer} from './support/sample-fleet.js';
+
+class FakeReporter extends StageReporter {
+	asked = 0;
+
+	constructor(private readonly report: () => StageReport, private readonly health: () => Health) {
+		super();
+	}
+
+	async ask(): Promise<StageReport> {
+		this.asked++;
+		return this.report();
+	}
+
+	async askHealth(): Promise<Health> {
+		this.asked++;
+		return this.health();
+	}
+}
+
+class FakeStream {
+	movedOff: Array<string | undefined> = [];
+
+	constructor(private readonly servers: readonly BackendServer[], private readonly silence: number) {}
+
+	get stages() {
+		return this.movedOff.length > 0 ? undefined : this.servers.map(server => ({server, range: server.range!}));
+	}
+
+	silenceAt(): number {
+		return this.silence;
+	}
+
+	moveOff(server: BackendServer | undefined): void {
+		this.movedOff.push(server?.id);
+	}
+}
+
+function createMonitor(reporter: StageReporter, streams: readonly FakeStream[]) {
+	const timers = new ManualTimerService();
+	const servers = [sampleServer('first', 'large', {from: 0, to: 40}), sampleServer('second', 'large', {from: 40, to: 80}, {address: '10.0.0.2:1'})];
+	const directory = new ServerDirectory(timers, new KeptLog());
+	directory.take({servers, askedAt: 0, mayLack: false});
+	const beliefs = new ServerBeliefs({
+		suspicion: 2000, longestSuspicion: 8000, fullness: 250, trialPause: 700,
+	}, new KeptLog());
+	const reported: string[] = [];
+	const monitor = new StreamMonitor({
+		desk: {streams: new Set(streams)} as unknown as ExchangeDesk, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		reporter,
+		beliefs,
+		paces: new ServerPaces(3000),
+		directory,
+		timers,
+		log: new KeptLog(),
+		healthPathOf: () => '/healthz',
+		onSuspicion({id}) {
+			reported.push(id);
+		},
+	}, {
+		period: 100, rejections: 4, healthPause: 1500, slowness: 250, slownessPause: 1500, inquiry: 330, silence: 1300, pause: 300,
+	});
+	return {
+		monitor, timers, beliefs, directory, reported,
+	};
+}
+
+const idle: StageReport = {
+	pace: 1, orders: 1, isBusy: false, blocked: new Map(),
+};
+
+async function settle(): Promise<void> {
+	for (let turn = 0; turn < 5; turn++) {
+		await Promise.resolve(); // eslint-disable-line no-await-in-loop
+	}
+}
+
+const servers = [sampleServer('first', 'large', {from: 0, to: 40}), sampleServer('second', 'large', {from: 40, to: 80}, {address: '10.0.0.2:1'})];
+
+test('a stage goes dark: the first stage names it, and all streams through it move at once', async t => {
+	const silent = new FakeStream(servers, 400);
+	const other = new FakeStream(servers, 10);
+	const reporter = new FakeReporter(() => ({...idle, blocked: new Map([['r1', '10.0.0.2:1']])}), () => Health.Good);
+	const {monitor, timers, reported} = createMonitor(reporter, [silent, other]);
+	monitor.start();
+	timers.advance(100);
+	await settle();
+	t.deepEqual(silent.movedOff, ['second']);
+	t.deepEqual(other.movedOff, ['second']);
+	t.deepEqual(reported, ['second']);
+});
+
+test('a mute stream whose stages say that all is well moves after a while', async t => {
+	const mute = new FakeStream(servers, 1400);
+	const {monitor, timers, reported} = createMonitor(new FakeReporter(() => idle, () => Health.Good), [mute]);
+	monitor.start();
+	timers.advance(100);
+	await settle();
+	t.deepEqual(mute.movedOff, [undefined]);
+	t.deepEqual(reported, []);
+});
+
+test('servers leave while the list is away: one that rejects again and again is asked whether it is well', async t => {
+	let health = Health.Busy;
+	const reporter = new FakeReporter(() => idle, () => health);
+	const {monitor, timers, beliefs, directory, reported} = createMonitor(reporter, []);
+	const [server] = directory.all();
+	monitor.noteRejections(server, 3);
+	t.is(reporter.asked, 0);
+	monitor.noteRejections(server, 4);
+	await settle();
+	t.deepEqual(reported, [], 'full, not leaving');
+	health = Health.Bad;
+	monitor.noteRejections(server, 5);
+	await settle();
+	t.is(reporter.asked, 1, 'not asked again at once');
+	timers.advance(1500);
+	monitor.noteRejections(server, 6);
+	await settle();
+	t.deepEqual(reported, ['first']);
+	t.false(beliefs.isTrusted(server));
+});
