Leave out the first stage of a stream that fell silent for no stated reason

Cause, read in the code: a stream that was silent while its stages said that all was well could be sent along the same pipeline again.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -62,10 +62,7 @@
 		}
 
 		this.running.cancel();
-		if (faulty) {
-			this.excluded.add(lifeOf(faulty));
-		}
-
+		this.excluded.add(lifeOf(faulty ?? this.first));
 		this.endAttempt();
 		this.runAgain(reason);
 	}
@@ -298,8 +295,7 @@
 
 	private endAttempt(): void {
 		this.running = undefined;
-		this.endLoad?.();
-		this.endLoad = undefined;
+		this.release();
 		this.streams.waitingRoom.admit();
 	}
 }
