--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -75,7 +75,7 @@
 	}
 
 	receiveData(chunk: Uint8Array): void {
-		const {head, parts, progress} = this;
+		const {head, progress} = this;
 		if (!head?.isSigned || head.isNotRun) {
 			return;
 		}
@@ -85,7 +85,7 @@
 			return;
 		}
 
-		const now = parts.timers.now();
+		const now = this.parts.timers.now();
 		for (const event of progress.take(chunk, now)) {
 			this.pass(event.bytes, head);
 			progress.pass(event, now);
@@ -126,10 +126,9 @@
 		}
 
 		const {request, streams, progress} = this;
-		const {latencyTarget} = request.route;
 		this.waiting = streams.waitingRoom.add({
 			priority: request.priority,
-			onTimeUntil: progress.hasBegun ? Number.POSITIVE_INFINITY : request.arrivedAt + (latencyTarget * streams.limits.onTimeShare),
+			onTimeUntil: progress.hasBegun ? Number.POSITIVE_INFINITY : request.arrivedAt + (request.route.latencyTarget * streams.limits.onTimeShare),
 			tryStart: () => this.tryStart(),
 			giveUp: () => {
 				this.refuse(this.noRoom('no pipeline had room in time'));
