Record that an action was released before its caller hears not_run

The row was released in the background after the answer, so the repeat could find it as sent and was told that the action is in progress. Shown without a network by a table that takes 120 ms: red before, green after. The answer now waits for the row, 300 ms at most, as that of a done action does.

--- a/src/actions/action-ledger.ts
+++ b/src/actions/action-ledger.ts
@@ -141,7 +141,7 @@
 		}
 
 		if (state === ActionState.Sent) {
-			this.release(action, written.version);
+			void this.release(action, written.version);
 		}
 
 		throw new Failure(ResultCode.PlatformUnavailable, 'the action\'s row could not be written before the deadline, so it was not sent');
@@ -149,13 +149,14 @@
 
 	private async send(action: Action, version: number, send: () => Promise<SendResult>): Promise<PlainAnswer> {
 		if (this.timers.now() >= action.deadline) {
-			this.release(action, version);
+			void this.release(action, version);
 			throw new Failure(ResultCode.DeadlinePassed, 'the deadline passed before the action was sent');
 		}
 
 		const result = await send();
 		if (result.execution === Execution.NotRun) {
-			this.release(action, version);
+			// The caller may come back at once, at any instance.
+			await this.release(action, version);
 			throw new Failure(ResultCode.BackendFailed, `the action was not run: ${result.reason ?? 'the backend server refused it'}`);
 		}
 
@@ -168,10 +169,10 @@
 		return result.answer;
 	}
 
-	/** Records that this attempt will never send; it must not send after this call. */
-	private release(action: Action, version: number): void {
+	/** Records that this attempt will never send; it must not send after this call. Waits a little for the table, then goes on in the background. */
+	private async release(action: Action, version: number): Promise<void> {
 		const record = this.recordOf(action, ActionState.Released);
-		void this.outcomes.write(actionRowKey(action.workspace, action.key), version, record, recordPatienceMs);
+		await this.outcomes.write(actionRowKey(action.workspace, action.key), version, record, recordPatienceMs);
 	}
 
 	private recordOf(action: Action, state: ActionState): ActionRecord {
--- a/test/action-model.test.ts
+++ b/test/action-model.test.ts
@@ -6,6 +6,8 @@
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
+import {type Transaction} from '../src/store/transaction.js';
+import {type Write} from '../src/store/write.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
 import {FakeTable, TableFate} from './support/fake-table.js';
 import {seed} from './support/seed.js';
@@ -176,3 +178,40 @@
 	const record = await ledger.lookUp('desks', 'k');
 	t.is(record?.state, ActionState.Done);
 });
+
+class SlowTable extends FakeTable {
+	constructor(private readonly timers: ManualTimerService, private readonly delay: number) {
+		super();
+	}
+
+	override async transact(writes: readonly Write[]): Promise<Transaction> {
+		await this.timers.sleep(this.delay);
+		return super.transact(writes);
+	}
+}
+
+test('a repeat at once after not_run finds the action free, also where the table is slow', async t => {
+	const timers = new ManualTimerService();
+	const table = new SlowTable(timers, 120);
+	const action = (attempt: string) => ({
+		workspace: 'w', key: 'k', fingerprint: 'f', attempt, deadline: 10_000,
+	});
+	const first = new ActionLedger(table, timers, 'a', silentLog);
+	const second = new ActionLedger(table, timers, 'b', silentLog);
+	t.is(await outcomeOf(settle(timers, first.run(action('1'), async () => ({execution: Execution.NotRun})))), Execution.NotRun);
+	t.is(await outcomeOf(settle(timers, second.run(action('2'), async () => ({execution: Execution.Run, answer})))), Execution.Run);
+});
+
+test('while the table is away not_run is answered within a third of a second', async t => {
+	const timers = new ManualTimerService();
+	const table = new FakeTable();
+	const ledger = new ActionLedger(table, timers, 'a', silentLog);
+	const running = ledger.run({
+		workspace: 'w', key: 'k', fingerprint: 'f', attempt: '1', deadline: 10_000,
+	}, async () => {
+		table.nextFate = () => TableFate.Refused;
+		return {execution: Execution.NotRun};
+	});
+	t.is(await outcomeOf(settle(timers, running)), Execution.NotRun);
+	t.true(timers.now() <= 350, `${timers.now()} ms`);
+});
