--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -112,7 +112,7 @@
 		.demandCommand(1, 'name an action command'))
 	.command('log', 'saved logs', log => log
 		.command(
-			'explain ID FILES..',
+			'explain <ID> <FILES..>',
 			'print the life of a request from saved logs, with the cause of its end last',
 			command => command
 				.positional('ID', {type: 'string', demandOption: true})
--- a/test/log-and-placement-commands.test.ts
+++ b/test/log-and-placement-commands.test.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import test from 'ava';
+import {runProgram} from '../harness/run-command.js';
 import {readLog} from '../src/command/log-reading.js';
 import {explainRequest} from '../src/command/log-commands.js';
 import {planPlacement} from '../src/command/placement-commands.js';
@@ -47,6 +48,13 @@
 	t.is(missing.code, ResultCode.UsageError);
 });
 
+test('log explain is found on the command line with several files', async t => {
+	const files = [save(lines.slice(0, 3).join('\n')), save(lines.slice(3).join('\n'))];
+	const {code, output} = await runProgram('src/command/main.js', ['log', 'explain', 'r1', ...files]);
+	t.is(code, 0);
+	t.regex(output, /Cause: request\.failed, code 84/v);
+});
+
 test('placement plan: the sample fleet, and a file that describes none', async t => {
 	const {code, text, data} = await planPlacement('samples/fleet.json');
 	t.is(code, ResultCode.Success);
