Count the wait of a stream from its arrival or its last event

A stream that fell silent for no stated reason also excluded its first stage for good, which can leave no pipeline at all.

Change: a request that has not run waits until a time counted from its arrival; one that may have run waits until nine tenths of its caller's patience after its last event, which the configuration gives for each route. The first stage under which it fell silent is used again where there is no other way. The judgement of a rejection moved to a part of its own.

Ruled out: the length of the limit (the same request waits twice with any).

Tests: stream-exchange, each red with its mechanism switched off.

--- a/src/catalog/route.ts
+++ b/src/catalog/route.ts
@@ -27,6 +27,8 @@
 	readonly isResumable: boolean;
 	/** Milliseconds within which the first event or the answer is on time. */
 	readonly latencyTarget: number;
+	/** Milliseconds without an event after which callers leave a stream. */
+	readonly callerPatience: number;
 };
 
 /** Whether a request of the route may run more than once. */
--- /dev/null
+++ b/src/relay/stage-judge.ts
@@ -0,0 +1,46 @@
+import {type BackendServer} from '../pipelines/backend-server.js';
+import {type Pipeline} from '../pipelines/pipeline.js';
+import {type ServerBeliefs} from '../pipelines/server-beliefs.js';
+import {type Reply} from './reply.js';
+import {type StreamParts} from './stream-parts.js';
+
+/** A stage with what speaks against it. */
+export type StageVerdict = {
+	readonly server: BackendServer;
+	readonly reason: string;
+};
+
+/** Takes what the attempts of streams show about their stages into the beliefs of this instance. */
+export class StageJudge {
+	constructor(private readonly beliefs: ServerBeliefs, private readonly streams: StreamParts) {}
+
+	/**
+	There is evidence that a stage is down; the other instances hear of it.
+
+	@param isBlocking - whether another stage says that it waits for this one
+	*/
+	suspect(server: BackendServer, isBlocking: boolean, reason: string, now: number): void {
+		if (this.beliefs.suspect(server, reason, now)) {
+			this.streams.onSuspicion(server, isBlocking, reason);
+		}
+	}
+
+	/**
+	An attempt was rejected. A late rejection speaks of a stage that is down, an early one of a stage without room.
+
+	@param tookMs - milliseconds since the attempt was sent
+	@returns the stage that the answer blames, or else the first one
+	*/
+	judgeRejection(head: Reply, pipeline: Pipeline, tookMs: number, now: number): StageVerdict {
+		const named = pipeline.find(({server}) => server.address === head.faultyAddress)?.server;
+		const server = named ?? pipeline[0].server;
+		const reason = `${server.id} rejected it with ${head.status} after ${Math.round(tookMs)} ms`;
+		if (tookMs >= this.streams.limits.silence) {
+			this.suspect(server, named !== undefined, reason, now);
+		} else {
+			this.streams.onRejection(server, this.beliefs.reject(server, now));
+		}
+
+		return {server, reason};
+	}
+}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,5 +1,5 @@
 import {isRepeatable} from '../catalog/route.js';
-import {lifeOf, type BackendServer} from '../pipelines/backend-server.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {Execution} from '../results/execution.js';
@@ -11,11 +11,14 @@
 import {ExchangeListener} from './exchange-listener.js';
 import {type ExchangeParts} from './exchange-parts.js';
 import {Exchange} from './exchange.js';
+import {PipelineSearch} from './pipeline-search.js';
 import {type RelayRequest} from './relay-request.js';
 import {type Reply} from './reply.js';
 import {RunRecord} from './run-record.js';
+import {StageJudge} from './stage-judge.js';
 import {StreamLog} from './stream-log.js';
 import {type StreamParts} from './stream-parts.js';
+import {patienceOf} from './stream-patience.js';
 import {StreamProgress} from './stream-progress.js';
 
 const success = 200;
@@ -29,10 +32,11 @@
 	private pipeline?: Pipeline;
 	private endLoad?: () => void;
 	private waiting?: Subscription;
-	private readonly excluded = new Set<string>();
+	private readonly search: PipelineSearch;
 	private readonly runs: RunRecord;
 	private readonly progress: StreamProgress;
 	private readonly log: StreamLog;
+	private readonly judge: StageJudge;
 	private rejections = 0;
 	private head?: Reply;
 	private failureBody: Uint8Array[] = [];
@@ -41,6 +45,8 @@
 		super(parts, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
 		this.log = new StreamLog(parts.log, request, this.progress);
+		this.search = new PipelineSearch(streams.chooser);
+		this.judge = new StageJudge(parts.beliefs, streams);
 		this.runs = new RunRecord(request.route.maxRuns, server =>
 			parts.directory.isListed(server) && !parts.beliefs.isSuspected(server, parts.timers.now()));
 	}
@@ -62,7 +68,12 @@
 		}
 
 		this.running.cancel();
-		this.excluded.add(lifeOf(faulty ?? this.first));
+		if (faulty) {
+			this.search.exclude(faulty);
+		} else {
+			this.search.avoid(this.first);
+		}
+
 		this.endAttempt();
 		this.runAgain(reason);
 	}
@@ -112,7 +123,7 @@
 		this.endAttempt();
 		if (reason === AttemptFailureReason.NotConnected) {
 			this.runs.takeBack(first);
-			this.suspect(first, false, detail);
+			this.judge.suspect(first, false, detail, this.parts.timers.now());
 			this.reject(detail, first);
 			return;
 		}
@@ -126,9 +137,15 @@
 		}
 
 		const {request, streams, progress} = this;
+		const patience = patienceOf(request, progress, this.runs.hasRun, streams.limits);
+		if (patience.waitsUntil <= this.parts.timers.now()) {
+			this.refuse(this.noRoom('no pipeline has room, and its caller does not wait longer'));
+			return;
+		}
+
 		this.waiting = streams.waitingRoom.add({
 			priority: request.priority,
-			onTimeUntil: progress.hasBegun ? Number.POSITIVE_INFINITY : request.arrivedAt + (request.route.latencyTarget * streams.limits.onTimeShare),
+			...patience,
 			tryStart: () => this.tryStart(),
 			giveUp: () => {
 				this.refuse(this.noRoom('no pipeline had room in time'));
@@ -139,7 +156,7 @@
 			return;
 		}
 
-		this.parts.log.write('request.waiting', {request: request.id, waiting: streams.waitingRoom.size, attempts: this.attempts});
+		this.log.waiting(streams.waitingRoom.size, this.attempts);
 	}
 
 	protected expiry(): Failure {
@@ -165,8 +182,8 @@
 		const now = parts.timers.now();
 		// The caller's bound on the answer is far above what most answers need.
 		const tokens = request.promptTokens + Math.min(request.answerTokens, streams.model.usualAnswer);
-		const pipeline = streams.chooser.choose({
-			service: request.service.name, model: streams.model, tokens, excluded: this.excluded, firstAmong: this.runs.allowed,
+		const pipeline = this.search.choose({
+			service: request.service.name, model: streams.model, tokens, firstAmong: this.runs.allowed,
 		}, now);
 		// A further sending waits until the retry budget has one for it.
 		if (!pipeline || (this.attempts > 0 && !this.takeRetry())) {
@@ -217,20 +234,9 @@
 	}
 
 	private receiveRejection(head: Reply, pipeline: Pipeline): void {
-		const {parts, streams, progress} = this;
+		const now = this.parts.timers.now();
 		this.runs.takeBack(pipeline[0].server);
-		const now = parts.timers.now();
-		const named = pipeline.find(({server}) => server.address === head.faultyAddress)?.server;
-		const server = named ?? pipeline[0].server;
-		const tookMs = Math.round(now - progress.lastHeard);
-		const reason = `${server.id} rejected it with ${head.status} after ${tookMs} ms`;
-		if (tookMs >= streams.limits.silence) {
-			this.suspect(server, named !== undefined, reason);
-		} else {
-			const rejections = parts.beliefs.reject(server, now);
-			streams.onRejection(server, rejections);
-		}
-
+		const {server, reason} = this.judge.judgeRejection(head, pipeline, now - this.progress.lastHeard, now);
 		this.reject(reason, server);
 	}
 
@@ -280,12 +286,6 @@
 		return isRepeatable(this.request.route) && this.remaining > 0;
 	}
 
-	private suspect(server: BackendServer, isBlocking: boolean, reason: string): void {
-		if (this.parts.beliefs.suspect(server, reason, this.parts.timers.now())) {
-			this.streams.onSuspicion(server, isBlocking, reason);
-		}
-	}
-
 	private noRoom(reason: string): Failure {
 		return this.runs.hasRun
 			? new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown)
--- a/src/relay/stream-parts.ts
+++ b/src/relay/stream-parts.ts
@@ -10,6 +10,10 @@
 	readonly silence: number;
 	/** Part of the latency target within which a request must be sent to be answered on time. */
 	readonly onTimeShare: number;
+	/** Milliseconds from its arrival for which a request that has not run waits for a pipeline. */
+	readonly longestWait: number;
+	/** Part of its caller's patience for which a stream that broke off waits for another pipeline. */
+	readonly patienceShare: number;
 	/** Milliseconds after which a refused caller may come back. */
 	readonly comeBack: number;
 };
--- /dev/null
+++ b/src/relay/stream-patience.ts
@@ -0,0 +1,24 @@
+import {type RelayRequest} from './relay-request.js';
+import {type StreamLimits} from './stream-parts.js';
+import {type StreamProgress} from './stream-progress.js';
+
+/** How long a stream may wait for a pipeline. Monotonic times in milliseconds. */
+export type StreamPatience = {
+	/** Until when an answer that begins is on time. */
+	readonly onTimeUntil: number;
+	/** Until when it waits at most. */
+	readonly waitsUntil: number;
+};
+
+/**
+How long a stream may wait for a pipeline. Both times count from its arrival or its last event, not from the beginning of a wait, since it may wait several times.
+
+@param hasRun - whether it may have run; else it is refused early enough to be repeated
+*/
+export function patienceOf(request: RelayRequest, progress: StreamProgress, hasRun: boolean, limits: StreamLimits): StreamPatience {
+	const {route, arrivedAt} = request;
+	return {
+		onTimeUntil: progress.hasBegun ? Number.POSITIVE_INFINITY : arrivedAt + (route.latencyTarget * limits.onTimeShare),
+		waitsUntil: hasRun ? progress.lastPassed + (route.callerPatience * limits.patienceShare) : arrivedAt + limits.longestWait,
+	};
+}
--- a/src/relay/stream-progress.ts
+++ b/src/relay/stream-progress.ts
@@ -29,6 +29,11 @@
 		return this.heardAt;
 	}
 
+	/** When the caller was last given an event, or its request came. */
+	get lastPassed(): number {
+		return this.passedAt ?? this.arrivedAt;
+	}
+
 	/** Events given to the caller. */
 	get events(): number {
 		return this.passed;
--- a/src/relay/waiting-room.ts
+++ b/src/relay/waiting-room.ts
@@ -7,6 +7,8 @@
 	readonly priority: number;
 	/** Monotonic time until which an answer that begins now would be on time. */
 	readonly onTimeUntil: number;
+	/** Monotonic time until which it waits at most. */
+	readonly waitsUntil: number;
 	/** Tries to start the request; false where there is still no place. */
 	readonly tryStart: () => boolean;
 	/** The request has waited for as long as it may. */
@@ -21,8 +23,6 @@
 
 /** Limits of waiting. */
 export type WaitingLimits = {
-	/** Milliseconds that a request waits at most. */
-	readonly longestWait: number;
 	/** Requests that wait at most. */
 	readonly places: number;
 	/** Milliseconds between attempts to start those that wait. */
@@ -56,7 +56,7 @@
 			return undefined;
 		}
 
-		const timeout = this.timers.after(this.limits.longestWait, () => {
+		const timeout = this.timers.after(Math.max(0, request.waitsUntil - this.timers.now()), () => {
 			if (this.remove(entry)) {
 				request.giveUp();
 			}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -78,6 +78,7 @@
 const waitingPeriodMs = 40;
 const rejectionLimit = 6;
 const onTimeShare = 0.75;
+const patienceShare = 0.9;
 const monitorTimes = {
 	period: 100, rejections: 4, healthPause: 1500, slowness: 250, slownessPause: 1500, inquiry: 330, silence: 1300, pause: 300,
 };
@@ -137,7 +138,7 @@
 		news.report(server, isBlocking, reason);
 	};
 
-	const waitingRoom = new WaitingRoom(timers, {longestWait: limits.queue_wait, places: limits.queue_places, period: waitingPeriodMs});
+	const waitingRoom = new WaitingRoom(timers, {places: limits.queue_places, period: waitingPeriodMs});
 	const desk = new ExchangeDesk(
 		exchangeParts,
 		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
@@ -153,7 +154,7 @@
 			}, chooserWeights),
 			waitingRoom,
 			limits: {
-				rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, comeBack: limits.come_back,
+				rejections: rejectionLimit, silence: limits.stall / 2, onTimeShare, longestWait: limits.queue_wait, patienceShare, comeBack: limits.come_back,
 			},
 			onSuspicion,
 			onRejection(server, rejections) {
--- a/test/catalog.test.ts
+++ b/test/catalog.test.ts
@@ -26,6 +26,7 @@
 		isAnonymous: false,
 		isResumable: false,
 		latencyTarget: 300,
+		callerPatience: 2000,
 		...changes,
 	};
 }
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -59,12 +59,13 @@
 
 test('under a burst the urgent go first, then who can still be on time, then the others', t => {
 	const timers = new ManualTimerService();
-	const room = new WaitingRoom(timers, {longestWait: 1000, places: 10, period: 40});
+	const room = new WaitingRoom(timers, {places: 10, period: 40});
 	const started: string[] = [];
 	let isOpen = false;
 	const add = (name: string, priority: number, onTimeUntil: number) => room.add({
 		priority,
 		onTimeUntil,
+		waitsUntil: 1000,
 		tryStart() {
 			if (isOpen) {
 				started.push(name);
@@ -87,10 +88,10 @@
 
 test('a request that finds no place in time is given up at once, and a full room takes no more', t => {
 	const timers = new ManualTimerService();
-	const room = new WaitingRoom(timers, {longestWait: 1000, places: 1, period: 40});
+	const room = new WaitingRoom(timers, {places: 1, period: 40});
 	let givenUpAt = 0;
 	const request = {
-		priority: 1, onTimeUntil: 0, tryStart: () => false, giveUp() {
+		priority: 1, onTimeUntil: 0, waitsUntil: 1000, tryStart: () => false, giveUp() {
 			givenUpAt = timers.now();
 		},
 	};
--- /dev/null
+++ b/test/stream-exchange.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import {lifeOf} from '../src/pipelines/backend-server.js';
+import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
+import {ResultCode} from '../src/results/result-code.js';
+import {sampleHead, SampleExchange} from './support/sample-exchange.js';
+import {sampleServer} from './support/sample-fleet.js';
+
+const range = {from: 0, to: 80};
+const first = sampleServer('first', 'large', range);
+const pipeline = [{server: first, range}];
+const encoder = new TextEncoder();
+
+test('a stream that moves off a silent stage and finds no other is given up before its caller leaves', t => {
+	const sample = new SampleExchange();
+	sample.pipeline = pipeline;
+	sample.start();
+	sample.timers.advance(1300);
+	sample.pipeline = undefined;
+	sample.exchange.moveOff(first, 'no event');
+	sample.timers.advance(490);
+	t.is(sample.reply.failure, undefined, 'its caller still waits');
+	sample.timers.advance(20);
+	t.is(sample.reply.failure?.code, ResultCode.StreamInterrupted);
+});
+
+test('rejections one after the other do not lengthen the wait of a request', t => {
+	const sample = new SampleExchange();
+	sample.pipeline = pipeline;
+	sample.start();
+	for (let rejections = 1; rejections < 4; rejections++) {
+		sample.latest.head({...sampleHead, status: 503, isNotRun: true});
+		sample.pipeline = undefined;
+		sample.latest.ended();
+		sample.timers.advance(300);
+		sample.pipeline = pipeline;
+		sample.timers.advance(40);
+	}
+
+	sample.pipeline = undefined;
+	sample.latest.head({...sampleHead, status: 503, isNotRun: true});
+	sample.latest.ended();
+	sample.timers.advance(100);
+	t.is(sample.reply.failure?.code, ResultCode.NoPipeline);
+	t.true(sample.timers.now() <= 1140);
+	t.is(sample.reply.failure?.retryAfterSeconds, 1);
+});
+
+test('a stream that broke off is given up after its last event as late as its caller allows', t => {
+	const sample = new SampleExchange();
+	sample.pipeline = pipeline;
+	sample.start();
+	sample.latest.head(sampleHead);
+	sample.timers.advance(3000);
+	sample.latest.data(encoder.encode('id: 1\ndata: one\n\n'));
+	sample.pipeline = undefined;
+	sample.latest.failed({reason: AttemptFailureReason.Broken, detail: 'the connection was reset', wasReused: false});
+	sample.timers.advance(1700);
+	t.false(sample.reply.isAborted, 'its caller still waits');
+	sample.timers.advance(200);
+	t.true(sample.reply.isAborted);
+});
+
+test('a silent first stage is used again only where there is no other way', t => {
+	const sample = new SampleExchange();
+	sample.pipeline = pipeline;
+	sample.start();
+	sample.exchange.moveOff(undefined, 'no event');
+	t.is(sample.sent.length, 2);
+	t.true(sample.exclusions.at(-2)!.has(lifeOf(first)));
+
+	sample.exchange.moveOff(first, 'it is down');
+	t.is(sample.sent.length, 2, 'a stage that was found faulty is not used again');
+});
--- /dev/null
+++ b/test/support/sample-exchange.ts
@@ -0,0 +1,156 @@
+import {RetryBudget} from '../../src/admission/retry-budget.js';
+import {RequestKind} from '../../src/catalog/request-kind.js';
+import {type Route} from '../../src/catalog/route.js';
+import {Metrics} from '../../src/observation/metrics.js';
+import {lifeOf} from '../../src/pipelines/backend-server.js';
+import {type Pipeline} from '../../src/pipelines/pipeline.js';
+import {type PipelineChooser, type PipelineRequest} from '../../src/pipelines/pipeline-chooser.js';
+import {ServerBeliefs} from '../../src/pipelines/server-beliefs.js';
+import {ServerDirectory} from '../../src/pipelines/server-directory.js';
+import {ServerLoad} from '../../src/pipelines/server-load.js';
+import {type Attempt} from '../../src/relay/attempt.js';
+import {type BackendClient} from '../../src/relay/backend-client.js';
+import {CallerReply} from '../../src/relay/caller-reply.js';
+import {type ExchangeParts} from '../../src/relay/exchange-parts.js';
+import {type RelayRequest} from '../../src/relay/relay-request.js';
+import {type ReplyListener} from '../../src/relay/reply-listener.js';
+import {StreamExchange} from '../../src/relay/stream-exchange.js';
+import {WaitingRoom} from '../../src/relay/waiting-room.js';
+import {type Failure} from '../../src/results/failure.js';
+import {ManualTimerService} from '../../src/time/manual-timer-service.js';
+import {KeptLog, sampleModel} from './sample-fleet.js';
+
+/** The route of a stream that may be resumed. */
+export const sampleStreamRoute: Route = {
+	name: 'drafts',
+	host: 'site',
+	pathPrefix: '/drafts/',
+	kind: RequestKind.Streaming,
+	timeout: 20_000,
+	priority: 1,
+	targets: [{service: 'model', weight: 1}],
+	maxRuns: 2,
+	isAnonymous: false,
+	isResumable: true,
+	latencyTarget: 500,
+	callerPatience: 2000,
+};
+
+/** A reply that keeps what its caller gets. */
+export class KeptReply extends CallerReply {
+	isGone = false;
+	isStarted = false;
+	isEnded = false;
+	isAborted = false;
+	failure?: Failure;
+	text = '';
+
+	begin(): void {
+		this.isStarted = true;
+	}
+
+	write(bytes: Uint8Array): boolean {
+		this.text += new TextDecoder().decode(bytes);
+		return true;
+	}
+
+	end(): void {
+		this.isEnded = true;
+	}
+
+	abort(): void {
+		this.isAborted = true;
+	}
+
+	fail(failure: Failure): void {
+		this.failure = failure;
+	}
+
+	onGone(): void {
+		// This caller stays.
+	}
+
+	onDrain(): void {
+		// This caller keeps up.
+	}
+}
+
+/** What the stages answer with success. */
+export const sampleHead = {
+	status: 200, headers: [], isSigned: true, isNotRun: false, isFramed: true, isEncoded: false,
+};
+
+/** One stream exchange over pipelines and stages that the test decides. */
+export class SampleExchange {
+	readonly timers = new ManualTimerService();
+	readonly reply = new KeptReply();
+	/** Attempts that were sent, with where to put what comes of them. */
+	readonly sent: Array<{readonly attempt: Attempt; readonly listener: ReplyListener}> = [];
+	/** Lives that the chooser was told to leave out, at each question. */
+	readonly exclusions: Array<ReadonlySet<string>> = [];
+	readonly exchange: StreamExchange;
+	/** What the chooser finds where its first stage is not left out. */
+	pipeline?: Pipeline;
+
+	constructor() {
+		const {timers} = this;
+		const log = new KeptLog(timers);
+		const budget = new RetryBudget(0.2, 100, 10_000);
+		const parts: ExchangeParts = {
+			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+				send: (attempt: Attempt, listener: ReplyListener) => {
+					this.sent.push({attempt, listener});
+					return {cancel() {}, pause() {}, resume() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+				},
+			} as unknown as BackendClient,
+			directory: new ServerDirectory(timers, log),
+			beliefs: new ServerBeliefs({
+				suspicion: 2000, longestSuspicion: 8000, fullness: 250, trialPause: 700,
+			}, log),
+			load: new ServerLoad(),
+			budgets: {of: () => budget},
+			timers,
+			metrics: new Metrics(),
+			log,
+		};
+		const request: RelayRequest = {
+			id: 'attempt-1',
+			method: 'POST',
+			target: '/drafts/',
+			headers: [],
+			body: new Uint8Array(),
+			route: sampleStreamRoute,
+			service: {name: 'model', healthPath: '/healthz', maxConnections: 100},
+			priority: 1,
+			arrivedAt: timers.now(),
+			deadline: timers.now() + sampleStreamRoute.timeout,
+			promptTokens: 100,
+			answerTokens: 50,
+		};
+		this.exchange = new StreamExchange(parts, request, this.reply, {
+			model: sampleModel,
+			chooser: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+				choose: (request: PipelineRequest) => {
+					this.exclusions.push(request.excluded);
+					return this.pipeline && !request.excluded.has(lifeOf(this.pipeline[0].server)) ? this.pipeline : undefined;
+				},
+			} as unknown as PipelineChooser,
+			waitingRoom: new WaitingRoom(timers, {places: 10, period: 40}),
+			limits: {
+				rejections: 6, silence: 1000, onTimeShare: 0.75, longestWait: 1100, patienceShare: 0.9, comeBack: 1000,
+			},
+			onRejection() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			onSuspicion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		});
+	}
+
+	/** Begins the exchange. */
+	start(): void {
+		this.exchange.start(() => undefined);
+	}
+
+	/** Where to put what comes of the latest attempt. */
+	get latest(): ReplyListener {
+		return this.sent.at(-1)!.listener;
+	}
+}
