--- a/demo/trace-tree.ts
+++ b/demo/trace-tree.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks a line of a trace file. */
 export const traceLineSchema = z.object({
--- a/soak/monitor.ts
+++ b/soak/monitor.ts
@@ -1,5 +1,5 @@
 import got from 'got';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Entry, readControl} from '../harness/cluster.js';
 import {streamsGrantedBy, type UsageRecord, usageRecordSchema} from '../src/usage/usage-record.js';
 import {type World, workspaces} from './world.js';
--- a/src/actions/action-record.ts
+++ b/src/actions/action-record.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {plainAnswerSchema} from '../backends/plain-answer.js';
 import {ActionState} from './action-state.js';
 
--- a/src/backends/cache-event.ts
+++ b/src/backends/cache-event.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What happened to a prefix in an engine's cache. */
 export enum CacheChange {
--- a/src/backends/frame.ts
+++ b/src/backends/frame.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {FinishReason} from './finish-reason.js';
 import {receiptSchema} from './receipt.js';
 
--- a/src/backends/http-model-engine.ts
+++ b/src/backends/http-model-engine.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'node:http';
 import got from 'got';
-import {z} from 'zod';
+import * as z from 'zod';
 import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type Attempt} from './attempt.js';
--- a/src/backends/load-report.ts
+++ b/src/backends/load-report.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks a load report. */
 export const loadReportSchema = z.object({
--- a/src/backends/plain-answer.ts
+++ b/src/backends/plain-answer.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks a plain service's answer. */
 export const plainAnswerSchema = z.object({
--- a/src/backends/receipt.ts
+++ b/src/backends/receipt.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks a receipt. */
 export const receiptSchema = z.object({
--- a/src/backends/stage-status.ts
+++ b/src/backends/stage-status.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks a stage's status. */
 export const stageStatusSchema = z.object({
--- a/src/callers/caller-headers.ts
+++ b/src/callers/caller-headers.ts
@@ -1,5 +1,5 @@
 import {type IncomingHttpHeaders} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Priority} from '../configuration/priority.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -5,7 +5,7 @@
 import Koa, {type Context} from 'koa';
 import getRawBody from 'raw-body';
 import {type Logger} from 'winston';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type ActionLedger} from '../actions/action-ledger.js';
 import {type Invariants} from '../observation/invariants.js';
 import {type Metrics} from '../observation/metrics.js';
--- a/src/callers/chat-request.ts
+++ b/src/callers/chat-request.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 
--- a/src/command/log-reading.ts
+++ b/src/command/log-reading.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const lineSchema = z.looseObject({
 	message: z.string(),
--- a/src/command/placement-commands.ts
+++ b/src/command/placement-commands.ts
@@ -1,5 +1,5 @@
 import {readFile} from 'node:fs/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {tokensOfUsualRequest, type EngineModel} from '../pipelines/engine-model.js';
 import {groupByZone} from '../pipelines/pipeline-chooser.js';
--- a/src/configuration/acceptance.ts
+++ b/src/configuration/acceptance.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {differenceSchema} from './difference.js';
 
 /** Checks the record of an accepted sheet. */
--- a/src/configuration/configuration-archive.ts
+++ b/src/configuration/configuration-archive.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Row} from '../store/row.js';
 import {type Table} from '../store/table.js';
 import {type Transaction} from '../store/transaction.js';
--- a/src/configuration/configuration-update.ts
+++ b/src/configuration/configuration-update.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {differenceBetween, differenceSchema} from './difference.js';
 import {type Configuration} from './configuration.js';
 
--- a/src/configuration/difference.ts
+++ b/src/configuration/difference.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {rowKeyOf, sheetRowSchema} from './sheet-row.js';
 import {rowText, Sheet} from './sheet.js';
 
--- a/src/configuration/sheet-parser.ts
+++ b/src/configuration/sheet-parser.ts
@@ -1,5 +1,5 @@
 import {parse} from 'csv-parse/sync';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Priority} from './priority.js';
 import {RowKind} from './row-kind.js';
 import {rowKeyOf, type SheetRow} from './sheet-row.js';
--- a/src/configuration/sheet-row.ts
+++ b/src/configuration/sheet-row.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {Priority} from './priority.js';
 import {RowKind} from './row-kind.js';
 
--- a/src/entry/member-register.ts
+++ b/src/entry/member-register.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {messageOf} from '../results/to-failure.js';
 import {type Table} from '../store/table.js';
--- a/src/leases/lease-record.ts
+++ b/src/leases/lease-record.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks the row of a lease. */
 export const leaseRecordSchema = z.object({
--- a/src/membership/rumor.ts
+++ b/src/membership/rumor.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {MemberState} from './member-state.js';
 
 /** Checks a rumor. */
--- a/src/observation/metrics.ts
+++ b/src/observation/metrics.ts
@@ -1,4 +1,6 @@
-import {build, type Histogram} from 'hdr-histogram-js';
+import {type Histogram} from 'hdr-histogram-js';
+// The package's main module also loads codecs and writers, which lengthens each start.
+import {build} from 'hdr-histogram-js/dist/HistogramBuilder.js';
 
 const reportedPercentiles = [50, 95, 99] as const;
 const highestMicroseconds = 3_600_000_000;
--- a/src/peers/instance-news.ts
+++ b/src/peers/instance-news.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks what an instance tells another one. */
 export const instanceNewsSchema = z.object({
--- a/src/peers/instance-snapshot.ts
+++ b/src/peers/instance-snapshot.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type BackendServer} from '../pipelines/backend-server.js';
 
 const backendServerSchema = z.object({
--- a/src/peers/peer-message.ts
+++ b/src/peers/peer-message.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {rumorSchema} from '../membership/rumor.js';
 
 /** Checks a probe's message. */
--- a/src/peers/procedures.ts
+++ b/src/peers/procedures.ts
@@ -1,5 +1,5 @@
 import {initTRPC, TRPCError} from '@trpc/server';
-import {z} from 'zod';
+import * as z from 'zod';
 import {peerMessageSchema} from './peer-message.js';
 import {type PeerDesk} from './peer-desk.js';
 import {type OperatorDesk} from './operator-desk.js';
--- a/src/settings/quantity.ts
+++ b/src/settings/quantity.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const durationUnits: Readonly<Record<string, number>> = {ms: 1, s: 1000, min: 60_000};
 const sizeUnits: Readonly<Record<string, number>> = Object.fromEntries([['B', 1], ['kB', 1000], ['MB', 1_000_000]]);
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	duration, ratio, size, wholeNumber,
 } from './quantity.js';
--- a/src/settings/settings-reader.ts
+++ b/src/settings/settings-reader.ts
@@ -1,6 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {parse} from 'ini';
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {ResultCode} from '../results/result-code.js';
 import {messageOf} from '../results/to-failure.js';
 import {SettingsError} from './settings-error.js';
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {LogFormat} from '../observation/log.js';
 import {RouteChoice} from '../routing/route-choice.js';
 import {
--- a/src/store/http-platform.ts
+++ b/src/store/http-platform.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type TimerService} from '../time/timer-service.js';
 import {HttpClient} from './http-client.js';
 import {type InstanceChanges} from './instance-changes.js';
--- a/src/store/listed-instance.ts
+++ b/src/store/listed-instance.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {InstanceRole} from './instance-role.js';
 import {InstanceState} from './instance-state.js';
 
--- a/src/usage/usage-record.ts
+++ b/src/usage/usage-record.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const holderSchema = z.object({
 	/** Tokens granted to the holder in advance. */
--- a/stand-ins/cache-exchange.ts
+++ b/stand-ins/cache-exchange.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Stage} from '../src/backends/stage.js';
 import {type EngineCache} from './engine-cache.js';
 import {type EngineLinks} from './engine-links.js';
--- a/stand-ins/engine-faults.ts
+++ b/stand-ins/engine-faults.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks the faults that a stand-in engine is ordered to have. */
 export const faultsSchema = z.object({
--- a/stand-ins/engine-settings.ts
+++ b/stand-ins/engine-settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Checks the settings of a stand-in engine. */
 export const engineSettingsSchema = z.object({
--- a/stand-ins/engine-stand-in.ts
+++ b/stand-ins/engine-stand-in.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Stage} from '../src/backends/stage.js';
 import {type TimerService} from '../src/time/timer-service.js';
 import {finishAt, runLayers, tokenAt} from './answers.js';
--- a/stand-ins/engine-state.ts
+++ b/stand-ins/engine-state.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type TimerService} from '../src/time/timer-service.js';
 import {type EngineSettings} from './engine-settings.js';
 import {StatusAnswer} from './json-server.js';
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {engineSettingsSchema} from './engine-settings.js';
 import {EngineStandIn} from './engine-stand-in.js';
--- a/stand-ins/json-server.ts
+++ b/stand-ins/json-server.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket, type AddressInfo} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A request as handlers get it. */
 export type JsonRequest = {
--- a/stand-ins/platform-stand-in.ts
+++ b/stand-ins/platform-stand-in.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {listedInstanceSchema, type ListedInstance} from '../src/store/listed-instance.js';
 import {type Row} from '../src/store/row.js';
 import {type TimerService} from '../src/time/timer-service.js';
--- a/stand-ins/records-stand-in.ts
+++ b/stand-ins/records-stand-in.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type TimerService} from '../src/time/timer-service.js';
 import {type JsonRequest, JsonServer, StatusAnswer} from './json-server.js';
 
--- a/stand-ins/stage-stand-in.ts
+++ b/stand-ins/stage-stand-in.ts
@@ -1,7 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type TimerService} from '../src/time/timer-service.js';
 import {listeningPort} from './json-server.js';
 
--- a/stand-ins/store-stand-in.ts
+++ b/stand-ins/store-stand-in.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type TimerService} from '../src/time/timer-service.js';
 import {JsonServer, StatusAnswer, type JsonRequest} from './json-server.js';
 
--- a/stand-ins/work.ts
+++ b/stand-ins/work.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {Priority} from '../src/configuration/priority.js';
 import {receiptSchema} from '../src/backends/receipt.js';
 import {stageSchema} from '../src/backends/stage.js';
--- a/test/observation.test.ts
+++ b/test/observation.test.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import {Writable} from 'node:stream';
 import test from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createStructuredLog} from '../src/observation/log.js';
 import {DecisionLog} from '../src/observation/decision-log.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
--- a/test/platform-process.test.ts
+++ b/test/platform-process.test.ts
@@ -1,5 +1,5 @@
 import test, {type ExecutionContext} from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {RouterSite, siteConfiguration} from './support/router-site.js';
 
 const events = [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: token ${id}\n\n`).join('');
--- a/test/support/router-site.ts
+++ b/test/support/router-site.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import {once} from 'node:events';
 import {createInterface} from 'node:readline';
-import {z} from 'zod';
+import * as z from 'zod';
 import {freePort} from '../../harness/ports.js';
 import {ClockTimerService} from '../../src/time/clock-timer-service.js';
 import {StageStandIn} from '../../stand-ins/stage-stand-in.js';
