Put empty servers to use at once

Their layers had copies on l4 cards, seven times slower, so nothing counted as missing, and an empty server was kept for a gap for 2 s.

Change: it is kept for 300 ms.

Ruled out: the lease and the list (both knew of the server at once).

--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -51,7 +51,7 @@
 		/** Part of a server's places for whose requests its memory shall have room. */
 		room: ratio(0.6),
 		settle: duration('1600 ms'),
-		spare: duration('2 s'),
+		spare: duration('300 ms'),
 		order: duration('4 s'),
 		refusal: duration('1500 ms'),
 		check: duration('400 ms'),
