Let a lease holder that the store turns away yield to another instance

Change: an instance tells that it places only while it has renewed the lease in time, with the fencing number; one that hears of a higher number stops. The others try to take the lease only where the store serves them, so that an outage for all brings no calls.

Ruled out: that its peers knew no better (they had listed the replacement at 20.5 s).

Test: relay-decisions, 'a holder that the table turns away stops when it hears of the one that took over'.

--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -105,12 +105,13 @@
 		parts.log.write('process.stopped', {cut: inFlight, afterMs: Math.round(parts.timers.now() - begunAt)});
 	}
 
-	/** Whether to take or renew the lease for placement: its holder does, and the others once they no longer hear of it. */
+	/** Whether to take or renew the lease for placement: its last holder does, and the others once they no longer hear of one, where the store serves them. */
 	private mayPlace(): boolean {
 		const {settings, parts} = this;
 		const now = parts.timers.now();
-		const isHeldElsewhere = !parts.lease.mayAct(now) && now - parts.news.placingHeard < settings.placement.holder_silence;
-		return !parts.lifecycle.isDraining && !isHeldElsewhere;
+		const isHeldElsewhere = now - parts.news.placingHeard < settings.placement.holder_silence;
+		const isStoreHeard = now - parts.directory.lastRead < settings.store.list_wait + settings.store.timeout;
+		return !parts.lifecycle.isDraining && (parts.lease.mayAct(now) || (isStoreHeard && !isHeldElsewhere));
 	}
 
 	private async listen(address: string, work: (host: string, port: number) => Promise<void>): Promise<void> {
--- a/src/leases/lease.ts
+++ b/src/leases/lease.ts
@@ -44,6 +44,14 @@
 		return this.isHeld(now) || !this.isDisplaced;
 	}
 
+	/** Another process tells that it holds the lease under a fencing number. */
+	noteOther(fencing: number): void {
+		if (fencing > this.heldFencing) {
+			this.heldUntil = Number.NEGATIVE_INFINITY;
+			this.isDisplaced = true;
+		}
+	}
+
 	/** The record to write over the row that was read; undefined where another holds it. */
 	next({record, version, tableNow}: LeaseReading, now: number): LeaseRecord | undefined {
 		if (version !== this.seenVersion) {
--- a/src/peers/instance-news.ts
+++ b/src/peers/instance-news.ts
@@ -15,8 +15,8 @@
 	})),
 	/** Ranges that backend servers took on by order, by life. */
 	ranges: z.array(z.object({life: z.string(), from: z.number().int().nonnegative(), to: z.number().int().positive()})),
-	/** Whether it holds the lease for placement. */
-	isPlacing: z.boolean(),
+	/** Fencing number under which it holds the lease for placement; 0 where it does not hold it. */
+	placing: z.number().int().nonnegative(),
 	/** Milliseconds since it read the list of servers; -1 where it never did. */
 	listAge: z.number(),
 	/** Version of its catalog. */
--- a/src/peers/news-desk.ts
+++ b/src/peers/news-desk.ts
@@ -86,8 +86,9 @@
 		const {loads, board, timers, catalog} = this.parts;
 		const now = timers.now();
 		loads.take(news.from, news.loads, now);
-		if (news.isPlacing) {
+		if (news.placing > 0) {
 			this.placingHeardAt = now;
+			this.parts.lease.noteOther(news.placing);
 		}
 
 		for (const {life, isBlocking, reason} of news.suspicions) {
@@ -155,14 +156,15 @@
 
 	private nextNews(): InstanceNews {
 		const {self, load, catalog, lease, timers} = this.parts;
-		const listAge = this.listAge(timers.now());
+		const now = timers.now();
+		const listAge = this.listAge(now);
 		const news = {
 			from: self.id,
 			loads: Object.fromEntries(load.tokensByLife()),
 			suspicions: this.suspicions,
 			ranges: this.ranges,
 			listAge: Number.isFinite(listAge) ? Math.round(listAge) : -1,
-			isPlacing: lease.mayAct(timers.now()),
+			placing: lease.isHeld(now) ? lease.fencing : 0,
 			version: catalog.version,
 		};
 		this.suspicions = [];
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -178,3 +178,13 @@
 	lease.next({record: {holder: 'other', fencing: 2}, version: 9}, 5000);
 	t.false(lease.mayAct(5000));
 });
+
+test('a holder that the table turns away stops when it hears of the one that took over', t => {
+	const lease = new Lease('self', 2500);
+	lease.written({holder: 'self', fencing: 3}, 3, 0);
+	lease.noteOther(2);
+	t.true(lease.isHeld(100), 'an earlier holder that was suspended');
+	t.true(lease.mayAct(9000), 'the table is away');
+	lease.noteOther(4);
+	t.false(lease.mayAct(9000));
+});
