Call the store, servers and peers through simple-get

Cause: got loads HTTP/2, TLS and a list formatter (9 ms in ICU) at each start, and does more work a call than the short calls here need.

Change: HttpFetch, which trpc's client uses, is built on simple-get, and the client of the store, orders and reports uses HttpFetch. The product's own interface keeps got. The bundle needs no stand-in for HTTP/2 any more.

Ruled out: got with its HTTP/2 part left out alone (the formatter and the work a call stay).

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -55,8 +55,6 @@
 	minifyWhitespace: true,
 	// Some libraries load parts for developers elsewhere.
 	define: {'process.env.NODE_ENV': '"production"'},
-	// The HTTP client loads HTTP/2 at its start, which no call here uses.
-	alias: {'http2-wrapper': placeOf('no-http2.js')},
 	logLevel: 'warning',
 });
 copyFileSync(placeOf('start.cjs'), starter);
--- a/src/store/http-client.ts
+++ b/src/store/http-client.ts
@@ -1,7 +1,7 @@
 import {Agent} from 'node:http';
-import got, {RequestError} from 'got';
 import {type Subscription} from '../time/subscription.js';
 import {type TimerService} from '../time/timer-service.js';
+import {HttpFetch} from './http-fetch.js';
 import {PlatformError} from './platform-error.js';
 
 /** An answer of the platform. */
@@ -38,20 +38,17 @@
 			cancellation.abort();
 		});
 		try {
-			const response = await got(this.base + path, {
+			const {status, text} = await new HttpFetch(this.agent).fetch(this.base + path, {
 				method,
 				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: {'content-type': 'application/json'},
-				agent: {http: this.agent},
-				retry: {limit: 0},
-				throwHttpErrors: false,
 				signal: cancellation.signal,
 			});
-			if (response.statusCode >= 500) {
-				throw new PlatformError(`the platform answered ${response.statusCode} to ${path}`, response.statusCode !== 503);
+			if (status >= 500) {
+				throw new PlatformError(`the platform answered ${status} to ${path}`, status !== 503);
 			}
 
-			return {status: response.statusCode, body: response.body};
+			return {status, body: await text()};
 		} catch (error) {
 			throw this.toPlatformError(error, path);
 		} finally {
@@ -83,7 +80,7 @@
 
 		// A connection that gave no answer may have been forgotten by the other end.
 		this.retire();
-		const wasRefused = error instanceof RequestError && error.code === 'ECONNREFUSED';
+		const wasRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
 		return new PlatformError(`the platform gave no answer to ${path}: ${error instanceof Error ? error.message : 'unknown error'}`, !wasRefused);
 	}
 }
--- a/src/store/http-fetch.ts
+++ b/src/store/http-fetch.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request as startRequest, type IncomingHttpHeaders} from 'node:http';
+import {Agent, type IncomingHttpHeaders} from 'node:http';
+import get from 'simple-get';
 
 type FetchOptions = {
 	readonly method?: string;
@@ -19,36 +20,33 @@
 };
 
 /**
-The part of `fetch` that trpc's client uses, over kept connections of `node:http`; the runtime's own needs several times the processor time for short calls.
+The part of `fetch` that trpc's client and the client of the store use, over kept connections; the runtime's own needs several times the processor time for short calls.
 */
 export class HttpFetch {
-	private readonly agent = new Agent({keepAlive: true, maxSockets: 4});
+	constructor(private readonly agent = new Agent({keepAlive: true, maxSockets: 4})) {}
 
-	/** Sends one request. */
+	/** Sends one request. Rejects where no whole answer comes. */
 	async fetch(url: string, {method, headers, body, signal}: FetchOptions): Promise<FetchAnswer> {
+		const fields = {'accept-encoding': 'identity', ...Object.fromEntries(new Headers(headers))};
 		return new Promise((resolve, reject) => {
-			const request = startRequest(url, {
-				agent: this.agent, method, headers: Object.fromEntries(new Headers(headers)), signal: signal ?? undefined,
-			}, response => {
-				const chunks: Uint8Array[] = [];
-				response.on('data', (chunk: Uint8Array) => {
-					chunks.push(chunk);
-				});
-				response.on('error', reject);
-				response.on('end', () => {
-					const text = Buffer.concat(chunks).toString('utf8');
-					const status = response.statusCode ?? 0;
-					resolve({
-						ok: status >= 200 && status < 300,
-						status,
-						headers: response.headers,
-						json: async () => JSON.parse(text) as unknown,
-						text: async () => text,
-					});
+			get.concat({ // eslint-disable-line unicorn/prefer-spread
+				url, method: method ?? 'GET', headers: fields, body, agent: this.agent, signal, followRedirects: false,
+			}, (error, response, data) => {
+				if (!response) {
+					reject(error ?? new Error('no answer came'));
+					return;
+				}
+
+				const text = Buffer.isBuffer(data) ? data.toString('utf8') : '';
+				const status = response.statusCode ?? 0;
+				resolve({
+					ok: status >= 200 && status < 300,
+					status,
+					headers: response.headers,
+					json: async () => JSON.parse(text) as unknown,
+					text: async () => text,
 				});
 			});
-			request.on('error', reject);
-			request.end(body);
 		});
 	}
 }
