Keep idle connections to backend servers for 12 s

Ruled out: kept connections for requests that must not be repeated (a reset would not tell whether they ran).

--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -44,7 +44,7 @@
 		queue_places: wholeNumber(200, 0, 100_000),
 		come_back: duration('1 s'),
 		connect: duration('300 ms'),
-		idle_connection: duration('4 s'),
+		idle_connection: duration('12 s'),
 		held_answer: size('256 kB'),
 	}).prefault({}),
 	placement: z.object({
