Bound connections to the servers of plain services by what these accept

Cause: the number of connections that a service's servers accept was decoded and not used; a server resets those beyond it, and after a reset nobody can tell whether a request that must not be repeated has run.

Change: an instance has no more requests on one server than its part of that number, by the instances known; where no server has one left, the request is refused as not run. The instances' addresses are used to forget connections to those that are gone; the number of peers heard of is a gauge; a method that nothing used is removed.

Ruled out: bounding the agent's sockets (a request would wait in the agent, unseen).

Test: pipelines, 'a burst on few servers of a plain service …', red without the bound.

--- a/src/entry/member-register.ts
+++ b/src/entry/member-register.ts
@@ -83,11 +83,6 @@
 		this.parts.onChange();
 	}
 
-	/** Number of instances in an availability zone; at least one. */
-	countIn(availabilityZone: string): number {
-		return Math.max(1, this.all().filter(member => member.availabilityZone === availabilityZone).length);
-	}
-
 	private async refresh(): Promise<void> {
 		const {id, availabilityZone, peers} = this.self;
 		const value = JSON.stringify({availabilityZone, peers});
--- a/src/pipelines/plain-chooser.ts
+++ b/src/pipelines/plain-chooser.ts
@@ -10,6 +10,15 @@
 /** Requests that one recent failure counts for when servers are compared. */
 const failureWeight = 2;
 
+/** What a request needs of a server. */
+export type PlainDemand = {
+	readonly service: string;
+	/** Lives that must not be used. */
+	readonly excluded: ReadonlySet<string>;
+	/** Requests that this instance may have on one server, since each takes a connection. */
+	readonly mostRequests: number;
+};
+
 type Failures = {
 	count: number;
 	at: number;
@@ -29,11 +38,10 @@
 	/**
 	The server to use now.
 
-	@param excluded - lives that must not be used
 	@returns undefined where no server is left
 	*/
-	choose(service: string, excluded: ReadonlySet<string>, now: number): BackendServer | undefined {
-		const listed = this.directory.usable(service).filter(server => !excluded.has(lifeOf(server)));
+	choose({service, excluded, mostRequests}: PlainDemand, now: number): BackendServer | undefined {
+		const listed = this.directory.usable(service).filter(server => !excluded.has(lifeOf(server)) && this.load.requestsOn(server) < mostRequests);
 		const usable = listed.filter(server => this.beliefs.isUsable(server, now));
 		const unsuspected = usable.length > 0 ? usable : listed.filter(server => !this.beliefs.isSuspected(server, now));
 		// Where all are suspected, one of them is still more use than none.
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -24,6 +24,8 @@
 /** The parts of plain exchanges beside those of all exchanges. */
 export type PlainParts = {
 	readonly chooser: PlainChooser;
+	/** This instance's part of the connections that a server accepts from all callers. */
+	readonly shareOf: (connections: number) => number;
 	readonly limits: PlainLimits;
 };
 
@@ -121,9 +123,12 @@
 	protected dispatch(): void {
 		const {parts, request} = this;
 		const now = parts.timers.now();
-		const server = this.plain.chooser.choose(request.service.name, this.tried, now) ?? this.plain.chooser.choose(request.service.name, new Set(), now);
+		const {name: service, maxConnections} = request.service;
+		const mostRequests = this.plain.shareOf(maxConnections);
+		const server = this.plain.chooser.choose({service, excluded: this.tried, mostRequests}, now)
+			?? this.plain.chooser.choose({service, excluded: new Set(), mostRequests}, now);
 		if (!server) {
-			this.refuse(new Failure(ResultCode.NoPipeline, `no server of service ${request.service.name} is listed`, this.execution, retryDelaySeconds));
+			this.refuse(new Failure(ResultCode.NoPipeline, `no server of service ${service} is listed and has a connection left`, this.execution, retryDelaySeconds));
 			return;
 		}
 
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -112,6 +112,7 @@
 		self,
 		{
 			table: ports.table, timers, log, onChange() {
+				links.retain(new Set(members.all().map(({peers}) => peers)));
 				for (const budget of budgets.values()) {
 					budget.setLeast(ownAllowance());
 				}
@@ -141,7 +142,11 @@
 	const waitingRoom = new WaitingRoom(timers, {places: limits.queue_places, period: waitingPeriodMs});
 	const desk = new ExchangeDesk(
 		exchangeParts,
-		{chooser: new PlainChooser(directory, beliefs, load, random), limits: {heldBytes: limits.held_answer, patience: plainPatience}},
+		{
+			chooser: new PlainChooser(directory, beliefs, load, random),
+			shareOf: connections => Math.max(1, Math.floor(connections / members.all().length)),
+			limits: {heldBytes: limits.held_answer, patience: plainPatience},
+		},
 		{
 			chooser: new PipelineChooser({
 				directory,
@@ -229,6 +234,7 @@
 	metrics.gauge('siskinnotch_waiting', () => waitingRoom.size);
 	metrics.gauge('siskinnotch_configuration_version', () => catalog.version);
 	metrics.gauge('siskinnotch_list_age_ms', () => timers.now() - directory.lastRead);
+	metrics.gauge('siskinnotch_peers_heard', () => peerLoads.heard(timers.now()));
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => beliefs.suspected(timers.now()));
 	const router: Router = new Router(settings, {
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -4,11 +4,13 @@
 import {PipeBudget} from '../src/pipelines/pipe-budget.js';
 import {PipelineChooser} from '../src/pipelines/pipeline-chooser.js';
 import {findPipeline} from '../src/pipelines/pipeline-finder.js';
+import {PlainChooser} from '../src/pipelines/plain-chooser.js';
 import {isWhole} from '../src/pipelines/pipeline.js';
 import {ServerBeliefs} from '../src/pipelines/server-beliefs.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerLoad} from '../src/pipelines/server-load.js';
 import {ServerPaces} from '../src/pipelines/server-paces.js';
+import {RandomSource} from '../src/routing/random-source.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
 import {KeptLog, sampleModel, sampleServer} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
@@ -152,3 +154,23 @@
 	directory.take({servers: [server], askedAt: 2, mayLack: false});
 	t.deepEqual(directory.all()[0].range, {from: 0, to: 10});
 });
+
+test('a burst on few servers of a plain service opens no more connections than they accept', t => {
+	const timers = new ManualTimerService();
+	const log = new KeptLog();
+	const directory = new ServerDirectory(timers, log);
+	const servers = ['a', 'b'].map(id => sampleServer(id, '', undefined, {service: 'records'}));
+	directory.take({servers, askedAt: 0, mayLack: false});
+	const load = new ServerLoad();
+	const chooser = new PlainChooser(directory, new ServerBeliefs(beliefTimes, log), load, new RandomSource(seed()));
+	const chosen: string[] = [];
+	for (let request = 0; request < 10; request++) {
+		const server = chooser.choose({service: 'records', excluded: new Set(), mostRequests: 3}, 0);
+		if (server) {
+			load.start([{server, range: {from: 0, to: 0}}], 0);
+			chosen.push(server.id);
+		}
+	}
+
+	t.deepEqual(chosen.toSorted(), ['a', 'a', 'a', 'b', 'b', 'b']);
+});
