--- a/harness/sheet-text.ts
+++ b/harness/sheet-text.ts
@@ -1,4 +1,4 @@
-import {sheetColumns} from '../src/configuration/sheet-parser.js';
+import {sheetColumns} from '../src/configuration/sheet-columns.js';
 import {digestOf} from '../src/peers/secret.js';
 
 /** A workspace of a sheet that the harness writes. */
