Split the caller interface into server, handlers and parts

Change: caller-handlers answers requests for models, services and actions, caller-parts has the types, caller-interface of 131 lines the server, health and refusals; no behaviour. Ruled out: a file for each route (they share the admission and the reading of the body).

--- /dev/null
+++ b/src/callers/caller-handlers.ts
@@ -0,0 +1,129 @@
+import {randomUUID} from 'node:crypto';
+import {type Context} from 'koa';
+import getRawBody from 'raw-body';
+import * as z from 'zod';
+import {Execution} from '../results/execution.js';
+import {Failure} from '../results/failure.js';
+import {ResultCode} from '../results/result-code.js';
+import {messageOf} from '../results/to-failure.js';
+import {readDeadline, readIdempotencyKey, readPriority} from './caller-headers.js';
+import {type CallerLimits, type CallerParts} from './caller-parts.js';
+import {ChatExchange} from './chat-exchange.js';
+import {parseJson, readChatRequest} from './chat-request.js';
+import {executionHeader} from './refusal.js';
+
+const operationPathSchema = z.object({service: z.string(), operation: z.string()});
+const actionPathSchema = z.object({key: z.string()});
+const requestIdHeader = 'x-request-id';
+
+/** Answers the requests of callers that concern models, services and actions. */
+export class CallerHandlers {
+	constructor(private readonly limits: CallerLimits, private readonly parts: CallerParts) {}
+
+	/** The models of the services that the caller's workspace may use. */
+	listModels(exchange: Context): void {
+		const {configuration, workspace} = this.parts.gate.admit(exchange.headers);
+		const services = configuration.sheet.services().filter(({name, model}) => model !== '' && configuration.sheet.isGranted(workspace.name, name));
+		exchange.body = {
+			object: 'list',
+			data: services.map(({model, name}) => ({
+				id: model, object: 'model', created: 0, owned_by: name, // eslint-disable-line @typescript-eslint/naming-convention
+			})),
+		};
+	}
+
+	/** A chat completion, streamed or whole. */
+	async complete(exchange: Context): Promise<void> {
+		const {gate, drafts, timers, tracing, metrics, invariants, log} = this.parts;
+		const admittance = gate.admit(exchange.headers);
+		const {workspace, configuration} = admittance;
+		const deadline = timers.now() + readDeadline(exchange.headers, this.limits.deadline);
+		const priority = readPriority(exchange.headers, workspace.priority);
+		const request = readChatRequest(await this.readBody(exchange));
+		const service = configuration.sheet.serviceByModel(request.model);
+		if (!service) {
+			throw new Failure(ResultCode.ModelUnknown, `no service serves the model ${request.model}`);
+		}
+
+		gate.checkGrant(admittance, service);
+		const id = randomUUID();
+		exchange.set(requestIdHeader, id);
+		const span = tracing.start('entry', {workspace: workspace.name, model: request.model, request: id}, tracing.extract(exchange.headers));
+		metrics.count('siskinnotch_requests_total', 1, {service: service.name});
+		try {
+			const chat = new ChatExchange(id, request, exchange, {timers, invariants, log});
+			await chat.run(sink => tracing.within(span, () => drafts.start({
+				id,
+				workspace,
+				service,
+				prompt: request.prompt,
+				promptTokens: request.promptTokens,
+				maximumTokens: request.maximumTokens,
+				priority,
+				deadline,
+				context: tracing.contextOf(span),
+			}, sink)));
+		} finally {
+			span.end();
+		}
+	}
+
+	/** One operation of a plain service. */
+	async callPlain(exchange: Context): Promise<void> {
+		const {gate, plain, timers, tracing, metrics} = this.parts;
+		const admittance = gate.admit(exchange.headers);
+		const {workspace, configuration} = admittance;
+		const {service: serviceName, operation: operationName} = operationPathSchema.parse(exchange.params);
+		const service = configuration.sheet.service(serviceName);
+		const operation = configuration.sheet.operation(serviceName, operationName);
+		if (!service || !operation) {
+			throw new Failure(ResultCode.OperationUnknown, `the sheet has no operation ${operationName} of ${serviceName}`);
+		}
+
+		gate.checkGrant(admittance, service);
+		const key = readIdempotencyKey(exchange.headers, !operation.isIdempotent);
+		const deadline = timers.now() + readDeadline(exchange.headers, this.limits.deadline);
+		const body = await this.readBody(exchange);
+		parseJson(body);
+		const id = randomUUID();
+		exchange.set(requestIdHeader, id);
+		metrics.count('siskinnotch_requests_total', 1, {service: service.name});
+		const answer = await tracing.inSpan('entry', {workspace: workspace.name, operation: operationName, request: id}, async () => plain.dispatch({
+			id, workspace, operation, body, key, deadline,
+		}), tracing.extract(exchange.headers));
+		exchange.status = answer.status;
+		exchange.type = answer.contentType;
+		exchange.set(executionHeader, Execution.Run);
+		exchange.body = answer.body;
+	}
+
+	/** What is known of a one-time action of the caller's workspace. */
+	async lookUp(exchange: Context): Promise<void> {
+		const {workspace} = this.parts.gate.admit(exchange.headers);
+		const {key} = actionPathSchema.parse(exchange.params);
+		const record = await this.readAction(workspace.name, key);
+		if (!record) {
+			throw new Failure(ResultCode.ActionUnknown, `no action with the key ${key} is known`);
+		}
+
+		exchange.body = {key, state: record.state, answer: record.answer};
+	}
+
+	private async readAction(workspace: string, key: string) {
+		try {
+			return await this.parts.ledger.lookUp(workspace, key);
+		} catch (error) {
+			throw new Failure(ResultCode.PlatformUnavailable, `the action cannot be looked up: ${messageOf(error)}`, Execution.Unknown);
+		}
+	}
+
+	private async readBody(exchange: Context): Promise<string> {
+		try {
+			return await getRawBody(exchange.req, {limit: this.limits.body, length: exchange.req.headers['content-length'], encoding: 'utf8'});
+		} catch (error) {
+			const isTooLarge = typeof error === 'object' && error !== null && 'type' in error && error.type === 'entity.too.large';
+			const code = isTooLarge ? ResultCode.BodyTooLarge : ResultCode.BodyMalformed;
+			throw new Failure(code, isTooLarge ? `the body is larger than ${this.limits.body} bytes` : 'the body did not arrive whole');
+		}
+	}
+}
--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -1,65 +1,23 @@
 import {createServer, type Server} from 'node:http';
 import {type Socket} from 'node:net';
-import {randomUUID} from 'node:crypto';
 import Router from '@koa/router';
 import Koa, {type Context} from 'koa';
-import getRawBody from 'raw-body';
-import {type Logger} from 'winston';
-import * as z from 'zod';
-import {type ActionLedger} from '../actions/action-ledger.js';
-import {type Invariants} from '../observation/invariants.js';
-import {type Metrics} from '../observation/metrics.js';
-import {type Tracing} from '../observation/tracing.js';
-import {type PlainDispatcher} from '../plain/plain-dispatcher.js';
-import {type DraftService} from '../drafts/draft-service.js';
 import {Failure} from '../results/failure.js';
-import {Execution} from '../results/execution.js';
 import {ResultCode} from '../results/result-code.js';
 import {messageOf, toFailure} from '../results/to-failure.js';
-import {type TimerService} from '../time/timer-service.js';
-import {type Lifecycle} from '../lifecycle.js';
-import {readDeadline, readIdempotencyKey, readPriority} from './caller-headers.js';
-import {ChatExchange} from './chat-exchange.js';
-import {parseJson, readChatRequest} from './chat-request.js';
-import {type Gate} from './gate.js';
-import {refusalOf, statusOf} from './refusal.js';
-
-/** Limits of the caller interface. */
-export type CallerLimits = {
-	/** Bytes. */
-	readonly body: number;
-	/** Milliseconds for a request's headers to arrive. */
-	readonly headers: number;
-	/** Milliseconds that a request may take. */
-	readonly deadline: number;
-};
-
-/** What the caller interface calls. */
-export type CallerParts = {
-	readonly gate: Gate;
-	readonly drafts: DraftService;
-	readonly plain: PlainDispatcher;
-	readonly ledger: ActionLedger;
-	readonly timers: TimerService;
-	readonly tracing: Tracing;
-	readonly metrics: Metrics;
-	readonly invariants: Invariants;
-	readonly lifecycle: Lifecycle;
-	readonly log: Logger;
-};
-
-const operationPathSchema = z.object({service: z.string(), operation: z.string()});
-const actionPathSchema = z.object({key: z.string()});
-const requestIdHeader = 'x-request-id';
-const executionHeader = 'x-execution';
+import {CallerHandlers} from './caller-handlers.js';
+import {type CallerLimits, type CallerParts} from './caller-parts.js';
+import {executionHeader, refusalOf, statusOf} from './refusal.js';
 
 /** The HTTP interface for callers: OpenAI's chat completions and models, plain services, health and metrics. */
 export class CallerInterface {
 	private readonly server: Server;
 	private readonly sockets = new Set<Socket>();
+	private readonly handlers: CallerHandlers;
 	private open = 0;
 
-	constructor(private readonly limits: CallerLimits, private readonly parts: CallerParts) {
+	constructor(limits: CallerLimits, private readonly parts: CallerParts) {
+		this.handlers = new CallerHandlers(limits, parts);
 		const app = new Koa();
 		app.on('error', error => {
 			parts.log.debug(`A connection failed: ${messageOf(error)}.`);
@@ -126,11 +84,11 @@
 			exchange.body = this.parts.metrics.render();
 		});
 		router.get('/v1/models', exchange => {
-			this.listModels(exchange);
+			this.handlers.listModels(exchange);
 		});
-		router.post('/v1/chat/completions', async exchange => this.complete(exchange));
-		router.post('/v1/services/:service/:operation', async exchange => this.callPlain(exchange));
-		router.get('/v1/actions/:key', async exchange => this.lookUp(exchange));
+		router.post('/v1/chat/completions', async exchange => this.handlers.complete(exchange));
+		router.post('/v1/services/:service/:operation', async exchange => this.handlers.callPlain(exchange));
+		router.get('/v1/actions/:key', async exchange => this.handlers.lookUp(exchange));
 		return router;
 	}
 
@@ -170,108 +128,4 @@
 			exchange.set('connection', 'close');
 		}
 	}
-
-	private listModels(exchange: Context): void {
-		const {configuration, workspace} = this.parts.gate.admit(exchange.headers);
-		const services = configuration.sheet.services().filter(({name, model}) => model !== '' && configuration.sheet.isGranted(workspace.name, name));
-		exchange.body = {
-			object: 'list',
-			data: services.map(({model, name}) => ({
-				id: model, object: 'model', created: 0, owned_by: name, // eslint-disable-line @typescript-eslint/naming-convention
-			})),
-		};
-	}
-
-	private async complete(exchange: Context): Promise<void> {
-		const {gate, drafts, timers, tracing, metrics, invariants, log} = this.parts;
-		const admittance = gate.admit(exchange.headers);
-		const {workspace, configuration} = admittance;
-		const deadline = timers.now() + readDeadline(exchange.headers, this.limits.deadline);
-		const priority = readPriority(exchange.headers, workspace.priority);
-		const request = readChatRequest(await this.readBody(exchange));
-		const service = configuration.sheet.serviceByModel(request.model);
-		if (!service) {
-			throw new Failure(ResultCode.ModelUnknown, `no service serves the model ${request.model}`);
-		}
-
-		gate.checkGrant(admittance, service);
-		const id = randomUUID();
-		exchange.set(requestIdHeader, id);
-		const span = tracing.start('entry', {workspace: workspace.name, model: request.model, request: id}, tracing.extract(exchange.headers));
-		metrics.count('siskinnotch_requests_total', 1, {service: service.name});
-		try {
-			const chat = new ChatExchange(id, request, exchange, {timers, invariants, log});
-			await chat.run(sink => tracing.within(span, () => drafts.start({
-				id,
-				workspace,
-				service,
-				prompt: request.prompt,
-				promptTokens: request.promptTokens,
-				maximumTokens: request.maximumTokens,
-				priority,
-				deadline,
-				context: tracing.contextOf(span),
-			}, sink)));
-		} finally {
-			span.end();
-		}
-	}
-
-	private async callPlain(exchange: Context): Promise<void> {
-		const {gate, plain, timers, tracing, metrics} = this.parts;
-		const admittance = gate.admit(exchange.headers);
-		const {workspace, configuration} = admittance;
-		const {service: serviceName, operation: operationName} = operationPathSchema.parse(exchange.params);
-		const service = configuration.sheet.service(serviceName);
-		const operation = configuration.sheet.operation(serviceName, operationName);
-		if (!service || !operation) {
-			throw new Failure(ResultCode.OperationUnknown, `the sheet has no operation ${operationName} of ${serviceName}`);
-		}
-
-		gate.checkGrant(admittance, service);
-		const key = readIdempotencyKey(exchange.headers, !operation.isIdempotent);
-		const deadline = timers.now() + readDeadline(exchange.headers, this.limits.deadline);
-		const body = await this.readBody(exchange);
-		parseJson(body);
-		const id = randomUUID();
-		exchange.set(requestIdHeader, id);
-		metrics.count('siskinnotch_requests_total', 1, {service: service.name});
-		const answer = await tracing.inSpan('entry', {workspace: workspace.name, operation: operationName, request: id}, async () => plain.dispatch({
-			id, workspace, operation, body, key, deadline,
-		}), tracing.extract(exchange.headers));
-		exchange.status = answer.status;
-		exchange.type = answer.contentType;
-		exchange.set(executionHeader, Execution.Run);
-		exchange.body = answer.body;
-	}
-
-	/** What is known of a one-time action of the caller's workspace. */
-	private async lookUp(exchange: Context): Promise<void> {
-		const {workspace} = this.parts.gate.admit(exchange.headers);
-		const {key} = actionPathSchema.parse(exchange.params);
-		const record = await this.readAction(workspace.name, key);
-		if (!record) {
-			throw new Failure(ResultCode.ActionUnknown, `no action with the key ${key} is known`);
-		}
-
-		exchange.body = {key, state: record.state, answer: record.answer};
-	}
-
-	private async readAction(workspace: string, key: string) {
-		try {
-			return await this.parts.ledger.lookUp(workspace, key);
-		} catch (error) {
-			throw new Failure(ResultCode.PlatformUnavailable, `the action cannot be looked up: ${messageOf(error)}`, Execution.Unknown);
-		}
-	}
-
-	private async readBody(exchange: Context): Promise<string> {
-		try {
-			return await getRawBody(exchange.req, {limit: this.limits.body, length: exchange.req.headers['content-length'], encoding: 'utf8'});
-		} catch (error) {
-			const isTooLarge = typeof error === 'object' && error !== null && 'type' in error && error.type === 'entity.too.large';
-			const code = isTooLarge ? ResultCode.BodyTooLarge : ResultCode.BodyMalformed;
-			throw new Failure(code, isTooLarge ? `the body is larger than ${this.limits.body} bytes` : 'the body did not arrive whole');
-		}
-	}
 }
--- /dev/null
+++ b/src/callers/caller-parts.ts
@@ -0,0 +1,34 @@
+import {type Logger} from 'winston';
+import {type ActionLedger} from '../actions/action-ledger.js';
+import {type DraftService} from '../drafts/draft-service.js';
+import {type Lifecycle} from '../lifecycle.js';
+import {type Invariants} from '../observation/invariants.js';
+import {type Metrics} from '../observation/metrics.js';
+import {type Tracing} from '../observation/tracing.js';
+import {type PlainDispatcher} from '../plain/plain-dispatcher.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type Gate} from './gate.js';
+
+/** Limits of the caller interface. */
+export type CallerLimits = {
+	/** Bytes. */
+	readonly body: number;
+	/** Milliseconds for a request's headers to arrive. */
+	readonly headers: number;
+	/** Milliseconds that a request may take. */
+	readonly deadline: number;
+};
+
+/** What the caller interface calls. */
+export type CallerParts = {
+	readonly gate: Gate;
+	readonly drafts: DraftService;
+	readonly plain: PlainDispatcher;
+	readonly ledger: ActionLedger;
+	readonly timers: TimerService;
+	readonly tracing: Tracing;
+	readonly metrics: Metrics;
+	readonly invariants: Invariants;
+	readonly lifecycle: Lifecycle;
+	readonly log: Logger;
+};
--- a/src/callers/refusal.ts
+++ b/src/callers/refusal.ts
@@ -2,6 +2,9 @@
 import {ResultCode} from '../results/result-code.js';
 import {resultTable} from '../results/result-table.js';
 
+/** The header that tells what came of the work. */
+export const executionHeader = 'x-execution';
+
 /** The body of every refusal: the error object that OpenAI's clients read, with the result code and what came of the work. */
 export type Refusal = {
 	readonly error: {
