--- /dev/null
+++ b/src/drafts/draft-limits.ts
@@ -0,0 +1,13 @@
+import {type AdmissionLimits} from '../admission/admission.js';
+
+/** Limits of the draft service. */
+export type DraftLimits = AdmissionLimits & {
+	/** Milliseconds without a token after which the stages are inspected. */
+	readonly stall: number;
+	/** Milliseconds for the first token before the stages are inspected. */
+	readonly firstToken: number;
+	/** Milliseconds between tokens above which a stream that was faster is moved. */
+	readonly tokenGap: number;
+	/** Most streams that run at this instance. */
+	readonly streams: number;
+};
--- a/src/drafts/draft-service.ts
+++ b/src/drafts/draft-service.ts
@@ -1,8 +1,6 @@
 import {type Logger} from 'winston';
-import {Admission, type AdmissionLimits} from '../admission/admission.js';
 import {type AdmissionOutcome} from '../admission/admission-outcome.js';
 import {type RetryBudget} from '../admission/retry-budget.js';
-import {type Service} from '../configuration/sheet-row.js';
 import {type Invariants} from '../observation/invariants.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
@@ -15,21 +13,11 @@
 import {StreamRecovery} from '../routing/stream-recovery.js';
 import {type Meter, type Reservation} from '../usage/meter.js';
 import {type Capacity} from './capacity.js';
+import {type DraftLimits} from './draft-limits.js';
 import {DraftRun, type DraftTools} from './draft-run.js';
 import {type DraftSink} from './draft-sink.js';
 import {type Draft} from './draft.js';
-
-/** Limits of the draft service. */
-export type DraftLimits = AdmissionLimits & {
-	/** Milliseconds without a token after which the stages are inspected. */
-	readonly stall: number;
-	/** Milliseconds for the first token before the stages are inspected. */
-	readonly firstToken: number;
-	/** Milliseconds between tokens above which a stream that was faster is moved. */
-	readonly tokenGap: number;
-	/** Most streams that run at this instance. */
-	readonly streams: number;
-};
+import {ServiceAdmissions} from './service-admissions.js';
 
 /** A draft that the caller can give up. */
 export type DraftTicket = {
@@ -68,10 +56,11 @@
 
 /** Admits drafts, runs them along routes and settles what they used. */
 export class DraftService {
-	private readonly admissions = new Map<string, Admission>();
+	private readonly admissions: ServiceAdmissions;
 	private readonly pending = new Map<string, Pending>();
 
 	constructor(private readonly parts: DraftServiceParts) {
+		this.admissions = new ServiceAdmissions(parts.limits, parts.capacity, parts.invariants);
 		parts.tools.timers.repeat(tickMs, () => {
 			this.tick();
 		});
@@ -84,12 +73,7 @@
 
 	/** Number of drafts that wait for admission. */
 	get waiting(): number {
-		let total = 0;
-		for (const admission of this.admissions.values()) {
-			total += admission.waitingCount;
-		}
-
-		return total;
+		return this.admissions.waiting;
 	}
 
 	/** Starts a draft; all that comes of it goes to the sink. */
@@ -124,31 +108,7 @@
 		};
 		this.pending.set(draft.id, pending);
 		this.parts.budget.countRequest(now);
-		const ticket = {
-			id: draft.id,
-			workspace: draft.workspace.name,
-			priority: draft.priority,
-			share: draft.workspace.share,
-			cost: draft.promptTokens + draft.maximumTokens,
-			deadline: draft.deadline,
-			expectedDuration: this.parts.capacity.expectedDuration(draft.maximumTokens),
-		};
-		this.settleOutcome(this.admissionOf(draft.service).request(ticket, this.slotsOf(draft.service), now));
-	}
-
-	private admissionOf({name}: Service): Admission {
-		let admission = this.admissions.get(name);
-		if (!admission) {
-			admission = new Admission(this.parts.limits, this.parts.invariants);
-			this.admissions.set(name, admission);
-		}
-
-		return admission;
-	}
-
-	private slotsOf(service: Service): number {
-		const own = this.admissions.get(service.name)?.runningCount ?? 0;
-		return Math.min(this.parts.limits.streams, this.parts.capacity.slots(service, own, this.parts.tools.timers.now()));
+		this.settleOutcome(this.admissions.request(draft, now));
 	}
 
 	private settleOutcome(outcome: AdmissionOutcome): void {
@@ -241,8 +201,7 @@
 			this.parts.capacity.learn(duration, delivered);
 		}
 
-		const {service} = pending.draft;
-		this.settleOutcome(this.admissionOf(service).end(pending.draft.id, this.slotsOf(service), now, duration));
+		this.settleOutcome(this.admissions.end(pending.draft, duration, now));
 	}
 
 	private cancel(id: string): void {
@@ -261,22 +220,8 @@
 			pending.run?.dispatch({kind: StreamEventKind.Tick});
 		}
 
-		const now = this.parts.tools.timers.now();
-		for (const [name, admission] of this.admissions) {
-			if (admission.waitingCount > 0) {
-				const service = this.serviceOf(name);
-				this.settleOutcome(admission.advance(service ? this.slotsOf(service) : 0, now));
-			}
-		}
-	}
-
-	private serviceOf(name: string): Service | undefined {
-		for (const {draft} of this.pending.values()) {
-			if (draft.service.name === name) {
-				return draft.service;
-			}
+		for (const outcome of this.admissions.advance(this.parts.tools.timers.now())) {
+			this.settleOutcome(outcome);
 		}
-
-		return undefined;
 	}
 }
