Count servers that only leave among those on which a stream ran

The first two rejected work and said that they fail or are leaving; both were suspected, and a suspected or leaving server was taken for one that had ended, which does not count.

Change: a server does not count only where this instance itself found no answer, where another stage waits for it, or where a later life is listed in its place. Once it is known to have ended it stays out. Two methods that nothing uses any more are removed.

Ruled out: the retry budget (arrivals were within it); the list (the second server was listed as leaving 0.8 s after its run).

Test: stream-exchange, 'first stages that leave one after the other still count …', red before and green after.

--- a/src/pipelines/server-beliefs.ts
+++ b/src/pipelines/server-beliefs.ts
@@ -9,6 +9,8 @@
 type Belief = {
 	/** Monotonic time in milliseconds until which it gets no new work. */
 	suspectUntil: number;
+	/** Whether the latest suspicion is that it ended or is cut off, not only that it should get no work. */
+	isEnded: boolean;
 	/** Monotonic time until which it is taken to be short of memory or places. */
 	fullUntil: number;
 	/** Monotonic time of the last request that tries a server whose suspicion has run out. */
@@ -46,14 +48,17 @@
 	/**
 	There is evidence that the server does not work.
 
+	@param isEnded - whether this instance itself found that it gives no answer or that others wait for it
 	@returns whether it was not suspected before
 	*/
-	suspect(server: BackendServer, reason: string, now: number): boolean {
+	suspect(server: BackendServer, reason: string, now: number, isEnded = false): boolean {
 		const belief = this.beliefOf(server);
 		if (belief.suspectUntil > now) {
+			belief.isEnded ||= isEnded;
 			return false;
 		}
 
+		belief.isEnded = isEnded;
 		belief.strikes++;
 		const duration = Math.min(this.times.longestSuspicion, this.times.suspicion * (2 ** (belief.strikes - 1)));
 		belief.suspectUntil = now + duration;
@@ -101,6 +106,11 @@
 		return (this.beliefs.get(lifeOf(server))?.suspectUntil ?? 0) > now;
 	}
 
+	/** Whether there is reason to think that the server ended or is cut off, so that nothing runs there for us. */
+	isEnded(server: BackendServer, now: number): boolean {
+		return this.isSuspected(server, now) && this.beliefs.get(lifeOf(server))!.isEnded;
+	}
+
 	/** Whether the server has worked since it was last suspected. */
 	isTrusted(server: BackendServer): boolean {
 		return (this.beliefs.get(lifeOf(server))?.strikes ?? 0) === 0;
@@ -148,7 +158,7 @@
 	private beliefOf(server: BackendServer): Belief {
 		const life = lifeOf(server);
 		const belief = this.beliefs.get(life) ?? {
-			suspectUntil: 0, fullUntil: 0, triedAt: Number.NEGATIVE_INFINITY, strikes: 0, rejections: 0,
+			suspectUntil: 0, isEnded: false, fullUntil: 0, triedAt: Number.NEGATIVE_INFINITY, strikes: 0, rejections: 0,
 		};
 		this.beliefs.set(life, belief);
 		return belief;
--- a/src/pipelines/server-directory.ts
+++ b/src/pipelines/server-directory.ts
@@ -59,10 +59,10 @@
 		return this.all().find(server => server.address === address);
 	}
 
-	/** Whether this life is still listed and not leaving. */
-	isListed(server: BackendServer): boolean {
+	/** Whether the server ended for certain, since a later life is listed in its place. */
+	isReplaced(server: BackendServer): boolean {
 		const current = this.entries.get(server.id)?.server;
-		return current !== undefined && lifeOf(current) === lifeOf(server) && !current.isLeaving;
+		return current !== undefined && lifeOf(current) !== lifeOf(server);
 	}
 
 	/** Takes over a reading; readings that were asked for before the last one are dropped. */
@@ -96,16 +96,6 @@
 		}
 	}
 
-	/** The server said itself that it is leaving. */
-	markLeaving(server: BackendServer): void {
-		const entry = this.entries.get(server.id);
-		if (entry && lifeOf(entry.server) === lifeOf(server) && !entry.server.isLeaving) {
-			this.leaving.add(lifeOf(server));
-			entry.server = {...entry.server, isLeaving: true};
-			this.log.write('server.leaving', {server: server.id, address: server.address, origin: 'server'});
-		}
-	}
-
 	/** The server as listed, with the range that was learnt since where the list does not show it yet. */
 	private withLearntRange(server: BackendServer): BackendServer {
 		const life = lifeOf(server);
--- a/src/relay/run-record.ts
+++ b/src/relay/run-record.ts
@@ -3,11 +3,12 @@
 /** The backend servers on which a request ran or may have run, so that it runs on no more of them than its route allows. */
 export class RunRecord {
 	private readonly servers = new Map<string, BackendServer>();
+	private readonly ended = new Set<string>();
 	private isLatestNew = true;
 
 	/**
-	@param most - backend servers that the route allows; those that ended do not count
-	@param isLiving - whether a server still runs
+	@param most - backend servers that the route allows; those that ended do not count, those that only leave do
+	@param isLiving - whether a server may still run
 	*/
 	constructor(private readonly most: number, private readonly isLiving: (server: BackendServer) => boolean) {}
 
@@ -30,6 +31,7 @@
 	start(server: BackendServer): void {
 		this.isLatestNew = !this.servers.has(lifeOf(server));
 		this.servers.set(lifeOf(server), server);
+		this.ended.delete(lifeOf(server));
 	}
 
 	/** The request did not run on the server to which it was last sent. */
@@ -40,6 +42,12 @@
 	}
 
 	private living(): readonly string[] {
-		return [...this.servers].filter(([, server]) => this.isLiving(server)).map(([life]) => life);
+		for (const [life, server] of this.servers) {
+			if (!this.isLiving(server)) {
+				this.ended.add(life);
+			}
+		}
+
+		return [...this.servers.keys()].filter(life => !this.ended.has(life));
 	}
 }
--- a/src/relay/stage-judge.ts
+++ b/src/relay/stage-judge.ts
@@ -20,7 +20,7 @@
 	@param isBlocking - whether another stage says that it waits for this one
 	*/
 	suspect(server: BackendServer, isBlocking: boolean, reason: string, now: number): void {
-		if (this.beliefs.suspect(server, reason, now)) {
+		if (this.beliefs.suspect(server, reason, now, true)) {
 			this.streams.onSuspicion(server, isBlocking, reason);
 		}
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -48,7 +48,7 @@
 		this.search = new PipelineSearch(streams.chooser);
 		this.judge = new StageJudge(parts.beliefs, streams);
 		this.runs = new RunRecord(request.route.maxRuns, server =>
-			parts.directory.isListed(server) && !parts.beliefs.isSuspected(server, parts.timers.now()));
+			!parts.directory.isReplaced(server) && !parts.beliefs.isEnded(server, parts.timers.now()));
 	}
 
 	/** The stages in use; undefined while it waits. */
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -128,7 +128,7 @@
 			const health = await this.parts.reporter.askHealth(server, path);
 			this.parts.log.write('server.health', {server: server.id, health});
 			if (health === Health.Bad) {
-				this.suspect(server, true, 'it rejects requests and says that it fails or is leaving');
+				this.suspect(server, true, 'it rejects requests and says that it fails or is leaving', false);
 			}
 		} catch (error) {
 			this.suspect(server, false, `it rejects requests and does not answer: ${messageOf(error)}`);
@@ -164,9 +164,9 @@
 		}
 	}
 
-	private suspect(server: BackendServer, isBlocking: boolean, reason: string): void {
+	private suspect(server: BackendServer, isBlocking: boolean, reason: string, isEnded = true): void {
 		const {beliefs, timers, onSuspicion} = this.parts;
-		if (beliefs.suspect(server, reason, timers.now())) {
+		if (beliefs.suspect(server, reason, timers.now(), isEnded)) {
 			onSuspicion(server, isBlocking, reason);
 		}
 
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -66,8 +66,35 @@
 	sample.start();
 	sample.exchange.moveOff(undefined, 'no event');
 	t.is(sample.sent.length, 2);
-	t.true(sample.exclusions.at(-2)!.has(lifeOf(first)));
+	t.true(sample.questions.at(-2)!.excluded.has(lifeOf(first)));
 
 	sample.exchange.moveOff(first, 'it is down');
 	t.is(sample.sent.length, 2, 'a stage that was found faulty is not used again');
 });
+
+test('first stages that leave one after the other still count as servers on which the stream ran', t => {
+	const sample = new SampleExchange();
+	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
+	sample.pipeline = pipeline;
+	sample.start();
+	sample.pipeline = [{server: second, range}];
+	sample.beliefs.suspect(first, 'it says that it is leaving', sample.timers.now());
+	sample.exchange.moveOff(first, 'it says that it is leaving');
+	t.is(sample.sent.length, 2);
+	sample.beliefs.suspect(second, 'it says that it is leaving', sample.timers.now());
+	sample.exchange.moveOff(second, 'it says that it is leaving');
+	t.deepEqual(sample.questions.at(-1)!.firstAmong, new Set([lifeOf(first), lifeOf(second)]));
+});
+
+test('a first stage that gives no answer does not count as a server on which the stream ran', t => {
+	const sample = new SampleExchange();
+	sample.pipeline = pipeline;
+	sample.start();
+	sample.beliefs.suspect(first, 'a peer could not reach it', sample.timers.now());
+	sample.beliefs.suspect(first, 'no connection', sample.timers.now(), true);
+	sample.pipeline = [{server: sampleServer('second', 'large', range), range}];
+	sample.exchange.moveOff(first, 'no connection');
+	sample.pipeline = undefined;
+	sample.exchange.moveOff(undefined, 'no event');
+	t.is(sample.questions.at(-1)!.firstAmong, undefined);
+});
--- a/test/support/sample-exchange.ts
+++ b/test/support/sample-exchange.ts
@@ -86,8 +86,9 @@
 	readonly reply = new KeptReply();
 	/** Attempts that were sent, with where to put what comes of them. */
 	readonly sent: Array<{readonly attempt: Attempt; readonly listener: ReplyListener}> = [];
-	/** Lives that the chooser was told to leave out, at each question. */
-	readonly exclusions: Array<ReadonlySet<string>> = [];
+	/** What the chooser was asked for. */
+	readonly questions: PipelineRequest[] = [];
+	readonly beliefs: ServerBeliefs;
 	readonly exchange: StreamExchange;
 	/** What the chooser finds where its first stage is not left out. */
 	pipeline?: Pipeline;
@@ -96,6 +97,9 @@
 		const {timers} = this;
 		const log = new KeptLog(timers);
 		const budget = new RetryBudget(0.2, 100, 10_000);
+		this.beliefs = new ServerBeliefs({
+			suspicion: 2000, longestSuspicion: 8000, fullness: 250, trialPause: 700,
+		}, log);
 		const parts: ExchangeParts = {
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				send: (attempt: Attempt, listener: ReplyListener) => {
@@ -104,9 +108,7 @@
 				},
 			} as unknown as BackendClient,
 			directory: new ServerDirectory(timers, log),
-			beliefs: new ServerBeliefs({
-				suspicion: 2000, longestSuspicion: 8000, fullness: 250, trialPause: 700,
-			}, log),
+			beliefs: this.beliefs,
 			load: new ServerLoad(),
 			budgets: {of: () => budget},
 			timers,
@@ -131,7 +133,7 @@
 			model: sampleModel,
 			chooser: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				choose: (request: PipelineRequest) => {
-					this.exclusions.push(request.excluded);
+					this.questions.push(request);
 					return this.pipeline && !request.excluded.has(lifeOf(this.pipeline[0].server)) ? this.pipeline : undefined;
 				},
 			} as unknown as PipelineChooser,
