Share the listening of servers and the cutting off of calls

Change: listen() in src/network and TimerService.runWithin; no behaviour, but that the stand-in of a replica and the older interfaces now also leave no listener behind. Ruled out: TimerService.within, which rejects but does not cut the call off.

Tests of callers, the router as a process, actions, stand-ins and leases green.

--- a/src/backends/http-plain-service.ts
+++ b/src/backends/http-plain-service.ts
@@ -22,13 +22,9 @@
 	}
 
 	async call(address: string, call: PlainCall, limit: number): Promise<SendResult> {
-		const cancellation = new AbortController();
-		const timeout = this.timers.after(limit, () => {
-			cancellation.abort();
-		});
 		try {
 			// A connection of its own: a reused one could be reset after the bytes went.
-			const response = await got.post(`http://${address}/operations/${encodeURIComponent(call.operation)}`, {
+			const response = await this.timers.runWithin(limit, async signal => got.post(`http://${address}/operations/${encodeURIComponent(call.operation)}`, {
 				body: call.body,
 				headers: {
 					...call.headers,
@@ -40,8 +36,8 @@
 				retry: {limit: 0},
 				throwHttpErrors: false,
 				followRedirect: false,
-				signal: cancellation.signal,
-			});
+				signal,
+			}));
 			if (response.headers[executionHeader] === Execution.NotRun) {
 				return {execution: Execution.NotRun, isServiceAnswer: true, reason: 'the service says that it did not run it'};
 			}
@@ -55,8 +51,6 @@
 		} catch (error) {
 			const isUnsent = error instanceof RequestError && unsentErrors.has(error.code);
 			return {execution: isUnsent ? Execution.NotRun : Execution.Unknown, reason: messageOf(error)};
-		} finally {
-			timeout.cancel();
 		}
 	}
 
--- a/src/backends/http-request.ts
+++ b/src/backends/http-request.ts
@@ -13,20 +13,12 @@
 
 /** Sends one JSON request over a new connection and gives up after a limit. Rejects on any failure of the connection. */
 export async function requestOnce(timers: TimerService, {url, limit, body}: SingleRequest): Promise<Response<string>> {
-	const cancellation = new AbortController();
-	const timeout = timers.after(limit, () => {
-		cancellation.abort();
-	});
-	try {
-		return await got(url, {
-			method: body === undefined ? 'GET' : 'POST',
-			json: body,
-			agent: {http: new Agent({keepAlive: false})},
-			retry: {limit: 0},
-			throwHttpErrors: false,
-			signal: cancellation.signal,
-		});
-	} finally {
-		timeout.cancel();
-	}
+	return timers.runWithin(limit, async signal => got(url, {
+		method: body === undefined ? 'GET' : 'POST',
+		json: body,
+		agent: {http: new Agent({keepAlive: false})},
+		retry: {limit: 0},
+		throwHttpErrors: false,
+		signal,
+	}));
 }
--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -2,6 +2,7 @@
 import {type Socket} from 'node:net';
 import Router from '@koa/router';
 import Koa, {type Context} from 'koa';
+import {listen} from '../network/listen.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {messageOf, toFailure} from '../results/to-failure.js';
@@ -47,10 +48,7 @@
 
 	/** Listens on an address; rejects where it cannot be had. */
 	async listen(host: string, port: number): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, resolve);
-		});
+		return listen(this.server, host, port);
 	}
 
 	/** Stops listening and closes what is idle; requests in flight go on. */
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import {type CallerLimits} from '../catalog/caller-limits.js';
 import {type Lifecycle} from '../lifecycle.js';
+import {listen} from '../network/listen.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type ExchangeCodec} from '../relay/exchange-codec.js';
@@ -46,13 +47,7 @@
 
 	/** Begins to accept connections. */
 	async listen(host: string, port: number): Promise<void> {
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, () => {
-				this.server.off('error', reject);
-				resolve();
-			});
-		});
+		return listen(this.server, host, port);
 	}
 
 	/** Puts the limits of a catalog in force. */
--- a/src/entry/status-server.ts
+++ b/src/entry/status-server.ts
@@ -1,20 +1,11 @@
-import {createServer, type Server} from 'node:http';
+import {createServer} from 'node:http';
+import {listen} from '../network/listen.js';
 import {type Metrics} from '../observation/metrics.js';
 
 const ok = 200;
 const unavailable = 503;
 const notFound = 404;
 
-async function listen(server: Server, host: string, port: number): Promise<void> {
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
-}
-
 /** Answers whether the instance is ready, and prints its metrics. */
 export class StatusServer {
 	/**
--- a/src/peers/news-links.ts
+++ b/src/peers/news-links.ts
@@ -1,6 +1,7 @@
 import {createServer, type Server} from 'node:http';
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {listen} from '../network/listen.js';
 import {type TimerService} from '../time/timer-service.js';
 import {HttpFetch} from '../store/http-fetch.js';
 import {instanceSnapshotSchema, type InstanceSnapshot} from './instance-snapshot.js';
@@ -20,15 +21,8 @@
 
 	/** Begins to answer other instances. */
 	async listen(host: string, port: number, receiver: NewsReceiver): Promise<void> {
-		const server = createServer(createHTTPHandler({router: createNewsProcedures(receiver)}));
-		this.server = server;
-		return new Promise((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, host, () => {
-				server.off('error', reject);
-				resolve();
-			});
-		});
+		this.server = createServer(createHTTPHandler({router: createNewsProcedures(receiver)}));
+		return listen(this.server, host, port);
 	}
 
 	/** Stops answering. */
@@ -64,14 +58,6 @@
 			})],
 		});
 		this.clients.set(address, client);
-		const cancellation = new AbortController();
-		const timeout = this.timers.after(this.limit, () => {
-			cancellation.abort();
-		});
-		try {
-			return await work(client, cancellation.signal);
-		} finally {
-			timeout.cancel();
-		}
+		return this.timers.runWithin(this.limit, async signal => work(client, signal));
 	}
 }
--- a/src/peers/peer-interface.ts
+++ b/src/peers/peer-interface.ts
@@ -1,6 +1,7 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {type Socket} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {listen} from '../network/listen.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type createProcedures, Role} from './procedures.js';
 import {bearerOf, isSameSecret} from './secret.js';
@@ -33,10 +34,7 @@
 
 	/** Listens on an address; rejects where it cannot be had. */
 	async listen(host: string, port: number): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, resolve);
-		});
+		return listen(this.server, host, port);
 	}
 
 	/** Stops at once. */
--- a/src/peers/trpc-peers.ts
+++ b/src/peers/trpc-peers.ts
@@ -68,20 +68,8 @@
 	}
 
 	private async call<Value>(address: string, limit: number, work: (client: ProcedureClient, signal: AbortSignal) => Promise<Value>): Promise<Value> {
-		let client = this.clients.get(address);
-		if (!client) {
-			client = createProcedureClient(address, this.parts.secret);
-			this.clients.set(address, client);
-		}
-
-		const cancellation = new AbortController();
-		const timeout = this.parts.timers.after(limit, () => {
-			cancellation.abort();
-		});
-		try {
-			return await work(client, cancellation.signal);
-		} finally {
-			timeout.cancel();
-		}
+		const client = this.clients.get(address) ?? createProcedureClient(address, this.parts.secret);
+		this.clients.set(address, client);
+		return this.parts.timers.runWithin(limit, async signal => work(client, signal));
 	}
 }
--- a/src/store/http-client.ts
+++ b/src/store/http-client.ts
@@ -33,17 +33,13 @@
 	@param limit - milliseconds that this request may take
 	*/
 	async send(method: 'GET' | 'POST' | 'PUT', path: string, body?: unknown, limit = this.limit): Promise<Answer> {
-		const cancellation = new AbortController();
-		const timeout = this.timers.after(limit, () => {
-			cancellation.abort();
-		});
 		try {
-			const {status, text} = await new HttpFetch(this.agent).fetch(this.base + path, {
+			const {status, text} = await this.timers.runWithin(limit, async signal => new HttpFetch(this.agent).fetch(this.base + path, {
 				method,
 				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: {'content-type': 'application/json'},
-				signal: cancellation.signal,
-			});
+				signal,
+			}));
 			if (status >= 500) {
 				throw new PlatformError(`the platform answered ${status} to ${path}`, status !== 503);
 			}
@@ -51,8 +47,6 @@
 			return {status, body: await text()};
 		} catch (error) {
 			throw this.toPlatformError(error, path);
-		} finally {
-			timeout.cancel();
 		}
 	}
 
--- a/src/time/timer-service.ts
+++ b/src/time/timer-service.ts
@@ -33,6 +33,23 @@
 		});
 	}
 
+	/**
+	Runs work whose signal is aborted when the time is over.
+
+	@param limit - milliseconds
+	*/
+	async runWithin<Value>(limit: number, work: (signal: AbortSignal) => Promise<Value>): Promise<Value> {
+		const cancellation = new AbortController();
+		const timeout = this.after(limit, () => {
+			cancellation.abort();
+		});
+		try {
+			return await work(cancellation.signal);
+		} finally {
+			timeout.cancel();
+		}
+	}
+
 	/** Monotonic time in milliseconds from an arbitrary origin. */
 	abstract now(): number;
 
--- a/stand-ins/json-server.ts
+++ b/stand-ins/json-server.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import {type Socket, type AddressInfo} from 'node:net';
 import * as z from 'zod';
+import {listen} from '../src/network/listen.js';
 
 /** A request as handlers get it. */
 export type JsonRequest = {
@@ -63,10 +64,7 @@
 
 	/** Listens on loopback and resolves to the port. */
 	async listen(port: number): Promise<number> {
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, '127.0.0.1', resolve);
-		});
+		await listen(this.server, '127.0.0.1', port);
 		return listeningPort(this.server);
 	}
 
--- a/stand-ins/stage-stand-in.ts
+++ b/stand-ins/stage-stand-in.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import * as z from 'zod';
+import {listen} from '../src/network/listen.js';
 import {type TimerService} from '../src/time/timer-service.js';
 import {listeningPort} from './json-server.js';
 
@@ -63,9 +64,7 @@
 	}
 
 	async listen(port: number): Promise<number> {
-		await new Promise<void>(resolve => {
-			this.server.listen(port, '127.0.0.1', resolve);
-		});
+		await listen(this.server, '127.0.0.1', port);
 		return listeningPort(this.server);
 	}
 
