--- a/src/catalog/catalog-follower.ts
+++ b/src/catalog/catalog-follower.ts
@@ -1,6 +1,6 @@
 import {type DecisionLog} from '../observation/decision-log.js';
+import {Dependency} from '../observation/dependency.js';
 import {type Metrics} from '../observation/metrics.js';
-import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type CatalogKeeper} from './catalog-keeper.js';
 import {type CatalogSource} from './catalog-source.js';
@@ -24,15 +24,10 @@
 
 /** Waits for new catalogs and puts them in force. */
 export class CatalogFollower {
-	private isStopped = false;
-	private isLost = false;
-	private heardAt = Number.NEGATIVE_INFINITY;
+	private readonly dependency: Dependency;
 
-	constructor(private readonly parts: CatalogFollowerParts, private readonly times: CatalogTimes) {}
-
-	/** Monotonic time at which the source last answered. */
-	get lastHeard(): number {
-		return this.heardAt;
+	constructor(private readonly parts: CatalogFollowerParts, private readonly times: CatalogTimes) {
+		this.dependency = new Dependency('configuration', parts.log);
 	}
 
 	/** Begins to follow. */
@@ -40,38 +35,23 @@
 		void this.run();
 	}
 
-	/** Ends after the question that is under way. */
-	stop(): void {
-		this.isStopped = true;
-	}
-
 	private async run(): Promise<void> {
-		while (!this.isStopped) {
+		for (;;) {
 			await this.askOnce(); // eslint-disable-line no-await-in-loop
 		}
 	}
 
 	private async askOnce(): Promise<void> {
-		const {source, keeper, timers, metrics, log} = this.parts;
-		const askedAt = timers.now();
+		const {source, keeper, timers, metrics} = this.parts;
 		try {
 			const catalog = await source.next(this.times.wait);
-			this.heardAt = askedAt;
-			if (this.isLost) {
-				this.isLost = false;
-				log.write('dependency.regained', {dependency: 'configuration', version: keeper.version});
-			}
-
+			this.dependency.noteAnswer({version: keeper.version});
 			if (catalog) {
 				keeper.take(catalog, 'store');
 			}
 		} catch (error) {
 			metrics.count('siskinnotch_catalog_failures');
-			if (!this.isLost) {
-				this.isLost = true;
-				log.warn('dependency.lost', {dependency: 'configuration', reason: messageOf(error), version: keeper.version});
-			}
-
+			this.dependency.noteFailure(error, {version: keeper.version});
 			await timers.sleep(this.times.retryPause);
 		}
 	}
--- a/src/pipelines/server-list-follower.ts
+++ b/src/pipelines/server-list-follower.ts
@@ -1,6 +1,6 @@
 import {type DecisionLog} from '../observation/decision-log.js';
+import {Dependency} from '../observation/dependency.js';
 import {type Metrics} from '../observation/metrics.js';
-import {messageOf} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type BackendServer} from './backend-server.js';
 import {type ServerDirectory} from './server-directory.js';
@@ -34,9 +34,11 @@
 /** Follows the list with one question at a time. */
 export class ServerListFollower {
 	private troubledAt = Number.NEGATIVE_INFINITY;
-	private isLost = false;
+	private readonly dependency: Dependency;
 
-	constructor(private readonly parts: ListFollowerParts, private readonly times: ListTimes) {}
+	constructor(private readonly parts: ListFollowerParts, private readonly times: ListTimes) {
+		this.dependency = new Dependency('server list', parts.log);
+	}
 
 	/** Begins to follow. */
 	start(): void {
@@ -63,18 +65,14 @@
 	}
 
 	private take(servers: readonly BackendServer[], askedAt: number): void {
-		const {directory, timers, metrics, log, onReading} = this.parts;
+		const {directory, timers, metrics, onReading} = this.parts;
 		const {wait, slow, returnGrace} = this.times;
 		const now = timers.now();
 		if (now - askedAt > wait + slow) {
 			this.troubledAt = now;
 		}
 
-		if (this.isLost) {
-			this.isLost = false;
-			log.write('dependency.regained', {dependency: 'server list', afterMs: Math.round(now - this.troubledAt)});
-		}
-
+		this.dependency.noteAnswer({afterMs: Math.round(now - this.troubledAt)});
 		// An answer in time is as new as the moment at which it was sent.
 		directory.take({servers, askedAt: Math.max(askedAt, now - slow), mayLack: now - this.troubledAt < returnGrace});
 		metrics.record('siskinnotch_list_answer_ms', now - askedAt);
@@ -82,12 +80,9 @@
 	}
 
 	private noteFailure(error: unknown): void {
-		const {timers, metrics, log} = this.parts;
+		const {timers, metrics} = this.parts;
 		this.troubledAt = timers.now();
 		metrics.count('siskinnotch_list_failures');
-		if (!this.isLost) {
-			this.isLost = true;
-			log.warn('dependency.lost', {dependency: 'server list', reason: messageOf(error)});
-		}
+		this.dependency.noteFailure(error);
 	}
 }
--- a/test/observation.test.ts
+++ b/test/observation.test.ts
@@ -4,9 +4,11 @@
 import {Writable} from 'node:stream';
 import test from 'ava';
 import * as z from 'zod';
+import {Dependency} from '../src/observation/dependency.js';
 import {createStructuredLog} from '../src/observation/log.js';
 import {DecisionLog} from '../src/observation/decision-log.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {KeptLog} from './support/sample-fleet.js';
 
 test('a log reader that stops reading does not stop the process; lines are dropped and counted', async t => {
 	const child = spawn(process.execPath, [new URL('support/log-flood.js', import.meta.url).pathname], {stdio: ['ignore', 'pipe', 'pipe']});
@@ -47,3 +49,17 @@
 	log.write('request.accepted', {line: 201});
 	t.like(JSON.parse(written.at(-1)!), {message: 'request.accepted', suppressed: 180, instance: 'entry-a'});
 });
+
+test('a dependency that fails again and again is lost once and regained once', t => {
+	const log = new KeptLog();
+	const dependency = new Dependency('server list', log);
+	dependency.noteAnswer();
+	dependency.noteFailure(new Error('no answer'), {version: 3});
+	dependency.noteFailure(new Error('no answer'), {version: 3});
+	dependency.noteAnswer({version: 4});
+	dependency.noteAnswer({version: 4});
+	t.deepEqual(log.lines, [
+		{kind: 'dependency.lost', fields: {dependency: 'server list', reason: 'no answer', version: 3}},
+		{kind: 'dependency.regained', fields: {dependency: 'server list', version: 4}},
+	]);
+});
