Share the sample model between tests and measures

Cause: the measure of pipelines wrote the model of the tests again, with other values for what it does not use.

Change: harness/sample-model. Ruled out: the measure importing from the tests.

--- a/measures/pipelines.ts
+++ b/measures/pipelines.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
+import {sampleModel} from '../harness/sample-model.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
-import {type EngineModel} from '../src/pipelines/engine-model.js';
 import {groupByZone} from '../src/pipelines/pipeline-chooser.js';
 import {findPipeline} from '../src/pipelines/pipeline-finder.js';
 import {planChains, wantedRoom} from '../src/placement/chain-plan.js';
@@ -13,27 +13,6 @@
 const choices = 60;
 const share = 0.6;
 
-const model: EngineModel = {
-	layers: 80,
-	layerMegabytes: 1750,
-	tokenBytes: 1_315_343,
-	slots: 134,
-	step: 1,
-	stepOfRequest: 0,
-	stepOfContext: 0,
-	readRate: 100,
-	tokensOfEvent: 3,
-	activationBytes: 65_767,
-	pipeMegabits: 18_000,
-	usualPrompt: 774,
-	usualAnswer: 203,
-	loadTime: 14_000,
-	cards: new Map([['large', 72_000, 2.4], ['middle', 43_200, 5.6], ['small', 21_600, 16]].map(([name, megabytes, pace]) =>
-		[String(name), {
-			name: String(name), megabytes: Number(megabytes), pace: Number(pace), readFactor: 1,
-		}])),
-};
-
 function fleetOf(size: number, random: RandomSource): readonly BackendServer[] {
 	const cards = ['large', 'middle', 'middle', 'middle', 'small', 'small', 'small', 'small'];
 	return Array.from({length: size}, (_, index) => ({
@@ -42,7 +21,7 @@
 }
 
 function placed(servers: readonly BackendServer[]): readonly BackendServer[] {
-	const placements = [...groupByZone(servers).values()].flatMap(members => planChains(members, model, wantedRoom(model, share)));
+	const placements = [...groupByZone(servers).values()].flatMap(members => planChains(members, sampleModel, wantedRoom(sampleModel, share)));
 	const ranges = new Map(placements.map(({server, range}) => [server.id, range]));
 	return servers.map(server => ({...server, range: ranges.get(server.id)}));
 }
@@ -62,12 +41,12 @@
 	const rows = sizes.map(size => {
 		const servers = placed(fleetOf(size, random));
 		const choose = timeOf(() => {
-			findPipeline(servers, model.layers, {stage: (_server, range) => range.to - range.from, crossing: 400});
+			findPipeline(servers, sampleModel.layers, {stage: (_server, range) => range.to - range.from, crossing: 400});
 		}, choices);
 		const [zone] = groupByZone(servers).values();
 		const holdings = zone.slice(1).map(server => ({server, range: server.range, isLoaded: true}));
 		const repair = timeOf(() => {
-			planRepair(holdings, model, {wanted: wantedRoom(model, share), mayStrengthen: true});
+			planRepair(holdings, sampleModel, {wanted: wantedRoom(sampleModel, share), mayStrengthen: true});
 		}, 10);
 		return {size, choose, repair};
 	});
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import {sampleModel} from '../harness/sample-model.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {PipeBudget} from '../src/pipelines/pipe-budget.js';
 import {PipelineChooser} from '../src/pipelines/pipeline-chooser.js';
@@ -12,7 +13,7 @@
 import {ServerPaces} from '../src/pipelines/server-paces.js';
 import {RandomSource} from '../src/routing/random-source.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
-import {KeptLog, sampleModel, sampleServer} from './support/sample-fleet.js';
+import {KeptLog, sampleServer} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
 
 const beliefTimes = {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import {sampleModel} from '../harness/sample-model.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {mostLayers} from '../src/pipelines/engine-model.js';
 import {findPipeline} from '../src/pipelines/pipeline-finder.js';
@@ -7,7 +8,7 @@
 import {planChains, wantedRoom, type Placement} from '../src/placement/chain-plan.js';
 import {roomByLayer, type Holding} from '../src/placement/layer-room.js';
 import {planRepair} from '../src/placement/repair-plan.js';
-import {sampleModel, sampleServer, sampleZone} from './support/sample-fleet.js';
+import {sampleServer, sampleZone} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
 
 const wanted = wantedRoom(sampleModel, 0.6);
--- a/test/support/sample-exchange.ts
+++ b/test/support/sample-exchange.ts
@@ -1,3 +1,4 @@
+import {sampleModel} from '../../harness/sample-model.js';
 import {RetryBudget} from '../../src/admission/retry-budget.js';
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
@@ -18,7 +19,7 @@
 import {WaitingRoom} from '../../src/relay/waiting-room.js';
 import {type Failure} from '../../src/results/failure.js';
 import {ManualTimerService} from '../../src/time/manual-timer-service.js';
-import {KeptLog, sampleModel} from './sample-fleet.js';
+import {KeptLog} from './sample-fleet.js';
 
 /** The route of a stream that may be resumed. */
 export const sampleStreamRoute: Route = {
