Do not answer 503 to a lookup that ran and finds no further server

Cause: a reading of the whole change: a lookup that a server answered with 500, and that finds no server for its second run, was refused with code 64, status 503, which tells callers that it did not run; the body said 'unknown'.

Change: such a request fails with code 85 (502); the choice between both answers stands in one place.

Ruled out: requests that must not be repeated (they are not sent again once they may have run, so they never came there).

Test: plain-exchange, 'the servers of a lookup leave after it ran …', red before and green after.

A second test covers the refusal for want of a connection.

--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -128,7 +128,7 @@
 		const server = this.plain.chooser.choose({service, excluded: this.tried, mostRequests}, now)
 			?? this.plain.chooser.choose({service, excluded: new Set(), mostRequests}, now);
 		if (!server) {
-			this.refuse(new Failure(ResultCode.NoPipeline, `no server of service ${service} is listed and has a connection left`, this.execution, retryDelaySeconds));
+			this.refuseWith(ResultCode.NoPipeline, `no server of service ${service} is listed and has a connection left`);
 			return;
 		}
 
@@ -159,11 +159,6 @@
 		this.endLoad = undefined;
 	}
 
-	/** Whether the request may have run. */
-	private get execution(): Execution {
-		return this.runs > 0 ? Execution.Unknown : Execution.NotRun;
-	}
-
 	private deliver(reply: Reply): void {
 		if (!this.reply.isStarted) {
 			this.deliverHeld(reply);
@@ -202,12 +197,14 @@
 			return;
 		}
 
-		if (this.runs === 0) {
-			this.refuse(new Failure(ResultCode.Overloaded, reason, Execution.NotRun, retryDelaySeconds));
-			return;
-		}
+		this.refuseWith(ResultCode.Overloaded, reason);
+	}
 
-		this.refuse(new Failure(ResultCode.BackendFailed, reason, Execution.Unknown));
+	/** Refuses with a code that means that the request did not run, or fails where it may have run. */
+	private refuseWith(code: ResultCode, reason: string): void {
+		this.refuse(this.runs === 0
+			? new Failure(code, reason, Execution.NotRun, retryDelaySeconds)
+			: new Failure(ResultCode.BackendFailed, reason, Execution.Unknown));
 	}
 
 	/** Whether the request may be sent once more; takes a retry from the budget where it may. */
--- /dev/null
+++ b/test/plain-exchange.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import {RequestKind} from '../src/catalog/request-kind.js';
+import {PlainChooser} from '../src/pipelines/plain-chooser.js';
+import {PlainExchange} from '../src/relay/plain-exchange.js';
+import {Execution} from '../src/results/execution.js';
+import {ResultCode} from '../src/results/result-code.js';
+import {resultTable} from '../src/results/result-table.js';
+import {RandomSource} from '../src/routing/random-source.js';
+import {sampleHead, sampleStreamRoute, SampleSurroundings} from './support/sample-exchange.js';
+import {sampleServer} from './support/sample-fleet.js';
+import {seed} from './support/seed.js';
+
+const lookups = {
+	...sampleStreamRoute, kind: RequestKind.Idempotent, isResumable: false, targets: [{service: 'records', weight: 1}],
+};
+
+function startLookup(share: number): SampleSurroundings {
+	const sample = new SampleSurroundings();
+	const {parts, directory, beliefs, load} = sample;
+	directory.take({servers: [sampleServer('a', '', undefined, {service: 'records'})], askedAt: 0, mayLack: false});
+	new PlainExchange(parts, sample.requestOn(lookups), sample.reply, {
+		chooser: new PlainChooser(directory, beliefs, load, new RandomSource(seed())),
+		shareOf: () => share,
+		limits: {heldBytes: 1000, patience: 0.8},
+	}).start(() => undefined);
+	return sample;
+}
+
+test('the servers of a lookup leave after it ran: its caller is not told that it did not run', t => {
+	const sample = startLookup(5);
+	sample.latest.head({...sampleHead, status: 500});
+	sample.directory.take({servers: [], askedAt: 1, mayLack: false});
+	sample.latest.ended();
+	t.is(sample.reply.failure?.execution, Execution.Unknown);
+	t.not(resultTable[sample.reply.failure!.code].status, 503);
+});
+
+test('all connections are in use: refused at once as not run, with when to come back', t => {
+	const sample = startLookup(0);
+	t.is(sample.sent.length, 0);
+	t.is(sample.reply.failure?.code, ResultCode.NoPipeline);
+	t.is(sample.reply.failure?.execution, Execution.NotRun);
+	t.is(sample.reply.failure?.retryAfterSeconds, 0.5);
+});
--- a/test/support/sample-exchange.ts
+++ b/test/support/sample-exchange.ts
@@ -81,56 +81,77 @@
 	status: 200, headers: [], isSigned: true, isNotRun: false, isFramed: true, isEncoded: false,
 };
 
-/** One stream exchange over pipelines and stages that the test decides. */
-export class SampleExchange {
+/** What one exchange works with: a caller, and backend servers whose answers the test decides. */
+export class SampleSurroundings {
 	readonly timers = new ManualTimerService();
 	readonly reply = new KeptReply();
 	/** Attempts that were sent, with where to put what comes of them. */
 	readonly sent: Array<{readonly attempt: Attempt; readonly listener: ReplyListener}> = [];
-	/** What the chooser was asked for. */
-	readonly questions: PipelineRequest[] = [];
 	readonly beliefs: ServerBeliefs;
-	readonly exchange: StreamExchange;
-	/** What the chooser finds where its first stage is not left out. */
-	pipeline?: Pipeline;
+	readonly directory: ServerDirectory;
+	readonly load = new ServerLoad();
+	readonly parts: ExchangeParts;
 
 	constructor() {
-		const {timers} = this;
+		const {timers, load} = this;
 		const log = new KeptLog(timers);
 		const budget = new RetryBudget(0.2, 100, 10_000);
 		this.beliefs = new ServerBeliefs({
 			suspicion: 2000, longestSuspicion: 8000, fullness: 250, trialPause: 700,
 		}, log);
-		const parts: ExchangeParts = {
+		this.directory = new ServerDirectory(timers, log);
+		this.parts = {
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				send: (attempt: Attempt, listener: ReplyListener) => {
 					this.sent.push({attempt, listener});
 					return {cancel() {}, pause() {}, resume() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
 				},
 			} as unknown as BackendClient,
-			directory: new ServerDirectory(timers, log),
+			directory: this.directory,
 			beliefs: this.beliefs,
-			load: new ServerLoad(),
+			load,
 			budgets: {of: () => budget},
 			timers,
 			metrics: new Metrics(),
 			log,
 		};
-		const request: RelayRequest = {
+	}
+
+	/** Where to put what comes of the latest attempt. */
+	get latest(): ReplyListener {
+		return this.sent.at(-1)!.listener;
+	}
+
+	/** A request on a route that arrives now. */
+	requestOn(route: Route): RelayRequest {
+		return {
 			id: 'attempt-1',
 			method: 'POST',
-			target: '/drafts/',
+			target: route.pathPrefix,
 			headers: [],
 			body: new Uint8Array(),
-			route: sampleStreamRoute,
-			service: {name: 'model', healthPath: '/healthz', maxConnections: 100},
+			route,
+			service: {name: route.targets[0].service, healthPath: '/healthz', maxConnections: 100},
 			priority: 1,
-			arrivedAt: timers.now(),
-			deadline: timers.now() + sampleStreamRoute.timeout,
+			arrivedAt: this.timers.now(),
+			deadline: this.timers.now() + route.timeout,
 			promptTokens: 100,
 			answerTokens: 50,
 		};
-		this.exchange = new StreamExchange(parts, request, this.reply, {
+	}
+}
+
+/** One stream exchange over pipelines that the test decides. */
+export class SampleExchange extends SampleSurroundings {
+	/** What the chooser was asked for. */
+	readonly questions: PipelineRequest[] = [];
+	readonly exchange: StreamExchange;
+	/** What the chooser finds where its first stage is not left out. */
+	pipeline?: Pipeline;
+
+	constructor() {
+		super();
+		this.exchange = new StreamExchange(this.parts, this.requestOn(sampleStreamRoute), this.reply, {
 			model: sampleModel,
 			chooser: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				choose: (request: PipelineRequest) => {
@@ -138,7 +159,7 @@
 					return this.pipeline && !request.excluded.has(lifeOf(this.pipeline[0].server)) ? this.pipeline : undefined;
 				},
 			} as unknown as PipelineChooser,
-			waitingRoom: new WaitingRoom(timers, {places: 10, period: 40}),
+			waitingRoom: new WaitingRoom(this.timers, {places: 10, period: 40}),
 			limits: {
 				rejections: 6, silence: 1000, onTimeShare: 0.75, longestWait: 1100, patienceShare: 0.9, comeBack: 1000,
 			},
@@ -151,9 +172,4 @@
 	start(): void {
 		this.exchange.start(() => undefined);
 	}
-
-	/** Where to put what comes of the latest attempt. */
-	get latest(): ReplyListener {
-		return this.sent.at(-1)!.listener;
-	}
 }
