--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -61,6 +61,8 @@
 	readonly timers: TimerService;
 	readonly log: DecisionLog;
 	readonly logger: Logger;
+	/** Log lines that were left out because their reader did not keep up. */
+	readonly droppedLines: () => number;
 };
 
 const seedRange = 0x7F_FF_FF_FF;
@@ -93,7 +95,7 @@
 const slowListMs = 400;
 
 /** Builds the parts of a pipeline router. */
-export function wireRouter(settings: RouterSettings, {timers, log, logger}: RouterBase, ports: RouterPorts): Router {
+export function wireRouter(settings: RouterSettings, {timers, log, logger, droppedLines}: RouterBase, ports: RouterPorts): Router {
 	const {instance, store, limits, placement: placementSettings} = settings;
 	const metrics = new Metrics();
 	const lifecycle = new Lifecycle();
@@ -230,6 +232,7 @@
 		gate: new RequestGate(catalog, random), codec: ports.codec, desk, lifecycle, timers, metrics, log,
 	});
 	const status = new StatusServer(ports.readinessPath, (): boolean => router.isReady, metrics);
+	metrics.gauge('siskinnotch_log_lines_dropped', droppedLines);
 	metrics.gauge('siskinnotch_exchanges', () => desk.size);
 	metrics.gauge('siskinnotch_waiting', () => waitingRoom.size);
 	metrics.gauge('siskinnotch_configuration_version', () => catalog.version);
