Show what went before a request that was sent nowhere

Change: log explain shows the dependencies lost and not regained when a request came, and for one that was sent nowhere what its instance believed of all servers from five seconds before.

Ruled out: longer reasons in the refusal itself (it does not know why servers are missing).

Test: log-and-placement-commands, red before and green after.

--- a/src/command/request-story.ts
+++ b/src/command/request-story.ts
@@ -4,7 +4,9 @@
 export type RequestStory = {
 	/** Its decisions, in the order of their time. */
 	readonly decisions: readonly LoggedDecision[];
-	/** Changes of beliefs about the servers that it used, from its beginning to its end. */
+	/**
+	Changes of beliefs about the servers that it used, from its beginning to its end, and dependencies that were lost when it came. Where it was sent to no server, those about any server at its instance, from some seconds before.
+	*/
 	readonly beliefs: readonly LoggedDecision[];
 	/** What it ended with, and why. */
 	readonly cause: string;
@@ -13,6 +15,27 @@
 const finalKinds = new Set(['request.answered', 'request.failed', 'request.refused', 'request.left', 'request.cut']);
 const beliefKinds = new Set(['server.suspected', 'server.leaving', 'server.gone', 'server.slow', 'dependency.lost', 'placement.ordered']);
 
+/** How long before a request that was never sent the changes of beliefs are shown. */
+const foregoingMs = 5000;
+
+function earlier(timestamp: string, milliseconds: number): string {
+	const at = Date.parse(timestamp);
+	return Number.isNaN(at) ? timestamp : new Date(at - milliseconds).toISOString();
+}
+
+/** The losses of dependencies at some instances that were not made up for before a time. */
+function lostBefore(all: readonly LoggedDecision[], instances: ReadonlySet<string>, before: string): readonly LoggedDecision[] {
+	const latest = new Map<string, LoggedDecision>();
+	for (const decision of all) {
+		const isChange = decision.message === 'dependency.lost' || decision.message === 'dependency.regained';
+		if (isChange && instances.has(decision.instance) && decision.timestamp < before) {
+			latest.set(`${decision.instance} ${fieldOf(decision, 'dependency') ?? ''}`, decision);
+		}
+	}
+
+	return [...latest.values()].filter(({message}) => message === 'dependency.lost');
+}
+
 function serversOf(decisions: readonly LoggedDecision[]): ReadonlySet<string> {
 	const servers = decisions.flatMap(({server, pipeline}) => [
 		...(server === undefined ? [] : [server]),
@@ -54,15 +77,20 @@
 @returns undefined where no line names it
 */
 export function tellRequest(all: readonly LoggedDecision[], id: string): RequestStory | undefined {
-	const byTime = (left: LoggedDecision, right: LoggedDecision) => left.timestamp < right.timestamp ? -1 : 1;
-	const decisions = all.filter(({request}) => request === id).toSorted(byTime);
+	const inOrder = all.toSorted((left, right) => left.timestamp < right.timestamp ? -1 : 1);
+	const decisions = inOrder.filter(({request}) => request === id);
 	if (decisions.length === 0) {
 		return undefined;
 	}
 
 	const servers = serversOf(decisions);
-	const [from, to] = [decisions[0].timestamp, decisions.at(-1)!.timestamp];
-	const beliefs = all.filter(({message, server, timestamp}) =>
-		beliefKinds.has(message) && (server === undefined || servers.has(server)) && timestamp >= from && timestamp <= to).toSorted(byTime);
+	const instances = new Set(decisions.map(({instance}) => instance));
+	const [begunAt, to] = [decisions[0].timestamp, decisions.at(-1)!.timestamp];
+	const isUnsent = servers.size === 0;
+	const from = isUnsent ? earlier(begunAt, foregoingMs) : begunAt;
+	const concerns = ({server, instance}: LoggedDecision) => server === undefined || (isUnsent ? instances.has(instance) : servers.has(server));
+	const changes = inOrder.filter(decision =>
+		beliefKinds.has(decision.message) && concerns(decision) && decision.timestamp >= from && decision.timestamp <= to);
+	const beliefs = [...lostBefore(inOrder, instances, from), ...changes];
 	return {decisions, beliefs, cause: causeOf(decisions, beliefs)};
 }
--- a/test/log-and-placement-commands.test.ts
+++ b/test/log-and-placement-commands.test.ts
@@ -35,6 +35,22 @@
 	t.regex(story?.cause ?? '', /^request\.failed, code 84, unknown, s1 waits for it; after request\.attempt_failed at s1.*; while s2 was suspected: s1 waits for it$/v);
 });
 
+test('a request that was refused unsent leads to the servers that went before and to the dependency that was lost', t => {
+	const {decisions} = readLog([
+		'{"message":"dependency.lost","dependency":"configuration","instance":"a","timestamp":"2026-12-04T09:59:00.000Z","reason":"503"}',
+		'{"message":"dependency.regained","dependency":"configuration","instance":"a","timestamp":"2026-12-04T09:59:01.000Z"}',
+		'{"message":"dependency.lost","dependency":"server list","instance":"a","timestamp":"2026-12-04T09:59:50.000Z","reason":"503"}',
+		'{"message":"server.suspected","server":"s1","instance":"a","timestamp":"2026-12-04T09:59:58.000Z","reason":"it says that it is leaving"}',
+		'{"message":"server.suspected","server":"s1","instance":"b","timestamp":"2026-12-04T09:59:58.000Z","reason":"it says that it is leaving"}',
+		'{"message":"server.suspected","server":"s0","instance":"a","timestamp":"2026-12-04T09:59:30.000Z","reason":"long ago"}',
+		'{"message":"request.waiting","request":"r3","instance":"a","timestamp":"2026-12-04T10:00:00.000Z"}',
+		'{"message":"request.failed","request":"r3","instance":"a","timestamp":"2026-12-04T10:00:01.100Z","code":64,"execution":"not_run","reason":"no pipeline had room in time"}',
+	].join('\n'));
+	const story = tellRequest(decisions, 'r3');
+	t.deepEqual(story?.beliefs.map(({message, server}) => [message, server]), [['dependency.lost', undefined], ['server.suspected', 's1']]);
+	t.regex(story?.cause ?? '', /code 64, not_run, no pipeline had room in time.*while s1 was suspected: it says that it is leaving$/v);
+});
+
 test('log explain: several files, an unknown id, a file that cannot be read', async t => {
 	const files = [save(lines.slice(0, 3).join('\n')), save(lines.slice(3).join('\n'))];
 	const {code, text} = await explainRequest('r1', files);
