--- a/src/settings/quantity.ts
+++ b/src/settings/quantity.ts
@@ -2,7 +2,8 @@
 
 const durationUnits: Readonly<Record<string, number>> = {ms: 1, s: 1000, min: 60_000};
 const sizeUnits: Readonly<Record<string, number>> = Object.fromEntries([['B', 1], ['kB', 1000], ['MB', 1_000_000]]);
-const quantityPattern = /^(?<amount>\d+(?:\.\d+)?)\s*(?<unit>[A-Za-z]*)$/v;
+const quantityPattern = /^(?<amount>\d+(?:\.\d+)?(?:[eE][\-+]?\d+)?)\s*(?<unit>[A-Za-z]*)$/v;
+const numberPattern = /^\d+(?:\.\d+)?(?:[eE][\-+]?\d+)?$/v;
 
 function quantityWithUnit(units: Readonly<Record<string, number>>, example: string, defaultText: string) {
 	const parse = (text: string): number | undefined => {
@@ -35,10 +36,15 @@
 		.transform(Number);
 }
 
-/** Schema of a fraction from 0 to 1. */
-export function ratio(defaultValue: number) {
+/** Schema of a number, which may have a fraction, between a minimum and a maximum, both inclusive. */
+export function decimalNumber(defaultValue: number, minimum: number, maximum: number) {
 	return z.string()
 		.default(String(defaultValue))
-		.refine(text => /^\d+(?:\.\d+)?$/v.test(text) && Number(text) <= 1, {error: 'a number from 0 to 1'})
+		.refine(text => numberPattern.test(text) && Number(text) >= minimum && Number(text) <= maximum, {error: `a number from ${minimum} to ${maximum}`})
 		.transform(Number);
 }
+
+/** Schema of a fraction from 0 to 1. */
+export function ratio(defaultValue: number) {
+	return decimalNumber(defaultValue, 0, 1);
+}
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 import {
-	duration, ratio, size, wholeNumber,
+	decimalNumber, duration, ratio, size, wholeNumber,
 } from './quantity.js';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, {error: 'an IP address and a port, such as 10.1.0.40:8080'});
@@ -43,7 +43,7 @@
 		/** Retries allowed per request, within `retry_window`. */
 		retry_ratio: ratio(0.2),
 		/** Retries allowed within `retry_window` without any requests, shared by all instances. */
-		retry_allowance: wholeNumber(198, 0, 1_000_000),
+		retry_allowance: decimalNumber(198, 0, 1_000_000),
 		retry_window: duration('10 s'),
 		/** Time after which the backend servers abort work that depends on a lost stage. */
 		stall: duration('2 s'),
--- a/test/catalog.test.ts
+++ b/test/catalog.test.ts
@@ -109,3 +109,16 @@
 		t.throws(() => decodeCatalog(text));
 	}
 });
+
+test('quantities of the users\' configuration may be fractions; a fraction of an execution is no execution', t => {
+	const configuration = createSiteConfiguration(3);
+	const [route, ...others] = configuration.routes;
+	const {routes, services} = decodeCatalog(JSON.stringify({
+		...configuration,
+		routes: [{...route, timeoutMs: 4999.5, maxAttempts: 2.5}, ...others],
+		services: configuration.services.map(service => ({...service, maxConnections: 91.333})),
+	}));
+	t.is(routes[0].timeout, 4999.5);
+	t.is(routes[0].maxExecutions, 2);
+	t.is(services.get('svc-records')?.maxConnections, 91.333);
+});
--- a/test/router-settings.test.ts
+++ b/test/router-settings.test.ts
@@ -49,3 +49,14 @@
 		.replaceAll(/\{\{[^\}]*\}\}/gv, '1');
 	t.notThrows(() => parseRouterSettings('entry.ini', filled));
 });
+
+test('quantities of the platform may be fractions', t => {
+	const settings = parseRouterSettings('entry.ini', [
+		...requiredLines, '[limits]', 'retry_allowance = 47.833333333333336', 'retry_ratio = 0.2', 'retry_window = 1.5e+1 s', 'stall = 1999.5 ms', '[stop]', 'grace = 7.5 s',
+	].join('\n'));
+	t.is(settings.limits.retry_allowance, 47.833333333333336);
+	t.is(settings.limits.retry_window, 15_000);
+	t.is(settings.limits.stall, 1999.5);
+	t.is(settings.stop.grace, 7500);
+	t.regex(getProblem([...requiredLines, '[limits]', 'retry_allowance = -1'].join('\n')), /retry_allowance: found "-1"; expected a number from 0/v);
+});
