--- /dev/null
+++ b/src/control-wiring.ts
@@ -0,0 +1,194 @@
+import {InstanceRegistry, type RegisteredInstance} from './entry/instance-registry.js';
+import {type Lease} from './leases/lease.js';
+import {type DecisionLog} from './observation/decision-log.js';
+import {type Metrics} from './observation/metrics.js';
+import {type BackendServer} from './pipelines/backend-server.js';
+import {type ServerDirectory} from './pipelines/server-directory.js';
+import {type ServerHealthTracker} from './pipelines/server-health-tracker.js';
+import {type ServerLoad} from './pipelines/server-load.js';
+import {type GossipClients} from './peers/gossip-clients.js';
+import {ByteBudget} from './peers/byte-budget.js';
+import {GossipService} from './peers/gossip-service.js';
+import {getIdDigest} from './peers/id-digest.js';
+import {PartnerSelector} from './peers/partner-selector.js';
+import {PeerLoads} from './peers/peer-loads.js';
+import {SuspicionQuorum} from './peers/suspicion-quorum.js';
+import {TableExchange} from './peers/table-exchange.js';
+import {StoreReaderRole} from './replication/store-reader-role.js';
+import {type TableFeed} from './replication/table-feed.js';
+import {TableName} from './replication/table-name.js';
+import {TableSet} from './replication/table-set.js';
+import {TableWatcher} from './replication/table-watcher.js';
+import {type RandomSource} from './routing/random-source.js';
+import {type RouterSettings} from './settings/router-settings.js';
+import {type Table} from './store/table.js';
+import {type TimerService} from './time/timer-service.js';
+
+/** The parts of a router through which it shares state with the other instances. */
+export type Control = {
+	readonly instanceRegistry: InstanceRegistry;
+	readonly peerLoads: PeerLoads;
+	readonly gossip: GossipService;
+	readonly tables: TableSet;
+	readonly tableWatchers: readonly TableWatcher[];
+	/** Whether this instance is one of those that read the store in normal operation. */
+	readonly isStoreReader: () => boolean;
+};
+
+/** What the control parts are built from. */
+export type ControlDependencies = {
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	readonly metrics: Metrics;
+	readonly random: RandomSource;
+	readonly directory: ServerDirectory;
+	readonly serverHealth: ServerHealthTracker;
+	readonly serverLoad: ServerLoad;
+	readonly lease: Lease;
+	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
+	/** Holds a row for each instance. */
+	readonly instanceTable: Table;
+	readonly feeds: Readonly<Record<TableName, TableFeed>>;
+};
+
+/** What the other parts of the router are told. */
+export type ControlEvents = {
+	/** Called when instances were added or removed. */
+	readonly onInstancesChange: (instances: readonly RegisteredInstance[]) => void;
+	/** Called when a backend server becomes suspected because of reports of other instances. */
+	readonly onSuspicion: (server: BackendServer, reason: string) => void;
+};
+
+type TablePolling = {
+	/** Milliseconds that one call waits for a change. */
+	readonly wait: number;
+	/** Milliseconds between two calls. */
+	readonly pauseAfterCall: number;
+};
+
+/** Durations in milliseconds. */
+const registryTimings = {
+	refreshInterval: 60_000, expiry: 150_000, expiryCheckInterval: 5000, retryPause: 2000,
+};
+/** Durations in milliseconds; the fanouts count instances. */
+const gossipTimings = {
+	period: 500,
+	maxRoundContacts: 4,
+	rumorFanout: {near: 4, far: 2},
+	tableFanout: {near: 5, far: 0},
+	farContactsPerZone: 4,
+	remoteFetchAge: 3500,
+	spreadDelay: 15,
+	rumorLifetime: 3000,
+	rumorMemory: 10_000,
+};
+const bytesPerMegabit = 125_000;
+/** Time for which an unused part of the budget of bytes may be kept. */
+const gossipBurstSeconds = 2;
+/** Durations in milliseconds; `maxCharacters` bounds the bytes of a message. */
+const peerLoadLimits = {
+	maxLoadAge: 5000, expiry: 8000, expiryCheckInterval: 100, maxCharacters: 1600,
+};
+/** Time after the start in which the other instances had no time to register, so that only the seeds read the store. */
+const registrationTimeMs = 3000;
+/** Time after the start in which some other instances had no time to report, so that all registered ones count as running. */
+const reportingTimeMs = 10_000;
+/** Durations in milliseconds by which further instances start to read the store when its readers stop. */
+const takeoverDelays = {takeoverStep: 100, maxTakeoverDelay: 1500};
+/** Interval between checks whether this instance is to read a table. */
+const tableIdleIntervalMs = 250;
+/** Time for which a copy may pass through other instances before it counts as late, in milliseconds. */
+const spreadTimeMs = 2000;
+/** Time within which reports of a suspected backend server are counted together. */
+const suspicionWindowMs = 2000;
+/** Number of other instances that must have failed to reach a backend server; one alone may be cut off itself. */
+const suspicionQuorumSize = 2;
+/** Delay of a response of the store beyond its due time that counts as an outage. */
+const slowTableThresholdMs = 400;
+
+/** Creates the parts through which a router shares state with the other instances. */
+export function wireControl(settings: Pick<RouterSettings, 'instance' | 'seeds' | 'store' | 'peers'>, dependencies: ControlDependencies, events: ControlEvents): Control {
+	const {instance, seeds, store} = settings;
+	const {timers, log, metrics, random, directory, serverHealth, serverLoad, lease, clients} = dependencies;
+	const startedAt = timers.now();
+	const self = {id: instance.id, availabilityZone: instance.availability_zone, peers: instance.peers};
+	const bytesPerSecond = settings.peers.link * bytesPerMegabit * settings.peers.link_share;
+	const tables = new TableSet(log);
+	const peerLoads = new PeerLoads(self, peerLoadLimits);
+	const instanceRegistry = new InstanceRegistry(self, {
+		table: dependencies.instanceTable, timers, log, onChange() {
+			events.onInstancesChange(instanceRegistry.all());
+		},
+	}, registryTimings);
+	tables.onChange(TableName.Instances, table => {
+		instanceRegistry.update(table);
+	});
+	const gossip = new GossipService({
+		self,
+		instances: instanceRegistry,
+		clients,
+		byteBudget: new ByteBudget(bytesPerSecond, bytesPerSecond * gossipBurstSeconds),
+		partners: new PartnerSelector(self, random),
+		tables: new TableExchange(tables),
+		peerLoads,
+		suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize),
+		serverLoad,
+		lease,
+		directory,
+		serverHealth,
+		timers,
+		random,
+		metrics,
+		log,
+		onSuspicion: events.onSuspicion,
+	}, gossipTimings);
+
+	const isSeed = seeds.peers.length === 0 || seeds.peers.includes(instance.peers);
+	const readerRole = new StoreReaderRole(getIdDigest(instance.id), {
+		readers: store.readers,
+		joinPatience: isSeed ? 0 : store.join_patience,
+		...takeoverDelays,
+	});
+	const findNeighbours = (): readonly string[] | undefined => {
+		const now = timers.now();
+		const uptime = now - startedAt;
+		if (uptime < registrationTimeMs) {
+			return isSeed ? [] : undefined;
+		}
+
+		if (uptime < reportingTimeMs) {
+			return instanceRegistry.findNeighbours().map(id => getIdDigest(id));
+		}
+
+		return peerLoads.getReportingInstances(now);
+	};
+
+	const isStoreReader = () => readerRole.isReader(findNeighbours(), instanceRegistry.countAvailabilityZones());
+	const createTableWatcher = (name: TableName, {wait, pauseAfterCall}: TablePolling) => new TableWatcher(name, {
+		feed: dependencies.feeds[name],
+		tables,
+		timers,
+		metrics,
+		log,
+		mayRead: () => readerRole.mayRead({
+			neighbours: findNeighbours(),
+			zones: instanceRegistry.countAvailabilityZones(),
+			age: timers.now() - tables.get(name).confirmation.confirmedAt,
+			takeoverAge: wait + slowTableThresholdMs + spreadTimeMs,
+			uptime: timers.now() - startedAt,
+		}),
+		onChange(previous) {
+			gossip.reportTableChange(name, previous);
+		},
+	}, {
+		wait, pauseAfterCall, retryPause: store.retry_pause, slowThreshold: slowTableThresholdMs, idleInterval: tableIdleIntervalMs,
+	});
+	const tableWatchers = [
+		createTableWatcher(TableName.Catalog, {wait: store.configuration_wait, pauseAfterCall: 0}),
+		createTableWatcher(TableName.Servers, {wait: store.list_wait, pauseAfterCall: store.list_pause}),
+		createTableWatcher(TableName.Instances, {wait: store.instances_wait, pauseAfterCall: store.list_pause}),
+	];
+	return {
+		instanceRegistry, peerLoads, gossip, tables, tableWatchers, isStoreReader,
+	};
+}
--- a/src/entry/instance-registry.ts
+++ b/src/entry/instance-registry.ts
@@ -1,147 +1,214 @@
 import * as z from 'zod';
 import {type DecisionLog} from '../observation/decision-log.js';
+import {type ReplicatedTable} from '../replication/replicated-table.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type Table} from '../store/table.js';
 import {type TimerService} from '../time/timer-service.js';
 
 const instanceRowSchema = z.object({availabilityZone: z.string(), peers: z.string()});
-const rowKeyPrefix = 'members/';
-/** Extra reads after the start: instances that start together write their rows at about the same time, so the first read may miss some. */
-const earlyReadDelaysMs = [1500, 5000];
 
 /** A router instance, as described by its row in the table. */
 export type RegisteredInstance = z.infer<typeof instanceRowSchema> & {readonly id: string};
 
 type KnownInstance = {
 	readonly instance: RegisteredInstance;
-	rowVersion: number;
-	/** Monotonic time in milliseconds at which the row was last seen to change. */
-	changedAt: number;
+	/** Content and version of its row; undefined if it is only known from its messages. */
+	readonly row?: string;
+	/** Monotonic time in milliseconds at which the instance last showed that it runs. */
+	readonly seenAt: number;
 };
 
 /** Timings of the registry, in milliseconds. */
 export type RegistryTimings = {
 	/** Interval between writes of this instance's own row. */
 	readonly refreshInterval: number;
-	/** Interval between reads of all rows. */
-	readonly readInterval: number;
-	/** Time after which an instance whose row has not changed is removed. */
-	readonly rowExpiry: number;
+	/** Time after which an instance that showed no sign of running is removed. */
+	readonly expiry: number;
+	/** Interval between removals of expired instances. */
+	readonly expiryCheckInterval: number;
+	/** Pause before the own row is written again if that failed. */
+	readonly retryPause: number;
 };
 
-/** Tracks the instances that share the backend servers. Each instance refreshes a row of its own in the table and reads the rows of the others. */
+export type InstanceRegistryDependencies = {
+	readonly table: Table;
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	/** Called when instances were added or removed. */
+	readonly onChange: () => void;
+};
+
+/** Tracks the instances that share the backend servers, from the copy of the table in which each keeps a row, and from their messages. */
 export class InstanceRegistry {
 	private readonly knownInstances = new Map<string, KnownInstance>();
+	/** Rows of instances that were removed, so that the same row does not add them again. */
+	private readonly expiredRows = new Map<string, string>();
 	private ownRowVersion = 0;
-	private isReading = false;
+	private isOwnRowWritten = false;
+	/** Era of the store in which the own row was last seen. */
+	private ownRowEra?: number;
 	private wasInitialized = false;
+	private current: readonly RegisteredInstance[];
 
-	constructor(
-		private readonly self: RegisteredInstance,
-		private readonly dependencies: {readonly table: Table; readonly timers: TimerService; readonly log: DecisionLog; readonly onChange: () => void},
-		private readonly timings: RegistryTimings,
-	) {}
+	constructor(private readonly self: RegisteredInstance, private readonly dependencies: InstanceRegistryDependencies, private readonly timings: RegistryTimings) {
+		this.current = [self];
+	}
 
-	/** Starts refreshing the own row and reading the others. */
+	/** Starts refreshing the own row and removing expired instances. */
 	start(): void {
+		const {timers} = this.dependencies;
 		void this.refreshOwnRow();
-		void this.readRows();
-		for (const delay of earlyReadDelaysMs) {
-			this.dependencies.timers.after(delay, () => {
-				void this.readRows();
-			});
-		}
-
-		this.dependencies.timers.repeat(this.timings.refreshInterval, () => {
+		timers.repeat(this.timings.refreshInterval, () => {
 			void this.refreshOwnRow();
 		});
-		this.dependencies.timers.repeat(this.timings.readInterval, () => {
-			void this.readRows();
+		timers.repeat(this.timings.expiryCheckInterval, () => {
+			this.removeExpired();
 		});
 	}
 
-	/** Whether the other instances are known: read from the table or received from a peer at least once. */
+	/** Whether the other instances are known: from the table or from a message. */
 	get isInitialized(): boolean {
 		return this.wasInitialized;
 	}
 
 	/** All instances that are presumed to be running, including this one. */
 	all(): readonly RegisteredInstance[] {
-		return [this.self, ...[...this.knownInstances.values()].map(({instance}) => instance).filter(({id}) => id !== this.self.id)];
+		return this.current;
 	}
 
-	/** Adds instances that a peer reported and that are not known yet. */
-	merge(instances: readonly RegisteredInstance[]): void {
-		const now = this.dependencies.timers.now();
-		for (const instance of instances) {
-			if (instance.id !== this.self.id && !this.knownInstances.has(instance.id)) {
-				this.knownInstances.set(instance.id, {instance, rowVersion: 0, changedAt: now});
-			}
+	/** Returns the ids of the other instances of the own availability zone. */
+	findNeighbours(): readonly string[] {
+		return this.current.filter(({id, availabilityZone}) => availabilityZone === this.self.availabilityZone && id !== this.self.id).map(({id}) => id);
+	}
+
+	/** Returns the number of availability zones with running instances. */
+	countAvailabilityZones(): number {
+		return new Set(this.current.map(({availabilityZone}) => availabilityZone)).size;
+	}
+
+	/** Records that an instance sent a message or answered one. */
+	recordContact(instance: RegisteredInstance): void {
+		const known = this.knownInstances.get(instance.id);
+		const isKnown = known?.instance.peers === instance.peers;
+		if (instance.id === this.self.id) {
+			return;
 		}
 
+		this.knownInstances.set(instance.id, {instance: isKnown ? known.instance : instance, row: known?.row, seenAt: this.dependencies.timers.now()});
 		this.wasInitialized = true;
-		this.dependencies.onChange();
+		if (!isKnown) {
+			this.publish();
+		}
 	}
 
-	private async refreshOwnRow(): Promise<void> {
-		const {id, availabilityZone, peers} = this.self;
-		const value = JSON.stringify({availabilityZone, peers});
-		try {
-			const result = await this.dependencies.table.transact([{key: rowKeyPrefix + id, expected: this.ownRowVersion, value}]);
-			if (!result.isApplied) {
-				this.ownRowVersion = result.conflicts[0]?.version ?? 0;
-				await this.dependencies.table.transact([{key: rowKeyPrefix + id, expected: this.ownRowVersion, value}]);
-			}
-		} catch (error) {
-			this.dependencies.log.write('members.not_refreshed', {reason: getErrorMessage(error)});
+	/** Applies the rows of the table. A row that cannot be decoded is logged and ignored. No instance removes its row, so one that is missing was lost by the store and does not remove the instance. */
+	update(table: ReplicatedTable): void {
+		const keys = new Set<string>();
+		for (const {key, transaction, text} of table.all()) {
+			keys.add(key);
+			this.applyRow(key, transaction, text ?? '');
 		}
+
+		this.wasInitialized = true;
+		this.publish();
+		this.restoreOwnRow(keys.has(this.self.id), table.position?.era);
 	}
 
-	private async readRows(): Promise<void> {
-		if (this.isReading) {
-			return;
+	/** Replaces the own row by one that says that this instance has stopped. */
+	async retire(): Promise<void> {
+		await this.writeOwnRow('');
+	}
+
+	/** Writes the own row again if the store lost it when it returned from an older copy. */
+	private restoreOwnRow(isListed: boolean, era: number | undefined): void {
+		const isLost = !isListed && this.ownRowEra !== undefined && this.ownRowEra !== era;
+		if (isListed || isLost) {
+			this.ownRowEra = era;
+		}
+
+		if (isLost) {
+			void this.refreshOwnRow();
 		}
+	}
+
+	private async refreshOwnRow(): Promise<void> {
+		const {availabilityZone, peers} = this.self;
+		await this.writeOwnRow(JSON.stringify({availabilityZone, peers}));
+	}
 
-		this.isReading = true;
+	private async writeOwnRow(value: string): Promise<void> {
+		const {table, timers, log} = this.dependencies;
+		const key = this.self.id;
 		try {
-			const rows = await this.dependencies.table.scan(rowKeyPrefix);
-			const now = this.dependencies.timers.now();
-			for (const {key, version, value} of rows) {
-				this.applyRow(key.slice(rowKeyPrefix.length), version, value, now);
+			const result = await table.transact([{key, expected: this.ownRowVersion, value}]);
+			if (!result.isApplied) {
+				this.ownRowVersion = result.conflicts[0]?.version ?? 0;
+				await table.transact([{key, expected: this.ownRowVersion, value}]);
 			}
 
-			this.wasInitialized = true;
-			this.removeExpired(now);
-			this.dependencies.onChange();
+			this.isOwnRowWritten = value !== '';
 		} catch (error) {
-			this.dependencies.log.write('members.not_read', {reason: getErrorMessage(error)});
-		} finally {
-			this.isReading = false;
+			log.write('members.not_refreshed', {reason: getErrorMessage(error)});
+			if (value !== '' && !this.isOwnRowWritten) {
+				timers.after(this.timings.retryPause, () => {
+					void this.refreshOwnRow();
+				});
+			}
 		}
 	}
 
-	private applyRow(id: string, version: number, value: string, now: number): void {
+	private applyRow(id: string, version: number, text: string): void {
+		const row = `${version} ${text}`;
 		if (id === this.self.id) {
 			this.ownRowVersion = version;
 			return;
 		}
 
-		const known = this.knownInstances.get(id);
-		if (known?.rowVersion === version) {
+		if (this.knownInstances.get(id)?.row === row || this.expiredRows.get(id) === row) {
 			return;
 		}
 
-		const parsed = instanceRowSchema.safeParse(JSON.parse(value));
-		if (parsed.success) {
-			this.knownInstances.set(id, {instance: {id, ...parsed.data}, rowVersion: version, changedAt: now});
+		const instance = this.decodeRow(id, text);
+		if (instance) {
+			this.expiredRows.delete(id);
+			this.knownInstances.set(id, {instance, row, seenAt: this.dependencies.timers.now()});
+		} else {
+			this.expiredRows.set(id, row);
+			this.knownInstances.delete(id);
+		}
+	}
+
+	/** Returns undefined for the row of a stopped instance and for one that cannot be decoded. */
+	private decodeRow(id: string, text: string): RegisteredInstance | undefined {
+		if (text === '') {
+			return undefined;
+		}
+
+		try {
+			return {id, ...instanceRowSchema.parse(JSON.parse(text))};
+		} catch (error) {
+			this.dependencies.log.warn('members.row_unreadable', {instance: id, reason: getErrorMessage(error)});
+			return undefined;
 		}
 	}
 
-	private removeExpired(now: number): void {
-		for (const [id, {changedAt}] of this.knownInstances) {
-			if (now - changedAt > this.timings.rowExpiry) {
-				this.knownInstances.delete(id);
+	private removeExpired(): void {
+		const now = this.dependencies.timers.now();
+		const expired = [...this.knownInstances].filter(([, {seenAt}]) => now - seenAt > this.timings.expiry);
+		for (const [id, {row}] of expired) {
+			this.knownInstances.delete(id);
+			if (row !== undefined) {
+				this.expiredRows.set(id, row);
 			}
 		}
+
+		if (expired.length > 0) {
+			this.publish();
+		}
+	}
+
+	private publish(): void {
+		this.current = [this.self, ...[...this.knownInstances.values()].map(({instance}) => instance)];
+		this.dependencies.onChange();
 	}
 }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -1,17 +1,16 @@
 import {type ActiveCatalog} from '../catalog/active-catalog.js';
-import {type CatalogWatcher} from '../catalog/catalog-watcher.js';
 import {type Lease} from '../leases/lease.js';
 import {type LeaseManager} from '../leases/lease-manager.js';
 import {type Lifecycle} from '../lifecycle.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
-import {type ServerListWatcher} from '../pipelines/server-list-watcher.js';
 import {type GossipClients} from '../peers/gossip-clients.js';
 import {type GossipService} from '../peers/gossip-service.js';
 import {type PlacementController} from '../placement/placement-controller.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
 import {type StreamMonitor} from '../relay/stream-monitor.js';
+import {type TableWatcher} from '../replication/table-watcher.js';
 import {type RouterSettings} from '../settings/router-settings.js';
 import {splitAddress} from '../settings/split-address.js';
 import {type TimerService} from '../time/timer-service.js';
@@ -30,9 +29,10 @@
 	readonly exchanges: ExchangeRegistry;
 	readonly streamMonitor: StreamMonitor;
 	readonly activeCatalog: ActiveCatalog;
-	readonly catalogWatcher: CatalogWatcher;
+	readonly tableWatchers: readonly TableWatcher[];
+	/** Whether this instance is one of those that read the store in normal operation. */
+	readonly isStoreReader: () => boolean;
 	readonly directory: ServerDirectory;
-	readonly serverListWatcher: ServerListWatcher;
 	readonly instanceRegistry: InstanceRegistry;
 	readonly gossip: GossipService;
 	readonly gossipClients: GossipClients;
@@ -42,6 +42,8 @@
 };
 
 const drainPollIntervalMs = 100;
+/** Interval between attempts to get the tables from other instances. */
+const joinIntervalMs = 400;
 
 /** Runs a pipeline router from startup to graceful shutdown. */
 export class Router {
@@ -57,11 +59,14 @@
 		await this.listen(settings.instance.metrics, async (host, port) => dependencies.statusServer.listenMetrics(host, port));
 		await this.listen(settings.instance.callers, async (host, port) => dependencies.entryServer.listen(host, port));
 		await this.listen(settings.instance.peers, async (host, port) => dependencies.gossipClients.listen(host, port, dependencies.gossip));
-		dependencies.catalogWatcher.start();
-		dependencies.serverListWatcher.start();
+		for (const watcher of dependencies.tableWatchers) {
+			watcher.start();
+		}
+
 		dependencies.instanceRegistry.start();
 		dependencies.streamMonitor.start();
 		dependencies.gossip.start();
+		void this.joinUntilReady();
 		this.startPeriodicWork();
 		dependencies.log.write('process.started', {id: settings.instance.id, zone: settings.instance.availability_zone, callers: settings.instance.callers});
 	}
@@ -86,6 +91,7 @@
 		const stopRequestedAt = dependencies.timers.now();
 		dependencies.log.write('process.stopping', {inFlight: dependencies.exchanges.size});
 		void dependencies.leaseManager.release();
+		void dependencies.instanceRegistry.retire();
 		await dependencies.timers.sleep(settings.stop.notice);
 		dependencies.lifecycle.refuseRequests();
 		const drainDeadline = stopRequestedAt + settings.stop.grace - settings.stop.margin;
@@ -105,7 +111,7 @@
 		dependencies.log.write('process.stopped', {cut: inFlight, afterMs: Math.round(dependencies.timers.now() - stopRequestedAt)});
 	}
 
-	/** Whether to acquire or renew the placement lease. The current holder always renews it; other instances try only while the store is reachable and no holder has been heard from recently. */
+	/** Whether to acquire or renew the placement lease. The current holder always renews it; other instances try only if they read the store, while it is reachable and no holder has been heard from recently. */
 	private mayHoldPlacementLease(): boolean {
 		const {settings, dependencies} = this;
 		const now = dependencies.timers.now();
@@ -119,17 +125,21 @@
 		await listenOn(host, port);
 	}
 
+	/** Asks other instances for the configuration and the server list until this one has both. */
+	private async joinUntilReady(): Promise<void> {
+		const {settings, dependencies} = this;
+		while (!this.isReady && !dependencies.lifecycle.isDraining) {
+			await dependencies.gossip.join(settings.seeds.peers); // eslint-disable-line no-await-in-loop
+			await dependencies.timers.sleep(joinIntervalMs); // eslint-disable-line no-await-in-loop
+		}
+	}
+
 	private startPeriodicWork(): void {
 		const {settings, dependencies} = this;
-		void dependencies.leaseManager.acquireOrRenew();
 		dependencies.timers.repeat(settings.placement.lease_period, () => {
 			if (this.mayHoldPlacementLease()) {
 				void dependencies.leaseManager.acquireOrRenew();
 			}
-
-			if (!this.isReady && !dependencies.lifecycle.isDraining) {
-				void dependencies.gossip.syncFromSeeds(settings.seeds.peers);
-			}
 		});
 		dependencies.timers.repeat(settings.placement.period, () => {
 			dependencies.placementController.reconcile();
--- a/src/peers/gossip-clients.ts
+++ b/src/peers/gossip-clients.ts
@@ -3,16 +3,25 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {listen} from '../network/listen.js';
 import {type TimerService} from '../time/timer-service.js';
-import {HttpFetch} from '../store/http-fetch.js';
-import {instanceSnapshotSchema, type InstanceSnapshot} from './instance-snapshot.js';
-import {type GossipMessage} from './gossip-message.js';
+import {HttpFetch, type FetchOptions, type FetchResponse} from '../store/http-fetch.js';
+import {type GossipTraffic} from './byte-budget.js';
+import {gossipMessageSchema, type GossipMessage} from './gossip-message.js';
 import {createGossipProcedures, type GossipProcedures, type GossipReceiver} from './gossip-procedures.js';
 
+/** Time for which an idle connection of another instance is kept; instances contact each other in random order. */
+const idleConnectionMs = 60_000;
+/** Approximate bytes of the heads of a request and its response. */
+const callOverheadBytes = 500;
+/** Largest message accepted; a whole server list and configuration fit in it. */
+const maxMessageBytes = 16_000_000;
+
 /** Sends and receives the calls between pipeline routers over tRPC and HTTP. */
 export class GossipClients {
 	private readonly clients = new Map<string, TRPCClient<GossipProcedures>>();
 	private readonly http = new HttpFetch();
 	private server?: Server;
+	private calls = 0;
+	private bytes = 0;
 
 	/**
 	@param timeout - milliseconds that a call may take
@@ -21,7 +30,8 @@
 
 	/** Starts to answer other instances; rejects if the address is unavailable. */
 	async listen(host: string, port: number, receiver: GossipReceiver): Promise<void> {
-		this.server = createServer(createHTTPHandler({router: createGossipProcedures(receiver)}));
+		this.server = createServer(createHTTPHandler({router: createGossipProcedures(receiver), maxBodySize: maxMessageBytes}));
+		this.server.keepAliveTimeout = idleConnectionMs;
 		return listen(this.server, host, port);
 	}
 
@@ -30,14 +40,14 @@
 		this.server?.close();
 	}
 
-	/** Sends a message to an instance. Rejects if it does not answer. */
-	async send(address: string, message: GossipMessage): Promise<void> {
-		await this.call(address, async (client, signal) => client.tell.mutate(message, {signal}));
+	/** All calls that this instance made. */
+	get traffic(): GossipTraffic {
+		return {calls: this.calls, bytes: this.bytes};
 	}
 
-	/** Fetches the snapshot of an instance, which includes its catalog if that is newer than a version. Rejects if the instance does not answer. */
-	async fetchSnapshot(address: string, version: number): Promise<InstanceSnapshot> {
-		return this.call(address, async (client, signal) => instanceSnapshotSchema.parse(await client.snapshot.query({version}, {signal})));
+	/** Sends a message to an instance and returns its answer. Rejects if it does not answer. */
+	async exchange(address: string, message: GossipMessage): Promise<GossipMessage> {
+		return this.call(address, async (client, signal) => gossipMessageSchema.parse(await client.exchange.mutate(message, {signal})));
 	}
 
 	/** Removes the clients of all other addresses. */
@@ -52,7 +62,7 @@
 	private async call<Value>(address: string, operation: (client: TRPCClient<GossipProcedures>, signal: AbortSignal) => Promise<Value>): Promise<Value> {
 		const client = this.clients.get(address) ?? createTRPCClient<GossipProcedures>({
 			links: [httpLink({
-				url: `http://${address}`, fetch: async (url, options) => this.http.fetch(String(url), {
+				url: `http://${address}`, fetch: async (url, options) => this.fetch(String(url), {
 					method: options?.method, headers: options?.headers, body: typeof options?.body === 'string' ? options.body : undefined, signal: options?.signal ?? undefined,
 				}),
 			})],
@@ -60,4 +70,12 @@
 		this.clients.set(address, client);
 		return this.timers.runWithTimeout(this.timeout, async signal => operation(client, signal));
 	}
+
+	private async fetch(url: string, options: FetchOptions): Promise<FetchResponse> {
+		const response = await this.http.fetch(url, options);
+		const text = await response.text();
+		this.calls++;
+		this.bytes += callOverheadBytes + (options.body?.length ?? 0) + text.length;
+		return response;
+	}
 }
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -1,4 +1,3 @@
-import {type ActiveCatalog} from '../catalog/active-catalog.js';
 import {type InstanceRegistry, type RegisteredInstance} from '../entry/instance-registry.js';
 import {type Lease} from '../leases/lease.js';
 import {type DecisionLog} from '../observation/decision-log.js';
@@ -8,33 +7,39 @@
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type ServerLoad} from '../pipelines/server-load.js';
+import {type TableName} from '../replication/table-name.js';
+import {type TablePosition} from '../replication/table-position.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type RandomSource} from '../routing/random-source.js';
 import {type TimerService} from '../time/timer-service.js';
-import {type GossipMessage} from './gossip-message.js';
-import {type InstanceSnapshot} from './instance-snapshot.js';
+import {type ByteBudget} from './byte-budget.js';
 import {type GossipClients} from './gossip-clients.js';
+import {type GossipMessage, type LoadedRange, type Suspicion} from './gossip-message.js';
 import {type GossipReceiver} from './gossip-procedures.js';
+import {type Fanout, type PartnerSelector} from './partner-selector.js';
 import {type PeerLoads} from './peer-loads.js';
+import {RumorBuffer} from './rumor-buffer.js';
+import {getIdDigest} from './id-digest.js';
 import {type SuspicionQuorum} from './suspicion-quorum.js';
+import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
 export type GossipServiceDependencies = {
 	readonly self: RegisteredInstance;
 	readonly instances: InstanceRegistry;
-	readonly clients: GossipClients;
+	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
+	readonly byteBudget: ByteBudget;
+	readonly partners: PartnerSelector;
+	readonly tables: TableExchange;
 	readonly peerLoads: PeerLoads;
 	readonly suspicionQuorum: SuspicionQuorum;
 	readonly serverLoad: ServerLoad;
 	readonly lease: Lease;
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
-	readonly catalog: ActiveCatalog;
 	readonly timers: TimerService;
 	readonly random: RandomSource;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
-	/** Applies the text of a catalog that is in force on another instance. */
-	readonly applyCatalog: (text: string, from: string) => void;
 	/** Called when a backend server becomes suspected because of reports of other instances. */
 	readonly onSuspicion: (server: BackendServer, reason: string) => void;
 };
@@ -43,186 +48,299 @@
 export type GossipTimings = {
 	/** Milliseconds between rounds of messages. */
 	readonly period: number;
-	/** Number of instances in other availability zones that get a message in each round. */
-	readonly fanout: number;
-	/** Milliseconds by which another instance's server list must be newer before this instance fetches its snapshot. */
-	readonly staleness: number;
+	/** Largest number of instances that are contacted in a periodic round. */
+	readonly maxRoundContacts: number;
+	/** Number of instances that are contacted when a suspicion or a range is new. */
+	readonly rumorFanout: Fanout;
+	/** Number of instances that are contacted when a table changed. Other availability zones have readers of their own. */
+	readonly tableFanout: Fanout;
+	/** Number of instances of an availability zone that contact other zones in a round, on average. */
+	readonly farContactsPerZone: number;
+	/** Milliseconds without a confirmation from the own availability zone after which rows are fetched from another one. */
+	readonly remoteFetchAge: number;
+	/** Milliseconds for which news is collected before it is sent. */
+	readonly spreadDelay: number;
+	/** Milliseconds for which suspicions and ranges are passed on. */
+	readonly rumorLifetime: number;
+	/** Milliseconds for which suspicions and ranges are recognized. */
+	readonly rumorMemory: number;
 };
 
-type Suspicion = GossipMessage['suspicions'][number];
-type Range = GossipMessage['ranges'][number];
+/** Instances of other availability zones that are contacted in a round at most. */
+const maxFarContacts = 2;
 
-/** Sends this instance's load, suspicions and versions to the other instances, and applies the messages that they send. */
+/** The newest sign of the holder of the placement lease. */
+type PlacementHolder = {
+	/** 0 if no holder is known. */
+	readonly fencing: number;
+	/** Monotonic time in milliseconds. */
+	readonly seenAt: number;
+};
+
+/** Instances of other availability zones that the holder of the placement lease contacts in each round. */
+const holderFanout: Fanout = {near: 0, far: 2};
+
+/**
+Exchanges loads, suspicions, ordered ranges and the rows of the store's tables with other instances.
+
+Each instance contacts a fixed number of others in each round, and passes news on as soon as it first receives it, so that its work does not grow with their number (A. Demers et al., Epidemic algorithms for replicated database maintenance, PODC 1987).
+*/
 export class GossipService implements GossipReceiver {
-	private suspicions: Suspicion[] = [];
-	private ranges: Range[] = [];
+	private readonly suspicions: RumorBuffer<Suspicion>;
+	private readonly ranges: RumorBuffer<LoadedRange>;
+	/** Distinguishes the rumors of this process from those of an earlier one with the same id. */
+	private readonly epoch: number;
+	private rumorCount = 0;
 	/** Ids of the instances to which a message is in flight; they get no second one meanwhile. */
-	private readonly sending = new Set<string>();
-	private isSyncing = false;
-	private placementHolderHeardTime = Number.NEGATIVE_INFINITY;
+	private readonly contacting = new Set<string>();
+	private scheduledFanout?: Fanout;
+	private isFetching = false;
+	private placementHolder: PlacementHolder = {fencing: 0, seenAt: Number.NEGATIVE_INFINITY};
 
-	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {}
+	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {
+		this.suspicions = new RumorBuffer(timings.rumorLifetime, timings.rumorMemory);
+		this.ranges = new RumorBuffer(timings.rumorLifetime, timings.rumorMemory);
+		this.epoch = dependencies.timers.wallClock();
+	}
 
 	/** Starts the periodic rounds. */
 	start(): void {
 		this.dependencies.timers.repeat(this.timings.period, () => {
-			this.sendToAll();
+			this.contactPartners(this.selectRoundFanout());
+			if (this.holdsPlacementLease) {
+				this.contactPartners(holderFanout);
+			}
 		});
 	}
 
-	/** Reports at once to the other instances that this one found a backend server not to work. */
+	/** Reports to the other instances that this one found a backend server not to work. */
 	reportSuspicion(server: BackendServer, isBlocking: boolean, reason: string): void {
-		this.suspicions.push({life: getIncarnationId(server), isBlocking, reason});
-		this.sendToAll();
+		const {timers} = this.dependencies;
+		this.suspicions.add([{
+			...this.createRumorHeader(), life: getIncarnationId(server), isBlocking, reason,
+		}], timers.now());
+		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
-	/** Reports at once to the other instances that a backend server loaded a range by order. */
+	/** Reports to the other instances that a backend server loaded a range by order. */
 	reportRange(server: BackendServer, {from, to}: LayerRange): void {
-		this.ranges.push({life: getIncarnationId(server), from, to});
-		this.sendToAll();
+		const {timers} = this.dependencies;
+		this.ranges.add([{
+			...this.createRumorHeader(), life: getIncarnationId(server), from, to,
+		}], timers.now());
+		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
-	receive(message: GossipMessage): void {
-		const {peerLoads, suspicionQuorum, timers, catalog} = this.dependencies;
-		const now = timers.now();
-		peerLoads.update(message.from, message.loads, now);
-		if (message.placing > 0) {
-			this.placementHolderHeardTime = now;
-			this.dependencies.lease.observeOtherHolder(message.placing);
-		}
+	/** Passes a change of a table on to the other instances. */
+	reportTableChange(name: TableName, previous: TablePosition | undefined): void {
+		this.dependencies.tables.recordChange(name, previous, this.dependencies.timers.now());
+		this.scheduleSpread(this.timings.tableFanout);
+	}
 
-		for (const {life: incarnationId, isBlocking, reason} of message.suspicions) {
-			if (suspicionQuorum.report({incarnationId, isBlocking, from: message.from}, now)) {
-				this.suspect(incarnationId, `${message.from}: ${reason}`, now);
+	/** Monotonic time in milliseconds of the newest known sign of an instance that holds the placement lease; -Infinity before the first one. */
+	get placementHolderHeardAt(): number {
+		return this.placementHolder.seenAt;
+	}
+
+	exchange(message: GossipMessage): GossipMessage {
+		const {self, tables, peerLoads, timers} = this.dependencies;
+		const isNear = message.from.availabilityZone === self.availabilityZone;
+		this.receive(message);
+		const {from, reportAges} = message;
+		const answer = this.createMessage(from.availabilityZone);
+		return {
+			...answer,
+			loads: [...answer.loads, ...peerLoads.selectReports(from.availabilityZone, reportAges, timers.now())],
+			updates: isNear || message.wantsRows ? tables.getMissingUpdates(message) : {},
+		};
+	}
+
+	/** Contacts the addresses in random order until one of them answers, as after the start. Returns whether one answered. */
+	async join(addresses: readonly string[]): Promise<boolean> {
+		for (const address of addresses) {
+			if (address !== this.dependencies.self.peers && await this.contact(address, {wantsRows: true})) { // eslint-disable-line no-await-in-loop
+				return true;
 			}
 		}
 
-		for (const {life: incarnationId, from, to} of message.ranges) {
-			this.dependencies.directory.overrideRange(incarnationId, {from, to});
-		}
+		return false;
+	}
 
-		const isListNewer = message.listAge >= 0 && this.getListAge(now) - message.listAge > this.timings.staleness;
-		const sender = this.dependencies.instances.all().find(({id}) => id === message.from);
-		if (sender && (isListNewer || message.version > catalog.version)) {
-			void this.syncFrom(sender.peers);
-		}
+	/** Returns the fanout of a periodic round, within the budget of bytes. In a large availability zone, only some instances contact other zones. */
+	private selectRoundFanout(): Fanout {
+		const {maxRoundContacts, farContactsPerZone} = this.timings;
+		const {instances, random, byteBudget, clients, timers} = this.dependencies;
+		const contacts = byteBudget.countAffordable(maxRoundContacts, clients.traffic, timers.now());
+		const neighbours = instances.findNeighbours().length;
+		const far = random.nextFraction() * (neighbours + 1) < farContactsPerZone ? 1 : 0;
+		const near = Math.min(neighbours, contacts - far);
+		// An instance with few neighbours contacts more instances of other zones.
+		return {near, far: Math.min(contacts, Math.max(far, Math.min(maxFarContacts, contacts - near)))};
 	}
 
-	/** Monotonic time in milliseconds at which another instance last reported holding the placement lease; -Infinity before that. */
-	get placementHolderHeardAt(): number {
-		return this.placementHolderHeardTime;
+	private get holdsPlacementLease(): boolean {
+		return this.dependencies.lease.isHeld(this.dependencies.timers.now());
 	}
 
-	createSnapshot(version: number): InstanceSnapshot {
-		const {catalog, directory, instances, timers} = this.dependencies;
-		const age = this.getListAge(timers.now());
+	private createRumorHeader() {
+		this.rumorCount++;
 		return {
-			catalog: catalog.version > version ? catalog.current?.catalog.text : undefined,
-			servers: [...directory.all()],
-			serversAge: Number.isFinite(age) ? age : undefined,
-			members: [...instances.all()],
+			origin: this.dependencies.self.id, epoch: this.epoch, number: this.rumorCount, age: 0,
 		};
 	}
 
-	/** Fetches snapshots from the seeds in order until one of them provided a catalog, as after a start while the store is unavailable. */
-	async syncFromSeeds(seeds: readonly string[]): Promise<void> {
-		for (const seed of seeds) {
-			const isSynced = seed !== this.dependencies.self.peers && await this.syncFrom(seed); // eslint-disable-line no-await-in-loop
-			if (isSynced && this.dependencies.catalog.version >= 0) {
-				return;
-			}
+	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
+	private createMessage(recipientZone: string): GossipMessage {
+		const {self, tables, peerLoads, timers} = this.dependencies;
+		const now = timers.now();
+		return {
+			from: self,
+			tables: tables.describe(now),
+			updates: recipientZone === self.availabilityZone ? tables.getRecentUpdates(now) : {},
+			reportAges: '',
+			wantsRows: false,
+			loads: [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
+			suspicions: [...this.suspicions.getCurrent(now)],
+			ranges: [...this.ranges.getCurrent(now)],
+			placing: this.describePlacementHolder(now),
+		};
+	}
+
+	/** Returns the tokens that this instance's requests hold, by digest of the backend server's incarnation. */
+	private measureTokens(): ReadonlyMap<string, number> {
+		const tokens = [...this.dependencies.serverLoad.getTokensByIncarnation()];
+		return new Map(tokens.map(([incarnationId, count]) => [getIdDigest(incarnationId), count]));
+	}
+
+	private receive(message: GossipMessage): void {
+		const {instances, partners, peerLoads, tables, timers} = this.dependencies;
+		const now = timers.now();
+		partners.recordContact(message.from.id);
+		instances.recordContact(message.from);
+		peerLoads.update(message.loads, now);
+		if (message.placing) {
+			this.receivePlacementHolder({fencing: message.placing.fencing, seenAt: now - message.placing.age - transitAllowanceMs});
+		}
+
+		this.receiveSuspicions(message.suspicions, now);
+		this.receiveRanges(message.ranges, now);
+		const {isChanged, isBehind} = tables.receive(message, now);
+		const isNear = message.from.availabilityZone === this.dependencies.self.availabilityZone;
+		if (isBehind && (isNear || tables.getAge(now) > this.timings.remoteFetchAge)) {
+			void this.fetchRows(message.from);
+		}
+
+		if (isChanged) {
+			this.scheduleSpread(this.timings.tableFanout);
 		}
 	}
 
-	private getListAge(now: number): number {
-		return now - this.dependencies.directory.lastReadAt;
+	private describePlacementHolder(now: number): GossipMessage['placing'] {
+		const {lease} = this.dependencies;
+		if (lease.isHeld(now)) {
+			return {fencing: lease.fencing, age: 0};
+		}
+
+		const {fencing, seenAt} = this.placementHolder;
+		return fencing > 0 ? {fencing, age: Math.round(now - seenAt)} : undefined;
 	}
 
-	private suspect(incarnationId: string, reason: string, now: number): void {
-		const server = this.dependencies.directory.all().find(listed => getIncarnationId(listed) === incarnationId);
-		if (server && this.dependencies.serverHealth.suspect(server, reason, now)) {
-			this.dependencies.onSuspicion(server, reason);
+	private receivePlacementHolder(holder: PlacementHolder): void {
+		if (holder.seenAt > this.placementHolder.seenAt) {
+			this.placementHolder = holder;
 		}
+
+		this.dependencies.lease.observeOtherHolder(holder.fencing);
 	}
 
-	private sendToAll(): void {
-		const message = this.createMessage();
-		for (const recipient of this.selectRecipients()) {
-			if (!this.sending.has(recipient.id)) {
-				void this.send(recipient, message);
+	private receiveSuspicions(suspicions: readonly Suspicion[], now: number): void {
+		const unknown = this.suspicions.add(suspicions.filter(({origin}) => origin !== this.dependencies.self.id), now);
+		for (const {origin, life: incarnationId, isBlocking, reason} of unknown) {
+			if (this.dependencies.suspicionQuorum.report({incarnationId, isBlocking, from: origin}, now)) {
+				this.suspect(incarnationId, `${origin}: ${reason}`, now);
 			}
 		}
-	}
 
-	private createMessage(): GossipMessage {
-		const {self, serverLoad, catalog, lease, timers} = this.dependencies;
-		const now = timers.now();
-		const listAge = this.getListAge(now);
-		const message = {
-			from: self.id,
-			loads: Object.fromEntries(serverLoad.getTokensByIncarnation()),
-			suspicions: this.suspicions,
-			ranges: this.ranges,
-			listAge: Number.isFinite(listAge) ? Math.round(listAge) : -1,
-			placing: lease.isHeld(now) ? lease.fencing : 0,
-			version: catalog.version,
-		};
-		this.suspicions = [];
-		this.ranges = [];
-		return message;
+		if (unknown.length > 0) {
+			this.scheduleSpread(this.timings.rumorFanout);
+		}
 	}
 
-	/** Selects all instances of the own availability zone, and random ones of the other zones. */
-	private selectRecipients(): readonly RegisteredInstance[] {
-		const {self, instances, random} = this.dependencies;
-		const others = instances.all().filter(({id}) => id !== self.id);
-		const near = others.filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
-		const far = others.filter(({availabilityZone}) => availabilityZone !== self.availabilityZone);
-		while (far.length > this.timings.fanout) {
-			far.splice(random.nextInteger(far.length), 1);
+	private receiveRanges(ranges: readonly LoadedRange[], now: number): void {
+		const unknown = this.ranges.add(ranges.filter(({origin}) => origin !== this.dependencies.self.id), now);
+		for (const {life: incarnationId, from, to} of unknown) {
+			this.dependencies.directory.overrideRange(incarnationId, {from, to});
 		}
 
-		return [...near, ...far];
+		if (unknown.length > 0) {
+			this.scheduleSpread(this.timings.rumorFanout);
+		}
 	}
 
-	private async send(recipient: RegisteredInstance, message: GossipMessage): Promise<void> {
-		this.sending.add(recipient.id);
-		try {
-			await this.dependencies.clients.send(recipient.peers, message);
-		} catch (error) {
-			this.dependencies.metrics.count('siskinnotch_news_failures');
-			this.dependencies.log.write('peers.not_told', {peer: recipient.id, reason: getErrorMessage(error)});
-		} finally {
-			this.sending.delete(recipient.id);
+	private suspect(incarnationId: string, reason: string, now: number): void {
+		const server = this.dependencies.directory.all().find(listed => getIncarnationId(listed) === incarnationId);
+		if (server && this.dependencies.serverHealth.suspect(server, reason, now)) {
+			this.dependencies.onSuspicion(server, reason);
 		}
 	}
 
-	/** Merges the snapshot of another instance; returns whether it was fetched. Does nothing while another fetch is in progress. */
-	private async syncFrom(address: string): Promise<boolean> {
-		const {clients, catalog, log, directory, timers, instances} = this.dependencies;
-		if (this.isSyncing) {
-			return false;
+	/** Contacts partners soon; news that arrives until then is sent along. */
+	private scheduleSpread(fanout: Fanout): void {
+		if (this.scheduledFanout) {
+			this.scheduledFanout = {near: Math.max(fanout.near, this.scheduledFanout.near), far: Math.max(fanout.far, this.scheduledFanout.far)};
+			return;
 		}
 
-		this.isSyncing = true;
-		try {
-			const requestedAt = timers.now();
-			const snapshot = await clients.fetchSnapshot(address, catalog.version);
-			if (snapshot.catalog !== undefined) {
-				this.dependencies.applyCatalog(snapshot.catalog, address);
-			}
+		this.scheduledFanout = fanout;
+		this.dependencies.timers.after(this.timings.spreadDelay, () => {
+			const scheduled = this.scheduledFanout!;
+			this.scheduledFanout = undefined;
+			this.contactPartners(scheduled);
+		});
+	}
 
-			instances.merge(snapshot.members);
-			if (snapshot.serversAge !== undefined) {
-				directory.applyReading({servers: snapshot.servers, requestedAt: requestedAt - snapshot.serversAge, mayBeIncomplete: true});
+	private contactPartners(fanout: Fanout): void {
+		const {partners, instances, timers} = this.dependencies;
+		for (const partner of partners.select(instances.all(), fanout, timers.now())) {
+			if (!this.contacting.has(partner.id)) {
+				void this.contactPartner(partner);
 			}
+		}
+	}
 
+	private async contactPartner(partner: RegisteredInstance): Promise<void> {
+		const {partners, timers} = this.dependencies;
+		this.contacting.add(partner.id);
+		const isAnswered = await this.contact(partner.peers, {zone: partner.availabilityZone});
+		this.contacting.delete(partner.id);
+		if (!isAnswered) {
+			partners.recordFailure(partner.id, timers.now());
+		}
+	}
+
+	/** Exchanges messages with an instance; returns whether it answered. */
+	private async contact(address: string, {zone = this.dependencies.self.availabilityZone, wantsRows = false}: {zone?: string; wantsRows?: boolean}): Promise<boolean> {
+		const {clients, metrics, log, peerLoads, timers} = this.dependencies;
+		metrics.count('siskinnotch_gossip_calls');
+		try {
+			const reportAges = peerLoads.packAges(zone, timers.now());
+			this.receive(await clients.exchange(address, {...this.createMessage(zone), reportAges, wantsRows}));
 			return true;
 		} catch (error) {
-			log.write('peers.no_snapshot', {peer: address, reason: getErrorMessage(error)});
+			metrics.count('siskinnotch_news_failures');
+			log.write('peers.not_told', {peer: address, reason: getErrorMessage(error)});
 			return false;
-		} finally {
-			this.isSyncing = false;
 		}
 	}
+
+	/** Fetches the rows that another instance has and this one lacks. Does nothing while another fetch is in progress. */
+	private async fetchRows({peers, availabilityZone}: RegisteredInstance): Promise<void> {
+		if (this.isFetching) {
+			return;
+		}
+
+		this.isFetching = true;
+		await this.contact(peers, {zone: availabilityZone, wantsRows: true});
+		this.isFetching = false;
+	}
 }
--- /dev/null
+++ b/src/peers/table-exchange.ts
@@ -0,0 +1,130 @@
+import {UpdateResult} from '../replication/replicated-table.js';
+import {TableName, tableNames} from '../replication/table-name.js';
+import {type TablePosition} from '../replication/table-position.js';
+import {type TableSet} from '../replication/table-set.js';
+import {type TableUpdate} from '../replication/table-update.js';
+import {type GossipMessage} from './gossip-message.js';
+
+type TableStatus = NonNullable<GossipMessage['tables'][TableName]>;
+
+type RecentChange = {
+	readonly name: TableName;
+	/** Position before the change. */
+	readonly since: TablePosition;
+	/** Monotonic time in milliseconds. */
+	readonly at: number;
+};
+
+/** What a message changed. */
+type TableReceipt = {
+	/** Whether rows changed. */
+	readonly isChanged: boolean;
+	/** Whether the sender has rows that this instance still lacks. */
+	readonly isBehind: boolean;
+};
+
+/** Time that a message may take, in milliseconds. It is added to the ages in a message, since information that passes through many instances would otherwise never age. */
+export const transitAllowanceMs = 100;
+/** Time for which a change is sent unasked, in milliseconds; later it is only sent to instances that lack it. */
+const unaskedSendMs = 1500;
+/** Characters of an update that is sent unasked; a larger one is fetched by those that lack it. */
+const maxUnaskedCharacters = 4000;
+
+function countCharacters({rows}: TableUpdate): number {
+	return rows.reduce((sum, {key, text}) => sum + key.length + (text?.length ?? 0), 0);
+}
+
+/** Exchanges the rows of the store's tables with other instances, so that few of them have to read the store. */
+export class TableExchange {
+	private recentChanges: RecentChange[] = [];
+
+	constructor(private readonly tables: TableSet) {}
+
+	/** Remembers a change, so that it is sent with the next messages. */
+	recordChange(name: TableName, since: TablePosition | undefined, now: number): void {
+		this.recentChanges = this.recentChanges.filter(({at}) => now - at <= unaskedSendMs);
+		if (since) {
+			this.recentChanges.push({name, since, at: now});
+		}
+	}
+
+	/** Returns the milliseconds since the store confirmed this instance's copy of the list of servers; Infinity if there is none. */
+	getAge(now: number): number {
+		return now - this.tables.get(TableName.Servers).confirmation.confirmedAt;
+	}
+
+	/** Describes this instance's copies. */
+	describe(now: number): GossipMessage['tables'] {
+		const statuses: GossipMessage['tables'] = {};
+		for (const name of tableNames) {
+			const {position, lastChange, confirmation: {confirmedAt, outageAt}} = this.tables.get(name);
+			if (position && Number.isFinite(confirmedAt)) {
+				statuses[name] = {
+					...position, lastChange, age: Math.round(now - confirmedAt), ...(Number.isFinite(outageAt) && {outageAge: Math.round(now - outageAt)}),
+				};
+			}
+		}
+
+		return statuses;
+	}
+
+	/** Returns the recent small changes, for instances whose copies are not known. */
+	getRecentUpdates(now: number): GossipMessage['updates'] {
+		const updates: GossipMessage['updates'] = {};
+		for (const {name, since, at} of this.recentChanges) {
+			const update = now - at <= unaskedSendMs && !updates[name] ? this.tables.get(name).getChangesSince(since) : undefined;
+			if (update?.since && countCharacters(update) <= maxUnaskedCharacters) {
+				updates[name] = update;
+			}
+		}
+
+		return updates;
+	}
+
+	/** Returns the rows that an instance with these copies lacks; large updates only if it wants them, since it may be asking several instances. */
+	getMissingUpdates({tables: statuses, wantsRows}: Pick<GossipMessage, 'tables' | 'wantsRows'>): GossipMessage['updates'] {
+		const updates: GossipMessage['updates'] = {};
+		for (const name of tableNames) {
+			const update = this.tables.get(name).getChangesSince(statuses[name]);
+			if (update && (wantsRows || countCharacters(update) <= maxUnaskedCharacters)) {
+				updates[name] = update;
+			}
+		}
+
+		return updates;
+	}
+
+	/** Applies the updates and confirmations of a message. */
+	receive({from, tables: statuses, updates}: GossipMessage, now: number): TableReceipt {
+		let isChanged = false;
+		let isBehind = false;
+		for (const name of tableNames) {
+			const status = statuses[name];
+			if (status) {
+				isChanged = this.applyUpdate(name, status, {update: updates[name], from: from.id}, now) || isChanged;
+				isBehind ||= this.isBehind(name, status);
+			}
+		}
+
+		return {isChanged, isBehind};
+	}
+
+	/** Returns whether rows changed. */
+	private applyUpdate(name: TableName, {era, transaction, lastChange, age, outageAge}: TableStatus, {update, from}: {update?: TableUpdate; from: string}, now: number): boolean {
+		const origin = {from, confirmedAt: now - age - transitAllowanceMs, outageAt: outageAge === undefined ? Number.NEGATIVE_INFINITY : now - outageAge};
+		const previous = this.tables.get(name).position;
+		const isChanged = update !== undefined && this.tables.apply(name, update, origin) === UpdateResult.Changed;
+		if (isChanged) {
+			this.recordChange(name, previous, now);
+		}
+
+		// No row changed after lastChange, so a copy that has that change is as new as the sender's.
+		this.tables.apply(name, {since: {era, transaction: lastChange}, position: {era, transaction}, rows: []}, origin);
+		return isChanged;
+	}
+
+	private isBehind(name: TableName, {era, lastChange}: TableStatus): boolean {
+		const own = this.tables.get(name).position;
+		return !own || own.era < era || (own.era === era && own.transaction < lastChange);
+	}
+}
--- a/src/pipelines/server-directory.ts
+++ b/src/pipelines/server-directory.ts
@@ -16,6 +16,8 @@
 
 /** How long a range that is known from an order takes precedence over the listed one. */
 const overrideDurationMs = 4000;
+/** Incarnations remembered as leaving. */
+const maxRememberedLeaving = 4000;
 
 /** A reading of the list of backend servers. */
 export type ServerListReading = {
@@ -83,6 +85,23 @@
 		}
 	}
 
+	/** Records that the list was unchanged at a monotonic time. */
+	markRead(at: number): void {
+		this.readAt = Math.max(this.readAt, at);
+	}
+
+	/** Records that a server itself said that it is leaving, before the list shows it or while the list is unavailable. */
+	markLeaving(server: BackendServer): void {
+		const entry = this.entries.get(server.id);
+		if (!entry || entry.server.isLeaving || getIncarnationId(entry.server) !== getIncarnationId(server)) {
+			return;
+		}
+
+		this.rememberLeaving(getIncarnationId(server));
+		entry.server = {...entry.server, isLeaving: true};
+		this.log.write('server.leaving', {server: server.id, address: server.address, origin: 'response'});
+	}
+
 	/** Sets the range of a server whose layers changed by an order, before the list shows it. */
 	overrideRange(incarnationId: string, range: LayerRange): void {
 		for (const entry of this.entries.values()) {
@@ -133,12 +152,21 @@
 		}
 
 		if (isLeaving) {
-			this.leaving.add(incarnationId);
+			this.rememberLeaving(incarnationId);
 		}
 
 		this.entries.set(server.id, {server: {...server, isLeaving}, seenAt});
 	}
 
+	/** Remembers that an incarnation leaves, also after its entry is gone: an older copy of the list may show it as serving again. */
+	private rememberLeaving(incarnationId: string): void {
+		this.leaving.add(incarnationId);
+		if (this.leaving.size > maxRememberedLeaving) {
+			const [oldest] = this.leaving;
+			this.leaving.delete(oldest);
+		}
+	}
+
 	private removeMissing(listed: ReadonlySet<string>): void {
 		for (const [id, {server, seenAt}] of this.entries) {
 			if (listed.has(id)) {
@@ -146,7 +174,6 @@
 			}
 
 			this.entries.delete(id);
-			this.leaving.delete(getIncarnationId(server));
 			this.log.write('server.gone', {server: id, address: server.address, unseenMs: Math.round(this.timers.now() - seenAt)});
 		}
 	}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -2,10 +2,10 @@
 import {type Logger} from 'winston';
 import {RetryBudget} from './admission/retry-budget.js';
 import {ActiveCatalog} from './catalog/active-catalog.js';
-import {type CatalogSource} from './catalog/catalog-source.js';
-import {CatalogWatcher} from './catalog/catalog-watcher.js';
+import {type CatalogDecoder} from './catalog/catalog-decoder.js';
+import {CatalogReader} from './catalog/catalog-reader.js';
+import {wireControl} from './control-wiring.js';
 import {EntryServer} from './entry/entry-server.js';
-import {InstanceRegistry} from './entry/instance-registry.js';
 import {RequestAuthorizer} from './entry/request-authorizer.js';
 import {Router} from './entry/router.js';
 import {StatusServer} from './entry/status-server.js';
@@ -21,17 +21,14 @@
 import {PlainServerSelector} from './pipelines/plain-server-selector.js';
 import {ServerDirectory} from './pipelines/server-directory.js';
 import {ServerHealthTracker} from './pipelines/server-health-tracker.js';
-import {type ServerList} from './pipelines/server-list.js';
-import {ServerListWatcher} from './pipelines/server-list-watcher.js';
+import {type ServerDecoder} from './pipelines/server-decoder.js';
+import {ServerListReader} from './pipelines/server-list-reader.js';
 import {ServerLoad} from './pipelines/server-load.js';
 import {ServerSlowdowns} from './pipelines/server-slowdowns.js';
 import {type StageReporter} from './pipelines/stage-reporter.js';
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementController} from './placement/placement-controller.js';
 import {GossipClients} from './peers/gossip-clients.js';
-import {GossipService} from './peers/gossip-service.js';
-import {PeerLoads} from './peers/peer-loads.js';
-import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
 import {type ExchangeCodec} from './relay/exchange-codec.js';
@@ -39,6 +36,8 @@
 import {ExchangeRegistry} from './relay/exchange-registry.js';
 import {RequestQueue} from './relay/request-queue.js';
 import {StreamMonitor} from './relay/stream-monitor.js';
+import {type TableFeed} from './replication/table-feed.js';
+import {TableName} from './replication/table-name.js';
 import {RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
 import {type Table} from './store/table.js';
@@ -46,9 +45,13 @@
 
 /** Adapters to the platform that a pipeline router runs on. */
 export type PlatformAdapters = {
-	readonly table: Table;
-	readonly catalogSource: CatalogSource;
-	readonly serverList: ServerList;
+	/** Holds the row of the placement lease. */
+	readonly leaseTable: Table;
+	/** Holds a row for each instance. */
+	readonly instanceTable: Table;
+	readonly feeds: Readonly<Record<TableName, TableFeed>>;
+	readonly catalogDecoder: CatalogDecoder;
+	readonly serverDecoder: ServerDecoder;
 	readonly orderSender: OrderSender;
 	readonly stageReporter: StageReporter;
 	readonly codec: ExchangeCodec;
@@ -69,7 +72,7 @@
 const randomSeedRange = 0x7F_FF_FF_FF;
 /** Durations in milliseconds. */
 const serverHealthTimings = {
-	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
+	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
 };
 /** Weights of pipeline selection; `maxLoadAge` in milliseconds. */
 const selectionWeights = {
@@ -102,25 +105,12 @@
 	silenceTimeout: 1300,
 	blockedQueryInterval: 300,
 };
-/** Durations in milliseconds. */
-const registryTimings = {refreshInterval: 10_000, readInterval: 10_000, rowExpiry: 25_000};
 /** Age at which the slowdown factor that a server reported is ignored. */
 const slowdownExpiryMs = 3000;
-/** Durations in milliseconds; `fanout` is the number of instances in other availability zones that are contacted per round. */
-const gossipTimings = {period: 500, fanout: 12, staleness: 3200};
-/** Age at which the load that another instance reported is ignored. */
-const peerLoadExpiryMs = 2000;
 /** Time limit of a request to another instance. */
 const gossipTimeoutMs = 400;
-/** Time within which reports of a suspected backend server are counted together. */
-const suspicionWindowMs = 2000;
-/** Number of other instances that must have failed to reach a backend server; one alone may be cut off itself. */
-const suspicionQuorumSize = 2;
 /** Fraction of the latency target after which an unresponsive server is abandoned for another one. */
 const plainResponseTimeoutFraction = 0.8;
-/** Delay of a response of the server list beyond its due time that counts as an outage. */
-const slowListThresholdMs = 400;
-
 /** Creates a pipeline router and everything that it consists of. */
 export function wireRouter(settings: RouterSettings, {timers, log, logger, countDroppedLines}: RouterEnvironment, adapters: PlatformAdapters): Router {
 	const {instance, store, limits, placement: placementSettings} = settings;
@@ -134,21 +124,21 @@
 	const activeCatalog = new ActiveCatalog(log, timers);
 
 	const retryBudgets = new Map<string, RetryBudget>();
-	const self = {id: instance.id, availabilityZone: instance.availability_zone, peers: instance.peers};
-	const peerLoads = new PeerLoads(peerLoadExpiryMs);
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
-	const instanceRegistry = new InstanceRegistry(
-		self,
-		{
-			table: adapters.table, timers, log, onChange() {
-				gossipClients.retain(new Set(instanceRegistry.all().map(({peers}) => peers)));
-				for (const retryBudget of retryBudgets.values()) {
-					retryBudget.setMinimum(computeRetryAllowance());
-				}
-			},
+	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
+	const {instanceRegistry, peerLoads, gossip, tables, tableWatchers, isStoreReader} = wireControl(settings, {
+		timers, log, metrics, random, directory, serverHealth, serverLoad, lease, clients: gossipClients, instanceTable: adapters.instanceTable, feeds: adapters.feeds,
+	}, {
+		onInstancesChange(instances) {
+			gossipClients.retain(new Set(instances.map(({peers}) => peers)));
+			for (const retryBudget of retryBudgets.values()) {
+				retryBudget.setMinimum(computeRetryAllowance());
+			}
 		},
-		registryTimings,
-	);
+		onSuspicion(server, reason) {
+			streamMonitor.migrateStreamsFrom(server, reason);
+		},
+	});
 	// Leaves a part of the allowance unused, so that the total stays within it while instances are being added.
 	const computeRetryAllowance = () => instanceRegistry.isInitialized ? limits.retry_allowance * retryAllowanceFraction / instanceRegistry.all().length : initialRetryAllowance;
 	const getRetryBudget = (service: string) => {
@@ -207,31 +197,7 @@
 		onSuspicion,
 	}, streamMonitorTimings);
 
-	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
-	const leaseManager = new LeaseManager('placement', lease, {table: adapters.table, timers, log: createPartLog(logger, 'leases')});
-	const gossip = new GossipService({
-		self,
-		instances: instanceRegistry,
-		clients: gossipClients,
-		peerLoads,
-		suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize),
-		serverLoad,
-		lease,
-		directory,
-		serverHealth,
-		catalog: activeCatalog,
-		timers,
-		random,
-		metrics,
-		log,
-		applyCatalog(text, from) {
-			activeCatalog.apply(adapters.catalogSource.decode(text), from);
-		},
-		onSuspicion(server, reason) {
-			streamMonitor.migrateStreamsFrom(server, reason);
-		},
-	}, gossipTimings);
-
+	const leaseManager = new LeaseManager('placement', lease, {table: adapters.leaseTable, timers, log: createPartLog(logger, 'leases')});
 	const placementController = new PlacementController({
 		lease, catalog: activeCatalog, directory, serverHealth, reporter: adapters.stageReporter, sender: adapters.orderSender, timers, metrics, log, onRangeConfirmed(server, range) {
 			directory.overrideRange(getIncarnationId(server), range);
@@ -245,19 +211,24 @@
 		refusalBackoff: placementSettings.refusal,
 	}, placementSettings.room);
 
-	const serverListWatcher = new ServerListWatcher({
-		list: adapters.serverList, directory, timers, metrics, log, onRead() {
+	const catalogReader = new CatalogReader(adapters.catalogDecoder, activeCatalog, log);
+	tables.onChange(TableName.Catalog, (table, from) => {
+		catalogReader.update(table, from);
+	});
+	const serverListReader = new ServerListReader({
+		decoder: adapters.serverDecoder, directory, log, onRead() {
 			serverHealth.retain(directory.all());
 			serverLoad.retain(directory.all());
 			slowdowns.retain(directory.all());
 			requestQueue.dispatchReady();
 		},
-	}, {
-		wait: store.list_wait, pauseAfterChange: store.list_pause, retryPause: store.retry_pause, recoveryGrace: store.return_grace, slowThreshold: slowListThresholdMs,
+	}, store.return_grace);
+	tables.onChange(TableName.Servers, table => {
+		serverListReader.update(table);
+	});
+	tables.onConfirmation(TableName.Servers, table => {
+		serverListReader.confirm(table);
 	});
-	const catalogWatcher = new CatalogWatcher({
-		source: adapters.catalogSource, activeCatalog, timers, metrics, log,
-	}, {longPollTimeout: store.configuration_wait, retryDelay: store.retry_pause});
 
 	const entryServer = new EntryServer({
 		authorizer: new RequestAuthorizer(activeCatalog, random), codec: adapters.codec, exchanges, lifecycle, timers, metrics, log,
@@ -268,12 +239,12 @@
 	metrics.gauge('siskinnotch_waiting', () => requestQueue.size);
 	metrics.gauge('siskinnotch_configuration_version', () => activeCatalog.version);
 	metrics.gauge('siskinnotch_list_age_ms', () => timers.now() - directory.lastReadAt);
-	metrics.gauge('siskinnotch_peers_heard', () => peerLoads.countReporting(timers.now()));
+	metrics.gauge('siskinnotch_peers_heard', () => peerLoads.getReportingInstances(timers.now()).length);
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => serverHealth.countSuspected(timers.now()));
 	const router: Router = new Router(settings, {
-		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, activeCatalog, catalogWatcher,
-		directory, serverListWatcher, instanceRegistry, gossip, gossipClients, lease, leaseManager, placementController,
+		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, activeCatalog, tableWatchers, isStoreReader,
+		directory, instanceRegistry, gossip, gossipClients, lease, leaseManager, placementController,
 	});
 	return router;
 }
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -24,16 +24,29 @@
 	seeds: z.object({
 		peers: z.string().default('').transform(text => text.split(',').map(part => part.trim()).filter(part => part !== '')),
 	}).prefault({}),
+	/** Messages between instances. */
+	peers: z.object({
+		/** Bandwidth of this instance's link in megabits per second. */
+		link: decimalNumber(14, 0.001, 1_000_000),
+		/** Fraction of the link for messages to and from other instances. */
+		link_share: ratio(0.0034),
+	}).prefault({}),
 	store: z.object({
 		address,
 		/** Time limit of a request to the store. */
 		timeout: duration('700 ms'),
 		/** Time limit of a long poll for a new configuration. */
 		configuration_wait: duration('2400 ms'),
+		/** Number of instances that read the store's tables for all of them; at least one in each availability zone. */
+		readers: wholeNumber(5, 1, 10_000),
+		/** Time after the start in which an instance waits for the tables from other instances before it reads them itself. */
+		join_patience: duration('300 ms'),
+		/** Time limit of a long poll for changes of the table of instances. */
+		instances_wait: duration('10 s'),
 		/** Time limit of a long poll for changes of the server list. */
 		list_wait: duration('2 s'),
 		/** Pause after a change of the server list, so that several changes that come together are read together. */
-		list_pause: duration('250 ms'),
+		list_pause: duration('400 ms'),
 		/** Time after an outage of the store until servers whose entries expired meanwhile are listed again. */
 		return_grace: duration('2200 ms'),
 		/** Pause after a failed request, so that an outage does not cause a burst of requests. */
@@ -80,7 +93,7 @@
 		/** Interval between attempts to acquire or renew the lease. */
 		lease_period: duration('800 ms'),
 		/** Time without gossip from the lease holder after which other instances try to acquire the lease. */
-		holder_silence: duration('1200 ms'),
+		holder_silence: duration('2 s'),
 		/** Interval between placement runs. */
 		period: duration('500 ms'),
 	}).prefault({}),
--- a/src/store/http-client.ts
+++ b/src/store/http-client.ts
@@ -1,12 +1,14 @@
-import {Agent} from 'node:http';
+import {Agent, type IncomingHttpHeaders} from 'node:http';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type TimerService} from '../time/timer-service.js';
 import {HttpFetch} from './http-fetch.js';
 import {PlatformError} from './platform-error.js';
 
 /** A response of the platform. */
-type PlatformResponse = {
+export type PlatformResponse = {
 	readonly status: number;
+	/** Headers by lower-case name. */
+	readonly headers: IncomingHttpHeaders;
 	readonly body: string;
 };
 
@@ -34,7 +36,7 @@
 	*/
 	async send(method: 'GET' | 'POST' | 'PUT', path: string, body?: unknown, timeout = this.timeout): Promise<PlatformResponse> {
 		try {
-			const {status, text} = await this.timers.runWithTimeout(timeout, async signal => new HttpFetch(this.agent).fetch(this.baseUrl + path, {
+			const {status, headers, text} = await this.timers.runWithTimeout(timeout, async signal => new HttpFetch(this.agent).fetch(this.baseUrl + path, {
 				method,
 				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: {'content-type': 'application/json'},
@@ -44,7 +46,7 @@
 				throw new PlatformError(`the platform answered ${path} with status ${status}`, status !== 503);
 			}
 
-			return {status, body: await text()};
+			return {status, headers, body: await text()};
 		} catch (error) {
 			throw this.toPlatformError(error, path);
 		}
--- a/src/store/http-fetch.ts
+++ b/src/store/http-fetch.ts
@@ -2,7 +2,8 @@
 import {Agent, type IncomingHttpHeaders} from 'node:http';
 import get from 'simple-get';
 
-type FetchOptions = {
+/** A request, as far as the part of `fetch` that is implemented goes. */
+export type FetchOptions = {
 	readonly method?: string;
 	readonly headers?: ConstructorParameters<typeof Headers>[0];
 	readonly body?: string;
--- a/src/time/manual-timer-service.ts
+++ b/src/time/manual-timer-service.ts
@@ -3,13 +3,15 @@
 
 type ScheduledCall = {
 	dueAt: number;
-	callback: () => void;
-	period?: number;
+	readonly callback: () => void;
+	readonly period?: number;
+	isCancelled: boolean;
 };
 
 /** Timer service whose time only advances on request; for tests and simulations. */
 export class ManualTimerService extends TimerService {
-	private readonly scheduledCalls = new Set<ScheduledCall>();
+	/** In the order in which the calls are due; calls due at the same time are in the order in which they were scheduled. */
+	private readonly queue: ScheduledCall[] = [];
 
 	constructor(private currentTime = 0) {
 		super();
@@ -24,22 +26,23 @@
 	}
 
 	after(delay: number, callback: () => void): TimerHandle {
-		return this.schedule({dueAt: this.currentTime + delay, callback});
+		return this.schedule({dueAt: this.currentTime + delay, callback, isCancelled: false});
 	}
 
 	repeat(period: number, callback: () => void): TimerHandle {
-		return this.schedule({dueAt: this.currentTime + period, callback, period});
+		return this.schedule({
+			dueAt: this.currentTime + period, callback, period, isCancelled: false,
+		});
 	}
 
 	/** Advances the time by a number of milliseconds and makes the calls that fall due, in order. */
 	advance(duration: number): void {
 		const end = this.currentTime + duration;
-		for (let call = this.findNextDue(end); call; call = this.findNextDue(end)) {
+		for (let call = this.takeNextDue(end); call; call = this.takeNextDue(end)) {
 			this.currentTime = Math.max(this.currentTime, call.dueAt);
-			if (call.period === undefined) {
-				this.scheduledCalls.delete(call);
-			} else {
+			if (call.period !== undefined) {
 				call.dueAt += call.period;
+				this.insert(call);
 			}
 
 			call.callback();
@@ -48,23 +51,39 @@
 		this.currentTime = end;
 	}
 
-	private findNextDue(end: number): ScheduledCall | undefined {
-		let earliest: ScheduledCall | undefined;
-		for (const call of this.scheduledCalls) {
-			if (call.dueAt <= end && (!earliest || call.dueAt < earliest.dueAt)) {
-				earliest = call;
+	private takeNextDue(end: number): ScheduledCall | undefined {
+		while (this.queue.length > 0 && this.queue[0].dueAt <= end) {
+			const call = this.queue.shift()!;
+			if (!call.isCancelled) {
+				return call;
 			}
 		}
 
-		return earliest;
+		return undefined;
 	}
 
 	private schedule(call: ScheduledCall): TimerHandle {
-		this.scheduledCalls.add(call);
+		this.insert(call);
 		return {
-			cancel: () => {
-				this.scheduledCalls.delete(call);
+			cancel() {
+				call.isCancelled = true;
 			},
 		};
 	}
+
+	/** Inserts a call behind those that are due no later. */
+	private insert(call: ScheduledCall): void {
+		let low = 0;
+		let high = this.queue.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.queue[middle].dueAt <= call.dueAt) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		this.queue.splice(low, 0, call);
+	}
 }
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -17,7 +17,7 @@
 import {seed} from './support/seed.js';
 
 const healthTimings = {
-	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 150, trialPause: 700,
+	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 150, maxPause: 60_000, trialPause: 700,
 };
 
 function createSelector(servers: readonly BackendServer[]) {
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -3,7 +3,11 @@
 import {RetryBudget} from '../src/admission/retry-budget.js';
 import {Lease} from '../src/leases/lease.js';
 import {PeerLoads} from '../src/peers/peer-loads.js';
+import {getIdDigest, getServerDigest} from '../src/peers/id-digest.js';
+import {packedTokensUnit} from '../src/peers/load-report.js';
+import {packCounts, unpackCounts} from '../src/peers/packed-counts.js';
 import {SuspicionQuorum} from '../src/peers/suspicion-quorum.js';
+import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {EventSplitter} from '../src/relay/event-splitter.js';
 import {ExecutionHistory} from '../src/relay/execution-history.js';
 import {RequestQueue} from '../src/relay/request-queue.js';
@@ -150,14 +154,49 @@
 	t.false(quorum.report({incarnationId: 's@1', isBlocking: false, from: 'c'}, 9000), 'expired reports do not count');
 });
 
+const loadLimits = {
+	maxLoadAge: 2000, expiry: 2000, expiryCheckInterval: 0, maxCharacters: 700,
+};
+
+function packTokens(server: BackendServer, count: number): string {
+	return packCounts([[getServerDigest(server), count]], packedTokensUnit);
+}
+
 test('the load of an instance that stopped reporting expires', t => {
-	const loads = new PeerLoads(2000);
+	const loads = new PeerLoads({id: 'self', availabilityZone: 'zone-a'}, loadLimits);
 	const server = sampleServer('s', 'large');
-	loads.update('a', Object.fromEntries([['s@1', 500]]), 0);
-	loads.update('b', Object.fromEntries([['s@1', 700]]), 1500);
+	loads.update([{instance: getIdDigest('a'), age: 0, tokens: packTokens(server, 500)}], 0);
+	loads.update([{instance: getIdDigest('b'), age: 0, tokens: packTokens(server, 700)}], 1500);
 	t.is(loads.getTokens(server, 1600), 1200);
 	t.is(loads.getTokens(server, 2500), 700);
-	t.is(loads.countReporting(2500), 1);
+	t.deepEqual(loads.getReportingInstances(2500), [getIdDigest('b')]);
+});
+
+test('other zones are known by their sums, and an older report does not replace a newer one', t => {
+	const server = sampleServer('s', 'large');
+	const sender = new PeerLoads({id: 'a', availabilityZone: 'zone-a'}, loadLimits);
+	sender.update([{instance: getIdDigest('b'), age: 0, tokens: packTokens(server, 200)}], 0);
+	const report = sender.createOwnReport(new Map([[getServerDigest(server), 100]]), 'zone-b', 0);
+	t.is(report.instance, undefined);
+	const receiver = new PeerLoads({id: 'c', availabilityZone: 'zone-b'}, loadLimits);
+	receiver.update([report], 0);
+	t.is(receiver.getTokens(server, 0), 300);
+	receiver.update([{...report, age: 500, tokens: packTokens(server, 9000)}], 200);
+	t.is(receiver.getTokens(server, 200), 300);
+	t.deepEqual(receiver.selectReports('zone-b', receiver.packAges('zone-b', 200), 200), [], 'nothing that the recipient has');
+});
+
+test('packed counts: each is recovered to its unit, and a malformed text yields no wrong digest', t => {
+	fc.assert(fc.property(fc.array(fc.tuple(fc.string({minLength: 1}), fc.nat(80_000)), {maxLength: 50}), counts => {
+		const byDigest = new Map(counts.map(([id, count]) => [getIdDigest(id), count]));
+		const unpacked = unpackCounts(packCounts(byDigest, packedTokensUnit), packedTokensUnit);
+		t.is(unpacked.size, byDigest.size);
+		for (const [digest, count] of byDigest) {
+			t.true(Math.abs(unpacked.get(digest)! - count) <= packedTokensUnit / 2);
+		}
+	}), {seed: seed()});
+	t.deepEqual([...unpackCounts('abcdAB~', 1)], [['abcd', 1]]);
+	t.deepEqual([...unpackCounts('abcd!!', 1)], [['abcd', 0]]);
 });
 
 test('after a full restart the lease is acquired at once if the clock of the table shows that it expired', t => {
--- a/test/router-settings.test.ts
+++ b/test/router-settings.test.ts
@@ -54,7 +54,7 @@
 	const settings = parseRouterSettings('entry.ini', [
 		...requiredLines, '[limits]', 'retry_allowance = 47.833333333333336', 'retry_ratio = 0.2', 'retry_window = 1.5e+1 s', 'stall = 1999.5 ms', '[stop]', 'grace = 7.5 s',
 	].join('\n'));
-	t.is(settings.limits.retry_allowance, 47.833333333333336);
+	t.is(settings.limits.retry_allowance, 47.833_333_333_333_336);
 	t.is(settings.limits.retry_window, 15_000);
 	t.is(settings.limits.stall, 1999.5);
 	t.is(settings.stop.grace, 7500);
--- a/test/server-list.test.ts
+++ b/test/server-list.test.ts
@@ -1,15 +1,19 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
-import {type StoreClient, type StoreReadResult, type StoreRow} from '../platform/store-client.js';
-import {StoreServerList} from '../platform/store-server-list.js';
+import {PlatformServerDecoder} from '../platform/server-decoder.js';
+import {StoreClient, type StoreRow} from '../platform/store-client.js';
+import {StoreFeed} from '../platform/store-feed.js';
 import {Metrics} from '../src/observation/metrics.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
-import {ServerListWatcher} from '../src/pipelines/server-list-watcher.js';
-import {ServerList} from '../src/pipelines/server-list.js';
+import {ServerListReader} from '../src/pipelines/server-list-reader.js';
+import {TableName} from '../src/replication/table-name.js';
+import {TableSet} from '../src/replication/table-set.js';
+import {TableWatcher} from '../src/replication/table-watcher.js';
+import {type HttpClient, type PlatformResponse} from '../src/store/http-client.js';
 import {PlatformError} from '../src/store/platform-error.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
-import {RecordingLog, sampleServer} from './support/sample-fleet.js';
+import {RecordingLog} from './support/sample-fleet.js';
 
 function row(key: string, transaction: number, state = 'ready'): StoreRow {
 	const entry = {
@@ -20,23 +24,16 @@
 	};
 }
 
-/** A store that answers its calls with scripted readings and errors. */
-class ScriptedStore {
+/** Responses of the store, in order; an error stands for a call without a response. */
+class ScriptedHttp {
 	readonly calls: string[] = [];
 
-	constructor(private readonly answers: Array<StoreReadResult | undefined | Error>) {}
+	constructor(private readonly answers: Array<PlatformResponse | Error>) {}
 
-	async read(): Promise<StoreReadResult> {
-		return this.next('read')!;
-	}
-
-	async follow(_table: string, after: number): Promise<StoreReadResult | undefined> {
-		return this.next(`follow ${after}`);
-	}
-
-	private next(call: string): StoreReadResult | undefined {
-		this.calls.push(call);
-		const answer = this.answers.shift();
+	async send(_method: string, path: string): Promise<PlatformResponse> {
+		const {pathname, searchParams} = new URL(path, 'http://store');
+		this.calls.push(pathname === '/v1/rows-feed' ? `follow ${searchParams.get('after')}` : 'read');
+		const answer = this.answers.shift() ?? new PlatformError('no answer', true);
 		if (answer instanceof Error) {
 			throw answer;
 		}
@@ -45,101 +42,135 @@
 	}
 }
 
-function createList(store: ScriptedStore): StoreServerList {
-	return new StoreServerList(store as unknown as StoreClient, new RecordingLog()); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+function respond(rows: readonly StoreRow[], transaction: number, {era, status = 200}: {era?: number; status?: number} = {}): PlatformResponse {
+	return {status, headers: era === undefined ? {} : {'store-era': String(era)}, body: JSON.stringify({rows, schemaVersion: transaction})};
+}
+
+/** Reads the list of servers with the platform's adapter, on a manual clock. */
+class ListFixture {
+	readonly timers = new ManualTimerService();
+	readonly log = new RecordingLog();
+	readonly directory = new ServerDirectory(this.timers, new RecordingLog());
+	readonly http: ScriptedHttp;
+
+	constructor(answers: Array<PlatformResponse | Error>) {
+		this.http = new ScriptedHttp(answers);
+		const tables = new TableSet(new RecordingLog());
+		const reader = new ServerListReader({
+			decoder: new PlatformServerDecoder(), directory: this.directory, log: this.log, onRead() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		}, 2000);
+		tables.onChange(TableName.Servers, table => {
+			reader.update(table);
+		});
+		tables.onConfirmation(TableName.Servers, table => {
+			reader.confirm(table);
+		});
+		new TableWatcher(TableName.Servers, {
+			feed: new StoreFeed(new StoreClient(this.http as unknown as HttpClient), 'servers'), // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			tables, timers: this.timers, metrics: new Metrics(), log: new RecordingLog(), mayRead: () => true, onChange() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		}, {
+			wait: 500, pauseAfterCall: 50, retryPause: 200, slowThreshold: 400, idleInterval: 50,
+		}).start();
+	}
+
+	get servers(): readonly string[] {
+		return describeServers(this.directory.all());
+	}
+
+	/** Advances the time in steps of 50 ms and lets pending promises settle in between. */
+	async elapse(milliseconds: number): Promise<void> {
+		for (let passed = 0; passed < milliseconds; passed += 50) {
+			for (let turn = 0; turn < 20; turn++) {
+				await Promise.resolve(); // eslint-disable-line no-await-in-loop
+			}
+
+			this.timers.advance(50);
+		}
+	}
 }
 
 const describeServers = (servers: readonly BackendServer[]) => servers.map(({id, isLeaving}) => isLeaving ? `${id} leaving` : id).toSorted();
+const historyGone = {status: 410};
+const outage = () => new PlatformError('the store answered 503', false);
 
 test('after the first reading only changes are read', async t => {
-	const store = new ScriptedStore([
-		{rows: [row('a', 1), row('b', 2)], transaction: 5},
-		{rows: [row('a', 6, 'draining'), row('c', 7)], transaction: 7},
-		{rows: [], transaction: 9},
-		{rows: [{...row('a', 10), deleted: true, data: ''}], transaction: 10},
+	const fixture = new ListFixture([
+		respond([row('a', 1), row('b', 2)], 5),
+		respond([row('a', 6, 'draining'), row('c', 7)], 7),
+		respond([], 9),
+		respond([{...row('a', 10), deleted: true, data: ''}], 10),
 	]);
-	const list = createList(store);
-	t.deepEqual(describeServers(await list.next(100)), ['a', 'b']);
-	t.deepEqual(describeServers(await list.next(100)), ['a leaving', 'b', 'c']);
-	t.deepEqual(describeServers(await list.next(100)), ['a leaving', 'b', 'c']);
-	t.deepEqual(describeServers(await list.next(100)), ['b', 'c']);
-	t.deepEqual(store.calls, ['read', 'follow 5', 'follow 7', 'follow 9']);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['a', 'b']);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['a leaving', 'b', 'c']);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['a leaving', 'b', 'c']);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['b', 'c']);
+	t.deepEqual(fixture.http.calls.slice(0, 4), ['read', 'follow 5', 'follow 7', 'follow 9']);
 });
 
-test('the whole list is read again after the store discarded its history or a call failed', async t => {
-	const store = new ScriptedStore([
-		{rows: [row('a', 1), row('b', 2)], transaction: 5},
-		undefined,
-		{rows: [row('b', 2), row('c', 8)], transaction: 8},
-		new PlatformError('no answer', true),
-		{rows: [row('c', 8)], transaction: 9},
+test('the whole list is read again after the store discarded its history; after a failed call the changes are read from where they were', async t => {
+	const fixture = new ListFixture([
+		respond([row('a', 1), row('b', 2)], 5),
+		respond([], 0, historyGone),
+		respond([row('b', 2), row('c', 8)], 8),
+		outage(),
+		respond([{...row('b', 9), deleted: true, data: ''}], 9),
 	]);
-	const list = createList(store);
-	await list.next(100);
-	t.deepEqual(describeServers(await list.next(100)), ['b', 'c'], 'the history was discarded');
-	await t.throwsAsync(async () => list.next(100));
-	t.deepEqual(describeServers(await list.next(100)), ['c'], 'a call failed');
-	t.deepEqual(store.calls, ['read', 'follow 5', 'read', 'follow 8', 'read']);
+	await fixture.elapse(50);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['b', 'c'], 'the history was discarded');
+	await fixture.elapse(400);
+	t.deepEqual(fixture.http.calls.slice(0, 5), ['read', 'follow 5', 'read', 'follow 8', 'follow 8']);
 });
 
 test('an unreadable entry is skipped and logged once', async t => {
 	const unreadable = {...row('x', 3), data: Buffer.from('{"state": 4}').toString('base64')};
-	const log = new RecordingLog();
-	const store = new ScriptedStore([{rows: [row('a', 1), unreadable], transaction: 5}, undefined, {rows: [row('a', 1), unreadable], transaction: 6}]);
-	const list = new StoreServerList(store as unknown as StoreClient, log); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-	t.deepEqual(describeServers(await list.next(100)), ['a']);
-	t.deepEqual(describeServers(await list.next(100)), ['a']);
-	t.is(log.lines.length, 1);
+	const fixture = new ListFixture([respond([row('a', 1), unreadable], 5), respond([], 0, historyGone), respond([row('a', 1), unreadable, row('b', 6)], 6)]);
+	await fixture.elapse(150);
+	t.deepEqual(fixture.servers, ['a', 'b']);
+	t.is(fixture.log.lines.length, 1);
 });
 
-/** A list that a test changes; a call resolves when its wait is over. */
-class WaitingList extends ServerList {
-	servers: readonly BackendServer[] = [];
-	isUnavailable = false;
-
-	constructor(private readonly timers: ManualTimerService) {
-		super();
-	}
-
-	async next(wait: number): Promise<readonly BackendServer[]> {
-		if (this.isUnavailable) {
-			throw new PlatformError('the store answered 503', false);
-		}
-
-		await this.timers.sleep(wait);
-		return this.servers;
-	}
-}
+test('entries that expired while the store was unavailable are kept until the recovery grace is over', async t => {
+	const ready = [row('a', 1), row('b', 2)];
+	const fixture = new ListFixture([
+		respond(ready, 2),
+		outage(),
+		outage(),
+		respond([{...row('a', 3), deleted: true, data: ''}], 3),
+		...Array.from({length: 60}, (_, index) => respond([], 4 + index)),
+	]);
+	await fixture.elapse(1500);
+	t.deepEqual(fixture.servers, ['a', 'b'], 'the entry may still return');
+	await fixture.elapse(2000);
+	t.deepEqual(fixture.servers, ['b']);
+});
 
-/** Advances the time in steps of 50 ms and lets pending promises settle in between. */
-async function elapse(timers: ManualTimerService, milliseconds: number): Promise<void> {
-	for (let passed = 0; passed < milliseconds; passed += 50) {
-		timers.advance(50);
-		for (let turn = 0; turn < 10; turn++) {
-			await Promise.resolve(); // eslint-disable-line no-await-in-loop
-		}
-	}
-}
+test('a store that returned from an older copy: the whole list is read again, and numbers of another era are not compared', async t => {
+	const fixture = new ListFixture([
+		respond([row('a', 1), row('b', 9, 'draining')], 9, {era: 1}),
+		respond([], 4, {era: 2}),
+		respond([row('a', 1), row('b', 2), row('c', 4)], 4, {era: 2}),
+		respond([row('d', 5)], 5, {era: 2}),
+	]);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['a', 'b leaving']);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['a', 'b leaving', 'c'], 'a server that said that it leaves is not used again');
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['a', 'b leaving', 'c', 'd']);
+	t.deepEqual(fixture.http.calls.slice(0, 4), ['read', 'follow 9', 'read', 'follow 4']);
+});
 
-test('entries that expired while the store was unavailable are kept until the recovery grace is over', async t => {
-	const timers = new ManualTimerService();
-	const directory = new ServerDirectory(timers, new RecordingLog());
-	const list = new WaitingList(timers);
-	list.servers = ['a', 'b'].map(id => sampleServer(id, 'large'));
-	new ServerListWatcher({
-		list, directory, timers, metrics: new Metrics(), log: new RecordingLog(), onRead() {}, // eslint-disable-line @typescript-eslint/no-empty-function
-	}, {
-		wait: 500, pauseAfterChange: 50, retryPause: 200, recoveryGrace: 2000, slowThreshold: 400,
-	}).start();
-	await elapse(timers, 700);
-	t.deepEqual(describeServers(directory.all()), ['a', 'b']);
-
-	list.isUnavailable = true;
-	await elapse(timers, 3000);
-	list.isUnavailable = false;
-	list.servers = [sampleServer('b', 'large')];
-	await elapse(timers, 1500);
-	t.deepEqual(describeServers(directory.all()), ['a', 'b'], 'the entry may still return');
-	await elapse(timers, 2000);
-	t.deepEqual(describeServers(directory.all()), ['b']);
+test('a late response of an earlier era is dropped', async t => {
+	const fixture = new ListFixture([
+		respond([row('a', 1)], 9, {era: 2}),
+		respond([row('z', 10)], 10, {era: 1}),
+		respond([row('b', 10)], 10, {era: 2}),
+	]);
+	await fixture.elapse(500);
+	t.deepEqual(fixture.servers, ['a', 'b']);
 });
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -52,7 +52,7 @@
 	const directory = new ServerDirectory(timers, new RecordingLog());
 	directory.applyReading({servers, requestedAt: 0, mayBeIncomplete: false});
 	const serverHealth = new ServerHealthTracker({
-		suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
+		suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
 	}, new RecordingLog());
 	const reported: string[] = [];
 	const monitor = new StreamMonitor({
