Heed servers that say that they leave or want a pause

Cause: new contracts. A server says in any answer that it leaves; nothing new may go there from then on, with the store or without. A 503 with Retry-After asks this instance to stay away for that long; we tried again after 250 ms.

Change: the head of each response tells both. A leaving server is excluded at once and for the rest of its incarnation, whatever the list says later; running streams go on. A paused server gets no request, health check, state query or order; a success of an earlier request does not end the pause, a new incarnation starts without it, and a pause is bounded to a minute. Tests in plain-exchange; written with the mechanism, not shown red before it.

--- a/src/pipelines/plain-server-selector.ts
+++ b/src/pipelines/plain-server-selector.ts
@@ -42,7 +42,8 @@
 	@returns undefined if no server is left
 	*/
 	select({service, excluded, maxRequests: mostRequests}: PlainServerRequirements, now: number): BackendServer | undefined {
-		const listed = this.directory.usable(service).filter(server => !excluded.has(getIncarnationId(server)) && this.load.getRequests(server) < mostRequests);
+		const listed = this.directory.usable(service).filter(server =>
+			!excluded.has(getIncarnationId(server)) && !this.serverHealth.isPaused(server, now) && this.load.getRequests(server) < mostRequests);
 		const usable = listed.filter(server => this.serverHealth.isUsable(server, now));
 		const unsuspected = usable.length > 0 ? usable : listed.filter(server => !this.serverHealth.isSuspected(server, now));
 		// If all servers are suspected, trying one of them is better than failing the request.
--- a/src/placement/placement-controller.ts
+++ b/src/placement/placement-controller.ts
@@ -157,7 +157,8 @@
 
 	private mayOrder(server: BackendServer, now: number): boolean {
 		const incarnationId = getIncarnationId(server);
-		return !this.pending.has(incarnationId) && now - (this.refusedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.refusalBackoff;
+		const sinceRefusal = now - (this.refusedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY);
+		return !this.pending.has(incarnationId) && sinceRefusal >= this.timings.refusalBackoff && !this.dependencies.serverHealth.isPaused(server, now);
 	}
 
 	private startOrders(placements: readonly Placement[], model: EngineModel, now: number, reason: string): void {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,3 +1,4 @@
+import {type BackendServer} from '../pipelines/backend-server.js';
 import {type Failure} from '../results/failure.js';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type AttemptFailure} from './attempt-failure.js';
@@ -103,6 +104,23 @@
 		this.finish(`code_${failure.code}`);
 	}
 
+	/** Records what the head of a response says about the server that sent it. */
+	protected observeServer(server: BackendServer, {load, isLeaving, pause}: ResponseHead): void {
+		const {dependencies} = this;
+		const now = dependencies.timers.now();
+		if (load) {
+			dependencies.load.observe(server, load, now);
+		}
+
+		if (isLeaving) {
+			dependencies.directory.markLeaving(server);
+		}
+
+		if (pause !== undefined) {
+			dependencies.serverHealth.pause(server, pause, now);
+		}
+	}
+
 	/** Takes a retry from the budget of the service; returns false if the budget is exhausted. */
 	protected tryAcquireRetry(): boolean {
 		const {retryBudgets, timers} = this.dependencies;
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -54,12 +54,7 @@
 	}
 
 	receiveHead(head: ResponseHead): void {
-		const {dependencies, server} = this;
-		const now = dependencies.timers.now();
-		if (head.load) {
-			dependencies.load.observe(server!, head.load, now);
-		}
-
+		this.observeServer(this.server!, head);
 		this.head = head;
 	}
 
--- a/src/relay/response-head.ts
+++ b/src/relay/response-head.ts
@@ -17,6 +17,10 @@
 	readonly hasContentEncoding: boolean;
 	/** Address of the stage at fault; undefined if the response names none. */
 	readonly faultyStageAddress?: string;
+	/** Whether the backend server says that it is leaving. */
+	readonly isLeaving: boolean;
+	/** Milliseconds for which the backend server wants no requests of this instance; undefined if it did not say so. */
+	readonly pause?: number;
 	/** The load that the backend server reports. */
 	readonly load?: LoadReading;
 };
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -78,9 +78,7 @@
 
 	receiveHead(head: ResponseHead): void {
 		this.head = head;
-		if (head.load) {
-			this.dependencies.load.observe(this.firstServer, head.load, this.dependencies.timers.now());
-		}
+		this.observeServer(this.firstServer, head);
 	}
 
 	receiveData(chunk: Uint8Array): void {
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -69,7 +69,7 @@
 		const {timers, getHealthPath} = this.dependencies;
 		const incarnationId = getIncarnationId(server);
 		const isDue = timers.now() - (this.healthCheckedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.healthCheckInterval;
-		if (rejections >= this.timings.rejectionThreshold && isDue) {
+		if (rejections >= this.timings.rejectionThreshold && isDue && this.mayQuery(server)) {
 			this.healthCheckedAt.set(incarnationId, timers.now());
 			void this.checkHealth(server, getHealthPath(server.service));
 		}
@@ -107,17 +107,22 @@
 		}
 
 		for (const [incarnationId, server] of silentFirstStages) {
-			if (now - (this.blockedQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.blockedQueryInterval) {
+			if (now - (this.blockedQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.blockedQueryInterval && this.mayQuery(server)) {
 				this.blockedQueriedAt.set(incarnationId, now);
 				void this.queryBlockedRequests(server);
 			}
 		}
 	}
 
+	/** Whether the server may be asked for its health or state; it may not while it wants no requests. */
+	private mayQuery(server: BackendServer): boolean {
+		return !this.dependencies.serverHealth.isPaused(server, this.dependencies.timers.now());
+	}
+
 	private querySlowdowns(exchange: StreamExchange, now: number): void {
 		for (const {server} of exchange.stages ?? []) {
 			const incarnationId = getIncarnationId(server);
-			if (now - (this.slowdownQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.slownessQueryInterval) {
+			if (now - (this.slowdownQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.slownessQueryInterval && this.mayQuery(server)) {
 				this.slowdownQueriedAt.set(incarnationId, now);
 				void this.querySlowdown(server);
 			}
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -42,3 +42,57 @@
 	t.is(fixture.reply.failure?.execution, Execution.NotRun);
 	t.is(fixture.reply.failure?.retryAfterSeconds, 0.5);
 });
+
+test('a server that says in an answer that it is leaving gets no further request, without the list', t => {
+	const fixture = startLookup(5);
+	const {directory} = fixture;
+	fixture.latest.onHead({...sampleResponseHead, isLeaving: true});
+	fixture.latest.onEnd();
+	t.true(fixture.reply.isEnded);
+	t.deepEqual(directory.usable('records'), []);
+	directory.applyReading({servers: [sampleServer('a', '', undefined, {service: 'records'})], requestedAt: 1, mayBeIncomplete: false});
+	t.deepEqual(directory.usable('records'), [], 'the list shows it as serving');
+	directory.applyReading({servers: [], requestedAt: 2, mayBeIncomplete: false});
+	directory.applyReading({servers: [sampleServer('a', '', undefined, {service: 'records'})], requestedAt: 3, mayBeIncomplete: false});
+	t.deepEqual(directory.usable('records'), [], 'the list shows it as serving again');
+	directory.applyReading({servers: [sampleServer('a', '', undefined, {service: 'records', startedAt: 2})], requestedAt: 4, mayBeIncomplete: false});
+	t.is(directory.usable('records').length, 1, 'a new incarnation');
+});
+
+test('a server that asks for a pause gets no request until it is over, also with many queued and after success of an earlier one', t => {
+	const fixture = startLookup(5);
+	const {timers, serverHealth, dependencies, directory, load} = fixture;
+	const server = directory.usable('records')[0];
+	const start = () => {
+		new PlainExchange(dependencies, fixture.createRequest(lookupRoute), fixture.reply, {
+			selector: new PlainServerSelector(directory, serverHealth, load, new RandomSource(seed())),
+			computeConnectionShare: () => 5,
+			limits: {maxBufferedBytes: 1000, responseTimeoutFraction: 0.8},
+		}).start(() => undefined);
+	};
+
+	fixture.latest.onHead({
+		...sampleResponseHead, status: 503, isNotExecuted: true, pause: 3000,
+	});
+	fixture.latest.onEnd();
+	const sentBefore = fixture.sent.length;
+	serverHealth.clearSuspicion(server, timers.now());
+	for (let step = 0; step < 29; step++) {
+		timers.advance(100);
+		start();
+	}
+
+	t.is(fixture.sent.length, sentBefore);
+	timers.advance(200);
+	start();
+	t.is(fixture.sent.length, sentBefore + 1);
+});
+
+test('a pause is bounded, and a new incarnation of the server starts without it', t => {
+	const {serverHealth} = new ExchangeFixture();
+	const server = sampleServer('a', '');
+	serverHealth.pause(server, 1e12, 0);
+	t.true(serverHealth.isPaused(server, 59_999));
+	t.false(serverHealth.isPaused(server, 60_000));
+	t.false(serverHealth.isPaused({...server, startedAt: 2}, 0));
+});
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -78,7 +78,7 @@
 
 /** The head of a successful response. */
 export const sampleResponseHead = {
-	status: 200, headers: [], isSigned: true, isNotExecuted: false, isSelfDelimited: true, hasContentEncoding: false,
+	status: 200, headers: [], isSigned: true, isNotExecuted: false, isSelfDelimited: true, hasContentEncoding: false, isLeaving: false,
 };
 
 /** The dependencies of one exchange: a caller, and backend servers whose responses the test provides. */
@@ -97,7 +97,7 @@
 		const log = new RecordingLog(timers);
 		const retryBudget = new RetryBudget(0.2, 100, 10_000);
 		this.serverHealth = new ServerHealthTracker({
-			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
+			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
 		}, log);
 		this.directory = new ServerDirectory(timers, log);
 		this.dependencies = {
