Bound responses that have no end

Cause: bytes that are no answer may come without end, until the caller closes. An event without an end was buffered whole, and copied again with each read; error bodies, bodies of rejections and responses to state queries, orders and the store had no bound.

Change: an event or an error body over 64 KB ends the attempt, its server is suspected and the stream goes on elsewhere; the body of a rejection is not waited for; other responses end at 32 MB. Heads are bounded by the runtime. Tests: three in stream-exchange and plain-exchange, red before, green after.

--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -8,6 +8,7 @@
 	readonly bytes: Uint8Array;
 };
 
+const maxEventBytes = 65_536;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 const idPattern = /^id: ?(?<id>\d+)\r?$/mv;
@@ -32,6 +33,11 @@
 	private remainder: Uint8Array = new Uint8Array(0);
 	private readonly decoder = new TextDecoder('latin1');
 
+	/** Whether the incomplete event is longer than any event of a backend server, so that its end is not worth waiting for. */
+	get isOversized(): boolean {
+		return this.remainder.length > maxEventBytes;
+	}
+
 	/** Whether bytes of an incomplete event are buffered. */
 	get hasIncompleteEvent(): boolean {
 		return this.remainder.length > 0;
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -66,7 +66,15 @@
 
 		this.bufferedChunks.push(chunk);
 		this.bufferedBytes += chunk.length;
-		if (this.bufferedBytes > this.plainDependencies.limits.maxBufferedBytes && this.head && !this.head.isNotExecuted) {
+		if (this.bufferedBytes <= this.plainDependencies.limits.maxBufferedBytes || !this.head) {
+			return;
+		}
+
+		if (this.head.isNotExecuted) {
+			// Its body is not passed on, so there is no need to wait for its end.
+			this.currentAttempt?.cancel();
+			this.receiveEnd();
+		} else {
 			this.startReply(this.head);
 		}
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -24,6 +24,8 @@
 const successStatus = 200;
 const minNonSuccessStatus = 300;
 const millisecondsPerSecond = 1000;
+/** Longest body of an error response that is passed on. */
+const maxErrorBytes = 65_536;
 
 /** Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received. */
 export class StreamExchange extends Exchange {
@@ -38,6 +40,7 @@
 	private rejectionCount = 0;
 	private head?: ResponseHead;
 	private errorBody: Uint8Array[] = [];
+	private errorBytes = 0;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
@@ -88,7 +91,7 @@
 		}
 
 		if (head.status !== successStatus) {
-			this.errorBody.push(chunk);
+			this.receiveErrorData(chunk);
 			return;
 		}
 
@@ -97,6 +100,10 @@
 			this.forward(event.bytes, head);
 			progress.recordDelivery(event, now);
 		}
+
+		if (progress.hasOversizedEvent) {
+			this.abandonAttempt('an event of the stream has no end');
+		}
 	}
 
 	receiveEnd(): void {
@@ -199,6 +206,7 @@
 		this.executions.recordStart(server);
 		this.head = undefined;
 		this.errorBody = [];
+		this.errorBytes = 0;
 		progress.beginAttempt(now);
 		this.releaseLoad = dependencies.load.start(pipeline, tokens);
 		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
@@ -210,6 +218,24 @@
 		}, new ExchangeListener(this));
 	}
 
+	private receiveErrorData(chunk: Uint8Array): void {
+		this.errorBody.push(chunk);
+		this.errorBytes += chunk.length;
+		if (this.errorBytes > maxErrorBytes) {
+			this.abandonAttempt('the body of an error response has no end');
+		}
+	}
+
+	/** Ends an attempt whose response is malformed, and resumes the stream without its server. */
+	private abandonAttempt(reason: string): void {
+		const {firstServer} = this;
+		this.currentAttempt?.cancel();
+		this.selector.exclude(firstServer);
+		this.endAttempt();
+		this.failureDetector.suspect(firstServer, false, reason, this.dependencies.timers.now());
+		this.resumeOrFail(reason);
+	}
+
 	private forward(bytes: Uint8Array, head: ResponseHead): void {
 		if (!this.reply.isStarted) {
 			// A truncated response is resumed, so the reply is self-delimited even if the response is not.
--- a/src/relay/stream-progress.ts
+++ b/src/relay/stream-progress.ts
@@ -59,6 +59,11 @@
 		return this.splitter.hasIncompleteEvent;
 	}
 
+	/** Whether the current attempt has sent an incomplete event that is too long. */
+	get hasOversizedEvent(): boolean {
+		return this.splitter.isOversized;
+	}
+
 	/** Starts an attempt and drops the incomplete event of an earlier one. */
 	beginAttempt(now: number): void {
 		this.splitter = new EventSplitter();
--- a/src/store/http-fetch.ts
+++ b/src/store/http-fetch.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {Agent, type IncomingHttpHeaders} from 'node:http';
+import {Agent, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import get from 'simple-get';
 
 /** A request, as far as the part of `fetch` that is implemented goes. */
@@ -20,6 +20,37 @@
 	text(): Promise<string>;
 };
 
+/** Largest body of a response; more than any list or configuration of the platform. */
+const maxBodyBytes = 33_554_432;
+
+/** Collects the body of a response; a body that is too long closes its connection. */
+function collect(response: IncomingMessage, resolve: (response: FetchResponse) => void, reject: (error: Error) => void): void {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	response.on('data', (chunk: Uint8Array) => {
+		chunks.push(chunk);
+		bytes += chunk.length;
+		if (bytes > maxBodyBytes) {
+			response.destroy(new Error(`the body of the response exceeds ${maxBodyBytes} bytes`));
+		}
+	});
+	response.on('error', reject);
+	response.on('close', () => {
+		reject(new Error('the response ended before it was complete'));
+	});
+	response.on('end', () => {
+		const text = Buffer.concat(chunks).toString('utf8');
+		const status = response.statusCode ?? 0;
+		resolve({
+			ok: status >= 200 && status < 300,
+			status,
+			headers: response.headers,
+			json: async () => JSON.parse(text) as unknown,
+			text: async () => text,
+		});
+	});
+}
+
 /**
 Implements the part of `fetch` that the tRPC client and the store client use, over kept-alive connections. The `fetch` of the runtime takes several times the CPU time for short calls.
 */
@@ -30,23 +61,14 @@
 	async fetch(url: string, {method, headers, body, signal}: FetchOptions): Promise<FetchResponse> {
 		const fields = {'accept-encoding': 'identity', ...Object.fromEntries(new Headers(headers))};
 		return new Promise((resolve, reject) => {
-			get.concat({ // eslint-disable-line unicorn/prefer-spread
+			get({
 				url, method: method ?? 'GET', headers: fields, body, agent: this.agent, signal, followRedirects: false,
-			}, (error, response, data) => {
-				if (!response) {
+			}, (error, response) => {
+				if (response) {
+					collect(response, resolve, reject);
+				} else {
 					reject(error ?? new Error('no response received'));
-					return;
 				}
-
-				const text = Buffer.isBuffer(data) ? data.toString('utf8') : '';
-				const status = response.statusCode ?? 0;
-				resolve({
-					ok: status >= 200 && status < 300,
-					status,
-					headers: response.headers,
-					json: async () => JSON.parse(text) as unknown,
-					text: async () => text,
-				});
 			});
 		});
 	}
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -96,3 +96,14 @@
 	t.false(serverHealth.isPaused(server, 60_000));
 	t.false(serverHealth.isPaused({...server, startedAt: 2}, 0));
 });
+
+test('a rejection whose body has no end is handled without waiting for it', t => {
+	const fixture = startLookup(5);
+	const first = fixture.latest;
+	first.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+	for (let count = 0; count < 100 && fixture.sent.length === 1 && !fixture.reply.failure; count++) {
+		first.onData(new Uint8Array(100));
+	}
+
+	t.true(fixture.sent.length > 1 || fixture.reply.failure?.execution === Execution.NotRun);
+});
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -98,3 +98,36 @@
 	fixture.exchange.migrate(undefined, 'no event');
 	t.is(fixture.pipelineRequests.at(-1)!.firstStageCandidates, undefined);
 });
+
+test('an event without an end: the attempt ends after a bounded number of bytes, its server is suspected, and the stream resumes elsewhere', t => {
+	const fixture = new StreamExchangeFixture();
+	const [first, second] = ['a', 'b'].map(id => sampleServer(id, 'large', {from: 0, to: 80}));
+	fixture.pipeline = [{server: first, range: {from: 0, to: 80}}];
+	fixture.start();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.pipeline = [{server: second, range: {from: 0, to: 80}}];
+	let sentBytes = 0;
+	while (fixture.sent.length === 1 && sentBytes < 10_000_000) {
+		sentBytes += 1000;
+		fixture.latest.onData(new Uint8Array(1000).fill(120));
+		fixture.timers.advance(1);
+	}
+
+	t.true(sentBytes < 100_000, `${sentBytes}`);
+	t.is(fixture.sent.length, 2);
+	t.is(fixture.sent[1].attempt.server.id, 'b');
+	t.true(fixture.serverHealth.isSuspected(first, fixture.timers.now()));
+	t.is(fixture.reply.text, '');
+});
+
+test('an error response without an end is not buffered without bound', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = [{server: sampleServer('a', 'large', {from: 0, to: 80}), range: {from: 0, to: 80}}];
+	fixture.start();
+	fixture.latest.onHead({...sampleResponseHead, status: 500});
+	for (let count = 0; count < 200; count++) {
+		fixture.latest.onData(new Uint8Array(1000));
+	}
+
+	t.true(fixture.serverHealth.isSuspected(fixture.pipeline[0].server, fixture.timers.now()));
+});
