Let repairs of gossip go on after news, and keep zones apart at the start

Causes, each seen in the simulated fleet of control.test: - one of 370 instances did not learn a suspicion (seen once, with another registration time): the news used up the budget of bytes of all instances, so the exchanges that repair a loss stopped for 1.6 s. News now only uses up what was saved. - an instance that joined through a seed of another zone was counted as the seed's neighbour for 8 s, since the form of its report depends on a zone that it does not know: it sends none then. - instances that knew only a seed stayed alone for 5 s: they ask once more when the others had time to register. Also: fencing numbers never fall when the table loses the row of the lease, and on a first start of all instances there is more time to join.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -146,7 +146,7 @@
 	const isSeed = seeds.peers.length === 0 || seeds.peers.includes(instance.peers);
 	const readerRole = new StoreReaderRole(getIdDigest(instance.id), {
 		readers: store.readers,
-		joinPatience: isSeed ? 0 : store.join_patience,
+		joinPatience: isSeed ? 0 : (instance.first_start ? store.first_join_patience : store.join_patience),
 		...takeoverDelays,
 	});
 	const findNeighbours = (): readonly string[] | undefined => {
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -44,6 +44,8 @@
 const drainPollIntervalMs = 100;
 /** Interval between attempts to get the tables from other instances. */
 const joinIntervalMs = 400;
+/** Time that instances which start together need to write their rows. */
+const registrationDelayMs = 1500;
 
 /** Runs a pipeline router from startup to graceful shutdown. */
 export class Router {
@@ -125,13 +127,16 @@
 		await listenOn(host, port);
 	}
 
-	/** Asks other instances for the configuration and the server list until this one has both. */
+	/** Asks other instances for the tables until this one has the configuration and the server list, and once more when the others had time to register. */
 	private async joinUntilReady(): Promise<void> {
 		const {settings, dependencies} = this;
 		while (!this.isReady && !dependencies.lifecycle.isDraining) {
 			await dependencies.gossip.join(settings.seeds.peers); // eslint-disable-line no-await-in-loop
 			await dependencies.timers.sleep(joinIntervalMs); // eslint-disable-line no-await-in-loop
 		}
+
+		await dependencies.timers.sleep(registrationDelayMs);
+		await dependencies.gossip.join(settings.seeds.peers);
 	}
 
 	private startPeriodicWork(): void {
--- a/src/leases/lease.ts
+++ b/src/leases/lease.ts
@@ -19,6 +19,8 @@
 	private seenAt = 0;
 	private heldUntil = Number.NEGATIVE_INFINITY;
 	private heldFencing = 0;
+	/** Highest fencing number seen; a row that the table lost must not make it lower. */
+	private highestFencing = 0;
 	private isDisplaced = true;
 
 	/**
@@ -46,6 +48,7 @@
 
 	/** Records that another process reports holding the lease under a fencing number. */
 	observeOtherHolder(fencing: number): void {
+		this.highestFencing = Math.max(this.highestFencing, fencing);
 		if (fencing > this.heldFencing) {
 			this.heldUntil = Number.NEGATIVE_INFINITY;
 			this.isDisplaced = true;
@@ -59,17 +62,18 @@
 			this.seenAt = now;
 		}
 
+		this.highestFencing = Math.max(this.highestFencing, record?.fencing ?? 0);
 		if (!record) {
-			return {holder: this.self, fencing: 1, renewedAt: tableNow};
+			return {holder: this.self, fencing: this.highestFencing + 1, renewedAt: tableNow};
 		}
 
 		if (record.holder === this.self) {
-			return {...record, renewedAt: tableNow};
+			return {...record, fencing: record.fencing < this.highestFencing ? this.highestFencing + 1 : record.fencing, renewedAt: tableNow};
 		}
 
 		this.isDisplaced = true;
 		const isExpired = tableNow !== undefined && record.renewedAt !== undefined && tableNow - record.renewedAt >= this.duration;
-		return isExpired || now - this.seenAt >= this.duration ? {holder: this.self, fencing: record.fencing + 1, renewedAt: tableNow} : undefined;
+		return isExpired || now - this.seenAt >= this.duration ? {holder: this.self, fencing: this.highestFencing + 1, renewedAt: tableNow} : undefined;
 	}
 
 	/** Releases the lease; returns the record to write if it was held. */
@@ -89,6 +93,7 @@
 		this.seenVersion = version;
 		this.seenAt = sentAt;
 		this.heldFencing = record.fencing;
+		this.highestFencing = Math.max(this.highestFencing, record.fencing);
 		this.heldUntil = sentAt + this.duration;
 		this.isDisplaced = false;
 	}
--- a/src/peers/byte-budget.ts
+++ b/src/peers/byte-budget.ts
@@ -1,8 +1,6 @@
 const millisecondsPerSecond = 1000;
 /** Share of the newest exchanges in the average size. */
 const sampleWeight = 0.2;
-/** Time after which an instance starts exchanges again, however many bytes it exchanged before, in milliseconds. */
-const maxDebtMs = 1000;
 
 /** Calls that an instance has made, and their bytes in both directions. */
 export type GossipTraffic = {
@@ -51,8 +49,8 @@
 			return;
 		}
 
-		const maxDebt = this.rate * maxDebtMs / millisecondsPerSecond;
-		this.available = Math.max(-maxDebt, this.available - bytes);
+		// News is sent whatever it costs. It only uses up what is left: the exchanges that repair its loss must go on.
+		this.available = Math.max(0, this.available - bytes);
 		const size = Math.min(bytes / calls, this.burst);
 		this.averageSize = this.averageSize === 0 ? size : (this.averageSize * (1 - sampleWeight)) + (size * sampleWeight);
 	}
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -190,7 +190,7 @@
 	}
 
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
-	private createMessage(recipientZone: string): GossipMessage {
+	private createMessage(recipientZone: string | undefined): GossipMessage {
 		const {self, tables, peerLoads, timers} = this.dependencies;
 		const now = timers.now();
 		return {
@@ -199,7 +199,8 @@
 			updates: recipientZone === self.availabilityZone ? tables.getRecentUpdates(now) : {},
 			reportAges: '',
 			wantsRows: false,
-			loads: [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
+			// The form of the report depends on the recipient's zone, which is not known of a seed.
+			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
 			suspicions: [...this.suspicions.getCurrent(now)],
 			ranges: [...this.ranges.getCurrent(now)],
 			placing: this.describePlacementHolder(now),
@@ -319,11 +320,11 @@
 	}
 
 	/** Exchanges messages with an instance; returns whether it answered. */
-	private async contact(address: string, {zone = this.dependencies.self.availabilityZone, wantsRows = false}: {zone?: string; wantsRows?: boolean}): Promise<boolean> {
+	private async contact(address: string, {zone, wantsRows = false}: {zone?: string; wantsRows?: boolean}): Promise<boolean> {
 		const {clients, metrics, log, peerLoads, timers} = this.dependencies;
 		metrics.count('siskinnotch_gossip_calls');
 		try {
-			const reportAges = peerLoads.packAges(zone, timers.now());
+			const reportAges = zone === undefined ? '' : peerLoads.packAges(zone, timers.now());
 			this.receive(await clients.exchange(address, {...this.createMessage(zone), reportAges, wantsRows}));
 			return true;
 		} catch (error) {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -11,6 +11,8 @@
 	instance: z.object({
 		id: nonEmptyText,
 		availability_zone: nonEmptyText,
+		/** Whether all instances start for the first time, so that there is time until requests come. */
+		first_start: z.boolean().default(false),
 		/** Address that callers connect to. */
 		callers: address,
 		/** Address of the readiness check that the load balancer polls. */
@@ -41,6 +43,8 @@
 		readers: wholeNumber(5, 1, 10_000),
 		/** Time after the start in which an instance waits for the tables from other instances before it reads them itself. */
 		join_patience: duration('300 ms'),
+		/** The same when all instances start for the first time. */
+		first_join_patience: duration('4 s'),
 		/** Time limit of a long poll for changes of the table of instances. */
 		instances_wait: duration('10 s'),
 		/** Time limit of a long poll for changes of the server list. */
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -158,3 +158,12 @@
 	await fleet.elapse(3000);
 	t.true(fleet.instances.every(({control}) => [...control.tables.get(TableName.Catalog).all()][0].text === '4'));
 });
+
+test.serial('instances that join through seeds of other availability zones are not counted as their neighbours', async t => {
+	const fleet = new ControlFleet(9, 3, 33);
+	fleet.start();
+	await fleet.elapse(6000);
+	for (const {id, control} of fleet.instances) {
+		t.is(control.peerLoads.getReportingInstances(fleet.timers.now()).length, 2, id);
+	}
+});
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -227,3 +227,13 @@
 	lease.observeOtherHolder(4);
 	t.false(lease.mayAct(9000));
 });
+
+test('a row that the table lost or replaced by an older one does not lower the fencing number', t => {
+	const lease = new Lease('self', 2500);
+	lease.confirmWrite({holder: 'self', fencing: 5}, 3, 0);
+	t.is(lease.prepareRecord({version: 0, tableNow: 9000}, 100)?.fencing, 6, 'the row is lost');
+	const contender = new Lease('contender', 2500);
+	contender.observeOtherHolder(7);
+	const older = {holder: 'earlier', fencing: 2, renewedAt: 0};
+	t.is(contender.prepareRecord({record: older, version: 1, tableNow: 9000}, 100)?.fencing, 8, 'an earlier holder is back');
+});
--- a/test/router-settings.test.ts
+++ b/test/router-settings.test.ts
@@ -45,6 +45,7 @@
 	const filled = template
 		.replaceAll('{{ipAddress}}', '10.0.0.1')
 		.replaceAll('{{seedNodes}}', '10.0.0.2:80')
+		.replaceAll('{{isBootstrap}}', 'true')
 		.replaceAll(/\{\{(?:listenAddresses\.\w+|platform\.address)\}\}/gv, '10.0.0.1:80')
 		.replaceAll(/\{\{[^\}]*\}\}/gv, '1');
 	t.notThrows(() => parseRouterSettings('entry.ini', filled));
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -116,6 +116,9 @@
 			await gossip.join(this.instances.slice(0, seedCount).map(({address}) => address)); // eslint-disable-line no-await-in-loop
 			await this.timers.sleep(400); // eslint-disable-line no-await-in-loop
 		}
+
+		await this.timers.sleep(1500);
+		await gossip.join(this.instances.slice(0, seedCount).map(({address}) => address));
 	}
 
 	private createInstance(index: number): FleetInstance {
