--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -12,6 +12,7 @@
 import {getIdDigest} from './peers/id-digest.js';
 import {PartnerSelector} from './peers/partner-selector.js';
 import {PeerLoads} from './peers/peer-loads.js';
+import {ServerRumors} from './peers/server-rumors.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
@@ -79,9 +80,9 @@
 	farContactsPerZone: 4,
 	remoteFetchAge: 3500,
 	spreadDelay: 15,
-	rumorLifetime: 3000,
-	rumorMemory: 10_000,
 };
+/** Durations in milliseconds. */
+const rumorTimings = {rumorLifetime: 3000, rumorMemory: 10_000};
 const bytesPerMegabit = 125_000;
 /** Time for which an unused part of the budget of bytes may be kept. */
 const gossipBurstSeconds = 2;
@@ -131,16 +132,15 @@
 		partners: new PartnerSelector(self, random),
 		tables: new TableExchange(tables),
 		peerLoads,
-		suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize),
+		rumors: new ServerRumors(instance.id, timers.wallClock(), {
+			suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize), directory, serverHealth, onSuspicion: events.onSuspicion,
+		}, rumorTimings),
 		serverLoad,
 		lease,
-		directory,
-		serverHealth,
 		timers,
 		random,
 		metrics,
 		log,
-		onSuspicion: events.onSuspicion,
 	}, gossipTimings);
 
 	const isSeed = seeds.peers.length === 0 || seeds.peers.includes(instance.peers);
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -2,10 +2,8 @@
 import {type Lease} from '../leases/lease.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
-import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
 import {type LayerRange} from '../pipelines/layer-range.js';
-import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
-import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type ServerLoad} from '../pipelines/server-load.js';
 import {type TableName} from '../replication/table-name.js';
 import {type TablePosition} from '../replication/table-position.js';
@@ -14,13 +12,12 @@
 import {type TimerService} from '../time/timer-service.js';
 import {type ByteBudget} from './byte-budget.js';
 import {type GossipClients} from './gossip-clients.js';
-import {type GossipMessage, type LoadedRange, type Suspicion} from './gossip-message.js';
+import {type GossipMessage} from './gossip-message.js';
 import {type GossipReceiver} from './gossip-procedures.js';
 import {type Fanout, type PartnerSelector} from './partner-selector.js';
 import {type PeerLoads} from './peer-loads.js';
-import {RumorBuffer} from './rumor-buffer.js';
 import {getIdDigest} from './id-digest.js';
-import {type SuspicionQuorum} from './suspicion-quorum.js';
+import {type ServerRumors} from './server-rumors.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
 export type GossipServiceDependencies = {
@@ -31,17 +28,13 @@
 	readonly partners: PartnerSelector;
 	readonly tables: TableExchange;
 	readonly peerLoads: PeerLoads;
-	readonly suspicionQuorum: SuspicionQuorum;
+	readonly rumors: ServerRumors;
 	readonly serverLoad: ServerLoad;
 	readonly lease: Lease;
-	readonly directory: ServerDirectory;
-	readonly serverHealth: ServerHealthTracker;
 	readonly timers: TimerService;
 	readonly random: RandomSource;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
-	/** Called when a backend server becomes suspected because of reports of other instances. */
-	readonly onSuspicion: (server: BackendServer, reason: string) => void;
 };
 
 /** Timings and bounds of gossip. */
@@ -60,10 +53,6 @@
 	readonly remoteFetchAge: number;
 	/** Milliseconds for which news is collected before it is sent. */
 	readonly spreadDelay: number;
-	/** Milliseconds for which suspicions and ranges are passed on. */
-	readonly rumorLifetime: number;
-	/** Milliseconds for which suspicions and ranges are recognized. */
-	readonly rumorMemory: number;
 };
 
 /** Instances of other availability zones that are contacted in a round at most. */
@@ -86,22 +75,13 @@
 Each instance contacts a fixed number of others in each round, and passes news on as soon as it first receives it, so that its work does not grow with their number (A. Demers et al., Epidemic algorithms for replicated database maintenance, PODC 1987).
 */
 export class GossipService implements GossipReceiver {
-	private readonly suspicions: RumorBuffer<Suspicion>;
-	private readonly ranges: RumorBuffer<LoadedRange>;
-	/** Distinguishes the rumors of this process from those of an earlier one with the same id. */
-	private readonly epoch: number;
-	private rumorCount = 0;
 	/** Ids of the instances to which a message is in flight; they get no second one meanwhile. */
 	private readonly contacting = new Set<string>();
 	private scheduledFanout?: Fanout;
 	private isFetching = false;
 	private placementHolder: PlacementHolder = {fencing: 0, seenAt: Number.NEGATIVE_INFINITY};
 
-	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {
-		this.suspicions = new RumorBuffer(timings.rumorLifetime, timings.rumorMemory);
-		this.ranges = new RumorBuffer(timings.rumorLifetime, timings.rumorMemory);
-		this.epoch = dependencies.timers.wallClock();
-	}
+	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {}
 
 	/** Starts the periodic rounds. */
 	start(): void {
@@ -115,19 +95,15 @@
 
 	/** Reports to the other instances that this one found a backend server not to work. */
 	reportSuspicion(server: BackendServer, isBlocking: boolean, reason: string): void {
-		const {timers} = this.dependencies;
-		this.suspicions.add([{
-			...this.createRumorHeader(), life: getIncarnationId(server), isBlocking, reason,
-		}], timers.now());
+		const {rumors, timers} = this.dependencies;
+		rumors.addSuspicion(server, {isBlocking, reason}, timers.now());
 		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
 	/** Reports to the other instances that a backend server loaded a range by order. */
-	reportRange(server: BackendServer, {from, to}: LayerRange): void {
-		const {timers} = this.dependencies;
-		this.ranges.add([{
-			...this.createRumorHeader(), life: getIncarnationId(server), from, to,
-		}], timers.now());
+	reportRange(server: BackendServer, range: LayerRange): void {
+		const {rumors, timers} = this.dependencies;
+		rumors.addRange(server, range, timers.now());
 		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
@@ -182,16 +158,9 @@
 		return this.dependencies.lease.isHeld(this.dependencies.timers.now());
 	}
 
-	private createRumorHeader() {
-		this.rumorCount++;
-		return {
-			origin: this.dependencies.self.id, epoch: this.epoch, number: this.rumorCount, age: 0,
-		};
-	}
-
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
 	private createMessage(recipientZone: string | undefined): GossipMessage {
-		const {self, tables, peerLoads, timers} = this.dependencies;
+		const {self, tables, peerLoads, rumors, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
@@ -201,8 +170,7 @@
 			wantsRows: false,
 			// The form of the report depends on the recipient's zone, which is not known of a seed.
 			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
-			suspicions: [...this.suspicions.getCurrent(now)],
-			ranges: [...this.ranges.getCurrent(now)],
+			...rumors.getCurrent(now),
 			placing: this.describePlacementHolder(now),
 		};
 	}
@@ -214,7 +182,7 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, tables, timers} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, tables, timers} = this.dependencies;
 		const now = timers.now();
 		partners.recordContact(message.from.id);
 		instances.recordContact(message.from);
@@ -223,8 +191,10 @@
 			this.receivePlacementHolder({fencing: message.placing.fencing, seenAt: now - message.placing.age - transitAllowanceMs});
 		}
 
-		this.receiveSuspicions(message.suspicions, now);
-		this.receiveRanges(message.ranges, now);
+		if (rumors.receive(message, now)) {
+			this.scheduleSpread(this.timings.rumorFanout);
+		}
+
 		const {isChanged, isBehind} = tables.receive(message, now);
 		const isNear = message.from.availabilityZone === this.dependencies.self.availabilityZone;
 		if (isBehind && (isNear || tables.getAge(now) > this.timings.remoteFetchAge)) {
@@ -254,37 +224,6 @@
 		this.dependencies.lease.observeOtherHolder(holder.fencing);
 	}
 
-	private receiveSuspicions(suspicions: readonly Suspicion[], now: number): void {
-		const unknown = this.suspicions.add(suspicions.filter(({origin}) => origin !== this.dependencies.self.id), now);
-		for (const {origin, life: incarnationId, isBlocking, reason} of unknown) {
-			if (this.dependencies.suspicionQuorum.report({incarnationId, isBlocking, from: origin}, now)) {
-				this.suspect(incarnationId, `${origin}: ${reason}`, now);
-			}
-		}
-
-		if (unknown.length > 0) {
-			this.scheduleSpread(this.timings.rumorFanout);
-		}
-	}
-
-	private receiveRanges(ranges: readonly LoadedRange[], now: number): void {
-		const unknown = this.ranges.add(ranges.filter(({origin}) => origin !== this.dependencies.self.id), now);
-		for (const {life: incarnationId, from, to} of unknown) {
-			this.dependencies.directory.overrideRange(incarnationId, {from, to});
-		}
-
-		if (unknown.length > 0) {
-			this.scheduleSpread(this.timings.rumorFanout);
-		}
-	}
-
-	private suspect(incarnationId: string, reason: string, now: number): void {
-		const server = this.dependencies.directory.all().find(listed => getIncarnationId(listed) === incarnationId);
-		if (server && this.dependencies.serverHealth.suspect(server, reason, now)) {
-			this.dependencies.onSuspicion(server, reason);
-		}
-	}
-
 	/** Contacts partners soon; news that arrives until then is sent along. */
 	private scheduleSpread(fanout: Fanout): void {
 		if (this.scheduledFanout) {
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -164,6 +164,6 @@
 	fleet.start();
 	await fleet.elapse(6000);
 	for (const {id, control} of fleet.instances) {
-		t.is(control.peerLoads.getReportingInstances(fleet.timers.now()).length, 2, id);
+		t.is(control.peerLoads.getReportingInstances(fleet.timers.now()).length, 2, `neighbours of ${id}`);
 	}
 });
