Log on how many servers a stream counts as executed

The users saw a request on more servers than its route allows. From the logs it could not be told whether the router miscounted or left servers out of the count on purpose: request.sent named only the pipeline. It now carries `servers` (those that count, including the one it is sent to) and `endedServers` (those that are left out, because they are taken to have ended). No change of behaviour.

--- a/src/relay/execution-history.ts
+++ b/src/relay/execution-history.ts
@@ -17,9 +17,19 @@
 		return this.servers.size > 0;
 	}
 
+	/** Number of servers that count against the limit of the route. */
+	get countedServers(): number {
+		return this.findLiveIncarnations().length;
+	}
+
+	/** Number of servers on which the request may have been executed and which are not counted, because they ended. */
+	get uncountedServers(): number {
+		return this.servers.size - this.countedServers;
+	}
+
 	/** Whether the request may be sent to a server that has not executed it. */
 	get allowsNewServer(): boolean {
-		return this.findLiveIncarnations().length < this.maxServers;
+		return this.countedServers < this.maxServers;
 	}
 
 	/** Incarnation ids of the servers to select from if no new one is allowed; undefined if any may be selected. */
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -211,7 +211,12 @@
 		this.releaseLoad = dependencies.load.start(pipeline, tokens);
 		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
 		this.log.logSent(pipeline, {
-			tokens, attempt: this.attemptCount, remaining: this.remaining, listAge: now - dependencies.directory.lastReadAt,
+			tokens,
+			attempt: this.attemptCount,
+			countedServers: this.executions.countedServers,
+			uncountedServers: this.executions.uncountedServers,
+			remaining: this.remaining,
+			listAge: now - dependencies.directory.lastReadAt,
 		});
 		this.currentAttempt = dependencies.client.send({
 			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection: !isRepeatable(request.route),
--- a/src/relay/stream-log.ts
+++ b/src/relay/stream-log.ts
@@ -4,6 +4,20 @@
 import {type RelayRequest} from './relay-request.js';
 import {type StreamProgress} from './stream-progress.js';
 
+/** What decided a transmission, besides its pipeline. Times are in milliseconds. */
+export type SendInputs = {
+	readonly tokens: number;
+	readonly attempt: number;
+	/** Servers that count against the limit of the route, including this one. */
+	readonly countedServers: number;
+	/** Servers on which the request may have been executed and which are not counted, because they ended. */
+	readonly uncountedServers: number;
+	/** Time left until the deadline. */
+	readonly remaining: number;
+	/** Age of the server list. */
+	readonly listAge: number;
+};
+
 /** Writes the log lines of one stream exchange. */
 export class StreamLog {
 	constructor(private readonly log: DecisionLog, private readonly request: RelayRequest, private readonly progress: StreamProgress) {}
@@ -17,13 +31,15 @@
 		this.log.write('request.waiting', {request: this.request.id, waiting: queueSize, attempts});
 	}
 
-	/** Logs that the request was sent along a pipeline. Times are in milliseconds. */
-	logSent(pipeline: Pipeline, inputs: {readonly tokens: number; readonly attempt: number; readonly remaining: number; readonly listAge: number}): void {
+	/** Logs that the request was sent along a pipeline. */
+	logSent(pipeline: Pipeline, inputs: SendInputs): void {
 		this.log.write('request.sent', {
 			request: this.request.id,
 			pipeline: describePipeline(pipeline),
 			tokens: inputs.tokens,
 			attempt: inputs.attempt,
+			servers: inputs.countedServers,
+			endedServers: inputs.uncountedServers,
 			afterEvent: this.progress.lastEventId,
 			remainingMs: Math.round(inputs.remaining),
 			listAgeMs: Math.round(inputs.listAge),
