Test that silence of a server neither cuts off an answer nor adds a server

- A stream that is moved away from a silent stage is cancelled before another pipeline has capacity, and is cut off if none has it in time, although its server would have continued.
- All streams through a suspected server are moved, also those that receive events, for instance when only another instance lost its path to the server.

--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -131,3 +131,38 @@
 
 	t.true(fixture.serverHealth.isSuspected(fixture.pipeline[0].server, fixture.timers.now()));
 });
+
+// Guards against streams that run on more servers than their route allows: a silent server may still be executing.
+test('first stages that only fell silent still count as servers that executed the stream', t => {
+	const fixture = new StreamExchangeFixture();
+	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.serverHealth.suspect(first, 'it does not respond', fixture.timers.now(), true);
+	fixture.pipeline = [{server: second, range}];
+	fixture.exchange.migrate(first, 'it does not respond');
+	t.is(fixture.sent.length, 2);
+	fixture.serverHealth.suspect(second, 'it does not respond', fixture.timers.now(), true);
+	fixture.exchange.migrate(second, 'it does not respond');
+	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
+});
+
+// Guards against answers that are cut off although their server only paused.
+test('a stream whose server falls silent is not given up while no other pipeline can take it over', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	fixture.pipeline = undefined;
+	fixture.timers.advance(700);
+	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.timers.advance(1500);
+	fixture.exchange.migrate(undefined, 'no event for 2200 ms');
+	t.is(fixture.cancelCount, 0);
+	t.false(fixture.reply.isAborted);
+	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
+	fixture.latest.onEnd();
+	t.is(fixture.reply.text, 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n');
+	t.true(fixture.reply.isEnded);
+});
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -138,3 +138,16 @@
 	t.deepEqual(reported, ['first']);
 	t.false(serverHealth.isHealthy(server));
 });
+
+// Guards against answers that are moved or cut off although their servers work: another instance may have lost its own path to a server.
+test('a stream that receives events is not migrated when one of its stages becomes suspected, only once it falls silent', async t => {
+	const working = new FakeStream(servers, 10);
+	const silent = new FakeStream(servers, 260);
+	const {monitor, serverHealth, directory} = createMonitor(new FakeReporter(() => idleReport, () => Health.Good), [working, silent]);
+	const [, second] = directory.all();
+	serverHealth.suspect(second, 'entry-b: connection not established', 0);
+	monitor.migrateStreamsFrom(second, 'entry-b: connection not established');
+	await settle();
+	t.deepEqual(working.migrations, []);
+	t.deepEqual(silent.migrations, ['second']);
+});
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -87,6 +87,8 @@
 	readonly reply = new RecordingReply();
 	/** The attempts that were sent, with the listeners of their responses. */
 	readonly sent: Array<{readonly attempt: Attempt; readonly listener: ResponseListener}> = [];
+	/** Number of attempts that the exchange cancelled. */
+	cancelCount = 0;
 	readonly serverHealth: ServerHealthTracker;
 	readonly directory: ServerDirectory;
 	readonly load = new ServerLoad();
@@ -104,7 +106,13 @@
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				send: (attempt: Attempt, listener: ResponseListener) => {
 					this.sent.push({attempt, listener});
-					return {cancel() {}, pause() {}, resume() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+					return {
+						cancel: () => {
+							this.cancelCount++;
+						},
+						pause() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+						resume() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+					};
 				},
 			} as unknown as BackendClient,
 			directory: this.directory,
