Count a silent server as one that may still execute a stream

Callers saw: nothing wrong by themselves; the users' record shows requests on more servers than maxAttempts.

Cause: a server that this instance suspected because it did not answer a query for 350 ms, did not accept a connection within 300 ms, or was waited for by another stage, was left out of the count of servers that executed the stream. A sound server that is silent for a second goes on afterwards, so a route that allows two servers got three and more. The class: taking silence for proof of an end.

Ruled out: a wrong revertStart (an attempt that was not executed removes only a server that it added itself).

Change: a server counts until there is proof that its process ended: its address refuses a connection, or a later incarnation is listed under its id or at its address. Suspicions carry their cause, which server.suspected logs. Refused connections are told apart from those that are not established in time.

--- a/src/peers/server-rumors.ts
+++ b/src/peers/server-rumors.ts
@@ -2,6 +2,7 @@
 import {type LayerRange} from '../pipelines/layer-range.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
+import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {type GossipMessage, type LoadedRange, type Suspicion} from './gossip-message.js';
 import {RumorBuffer, type RumorHeader} from './rumor-buffer.js';
 import {type SuspicionQuorum} from './suspicion-quorum.js';
@@ -90,7 +91,7 @@
 
 		const server = directory.all().find(listed => getIncarnationId(listed) === incarnationId);
 		const foundReason = `${origin}: ${reason}`;
-		if (server && serverHealth.suspect(server, foundReason, now)) {
+		if (server && serverHealth.suspect(server, foundReason, now, SuspicionCause.Reported)) {
 			onSuspicion(server, foundReason);
 		}
 	}
--- a/src/pipelines/server-directory.ts
+++ b/src/pipelines/server-directory.ts
@@ -61,10 +61,9 @@
 		return this.all().find(server => server.address === address);
 	}
 
-	/** Whether another incarnation is listed under the server's id, so that this one has certainly ended. */
+	/** Whether a later incarnation is listed under the server's id or address, so that this one has certainly ended. */
 	isReplaced(server: BackendServer): boolean {
-		const current = this.entries.get(server.id)?.server;
-		return current !== undefined && getIncarnationId(current) !== getIncarnationId(server);
+		return this.all().some(({id, address, startedAt}) => (id === server.id || address === server.address) && startedAt > server.startedAt);
 	}
 
 	/** Applies a reading; a reading that was requested before the last applied one is dropped. */
--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -1,6 +1,7 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Pipeline} from './pipeline.js';
 import {getIncarnationId, type BackendServer} from './backend-server.js';
+import {SuspicionCause} from './suspicion-cause.js';
 
 /** Limit of the saturation back-off, as a multiple of its first duration. */
 const maxSaturationMultiple = 3;
@@ -9,8 +10,8 @@
 type HealthRecord = {
 	/** Monotonic time in milliseconds until which the server gets no new requests. */
 	suspectUntil: number;
-	/** Whether the latest suspicion is that the server ended or is cut off, not only that it should get no requests. */
-	isUnreachable: boolean;
+	/** Whether the server's address refused a connection, so that its process has ended. */
+	hasEnded: boolean;
 	/** Monotonic time in milliseconds until which the server is assumed to lack memory or slots. */
 	saturatedUntil: number;
 	/** Monotonic time in milliseconds of the last request sent to the server, such as a trial after a suspicion expired. */
@@ -54,22 +55,20 @@
 	/**
 	Marks a server as suspected because of evidence that it does not work.
 
-	@param isUnreachable - whether this instance itself found that the server does not answer or that others wait for it
 	@returns whether the server was not suspected before
 	*/
-	suspect(server: BackendServer, reason: string, now: number, isUnreachable = false): boolean {
+	suspect(server: BackendServer, reason: string, now: number, cause: SuspicionCause): boolean {
 		const record = this.getOrCreateRecord(server);
+		record.hasEnded ||= cause === SuspicionCause.Refusing;
 		if (record.suspectUntil > now) {
-			record.isUnreachable ||= isUnreachable;
 			return false;
 		}
 
-		record.isUnreachable = isUnreachable;
 		record.consecutiveSuspicions++;
 		const duration = Math.min(this.timings.maxSuspicion, this.timings.suspicion * (2 ** (record.consecutiveSuspicions - 1)));
 		record.suspectUntil = now + duration;
 		this.log.warn('server.suspected', {
-			server: server.id, address: server.address, reason, strikes: record.consecutiveSuspicions, forMs: duration,
+			server: server.id, address: server.address, cause, reason, strikes: record.consecutiveSuspicions, forMs: duration,
 		});
 		return true;
 	}
@@ -128,9 +127,9 @@
 		return (this.records.get(getIncarnationId(server))?.suspectUntil ?? 0) > now;
 	}
 
-	/** Whether the server is suspected to have ended or to be cut off, so that it runs no requests of this instance. */
-	isUnreachable(server: BackendServer, now: number): boolean {
-		return this.isSuspected(server, now) && this.records.get(getIncarnationId(server))!.isUnreachable;
+	/** Whether the server refused a connection since it last completed work, so that it no longer executes requests. Silence is no evidence of that. */
+	hasEnded(server: BackendServer): boolean {
+		return this.records.get(getIncarnationId(server))?.hasEnded ?? false;
 	}
 
 	/** Whether the server has completed work since it was last suspected, or never was suspected. */
@@ -186,7 +185,7 @@
 	private getOrCreateRecord(server: BackendServer): HealthRecord {
 		const incarnationId = getIncarnationId(server);
 		const record = this.records.get(incarnationId) ?? {
-			suspectUntil: 0, isUnreachable: false, saturatedUntil: 0, dispatchedAt: Number.NEGATIVE_INFINITY, consecutiveSuspicions: 0, consecutiveRejections: 0,
+			suspectUntil: 0, hasEnded: false, saturatedUntil: 0, dispatchedAt: Number.NEGATIVE_INFINITY, consecutiveSuspicions: 0, consecutiveRejections: 0,
 		};
 		this.records.set(incarnationId, record);
 		return record;
--- a/src/relay/backend-client.ts
+++ b/src/relay/backend-client.ts
@@ -1,4 +1,5 @@
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {isConnectionRefused} from '../network/is-connection-refused.js';
 import {splitAddress} from '../settings/split-address.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type Attempt} from './attempt.js';
@@ -63,7 +64,7 @@
 			this.receive(message);
 		});
 		this.request.on('error', error => {
-			this.fail(AttemptFailureReason.ConnectionLost, error.message);
+			this.fail(isConnectionRefused(error) ? AttemptFailureReason.Refused : AttemptFailureReason.ConnectionLost, error.message);
 		});
 		this.request.on('close', () => {
 			this.fail(AttemptFailureReason.ConnectionLost, 'the connection closed before a response arrived');
@@ -168,7 +169,7 @@
 		this.isDone = true;
 		this.request.destroy();
 		this.listener.onFailure({
-			reason: this.isConnected ? reason : AttemptFailureReason.NotConnected,
+			reason: this.isConnected || reason === AttemptFailureReason.Refused ? reason : AttemptFailureReason.NotConnected,
 			detail,
 			wasConnectionReused: this.request.reusedSocket,
 		});
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -1,11 +1,12 @@
 import {isRepeatable} from '../catalog/route.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type PlainServerSelector} from '../pipelines/plain-server-selector.js';
+import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {AttemptFailureReason, type AttemptFailure} from './attempt-failure.js';
+import {AttemptFailureReason, isUnsent, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {ExchangeListener} from './exchange-listener.js';
@@ -113,9 +114,10 @@
 		const now = this.dependencies.timers.now();
 		this.endAttempt();
 		this.plainDependencies.selector.recordFailure(this.server!, now);
-		if (reason === AttemptFailureReason.NotConnected) {
+		if (isUnsent(reason)) {
 			this.executions--;
-			this.dependencies.serverHealth.suspect(this.server!, detail, now);
+			const cause = reason === AttemptFailureReason.Refused ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
+			this.dependencies.serverHealth.suspect(this.server!, detail, now, cause);
 		}
 
 		if (this.reply.isStarted) {
--- a/src/relay/stage-failure-detector.ts
+++ b/src/relay/stage-failure-detector.ts
@@ -1,6 +1,7 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
+import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {type ResponseHead} from './response-head.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 
@@ -15,15 +16,9 @@
 export class StageFailureDetector {
 	constructor(private readonly serverHealth: ServerHealthTracker, private readonly streamDependencies: StreamExchangeDependencies) {}
 
-	/**
-	Marks a stage as suspected to be down, and notifies the other instances if it was not suspected before.
-
-	@param isBlocking - whether another stage reports that it waits for this one
-	*/
-	suspect(server: BackendServer, isBlocking: boolean, reason: string, now: number): void {
-		if (this.serverHealth.suspect(server, reason, now, true)) {
-			this.streamDependencies.onSuspicion(server, isBlocking, reason);
-		}
+	/** Marks a stage as suspected, and notifies the other instances if it was not suspected before. */
+	suspect(server: BackendServer, cause: SuspicionCause, reason: string, now: number): void {
+		this.suspectStage(server, {cause, reason, isBlocking: false}, now);
 	}
 
 	/**
@@ -37,11 +32,17 @@
 		const server = named ?? pipeline[0].server;
 		const reason = `${server.id} rejected the request with status ${head.status} after ${Math.round(tookMs)} ms`;
 		if (tookMs >= this.streamDependencies.limits.lateRejectionThreshold) {
-			this.suspect(server, named !== undefined, reason, now);
+			this.suspectStage(server, {cause: SuspicionCause.Unresponsive, reason, isBlocking: named !== undefined}, now);
 		} else {
 			this.streamDependencies.onRejection(server, this.serverHealth.recordRejection(server, now));
 		}
 
 		return {server, reason};
 	}
+
+	private suspectStage(server: BackendServer, {cause, reason, isBlocking}: {cause: SuspicionCause; reason: string; isBlocking: boolean}, now: number): void {
+		if (this.serverHealth.suspect(server, reason, now, cause)) {
+			this.streamDependencies.onSuspicion(server, isBlocking, reason);
+		}
+	}
 }
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -2,11 +2,12 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
+import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {AttemptFailureReason, type AttemptFailure} from './attempt-failure.js';
+import {AttemptFailureReason, isUnsent, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {ExchangeListener} from './exchange-listener.js';
@@ -49,7 +50,7 @@
 		this.selector = new StreamPipelineSelector(streamDependencies.selector);
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server =>
-			!dependencies.directory.isReplaced(server) && !dependencies.serverHealth.isUnreachable(server, dependencies.timers.now()));
+			!dependencies.directory.isReplaced(server) && !dependencies.serverHealth.hasEnded(server));
 	}
 
 	/** The stages in use; undefined while no attempt is in progress. */
@@ -124,9 +125,10 @@
 	receiveFailure({reason, detail}: AttemptFailure): void {
 		const {firstServer} = this;
 		this.endAttempt();
-		if (reason === AttemptFailureReason.NotConnected) {
+		if (isUnsent(reason)) {
 			this.executions.revertStart(firstServer);
-			this.failureDetector.suspect(firstServer, false, detail, this.dependencies.timers.now());
+			const cause = reason === AttemptFailureReason.Refused ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
+			this.failureDetector.suspect(firstServer, cause, detail, this.dependencies.timers.now());
 			this.retryRejected(detail, firstServer);
 			return;
 		}
@@ -237,7 +239,7 @@
 		this.currentAttempt?.cancel();
 		this.selector.exclude(firstServer);
 		this.endAttempt();
-		this.failureDetector.suspect(firstServer, false, reason, this.dependencies.timers.now());
+		this.failureDetector.suspect(firstServer, SuspicionCause.Failing, reason, this.dependencies.timers.now());
 		this.resumeOrFail(reason);
 	}
 
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -2,6 +2,8 @@
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {SuspicionCause} from '../pipelines/suspicion-cause.js';
+import {isConnectionRefused} from '../network/is-connection-refused.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
@@ -134,10 +136,10 @@
 			const health = await this.dependencies.reporter.checkHealth(server, path);
 			this.dependencies.log.write('server.health', {server: server.id, health});
 			if (health === Health.Bad) {
-				this.suspect(server, true, 'it rejects requests and reports that it is failing or leaving', false);
+				this.suspect(server, {cause: SuspicionCause.Failing, isBlocking: true, reason: 'it rejects requests and reports that it is failing or leaving'});
 			}
 		} catch (error) {
-			this.suspect(server, false, `it rejects requests and its health check failed: ${getErrorMessage(error)}`);
+			this.suspectSilent(server, error, 'it rejects requests and its health check failed');
 		}
 	}
 
@@ -162,17 +164,23 @@
 			for (const address of new Set(blockedRequests.values())) {
 				const faulty = directory.findByAddress(address);
 				if (faulty) {
-					this.suspect(faulty, true, `${server.id} waits for it`);
+					this.suspect(faulty, {cause: SuspicionCause.Unresponsive, isBlocking: true, reason: `${server.id} waits for it`});
 				}
 			}
 		} catch (error) {
-			this.suspect(server, false, `it does not respond: ${getErrorMessage(error)}`);
+			this.suspectSilent(server, error, 'it does not respond');
 		}
 	}
 
-	private suspect(server: BackendServer, isBlocking: boolean, reason: string, isUnreachable = true): void {
+	/** Suspects a server whose query failed with an error. */
+	private suspectSilent(server: BackendServer, error: unknown, finding: string): void {
+		const cause = isConnectionRefused(error) ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
+		this.suspect(server, {cause, isBlocking: false, reason: `${finding}: ${getErrorMessage(error)}`});
+	}
+
+	private suspect(server: BackendServer, {cause, isBlocking, reason}: {cause: SuspicionCause; isBlocking: boolean; reason: string}): void {
 		const {serverHealth, timers, onSuspicion} = this.dependencies;
-		if (serverHealth.suspect(server, reason, timers.now(), isUnreachable)) {
+		if (serverHealth.suspect(server, reason, timers.now(), cause)) {
 			onSuspicion(server, isBlocking, reason);
 		}
 
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -9,6 +9,7 @@
 import {coversAllLayers} from '../src/pipelines/pipeline.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
+import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {ServerLoad} from '../src/pipelines/server-load.js';
 import {ServerSlowdowns} from '../src/pipelines/server-slowdowns.js';
 import {RandomSource} from '../src/routing/random-source.js';
@@ -107,14 +108,14 @@
 test('a suspected server gets no requests, then single trial requests until one succeeds', t => {
 	const server = sampleServer('a1', 'large', {from: 0, to: 80});
 	const serverHealth = new ServerHealthTracker(healthTimings, new RecordingLog());
-	t.true(serverHealth.suspect(server, 'no connection', 0));
-	t.false(serverHealth.suspect(server, 'no connection', 10), 'one suspicion at a time');
+	t.true(serverHealth.suspect(server, 'no connection', 0, SuspicionCause.Unresponsive));
+	t.false(serverHealth.suspect(server, 'no connection', 10, SuspicionCause.Unresponsive), 'one suspicion at a time');
 	t.false(serverHealth.isUsable(server, 1999));
 	t.true(serverHealth.isUsable(server, 2000));
 	serverHealth.recordDispatch(server, 2000);
 	t.false(serverHealth.isUsable(server, 2500), 'one trial at a time');
 	t.false(serverHealth.isHealthy(server));
-	serverHealth.suspect(server, 'no connection', 2600);
+	serverHealth.suspect(server, 'no connection', 2600, SuspicionCause.Unresponsive);
 	t.false(serverHealth.isUsable(server, 6500), 'the second suspicion lasts twice as long');
 	serverHealth.clearSuspicion(server, 6700);
 	t.true(serverHealth.isUsable(server, 6700) && serverHealth.isHealthy(server));
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {getIncarnationId} from '../src/pipelines/backend-server.js';
+import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {sampleResponseHead, StreamExchangeFixture} from './support/exchange-fixture.js';
@@ -78,22 +79,22 @@
 	fixture.pipeline = pipeline;
 	fixture.start();
 	fixture.pipeline = [{server: second, range}];
-	fixture.serverHealth.suspect(first, 'it says that it is leaving', fixture.timers.now());
+	fixture.serverHealth.suspect(first, 'it says that it is leaving', fixture.timers.now(), SuspicionCause.Failing);
 	fixture.exchange.migrate(first, 'it says that it is leaving');
 	t.is(fixture.sent.length, 2);
-	fixture.serverHealth.suspect(second, 'it says that it is leaving', fixture.timers.now());
+	fixture.serverHealth.suspect(second, 'it says that it is leaving', fixture.timers.now(), SuspicionCause.Failing);
 	fixture.exchange.migrate(second, 'it says that it is leaving');
 	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
 });
 
-test('an unreachable first stage does not count as a server that executed the stream', t => {
+test('a first stage whose address refuses connections does not count as a server that executed the stream', t => {
 	const fixture = new StreamExchangeFixture();
 	fixture.pipeline = pipeline;
 	fixture.start();
-	fixture.serverHealth.suspect(first, 'a peer could not reach it', fixture.timers.now());
-	fixture.serverHealth.suspect(first, 'no connection', fixture.timers.now(), true);
+	fixture.serverHealth.suspect(first, 'a peer could not reach it', fixture.timers.now(), SuspicionCause.Reported);
+	fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
 	fixture.pipeline = [{server: sampleServer('second', 'large', range), range}];
-	fixture.exchange.migrate(first, 'no connection');
+	fixture.exchange.migrate(first, 'connection refused');
 	fixture.pipeline = undefined;
 	fixture.exchange.migrate(undefined, 'no event');
 	t.is(fixture.pipelineRequests.at(-1)!.firstStageCandidates, undefined);
@@ -138,15 +139,45 @@
 	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
 	fixture.pipeline = pipeline;
 	fixture.start();
-	fixture.serverHealth.suspect(first, 'it does not respond', fixture.timers.now(), true);
+	fixture.serverHealth.suspect(first, 'it does not respond', fixture.timers.now(), SuspicionCause.Unresponsive);
 	fixture.pipeline = [{server: second, range}];
 	fixture.exchange.migrate(first, 'it does not respond');
 	t.is(fixture.sent.length, 2);
-	fixture.serverHealth.suspect(second, 'it does not respond', fixture.timers.now(), true);
+	fixture.serverHealth.suspect(second, 'it does not respond', fixture.timers.now(), SuspicionCause.Unresponsive);
 	fixture.exchange.migrate(second, 'it does not respond');
 	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
 });
 
+// Guards against streams that fail although their route allows another server, because a server that ended still counts.
+test('a first stage does not count any more once a later incarnation is listed at its address', t => {
+	const fixture = new StreamExchangeFixture();
+	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.pipeline = [{server: second, range}];
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	fixture.pipeline = undefined;
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
+	fixture.directory.applyReading({servers: [sampleServer('third', 'large', range, {address: first.address, startedAt: 2})], requestedAt: 100, mayBeIncomplete: false});
+	fixture.timers.advance(40);
+	t.is(fixture.pipelineRequests.at(-1)!.firstStageCandidates, undefined);
+});
+
+// Guards against streams that fail although their route allows another server, because a server that ended still counts.
+test('a first stage whose process ended and refuses the next connection does not count any more', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	t.is(fixture.sent.length, 2);
+	fixture.latest.onFailure({reason: AttemptFailureReason.Refused, detail: 'connect ECONNREFUSED', wasConnectionReused: false});
+	t.true(fixture.serverHealth.hasEnded(first));
+	t.true(fixture.serverHealth.isSuspected(first, fixture.timers.now()));
+	fixture.timers.advance(40);
+	t.is(fixture.pipelineRequests.at(-1)!.firstStageCandidates, undefined);
+});
+
 // Guards against answers that are cut off although their server only paused.
 test('a stream whose server falls silent is not given up while no other pipeline can take it over', t => {
 	const fixture = new StreamExchangeFixture();
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -2,6 +2,7 @@
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
+import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {ServerSlowdowns} from '../src/pipelines/server-slowdowns.js';
 import {Health, StageReporter, type StageReport} from '../src/pipelines/stage-reporter.js';
 import {type ExchangeRegistry} from '../src/relay/exchange-registry.js';
@@ -145,7 +146,7 @@
 	const silent = new FakeStream(servers, 260);
 	const {monitor, serverHealth, directory} = createMonitor(new FakeReporter(() => idleReport, () => Health.Good), [working, silent]);
 	const [, second] = directory.all();
-	serverHealth.suspect(second, 'entry-b: connection not established', 0);
+	serverHealth.suspect(second, 'entry-b: connection not established', 0, SuspicionCause.Reported);
 	monitor.migrateStreamsFrom(second, 'entry-b: connection not established');
 	await settle();
 	t.deepEqual(working.migrations, []);
