Keep the attempt of a silent stream until another pipeline takes it over

Callers saw: the connection closed in the middle of an answer, or before it began, while the server was at work or had finished.

A stream was cancelled at its server as soon as a stage was suspected, also if other instances had reported the suspicion and this one still received events; only then was another pipeline looked for. If none had capacity within 1.8 s of the last event, the caller's connection was closed. A server that pauses for a second thus lost all its streams on instances whose other pipelines were full.

Ruled out by reading: a change of the configuration ends no exchange; it replaces the catalog for new requests and sets limits of idle connections.

Change: migration first looks for a pipeline and a retry, and cancels only then; otherwise the attempt goes on and is offered again at the next check. Only streams that are silent themselves are migrated. A silent stage is avoided, not excluded, so that a stream may return to it. An event refutes a suspicion that its stages do not work. A stream that may not be resumed is never cancelled because of silence.

--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -3,6 +3,8 @@
 import {getIncarnationId, type BackendServer} from './backend-server.js';
 import {SuspicionCause} from './suspicion-cause.js';
 
+/** Age of a suspicion from which an event that arrives was sent after it, in milliseconds. */
+const refutationDelayMs = 200;
 /** Limit of the saturation back-off, as a multiple of its first duration. */
 const maxSaturationMultiple = 3;
 
@@ -10,6 +12,10 @@
 type HealthRecord = {
 	/** Monotonic time in milliseconds until which the server gets no new requests. */
 	suspectUntil: number;
+	/** Monotonic time in milliseconds at which the current suspicion began. */
+	suspectedAt: number;
+	/** Why the server is suspected; undefined if it never was. */
+	cause?: SuspicionCause;
 	/** Whether the server's address refused a connection, so that its process has ended. */
 	hasEnded: boolean;
 	/** Monotonic time in milliseconds until which the server is assumed to lack memory or slots. */
@@ -64,6 +70,8 @@
 			return false;
 		}
 
+		record.suspectedAt = now;
+		record.cause = cause;
 		record.consecutiveSuspicions++;
 		const duration = Math.min(this.timings.maxSuspicion, this.timings.suspicion * (2 ** (record.consecutiveSuspicions - 1)));
 		record.suspectUntil = now + duration;
@@ -122,6 +130,17 @@
 		}
 	}
 
+	/** Records that a stream received an event along a pipeline. This refutes a suspicion that a stage does not work, unless the stage itself said so or the event may have been sent before the suspicion. */
+	recordPipelineProgress(pipeline: Pipeline, now: number): void {
+		for (const {server} of pipeline) {
+			const record = this.records.get(getIncarnationId(server));
+			const isRefutable = record !== undefined && record.suspectUntil > now && record.cause !== SuspicionCause.Failing;
+			if (isRefutable && now - record.suspectedAt >= refutationDelayMs) {
+				this.clearSuspicion(server, now);
+			}
+		}
+	}
+
 	/** Whether the server is currently suspected. */
 	isSuspected(server: BackendServer, now: number): boolean {
 		return (this.records.get(getIncarnationId(server))?.suspectUntil ?? 0) > now;
@@ -185,7 +204,7 @@
 	private getOrCreateRecord(server: BackendServer): HealthRecord {
 		const incarnationId = getIncarnationId(server);
 		const record = this.records.get(incarnationId) ?? {
-			suspectUntil: 0, hasEnded: false, saturatedUntil: 0, dispatchedAt: Number.NEGATIVE_INFINITY, consecutiveSuspicions: 0, consecutiveRejections: 0,
+			suspectUntil: 0, suspectedAt: Number.NEGATIVE_INFINITY, hasEnded: false, saturatedUntil: 0, dispatchedAt: Number.NEGATIVE_INFINITY, consecutiveSuspicions: 0, consecutiveRejections: 0,
 		};
 		this.records.set(incarnationId, record);
 		return record;
--- a/src/pipelines/server-load.ts
+++ b/src/pipelines/server-load.ts
@@ -28,15 +28,24 @@
 	@returns a function that records the end of the request; further calls have no effect
 	*/
 	start(pipeline: Pipeline, tokens: number): () => void {
-		for (const {server} of pipeline) {
-			this.add(server, tokens, 1);
-		}
-
 		const reading = this.readings.get(getIncarnationId(pipeline[0].server));
 		if (reading) {
 			reading.startedSince++;
 		}
 
+		return this.hold(pipeline, tokens);
+	}
+
+	/**
+	Records that a request continues to use a pipeline, after it was left out of the load for a moment.
+
+	@returns a function that records the end of the request; further calls have no effect
+	*/
+	hold(pipeline: Pipeline, tokens: number): () => void {
+		for (const {server} of pipeline) {
+			this.add(server, tokens, 1);
+		}
+
 		let isRunning = true;
 		return () => {
 			if (!isRunning) {
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,6 +1,7 @@
 import {isRepeatable} from '../catalog/route.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
+import {type PipelineRequest} from '../pipelines/pipeline-selector.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {Execution} from '../results/execution.js';
@@ -63,21 +64,27 @@
 		return this.currentAttempt ? now - this.progress.lastReceivedAt : 0;
 	}
 
-	/** Moves the stream to a pipeline without the faulty stage. If the faulty stage is not known, the first stage is avoided where possible. */
+	/**
+	Moves a silent stream to a pipeline without the faulty stage, or without the first stage if the faulty one is not known.
+
+	The silent stage may continue, so the current attempt is kept until another pipeline can take the stream over.
+	*/
 	migrate(faulty: BackendServer | undefined, reason: string): void {
-		if (this.isDone || !this.currentAttempt) {
+		if (this.isDone || !this.currentAttempt || !this.mayResume) {
 			return;
 		}
 
-		this.currentAttempt.cancel();
-		if (faulty) {
-			this.selector.exclude(faulty);
-		} else {
-			this.selector.avoid(this.firstServer);
+		this.selector.avoid(faulty ?? this.firstServer);
+		const now = this.dependencies.timers.now();
+		const alternative = this.findAlternative(now);
+		if (!alternative || !this.tryAcquireRetry()) {
+			return;
 		}
 
+		this.currentAttempt.cancel();
+		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
 		this.endAttempt();
-		this.resumeOrFail(reason);
+		this.send(alternative, now);
 	}
 
 	receiveHead(head: ResponseHead): void {
@@ -97,7 +104,12 @@
 		}
 
 		const now = this.dependencies.timers.now();
-		for (const event of progress.receive(chunk, now)) {
+		const events = progress.receive(chunk, now);
+		if (events.length > 0) {
+			this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
+		}
+
+		for (const event of events) {
 			this.forward(event.bytes, head);
 			progress.recordDelivery(event, now);
 		}
@@ -182,25 +194,42 @@
 		return this.pipeline![0].server;
 	}
 
+	private get pipelineRequest(): Omit<PipelineRequest, 'excluded'> {
+		const {request, streamDependencies: {model}} = this;
+		return {
+			service: request.service.name, model, tokens: this.expectedTokens, firstStageCandidates: this.executions.allowedIncarnations,
+		};
+	}
+
+	/** Tokens that the request is expected to hold. The caller's bound on the answer is far above the length of most answers. */
+	private get expectedTokens(): number {
+		const {request, streamDependencies: {model}} = this;
+		return request.promptTokens + Math.min(request.maxAnswerTokens, model.usualAnswer);
+	}
+
+	/** Finds a pipeline that can take over the current attempt, whose own load does not count. */
+	private findAlternative(now: number): Pipeline | undefined {
+		this.releaseLoad?.();
+		const alternative = this.selector.selectAlternative(this.pipelineRequest, now);
+		this.releaseLoad = this.dependencies.load.hold(this.pipeline!, this.expectedTokens);
+		return alternative;
+	}
+
 	private tryStart(): boolean {
-		const {dependencies, request, streamDependencies} = this;
+		const {dependencies} = this;
 		const now = dependencies.timers.now();
-		// The caller's bound on the answer is far above the length of most answers.
-		const tokens = request.promptTokens + Math.min(request.maxAnswerTokens, streamDependencies.model.usualAnswer);
-		const pipeline = this.selector.select({
-			service: request.service.name, model: streamDependencies.model, tokens, firstStageCandidates: this.executions.allowedIncarnations,
-		}, now);
+		const pipeline = this.selector.select(this.pipelineRequest, now);
 		// A retry stays queued until the retry budget allows it.
 		if (!pipeline || (this.attemptCount > 0 && !this.tryAcquireRetry())) {
 			return false;
 		}
 
-		this.send(pipeline, tokens, now);
+		this.send(pipeline, now);
 		return true;
 	}
 
-	private send(pipeline: Pipeline, tokens: number, now: number): void {
-		const {dependencies, request, progress} = this;
+	private send(pipeline: Pipeline, now: number): void {
+		const {dependencies, request, progress, expectedTokens: tokens} = this;
 		const [{server}] = pipeline;
 		this.pipeline = pipeline;
 		this.queueEntry = undefined;
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -34,7 +34,7 @@
 	readonly rejectionThreshold: number;
 	/** Minimum interval between two health checks of a server. */
 	readonly healthCheckInterval: number;
-	/** Silence after which the slowdown factors of all stages are queried. */
+	/** Silence after which the slowdown factors of all stages are queried, and after which a stream with a suspected stage is migrated. */
 	readonly slownessThreshold: number;
 	/** Minimum interval between two queries of a stage's slowdown factor. */
 	readonly slownessQueryInterval: number;
@@ -77,11 +77,13 @@
 		}
 	}
 
-	/** Migrates all streams that use a server, because it is suspected to be down. */
+	/** Migrates the silent streams that use a server, because it is suspected. Streams that receive events show that it works for them. */
 	migrateStreamsFrom(server: BackendServer, reason: string): void {
 		const incarnationId = getIncarnationId(server);
+		const now = this.dependencies.timers.now();
 		for (const exchange of this.dependencies.exchanges.streams) {
-			if (exchange.stages?.some(stage => getIncarnationId(stage.server) === incarnationId)) {
+			const usesServer = exchange.stages?.some(stage => getIncarnationId(stage.server) === incarnationId);
+			if (usesServer && exchange.computeSilence(now) >= this.timings.slownessThreshold) {
 				exchange.migrate(server, reason);
 			}
 		}
@@ -93,19 +95,16 @@
 		for (const exchange of this.dependencies.exchanges.streams) {
 			const silence = exchange.computeSilence(now);
 			const firstServer = exchange.stages?.[0].server;
-			if (firstServer && silence >= this.timings.slownessThreshold) {
-				this.querySlowdowns(exchange, now);
-			}
-
-			if (!firstServer || silence < this.timings.blockedQueryThreshold) {
+			if (!firstServer || silence < this.timings.slownessThreshold) {
 				continue;
 			}
 
-			if (silence >= this.timings.silenceTimeout) {
-				exchange.migrate(undefined, `no event for ${Math.round(silence)} ms`);
-			} else {
+			this.querySlowdowns(exchange, now);
+			if (silence >= this.timings.blockedQueryThreshold) {
 				silentFirstStages.set(getIncarnationId(firstServer), firstServer);
 			}
+
+			this.migrateSilentStream(exchange, silence, now);
 		}
 
 		for (const [incarnationId, server] of silentFirstStages) {
@@ -116,6 +115,16 @@
 		}
 	}
 
+	/** Migrates a silent stream that has a suspected stage or has been silent for long. */
+	private migrateSilentStream(exchange: StreamExchange, silence: number, now: number): void {
+		const suspected = exchange.stages!.find(({server}) => this.dependencies.serverHealth.isSuspected(server, now));
+		if (suspected) {
+			exchange.migrate(suspected.server, `${suspected.server.id} is suspected, and no event arrived for ${Math.round(silence)} ms`);
+		} else if (silence >= this.timings.silenceTimeout) {
+			exchange.migrate(undefined, `no event for ${Math.round(silence)} ms`);
+		}
+	}
+
 	/** Whether the server may be asked for its health or state; it may not while it wants no requests. */
 	private mayQuery(server: BackendServer): boolean {
 		return !this.dependencies.serverHealth.isPaused(server, this.dependencies.timers.now());
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -6,7 +6,7 @@
 export class StreamPipelineSelector {
 	/** Incarnation ids of stages that were found faulty during this stream. */
 	private readonly excluded = new Set<string>();
-	/** Incarnation ids of first stages on which the stream went silent without a known cause. */
+	/** Incarnation ids of stages on which the stream went silent. */
 	private readonly avoided = new Set<string>();
 
 	constructor(private readonly selector: PipelineSelector) {}
@@ -16,14 +16,19 @@
 		this.excluded.add(getIncarnationId(server));
 	}
 
-	/** Avoids a first stage on which the stream went silent; it is selected again only if there is no alternative. */
+	/** Avoids a stage on which the stream went silent; it is selected again only if there is no alternative. */
 	avoid(server: BackendServer): void {
 		this.avoided.add(getIncarnationId(server));
 	}
 
 	/** Selects the pipeline to use now; returns undefined if none has capacity. */
 	select(request: Omit<PipelineRequest, 'excluded'>, now: number): Pipeline | undefined {
-		const preferred = this.selector.select({...request, excluded: new Set([...this.excluded, ...this.avoided])}, now);
-		return preferred ?? (this.avoided.size > 0 ? this.selector.select({...request, excluded: this.excluded}, now) : undefined);
+		return this.selectAlternative(request, now)
+			?? (this.avoided.size > 0 ? this.selector.select({...request, excluded: this.excluded}, now) : undefined);
+	}
+
+	/** Selects a pipeline without avoided stages; returns undefined if none has capacity. */
+	selectAlternative(request: Omit<PipelineRequest, 'excluded'>, now: number): Pipeline | undefined {
+		return this.selector.select({...request, excluded: new Set([...this.excluded, ...this.avoided])}, now);
 	}
 }
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -121,6 +121,21 @@
 	t.true(serverHealth.isUsable(server, 6700) && serverHealth.isHealthy(server));
 });
 
+// Guards against a sound server that was silent for a moment and stays without work although its streams go on.
+test('an event of a stream refutes a suspicion that a stage does not work, but not that it says that it is failing', t => {
+	const server = sampleServer('a1', 'large', {from: 0, to: 80});
+	const pipeline = [{server, range: {from: 0, to: 80}}];
+	const serverHealth = new ServerHealthTracker(healthTimings, new RecordingLog());
+	serverHealth.suspect(server, 'it does not respond', 0, SuspicionCause.Unresponsive);
+	serverHealth.recordPipelineProgress(pipeline, 50);
+	t.true(serverHealth.isSuspected(server, 50), 'the event may have been sent before the server stopped');
+	serverHealth.recordPipelineProgress(pipeline, 250);
+	t.true(serverHealth.isUsable(server, 250));
+	serverHealth.suspect(server, 'it is leaving', 300, SuspicionCause.Failing);
+	serverHealth.recordPipelineProgress(pipeline, 900);
+	t.true(serverHealth.isSuspected(server, 900));
+});
+
 test('a server whose entry expired during an outage of the list is kept until the list has recovered', t => {
 	const timers = new ManualTimerService();
 	const directory = new ServerDirectory(timers, new RecordingLog());
