Let simulated stages crash on a prompt part, restart, and fall silent

Callers' requests on a certain prompt part can end the process of each backend server that begins to answer them, and a server can be silent for a while without any fault. No process-level test could show either, because the simulated stages never ended and had one incarnation.

A stage can now crash just before the first event of a stream whose prompt has a given part other than as its last one: its connections are reset, its port refuses connections, and after a settable pause it listens again as a new incarnation without layers. It refuses requests for an earlier incarnation with status 421, as not executed. It can also be silent within a stream; it answers later what arrives meanwhile. Where a test asks for it, the stages' entries in the server list follow their layers and restarts, and the entry of an ended incarnation is removed some seconds later.

--- a/simulators/stage-simulator.ts
+++ b/simulators/stage-simulator.ts
@@ -1,10 +1,7 @@
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import * as z from 'zod';
-import {listen} from '../src/network/listen.js';
 import {type TimerService} from '../src/time/timer-service.js';
-import {getListeningPort} from './json-server.js';
+import {RestartableServer} from './restartable-server.js';
 
 const orderSchema = z.object({from: z.number(), to: z.number(), expectedRevision: z.number().optional()});
 
@@ -17,6 +14,10 @@
 	readonly remaining: number;
 	readonly lastEventId?: number;
 	readonly body: string;
+	/** Ids of the parts of its prompt, in order. */
+	readonly promptParts: readonly string[];
+	/** Whether it was refused without being executed because it names another incarnation. */
+	readonly isMisdirected: boolean;
 	/** Whether the connection closed before the response was complete. */
 	wasAborted: boolean;
 };
@@ -33,8 +34,16 @@
 	isUnframed?: boolean;
 	/** Status with which requests are refused without being executed. */
 	rejectionStatus?: number;
+	/** Id of a prompt part; a stream on a prompt with this part, other than as its last one, crashes the simulator just before its first event. */
+	crashingPart?: string;
+	/** Milliseconds from a crash until the next incarnation listens. */
+	restartPause: number;
+	/** Milliseconds for which the simulator is silent after the first event of the next stream; it sends nothing then and answers later whatever arrives. */
+	pauseWithinStream?: number;
 };
 
+const misdirectedStatus = 421;
+
 async function readText(message: IncomingMessage): Promise<string> {
 	let text = '';
 	for await (const chunk of message) {
@@ -49,34 +58,73 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
-/** Simulates a backend server of the platform: it accepts orders for layer ranges, streams events for pipeline requests, and answers plain requests. */
+/** Returns the ids of the parts in a header such as `5c1e07a2:800,e4402b7d:250`. */
+function parsePromptParts(header: string | undefined): readonly string[] {
+	return header === undefined ? [] : header.split(',').map(entry => entry.trim().split(':')[0].toLowerCase());
+}
+
+/** Simulates a backend server of the platform: it accepts orders for layer ranges, streams events for pipeline requests, and answers plain requests. After a crash it starts again at the same address as a new incarnation, without layers. */
 export class StageSimulator {
 	readonly receivedRequests: ReceivedRequest[] = [];
-	readonly behaviour: StageBehaviour = {events: 5, pause: 5};
+	readonly behaviour: StageBehaviour = {events: 5, pause: 5, restartPause: 1000};
 	orderCount = 0;
 	range: {from: number; to: number} | null = null; // eslint-disable-line @typescript-eslint/no-restricted-types
-	private readonly server: Server;
+	/** Number of crashes so far. */
+	crashes = 0;
+	private readonly server: RestartableServer;
+	private silence: Promise<void> = Promise.resolve();
 
-	constructor(readonly id: string, readonly startedAt: number, private readonly timers: TimerService) {
-		this.server = createServer((message, response) => {
+	constructor(private readonly firstId: string, private readonly firstStartedAt: number, private readonly timers: TimerService) {
+		this.server = new RestartableServer((message, response) => {
 			void this.route(message, response);
-		});
+		}, timers);
+	}
+
+	/** Id of the current incarnation, or of the next one while none runs. */
+	get id(): string {
+		return this.crashes === 0 ? this.firstId : `${this.firstId}-${this.crashes}`;
+	}
+
+	/** Start of the incarnation in milliseconds since the Unix epoch. */
+	get startedAt(): number {
+		return this.firstStartedAt + this.crashes;
+	}
+
+	get port(): number {
+		return this.server.port;
+	}
+
+	/** Whether an incarnation runs. */
+	get isRunning(): boolean {
+		return this.server.isListening;
 	}
 
 	async listen(port: number): Promise<number> {
-		await listen(this.server, '127.0.0.1', port);
-		return getListeningPort(this.server);
+		return this.server.listen(port);
 	}
 
 	async close(): Promise<void> {
-		this.server.closeAllConnections();
-		await new Promise(resolve => {
-			this.server.close(resolve);
-		});
+		await this.server.close();
 	}
 
 	private async route(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		const body = await readText(message);
+		let body: string;
+		try {
+			body = await readText(message);
+		} catch (error) {
+			if (message.destroyed) {
+				// The connection closed before the request was complete.
+				return;
+			}
+
+			throw error;
+		}
+
+		await this.silence;
+		if (response.destroyed) {
+			return;
+		}
+
 		if (message.url === '/v1/report') {
 			response.end(JSON.stringify({
 				sequence: this.orderCount, born: this.startedAt, busy: false, pace: 1, layers: this.range,
@@ -105,6 +153,7 @@
 
 	private async answerRequest(message: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
 		const lastEventId = getHeader(message, 'last-event-id');
+		const expectedId = getHeader(message, 'siskinnotch-expected-replica');
 		const arrival: ReceivedRequest = {
 			id: getHeader(message, 'siskinnotch-attempt-id') ?? '',
 			path: message.url ?? '',
@@ -113,6 +162,8 @@
 			remaining: Number(getHeader(message, 'siskinnotch-deadline-remaining')),
 			lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
 			body,
+			promptParts: parsePromptParts(getHeader(message, 'siskinnotch-prompt-prefix')),
+			isMisdirected: expectedId !== undefined && expectedId !== this.id,
 			wasAborted: false,
 		};
 		this.receivedRequests.push(arrival);
@@ -120,13 +171,18 @@
 			arrival.wasAborted ||= !response.writableFinished;
 		});
 		response.setHeader('Siskinnotch-Attempt-Id', arrival.id);
+		if (arrival.isMisdirected) {
+			response.writeHead(misdirectedStatus, {'Siskinnotch-Not-Executed': '1'}).end();
+			return;
+		}
+
 		if (this.behaviour.rejectionStatus !== undefined) {
 			response.writeHead(this.behaviour.rejectionStatus, {'Siskinnotch-Not-Executed': '1'}).end();
 			return;
 		}
 
 		response.setHeader('Siskinnotch-Replica-Signature', `signature of ${this.id}`);
-		await (arrival.pipeline === undefined ? this.answerPlainRequest(response) : this.streamEvents(response, arrival.lastEventId ?? 0));
+		await (arrival.pipeline === undefined ? this.answerPlainRequest(response) : this.streamEvents(response, arrival));
 	}
 
 	private async answerPlainRequest(response: ServerResponse): Promise<void> {
@@ -140,12 +196,20 @@
 		response.end(`answer of ${this.id}`);
 	}
 
-	private async streamEvents(response: ServerResponse, after: number): Promise<void> {
-		const {events, pause, breakWithinEvent: dieWithin} = this.behaviour;
+	private async streamEvents(response: ServerResponse, arrival: ReceivedRequest): Promise<void> {
+		const {events, pause, breakWithinEvent: dieWithin, pauseWithinStream: silenceMs} = this.behaviour;
 		this.behaviour.breakWithinEvent = undefined;
+		this.behaviour.pauseWithinStream = undefined;
 		response.writeHead(200, {'content-type': 'text/event-stream'});
-		for (let id = after + 1; id <= events && !response.destroyed; id++) {
+		const first = (arrival.lastEventId ?? 0) + 1;
+		for (let id = first; id <= events && !response.destroyed; id++) {
 			await this.timers.sleep(pause); // eslint-disable-line no-await-in-loop
+			await this.silence; // eslint-disable-line no-await-in-loop
+			if (id === first && this.hasCrashingPart(arrival) && !response.destroyed) {
+				await this.crash(); // eslint-disable-line no-await-in-loop
+				return;
+			}
+
 			if (id === dieWithin) {
 				response.write(`id: ${id}\ndata: ha`);
 				await this.timers.sleep(pause); // eslint-disable-line no-await-in-loop
@@ -154,8 +218,25 @@
 			}
 
 			response.write(`id: ${id}\ndata: token ${id}\n\n`);
+			if (id === first && silenceMs !== undefined) {
+				this.silence = this.timers.sleep(silenceMs);
+			}
 		}
 
 		response.end();
 	}
+
+	private hasCrashingPart({promptParts}: ReceivedRequest): boolean {
+		const {crashingPart} = this.behaviour;
+		return crashingPart !== undefined && promptParts.slice(0, -1).includes(crashingPart);
+	}
+
+	/** Ends the incarnation; the next one listens after a pause and has neither layers nor orders. */
+	private async crash(): Promise<void> {
+		this.crashes++;
+		this.range = null;
+		this.orderCount = 0;
+		this.silence = Promise.resolve();
+		await this.server.crash(this.behaviour.restartPause);
+	}
 }
--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -11,6 +11,7 @@
 import {ClockTimerService} from '../../src/time/clock-timer-service.js';
 import {StageSimulator} from '../../simulators/stage-simulator.js';
 import {StoreSimulator} from '../../simulators/store-simulator.js';
+import {StageHeartbeats} from './stage-heartbeats.js';
 
 /** A response as received by a caller. */
 export type CallerResponse = {
@@ -23,6 +24,7 @@
 
 const conditionTimeoutMs = 15_000;
 const pollIntervalMs = 25;
+const defaultStageCount = 4;
 const services = {model: 'svc-model', records: 'svc-records'};
 
 /** Creates an operator's configuration in the format of the platform. */
@@ -78,8 +80,8 @@
 /** Runs a router in a child process, with simulators for the platform's store and the backend servers. */
 export class RouterProcess {
 	/** Starts the simulators and the router, and waits until the router is ready and all layers are placed. */
-	static async start(): Promise<RouterProcess> {
-		const router = new RouterProcess();
+	static async start(stageCount = defaultStageCount): Promise<RouterProcess> {
+		const router = new RouterProcess(stageCount);
 		await router.startSimulators();
 		await router.startRouter();
 		await router.waitUntil(() => router.stages.every(({range}) => range !== null));
@@ -88,7 +90,7 @@
 
 	readonly timers = new ClockTimerService();
 	readonly store = new StoreSimulator(this.timers);
-	readonly stages = ['stage-a', 'stage-b', 'stage-c', 'stage-d'].map(id => new StageSimulator(id, 1000, this.timers));
+	readonly stages: readonly StageSimulator[];
 	readonly records = ['records-a', 'records-b'].map(id => new StageSimulator(id, 1000, this.timers));
 	/** Log lines written by the router. */
 	readonly logLines: string[] = [];
@@ -96,6 +98,19 @@
 	private settingsFile = '';
 	private child?: ChildProcess;
 	private sentRequests = 0;
+	private readonly heartbeats: StageHeartbeats;
+
+	constructor(stageCount = defaultStageCount) {
+		this.stages = [...'abcdefgh'].slice(0, stageCount).map(letter => new StageSimulator(`stage-${letter}`, 1000, this.timers));
+		this.heartbeats = new StageHeartbeats(this.stages, {
+			write: stage => {
+				this.listServer(stage, stage.port, 'ready');
+			},
+			remove: id => {
+				this.store.removeRow('servers', id);
+			},
+		}, this.timers);
+	}
 
 	/** Starts the simulators, lists them in the store and writes the settings file. */
 	async startSimulators(): Promise<void> {
@@ -162,6 +177,7 @@
 
 	/** Stops the router and the simulators. */
 	async stop(): Promise<void> {
+		this.heartbeats.stop();
 		this.signal('SIGKILL');
 		await this.waitForExit();
 		await Promise.all([this.store.close(), ...[...this.stages, ...this.records].map(async server => server.close())]);
@@ -197,14 +213,20 @@
 		}
 	}
 
+	/** From now on, the entries of the stages in the server list follow their layers and their restarts. */
+	startHeartbeats(): void {
+		this.heartbeats.start();
+	}
+
 	/** Sends a request as a caller. Resolves also if the response ends prematurely; rejects if there is none. */
-	async send(target: string, options: {method?: string; body?: string; key?: string; leaveAfter?: number} = {}): Promise<CallerResponse> {
+	async send(target: string, options: {method?: string; body?: string; key?: string; leaveAfter?: number; promptParts?: string} = {}): Promise<CallerResponse> {
 		const headers: Record<string, string> = {
 			host: 'site.example',
 			'siskinnotch-attempt-id': `attempt-${++this.sentRequests}`,
 			'siskinnotch-deadline-remaining': '5000',
 			'siskinnotch-token-usage': '100,50',
 			'x-api-key': options.key ?? 'key-1',
+			...(options.promptParts !== undefined && {'siskinnotch-prompt-prefix': options.promptParts}),
 		};
 		return new Promise((resolve, reject) => {
 			const request = startRequest({
