Refuse a body that turns out too large instead of ending the process

Callers saw: their connections closed without a reply, all those of the instance at once.

Cause: readBody left its loop over the message when the length passed the limit. That destroys the message and with it the connection, and the socket of the message is null afterwards, so that HttpCallerReply.isGone threw in the handler of the error. Nothing handles that rejection, so the process ended. It needs a body that passes the check of Content-Length: one without that header, or one that is on its way while a configuration lowers maxBodyBytes.

Change: the loop keeps the message and the connection, and the refusal is sent over it.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -135,7 +135,8 @@
 		}
 
 		try {
-			for await (const chunk of message as AsyncIterable<Uint8Array>) {
+			// Destroying the message would close the connection before the refusal is sent.
+			for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 				length += chunk.length;
 				if (length > this.maxBodyBytes) {
 					break;
--- /dev/null
+++ b/test/entry-server.test.ts
@@ -0,0 +1,79 @@
+import {request as startRequest, type ClientRequest} from 'node:http';
+import test, {type ExecutionContext} from 'ava';
+import {freePort} from '../harness/ports.js';
+import {EntryServer, type EntryServerDependencies} from '../src/entry/entry-server.js';
+import {Lifecycle} from '../src/lifecycle.js';
+import {Metrics} from '../src/observation/metrics.js';
+import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {RecordingLog} from './support/sample-fleet.js';
+
+const limits = {
+	maxHeaderBytes: 16_384, maxBodyBytes: 10_000, headerTimeout: 3000, idleTimeout: 15_000,
+};
+const chunk = 'x'.repeat(4000);
+
+/** Starts an entry server that accepts every route, and a request to it whose body the test sends. */
+async function startUpload(t: ExecutionContext, headers: Record<string, string>): Promise<{readonly server: EntryServer; readonly upload: ClientRequest; readonly headRead: Promise<void>}> {
+	const timers = new ManualTimerService();
+	let markHeadRead: () => void;
+	const headRead = new Promise<void>(resolve => {
+		markHeadRead = resolve;
+	});
+	const server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		authorizer: {
+			authorize() {
+				markHeadRead();
+				return {};
+			},
+		},
+		codec: {decodeRequest: () => ({id: 'r1', forwardedHeaders: []}), encodeReplyHeaders: () => []},
+		exchanges: {},
+		lifecycle: new Lifecycle(),
+		timers,
+		metrics: new Metrics(),
+		log: new RecordingLog(timers),
+	} as unknown as EntryServerDependencies);
+	server.setLimits(limits);
+	const port = await freePort();
+	await server.listen('127.0.0.1', port);
+	const upload = startRequest({
+		port, host: '127.0.0.1', method: 'POST', path: '/drafts/', headers,
+	});
+	t.teardown(() => {
+		upload.destroy();
+		server.stopListening();
+	});
+	return {server, upload, headRead};
+}
+
+async function receiveStatus(upload: ClientRequest): Promise<number | undefined> {
+	return new Promise((resolve, reject) => {
+		upload.once('response', ({statusCode}) => {
+			resolve(statusCode);
+		});
+		upload.once('error', reject);
+	});
+}
+
+// Guards against requests that get neither an answer nor a refusal: the connection must not be closed while the body is refused.
+test('a body without a length that turns out too large is refused', async t => {
+	const {upload} = await startUpload(t, {'transfer-encoding': 'chunked'});
+	const statusCode = receiveStatus(upload);
+	for (let count = 0; count < 20; count++) {
+		upload.write(chunk);
+	}
+
+	upload.end();
+	t.is(await statusCode, 413);
+});
+
+// Guards against requests that get neither an answer nor a refusal because the configuration changes while their body arrives.
+test('a body that a lowered limit forbids while it arrives is refused', async t => {
+	const {server, upload, headRead} = await startUpload(t, {'content-length': String(2 * chunk.length)});
+	const statusCode = receiveStatus(upload);
+	upload.write(chunk);
+	await headRead;
+	server.setLimits({...limits, maxBodyBytes: 5000});
+	upload.end(chunk);
+	t.is(await statusCode, 413);
+});
