Send a moved stream before queued requests may take its capacity

Callers saw: by reading, a stream that was moved away from a silent stage could be rejected by its new pipeline and then wait, with its earlier attempt already cancelled.

Cause: migrate selected an alternative, then ended the attempt, which starts queued requests, and only then sent the stream. A queued request could take the capacity that was just found.

Evidence: the new test on the commit before: the queued request started after one transmission instead of two. Not seen in a log.

Change: the load of the old attempt is released, the stream is sent, and only then are queued requests started.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -83,8 +83,10 @@
 
 		this.currentAttempt.cancel();
 		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
-		this.endAttempt();
+		this.release();
 		this.send(alternative, now);
+		// Not earlier, since a queued request could take the capacity of the alternative.
+		this.streamDependencies.requestQueue.dispatchReady();
 	}
 
 	receiveHead(head: ResponseHead): void {
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -227,3 +227,25 @@
 	t.is(fixture.reply.text, 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n');
 	t.true(fixture.reply.isEnded);
 });
+
+// Guards against streams that are cancelled for an alternative whose capacity a queued request takes first.
+test('a stream that moves takes its new pipeline before queued requests are started', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	const transmissions: number[] = [];
+	fixture.requestQueue.enqueue({
+		priority: 0,
+		onTimeDeadline: 1000,
+		queueDeadline: 1000,
+		tryStart() {
+			transmissions.push(fixture.sent.length);
+			return true;
+		},
+		onTimeout() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	});
+	fixture.pipeline = [{server: sampleServer('second', 'large', range, {address: '10.0.0.2:1'}), range}];
+	fixture.exchange.migrate(first, 'it does not respond');
+	t.deepEqual(transmissions, [2]);
+	t.is(fixture.load.getTokens(first), 0);
+});
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -154,6 +154,7 @@
 	/** The requests that the pipeline selector received. */
 	readonly pipelineRequests: PipelineRequest[] = [];
 	readonly exchange: StreamExchange;
+	readonly requestQueue = new RequestQueue(this.timers, {capacity: 10, dispatchInterval: 40});
 	/** The pipeline that the selector returns unless its first stage is excluded. */
 	pipeline?: Pipeline;
 
@@ -167,7 +168,7 @@
 					return this.pipeline && !request.excluded.has(getIncarnationId(this.pipeline[0].server)) ? this.pipeline : undefined;
 				},
 			} as unknown as PipelineSelector,
-			requestQueue: new RequestQueue(this.timers, {capacity: 10, dispatchInterval: 40}),
+			requestQueue: this.requestQueue,
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
 			},
