Let a stream return to a stage that paused when its current one is suspected

Callers saw: by reading, on a route that allows two servers, a stream whose first server paused and whose second one then stopped without closing the connection stayed there until its deadline, although the first one worked again.

Cause: a stage on which a stream fell silent is avoided for the rest of the stream, and an alternative to a running attempt was never one with an avoided stage. Once the route's servers are used up, only those may be selected.

Not seen in a log.

Change: if there is no other pipeline and the current stage is known to be silent, only that stage and those found faulty are left out. The selector still leaves out suspected servers. A stream that is merely silent does not return, so that slow stages do not pass it back and forth; each return takes a retry from the budget.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -76,7 +76,7 @@
 
 		this.selector.avoid(faulty ?? this.firstServer);
 		const now = this.dependencies.timers.now();
-		const alternative = this.findAlternative(now);
+		const alternative = this.findAlternative(faulty, now);
 		if (!alternative || !this.tryAcquireRetry()) {
 			return;
 		}
@@ -210,9 +210,9 @@
 	}
 
 	/** Finds a pipeline that can take over the current attempt, whose own load does not count. */
-	private findAlternative(now: number): Pipeline | undefined {
+	private findAlternative(faulty: BackendServer | undefined, now: number): Pipeline | undefined {
 		this.releaseLoad?.();
-		const alternative = this.selector.selectAlternative(this.pipelineRequest, now);
+		const alternative = this.selector.selectAlternative(this.pipelineRequest, now, faulty);
 		this.releaseLoad = this.dependencies.load.hold(this.pipeline!, this.expectedTokens);
 		return alternative;
 	}
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -27,8 +27,14 @@
 			?? (this.avoided.size > 0 ? this.selector.select({...request, excluded: this.excluded}, now) : undefined);
 	}
 
-	/** Selects a pipeline without avoided stages; returns undefined if none has capacity. */
-	selectAlternative(request: Omit<PipelineRequest, 'excluded'>, now: number): Pipeline | undefined {
-		return this.selector.select({...request, excluded: new Set([...this.excluded, ...this.avoided])}, now);
+	/**
+	Selects a pipeline without avoided stages, to replace one that is in use.
+
+	@param faulty - a stage that is known to be silent now; stages that were avoided before it are then used if there is no other pipeline, since they may work again
+	@returns undefined if no pipeline has capacity
+	*/
+	selectAlternative(request: Omit<PipelineRequest, 'excluded'>, now: number, faulty?: BackendServer): Pipeline | undefined {
+		const preferred = this.selector.select({...request, excluded: new Set([...this.excluded, ...this.avoided])}, now);
+		return preferred ?? (faulty && this.avoided.size > 1 ? this.selector.select({...request, excluded: new Set([...this.excluded, getIncarnationId(faulty)])}, now) : undefined);
 	}
 }
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -249,3 +249,22 @@
 	t.deepEqual(transmissions, [2]);
 	t.is(fixture.load.getTokens(first), 0);
 });
+
+// Guards against streams that stay on a server that ended without a sign, while a server that only paused works again and is the only one their route still allows.
+test('a stream returns to a stage that fell silent before if its current one is suspected and there is no other', t => {
+	const fixture = new StreamExchangeFixture();
+	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.pipeline = [{server: second, range}];
+	fixture.exchange.migrate(first, 'it does not respond');
+	t.is(fixture.sent.length, 2);
+	fixture.exchange.migrate(second, 'it does not respond');
+	t.is(fixture.sent.length, 2, 'a stage does not replace itself');
+	fixture.pipeline = pipeline;
+	fixture.exchange.migrate(undefined, 'no event');
+	t.is(fixture.sent.length, 2, 'a stage that may only be slow is not left for one that was silent before');
+	fixture.exchange.migrate(second, 'it does not respond');
+	t.is(fixture.sent.length, 3);
+	t.is(fixture.sent[2].attempt.server, first);
+});
