Settle past minutes one pass at a time

Callers saw: nothing at first; a workspace could use more than its tokens of a minute while the table answered. Cause: settlement of past minutes is started every 5 s. If a pass was still running, the next one settled the same allowances, and both removed them. The second removal did not find its allowance and removed the last one, that of the current minute. The next grant then counted all grants of the minute as unused. Why it works: a pass does nothing while another one is running, so each allowance is removed once. The next pass takes what is left.

--- a/src/usage/usage-meter.ts
+++ b/src/usage/usage-meter.ts
@@ -44,6 +44,7 @@
 export class UsageMeter {
 	private readonly allowances = new Map<string, Allowance[]>();
 	private readonly refills = new Map<string, Promise<void>>();
+	private isSettling = false;
 
 	constructor(private readonly dependencies: UsageMeterDependencies) {
 		dependencies.timers.repeat(settleIntervalMs, () => {
@@ -148,8 +149,13 @@
 		}
 	}
 
-	/** Writes the usage of past windows that have no running streams. */
+	/** Writes the usage of past windows that have no running streams. Does nothing while an earlier call is in progress. */
 	private async settlePastWindows(): Promise<void> {
+		if (this.isSettling) {
+			return;
+		}
+
+		this.isSettling = true;
 		const window = getWindow(this.dependencies.timers.wallClock());
 		for (const [workspace, allowances] of this.allowances) {
 			for (const allowance of allowances.filter(candidate => candidate.window < window && candidate.reserved === 0)) {
@@ -161,6 +167,8 @@
 				}
 			}
 		}
+
+		this.isSettling = false;
 	}
 
 	private async writeUsage(workspace: string, allowance: Allowance): Promise<void> {
