Refuse a request for its tokens only when its own minute is granted out

Callers saw: a workspace far below its limits was refused with TokenLimitReached or StreamLimitReached. Cause, in four ways: - A grant that was written while the minute ended counted for the past minute. The request that had asked for it found the new minute empty and was refused; those that waited for the same grant asked again and were served. - Requests that arrived together shared a grant sized for the first of them, and each checked that it was enough before any had reserved from it. - The shared grant was checked for tokens only, and its streams did not depend on the number of waiting requests. - After an outage the next grant did not cover what had been used in it. Why it works: the requests of a workspace that wait share one grant at a time, sized for all of them and for what was used beyond the grants. After it they are served in order. One is refused only if the table granted less than was asked in the minute that still runs, or granted nothing and the outage allowance is used up. Otherwise it waits for the next grant. The limit and the outage allowance are unchanged: a grant never exceeds what the row has left.

--- a/src/usage/allowance.ts
+++ b/src/usage/allowance.ts
@@ -55,6 +55,15 @@
 		return this.grantedTokens + this.outageTokens - this.reservedTokens - this.usedTokens;
 	}
 
+	/**
+	Tokens by which the grants fall short of those used, reserved and additionally needed; negative if they suffice. The outage allowance does not count, so that a later grant also covers what was used from it.
+
+	@param tokens - tokens additionally needed
+	*/
+	computeShortage(tokens: number): number {
+		return this.reservedTokens + this.usedTokens + tokens - this.grantedTokens;
+	}
+
 	/** Sets the totals granted by the table for this window. */
 	applyGrant(tokens: number, streams: number): void {
 		this.grantedTokens = tokens;
--- a/src/usage/usage-meter.ts
+++ b/src/usage/usage-meter.ts
@@ -8,26 +8,36 @@
 import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {Allowance, AllowanceRefusal} from './allowance.js';
-import {addGrant} from './grant-request.js';
+import {addGrant, type GrantRequest} from './grant-request.js';
+import {type Reservation} from './reservation.js';
 import {
 	type UsageRecord, usageRecordSchema, getUsageRowKey, getWindow, windowMs,
 } from './usage-record.js';
-
-/** Tokens and one stream reserved for a request. */
-export type Reservation = {
-	readonly workspace: string;
-	readonly allowance: Allowance;
-	readonly tokens: number;
-};
+import {type WaitingRequest} from './waiting-request.js';
 
 const grantsPerWindow = 16;
 const maximumTries = 5;
 const settleIntervalMs = 5000;
+const noLimits: ReadonlySet<AllowanceRefusal> = new Set();
 
 function parseUsage(row: Row | undefined): UsageRecord {
 	return row ? usageRecordSchema.parse(JSON.parse(row.value)) : {holders: {}};
 }
 
+/** Returns the limits that kept the table from granting all that was requested. */
+function findReachedLimits(request: GrantRequest, {granted, streams}: {readonly granted: number; readonly streams: number}): ReadonlySet<AllowanceRefusal> {
+	const limits = new Set<AllowanceRefusal>();
+	if (granted < request.granted + request.tokens) {
+		limits.add(AllowanceRefusal.Tokens);
+	}
+
+	if (streams < request.streams) {
+		limits.add(AllowanceRefusal.Streams);
+	}
+
+	return limits;
+}
+
 /** Dependencies of the usage meter. */
 export type UsageMeterDependencies = {
 	readonly table: Table;
@@ -43,7 +53,8 @@
 /** Charges tokens to workspaces and enforces their limits across all instances by reserving grants from the table in advance. */
 export class UsageMeter {
 	private readonly allowances = new Map<string, Allowance[]>();
-	private readonly refills = new Map<string, Promise<void>>();
+	/** Requests that wait for a grant, by workspace. A workspace has an entry while a grant is requested for it. */
+	private readonly waiting = new Map<string, WaitingRequest[]>();
 	private isSettling = false;
 
 	constructor(private readonly dependencies: UsageMeterDependencies) {
@@ -58,24 +69,23 @@
 	@throws Failure with the code TokenLimitReached or StreamLimitReached
 	*/
 	async reserve(workspace: Workspace, tokens: number): Promise<Reservation> {
-		let allowance = this.getAllowance(workspace);
-		let refusal = allowance.reserve(tokens);
-		if (refusal) {
-			await this.refill(workspace, tokens);
-			allowance = this.getAllowance(workspace);
-			refusal = allowance.reserve(tokens);
-		}
-
-		if (refusal === AllowanceRefusal.Streams) {
-			throw new Failure(ResultCode.StreamLimitReached, `${workspace.name} has reached its limit of ${workspace.concurrentStreams} concurrent streams`);
-		}
-
-		if (refusal === AllowanceRefusal.Tokens) {
-			const secondsToNextWindow = Math.ceil((windowMs - (this.dependencies.timers.wallClock() % windowMs)) / 1000);
-			throw new Failure(ResultCode.TokenLimitReached, `${workspace.name} has reached its limit of ${workspace.tokensPerMinute} tokens per minute`, undefined, secondsToNextWindow);
+		const allowance = this.getAllowance(workspace.name);
+		if (allowance.reserve(tokens) === undefined) {
+			return {workspace: workspace.name, allowance, tokens};
 		}
 
-		return {workspace: workspace.name, allowance, tokens};
+		return new Promise((resolve, reject) => {
+			const request = {
+				workspace, tokens, resolve, reject,
+			};
+			const waiting = this.waiting.get(workspace.name);
+			if (waiting) {
+				waiting.push(request);
+			} else {
+				this.waiting.set(workspace.name, [request]);
+				void this.refill(workspace.name);
+			}
+		});
 	}
 
 	/** Ends a reservation and charges the tokens used, which must not exceed the tokens reserved. */
@@ -92,7 +102,7 @@
 	}
 
 	/** The allowance of the current window. A new one takes over the number of running streams. */
-	private getAllowance({name}: Workspace): Allowance {
+	private getAllowance(name: string): Allowance {
 		const window = getWindow(this.dependencies.timers.wallClock());
 		const allowances = this.allowances.get(name) ?? [];
 		this.allowances.set(name, allowances);
@@ -106,47 +116,95 @@
 		return allowance;
 	}
 
-	/** Requests a further grant. Concurrent requests for the same workspace share one if it suffices. */
-	private async refill(workspace: Workspace, tokens: number): Promise<void> {
-		const pending = this.refills.get(workspace.name);
-		if (pending) {
-			await pending;
-			if (this.getAllowance(workspace).remaining >= tokens) {
-				return;
-			}
+	/** Requests grants for a workspace, one at a time, until no request waits for one. */
+	private async refill(name: string): Promise<void> {
+		const waiting = this.waiting.get(name)!;
+		while (waiting.length > 0) {
+			const included = waiting.splice(0);
+			const {workspace} = included.at(-1)!;
+			const allowance = this.getAllowance(name);
+			const limits = await this.requestGrant(workspace, allowance, included); // eslint-disable-line no-await-in-loop
+			const current = this.getAllowance(name);
+			// A grant that arrives after the end of its window decides nothing for the next one.
+			const unserved = this.serve(current, included, current === allowance ? limits : noLimits);
+			// Requests that joined meanwhile were not part of the grant, but may fit into what it left.
+			const joined = this.serve(current, waiting.splice(0), noLimits);
+			waiting.push(...unserved, ...joined);
 		}
 
-		const refill = this.requestGrant(workspace, tokens);
-		this.refills.set(workspace.name, refill);
-		await refill;
-		if (this.refills.get(workspace.name) === refill) {
-			this.refills.delete(workspace.name);
+		this.waiting.delete(name);
+	}
+
+	/**
+	Reserves from an allowance for waiting requests, in order, and refuses those that exceed a limit.
+
+	@param limits - limits that have been reached; a request that exceeds another one continues to wait
+	@returns the requests that continue to wait
+	*/
+	private serve(allowance: Allowance, requests: readonly WaitingRequest[], limits: ReadonlySet<AllowanceRefusal>): readonly WaitingRequest[] {
+		return requests.filter(({workspace, tokens, resolve, reject}) => {
+			const refusal = allowance.reserve(tokens);
+			if (refusal === undefined) {
+				resolve({workspace: workspace.name, allowance, tokens});
+				return false;
+			}
+
+			if (limits.has(refusal)) {
+				reject(this.createFailure(workspace, refusal));
+				return false;
+			}
+
+			return true;
+		});
+	}
+
+	private createFailure(workspace: Workspace, refusal: AllowanceRefusal): Failure {
+		if (refusal === AllowanceRefusal.Streams) {
+			return new Failure(ResultCode.StreamLimitReached, `${workspace.name} has reached its limit of ${workspace.concurrentStreams} concurrent streams`);
 		}
+
+		const secondsToNextWindow = Math.ceil((windowMs - (this.dependencies.timers.wallClock() % windowMs)) / 1000);
+		return new Failure(ResultCode.TokenLimitReached, `${workspace.name} has reached its limit of ${workspace.tokensPerMinute} tokens per minute`, undefined, secondsToNextWindow);
 	}
 
-	private async requestGrant(workspace: Workspace, tokens: number): Promise<void> {
-		const allowance = this.getAllowance(workspace);
-		const instances = Math.max(1, this.dependencies.countInstances());
-		const tokenChunk = Math.max(tokens, Math.ceil(workspace.tokensPerMinute / (grantsPerWindow * instances)));
-		const streamChunk = Math.max(1, Math.ceil(workspace.concurrentStreams / (4 * instances)));
+	/**
+	Requests a grant that covers waiting requests. If the table is unavailable, opens the outage allowance.
+
+	@returns the limits that the grant has reached; without a grant, all
+	*/
+	private async requestGrant(workspace: Workspace, allowance: Allowance, waiting: readonly WaitingRequest[]): Promise<ReadonlySet<AllowanceRefusal>> {
 		try {
 			for (let attempt = 0; attempt < maximumTries; attempt++) {
 				const row = await this.dependencies.table.read(getUsageRowKey(workspace.name, allowance.window)); // eslint-disable-line no-await-in-loop
-				const record = addGrant(parseUsage(row), workspace, {
-					holder: this.dependencies.holder, granted: allowance.granted, tokens: tokenChunk, streams: allowance.running + streamChunk,
-				});
+				const request = this.createGrantRequest(workspace, allowance, waiting);
+				const record = addGrant(parseUsage(row), workspace, request);
 				const isWritten = await this.writeRow(workspace.name, allowance.window, row, record); // eslint-disable-line no-await-in-loop
 				if (isWritten) {
 					const own = record.holders[this.dependencies.holder];
 					allowance.applyGrant(own.granted, own.streams);
 					allowance.closeOutageAllowance();
-					return;
+					return findReachedLimits(request, own);
 				}
 			}
 		} catch (error) {
 			this.dependencies.log.warn(`No grant for ${workspace.name} could be obtained from the table, using the outage allowance: ${getErrorMessage(error)}.`);
 			allowance.openOutageAllowance(workspace, this.dependencies.countInstances());
 		}
+
+		return new Set(Object.values(AllowanceRefusal));
+	}
+
+	private createGrantRequest(workspace: Workspace, allowance: Allowance, waiting: readonly WaitingRequest[]): GrantRequest {
+		const instances = Math.max(1, this.dependencies.countInstances());
+		const tokenChunk = Math.ceil(workspace.tokensPerMinute / (grantsPerWindow * instances));
+		const streamChunk = Math.ceil(workspace.concurrentStreams / (4 * instances));
+		const waitingTokens = waiting.reduce((sum, {tokens}) => sum + tokens, 0);
+		return {
+			holder: this.dependencies.holder,
+			granted: allowance.granted,
+			tokens: Math.max(tokenChunk, allowance.computeShortage(waitingTokens)),
+			streams: allowance.running + Math.max(streamChunk, waiting.length),
+		};
 	}
 
 	/** Writes the usage of past windows that have no running streams. Does nothing while an earlier call is in progress. */
