Keep in mind that a suspected server says that it is failing

Callers saw: nothing shown; by reading, a leaving or failing server could get new requests while it was suspected.

Cause: the cause of a suspicion was set only when it began. If a server was first suspected for its silence and then said that it is failing or leaving, an event of any stream through it refuted both.

Change: the cause becomes Failing for the rest of the suspicion.

--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -67,6 +67,8 @@
 		const record = this.getOrCreateRecord(server);
 		record.hasEnded ||= cause === SuspicionCause.Refusing;
 		if (record.suspectUntil > now) {
+			// What the server itself says outweighs silence; an event does not refute it.
+			record.cause = cause === SuspicionCause.Failing ? cause : record.cause;
 			return false;
 		}
 
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -136,6 +136,17 @@
 	t.true(serverHealth.isSuspected(server, 900));
 });
 
+// Guards against a leaving or failing server that gets work again because it was first suspected for its silence.
+test('an event does not refute that a server is failing if it was already suspected for another cause', t => {
+	const server = sampleServer('a1', 'large', {from: 0, to: 80});
+	const serverHealth = new ServerHealthTracker(healthTimings, new RecordingLog());
+	serverHealth.suspect(server, 'it does not respond', 0, SuspicionCause.Unresponsive);
+	serverHealth.suspect(server, 'it is leaving', 100, SuspicionCause.Failing);
+	serverHealth.suspect(server, 'it does not respond', 150, SuspicionCause.Unresponsive);
+	serverHealth.recordPipelineProgress([{server, range: {from: 0, to: 80}}], 400);
+	t.true(serverHealth.isSuspected(server, 400));
+});
+
 test('a server whose entry expired during an outage of the list is kept until the list has recovered', t => {
 	const timers = new ManualTimerService();
 	const directory = new ServerDirectory(timers, new RecordingLog());
