Move the tracking of the lease holder out of the gossip service

What it knew of the holder of the placement lease from other instances is now src/peers/placement-holder.ts; no behaviour changes.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -12,6 +12,7 @@
 import {getIdDigest} from './peers/id-digest.js';
 import {PartnerSelector} from './peers/partner-selector.js';
 import {PeerLoads} from './peers/peer-loads.js';
+import {PlacementHolder} from './peers/placement-holder.js';
 import {ServerRumors} from './peers/server-rumors.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
@@ -136,7 +137,7 @@
 			suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize), directory, serverHealth, onSuspicion: events.onSuspicion,
 		}, rumorTimings),
 		serverLoad,
-		lease,
+		placementHolder: new PlacementHolder(lease),
 		timers,
 		random,
 		metrics,
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -1,5 +1,4 @@
 import {type InstanceRegistry, type RegisteredInstance} from '../entry/instance-registry.js';
-import {type Lease} from '../leases/lease.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
@@ -17,6 +16,7 @@
 import {type Fanout, type PartnerSelector} from './partner-selector.js';
 import {type PeerLoads} from './peer-loads.js';
 import {getIdDigest} from './id-digest.js';
+import {type PlacementHolder} from './placement-holder.js';
 import {type ServerRumors} from './server-rumors.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
@@ -30,7 +30,7 @@
 	readonly peerLoads: PeerLoads;
 	readonly rumors: ServerRumors;
 	readonly serverLoad: ServerLoad;
-	readonly lease: Lease;
+	readonly placementHolder: PlacementHolder;
 	readonly timers: TimerService;
 	readonly random: RandomSource;
 	readonly metrics: Metrics;
@@ -58,14 +58,6 @@
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
 
-/** The newest sign of the holder of the placement lease. */
-type PlacementHolder = {
-	/** 0 if no holder is known. */
-	readonly fencing: number;
-	/** Monotonic time in milliseconds. */
-	readonly seenAt: number;
-};
-
 /** Instances of other availability zones that the holder of the placement lease contacts in each round. */
 const holderFanout: Fanout = {near: 0, far: 2};
 
@@ -80,15 +72,15 @@
 	private scheduledFanout?: Fanout;
 	private isFetching = false;
 	private isRemoteFetchScheduled = false;
-	private placementHolder: PlacementHolder = {fencing: 0, seenAt: Number.NEGATIVE_INFINITY};
 
 	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {}
 
 	/** Starts the periodic rounds. */
 	start(): void {
-		this.dependencies.timers.repeat(this.timings.period, () => {
+		const {timers, placementHolder} = this.dependencies;
+		timers.repeat(this.timings.period, () => {
 			this.contactPartners(this.selectRoundFanout());
-			if (this.holdsPlacementLease) {
+			if (placementHolder.isSelf(timers.now())) {
 				this.contactPartners(holderFanout);
 			}
 		});
@@ -116,7 +108,7 @@
 
 	/** Monotonic time in milliseconds of the newest known sign of an instance that holds the placement lease; -Infinity before the first one. */
 	get placementHolderHeardAt(): number {
-		return this.placementHolder.seenAt;
+		return this.dependencies.placementHolder.heardAt;
 	}
 
 	exchange(message: GossipMessage): GossipMessage {
@@ -155,13 +147,9 @@
 		return {near, far: Math.min(contacts, Math.max(far, Math.min(maxFarContacts, contacts - near)))};
 	}
 
-	private get holdsPlacementLease(): boolean {
-		return this.dependencies.lease.isHeld(this.dependencies.timers.now());
-	}
-
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
 	private createMessage(recipientZone: string | undefined): GossipMessage {
-		const {self, tables, peerLoads, rumors, timers} = this.dependencies;
+		const {self, tables, peerLoads, rumors, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
@@ -172,7 +160,7 @@
 			// The form of the report depends on the recipient's zone, which is not known of a seed.
 			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
 			...rumors.getCurrent(now),
-			placing: this.describePlacementHolder(now),
+			placing: placementHolder.describe(now),
 		};
 	}
 
@@ -183,13 +171,13 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, rumors, tables, timers} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, tables, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		partners.recordContact(message.from.id);
 		instances.recordContact(message.from);
 		peerLoads.update(message.loads, now);
 		if (message.placing) {
-			this.receivePlacementHolder({fencing: message.placing.fencing, seenAt: now - message.placing.age - transitAllowanceMs});
+			placementHolder.receive({fencing: message.placing.fencing, seenAt: now - message.placing.age - transitAllowanceMs});
 		}
 
 		if (rumors.receive(message, now)) {
@@ -227,24 +215,6 @@
 		});
 	}
 
-	private describePlacementHolder(now: number): GossipMessage['placing'] {
-		const {lease} = this.dependencies;
-		if (lease.isHeld(now)) {
-			return {fencing: lease.fencing, age: 0};
-		}
-
-		const {fencing, seenAt} = this.placementHolder;
-		return fencing > 0 ? {fencing, age: Math.round(now - seenAt)} : undefined;
-	}
-
-	private receivePlacementHolder(holder: PlacementHolder): void {
-		if (holder.seenAt > this.placementHolder.seenAt) {
-			this.placementHolder = holder;
-		}
-
-		this.dependencies.lease.observeOtherHolder(holder.fencing);
-	}
-
 	/** Contacts partners soon; news that arrives until then is sent along. */
 	private scheduleSpread(fanout: Fanout): void {
 		if (this.scheduledFanout) {
