Pass crash reports and quarantines of prompt parts among the instances

Callers saw: nothing yet; no part reports crashes so far.

Crash reports and vindications are rumors like suspicions. A quarantine is a row of a fourth replicated table, written after a random delay so that instances that decide the same do not all write, repeated while the store fails until it expires, and written again when the store returns from an older copy.

Test: crash-gossip.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -8,6 +8,7 @@
 import {type ServerLoad} from './pipelines/server-load.js';
 import {type GossipClients} from './peers/gossip-clients.js';
 import {ByteBudget} from './peers/byte-budget.js';
+import {CrashRumors, type CrashEvents} from './peers/crash-rumors.js';
 import {GossipService} from './peers/gossip-service.js';
 import {getIdDigest} from './peers/id-digest.js';
 import {PartnerSelector} from './peers/partner-selector.js';
@@ -16,6 +17,7 @@
 import {ServerRumors} from './peers/server-rumors.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
+import {QuarantineRegister} from './quarantine/quarantine-register.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
 import {type TableFeed} from './replication/table-feed.js';
 import {TableName} from './replication/table-name.js';
@@ -32,6 +34,8 @@
 	readonly peerLoads: PeerLoads;
 	readonly gossip: GossipService;
 	readonly tables: TableSet;
+	/** Keeps the quarantines of prompt parts in the store. */
+	readonly quarantineRegister: QuarantineRegister;
 	readonly tableWatchers: readonly TableWatcher[];
 	/** Whether this instance is one of those that read the store in normal operation. */
 	readonly isStoreReader: () => boolean;
@@ -50,15 +54,19 @@
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
 	/** Holds a row for each instance. */
 	readonly instanceTable: Table;
+	/** Holds a row for each prompt part under quarantine. */
+	readonly quarantineTable: Table;
 	readonly feeds: Readonly<Record<TableName, TableFeed>>;
 };
 
 /** What the other parts of the router are told. */
-export type ControlEvents = {
+export type ControlEvents = CrashEvents & {
 	/** Called when instances were added or removed. */
 	readonly onInstancesChange: (instances: readonly RegisteredInstance[]) => void;
 	/** Called when a backend server becomes suspected because of reports of other instances. */
 	readonly onSuspicion: (server: BackendServer, reason: string) => void;
+	/** Called when the store has a new or changed quarantine of a prompt part that has not expired; `expiresAt` is Unix time in milliseconds. */
+	readonly onQuarantine: (part: string, expiresAt: number) => void;
 };
 
 type TablePolling = {
@@ -84,6 +92,10 @@
 };
 /** Durations in milliseconds. */
 const rumorTimings = {rumorLifetime: 3000, rumorMemory: 10_000};
+/** Durations in milliseconds. Writing is not urgent: the running instances learn of crashes through gossip. */
+const quarantineTimings = {
+	maxDelay: 3000, expiryTolerance: 10_000, retryPause: 2000, maxRetryPause: 60_000,
+};
 const bytesPerMegabit = 125_000;
 /** Time for which an unused part of the budget of bytes may be kept. */
 const gossipBurstSeconds = 2;
@@ -125,6 +137,12 @@
 	tables.onChange(TableName.Instances, table => {
 		instanceRegistry.update(table);
 	});
+	const quarantineRegister = new QuarantineRegister({
+		table: dependencies.quarantineTable, timers, random, log, onQuarantine: events.onQuarantine,
+	}, quarantineTimings);
+	tables.onChange(TableName.Quarantine, table => {
+		quarantineRegister.update(table);
+	});
 	const gossip = new GossipService({
 		self,
 		instances: instanceRegistry,
@@ -136,6 +154,7 @@
 		rumors: new ServerRumors(instance.id, timers.wallClock(), {
 			suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize), directory, serverHealth, onSuspicion: events.onSuspicion,
 		}, rumorTimings),
+		crashRumors: new CrashRumors(instance.id, timers.wallClock(), events, rumorTimings),
 		serverLoad,
 		placementHolder: new PlacementHolder(lease),
 		timers,
@@ -188,8 +207,9 @@
 		createTableWatcher(TableName.Catalog, {wait: store.configuration_wait, pauseAfterCall: 0}),
 		createTableWatcher(TableName.Servers, {wait: store.list_wait, pauseAfterCall: store.list_pause}),
 		createTableWatcher(TableName.Instances, {wait: store.instances_wait, pauseAfterCall: store.list_pause}),
+		createTableWatcher(TableName.Quarantine, {wait: store.instances_wait, pauseAfterCall: store.list_pause}),
 	];
 	return {
-		instanceRegistry, peerLoads, gossip, tables, tableWatchers, isStoreReader,
+		instanceRegistry, peerLoads, gossip, tables, quarantineRegister, tableWatchers, isStoreReader,
 	};
 }
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -1,31 +1,54 @@
 import * as z from 'zod';
 import {tablePositionSchema} from '../replication/table-position.js';
-import {TableName} from '../replication/table-name.js';
 import {tableUpdateSchema} from '../replication/table-update.js';
 import {loadReportSchema} from './load-report.js';
+import {originalTableNames} from './table-fields.js';
 
 const rumorHeader = {
 	origin: z.string(),
 	number: z.number().int(),
 	epoch: z.number(),
 	age: z.number().nonnegative(),
+};
+
+const serverRumorHeader = {
+	...rumorHeader,
 	/** Incarnation id of the backend server. */
 	life: z.string(),
 };
 
 const suspicionSchema = z.object({
-	...rumorHeader,
+	...serverRumorHeader,
 	/** Whether another backend server reports that it waits for this one; otherwise the origin itself could not reach it. */
 	isBlocking: z.boolean(),
 	reason: z.string(),
 });
 
 const rangeSchema = z.object({
-	...rumorHeader,
+	...serverRumorHeader,
 	from: z.number().int().nonnegative(),
 	to: z.number().int().positive(),
 });
 
+/** The ages are those at the start of the rumor, in milliseconds. */
+const crashSchema = z.object({
+	...serverRumorHeader,
+	/** Time since the crash. */
+	crashAge: z.number().nonnegative(),
+	suspects: z.array(z.object({
+		/** Id of a prompt part. */
+		part: z.string(),
+		/** Time since the latest request with the part was sent to the server. */
+		sentAge: z.number().nonnegative(),
+	})),
+});
+
+const vindicationSchema = z.object({
+	...rumorHeader,
+	/** Ids of prompt parts. */
+	parts: z.array(z.string()),
+});
+
 const instanceSchema = z.object({id: z.string(), availabilityZone: z.string(), peers: z.string()});
 
 const tableStatusSchema = z.object({
@@ -42,9 +65,12 @@
 export const gossipMessageSchema = z.object({
 	from: instanceSchema,
 	/** State of the sender's copies of the store's tables, by name of the table. */
-	tables: z.partialRecord(z.enum(TableName), tableStatusSchema),
+	tables: z.partialRecord(z.enum(originalTableNames), tableStatusSchema),
 	/** Rows that the recipient may lack. */
-	updates: z.partialRecord(z.enum(TableName), tableUpdateSchema),
+	updates: z.partialRecord(z.enum(originalTableNames), tableUpdateSchema),
+	/** The same for further tables, some of which the recipient may not know; absent if there are none. */
+	furtherTables: z.record(z.string(), tableStatusSchema).optional(),
+	furtherUpdates: z.record(z.string(), tableUpdateSchema).optional(),
 	/** Packed ages of the load reports that the sender has, by their source; in requests only. */
 	reportAges: z.string().default(''),
 	/** Whether the sender asks for all rows that it lacks; otherwise it is sent only a few. */
@@ -54,6 +80,10 @@
 	suspicions: z.array(suspicionSchema),
 	/** Layer ranges that backend servers loaded by order. */
 	ranges: z.array(rangeSchema),
+	/** Crashes of backend servers that an instance saw; absent if there are none. */
+	crashes: z.array(crashSchema).optional(),
+	/** Suspected prompt parts that an instance saw work; absent if there are none. */
+	vindications: z.array(vindicationSchema).optional(),
 	/** The newest sign of the holder of the placement lease; undefined if none is known. */
 	placing: z.object({
 		/** Fencing number under which it holds the lease. */
@@ -63,7 +93,7 @@
 	}).optional(),
 });
 
-/** Message in which an instance shares its load, and what it knows of the store's tables, suspicions and ordered ranges. */
+/** Message in which an instance shares its load, and what it knows of the store's tables, suspicions, ordered ranges and crashes. */
 export type GossipMessage = z.infer<typeof gossipMessageSchema>;
 
 /** A report that a backend server does not work. */
@@ -71,3 +101,9 @@
 
 /** A layer range that a backend server loaded by order. */
 export type LoadedRange = z.infer<typeof rangeSchema>;
+
+/** A report that a backend server crashed, with the prompt parts that may have caused it. */
+export type ReportedCrash = z.infer<typeof crashSchema>;
+
+/** A report that suspected prompt parts worked. */
+export type Vindication = z.infer<typeof vindicationSchema>;
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -7,9 +7,11 @@
 import {type TableName} from '../replication/table-name.js';
 import {type TablePosition} from '../replication/table-position.js';
 import {getErrorMessage} from '../results/to-failure.js';
+import {type CrashReport} from '../quarantine/crash-report.js';
 import {type RandomSource} from '../routing/random-source.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type ByteBudget} from './byte-budget.js';
+import {type CrashRumors} from './crash-rumors.js';
 import {type GossipClients} from './gossip-clients.js';
 import {type GossipMessage} from './gossip-message.js';
 import {type GossipReceiver} from './gossip-procedures.js';
@@ -29,6 +31,7 @@
 	readonly tables: TableExchange;
 	readonly peerLoads: PeerLoads;
 	readonly rumors: ServerRumors;
+	readonly crashRumors: CrashRumors;
 	readonly serverLoad: ServerLoad;
 	readonly placementHolder: PlacementHolder;
 	readonly timers: TimerService;
@@ -62,7 +65,7 @@
 const holderFanout: Fanout = {near: 0, far: 2};
 
 /**
-Exchanges loads, suspicions, ordered ranges and the rows of the store's tables with other instances.
+Exchanges loads, suspicions, ordered ranges, reports of crashes and the rows of the store's tables with other instances.
 
 Each instance contacts a fixed number of others in each round, and passes news on as soon as it first receives it, so that its work does not grow with their number (A. Demers et al., Epidemic algorithms for replicated database maintenance, PODC 1987).
 */
@@ -100,6 +103,20 @@
 		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
+	/** Reports to the other instances that this one saw a backend server crash. */
+	reportCrash(report: CrashReport): void {
+		const {crashRumors, timers} = this.dependencies;
+		crashRumors.addCrash(report, timers.now());
+		this.scheduleSpread(this.timings.rumorFanout);
+	}
+
+	/** Reports to the other instances that this one saw suspected prompt parts work. */
+	reportVindication(parts: readonly string[]): void {
+		const {crashRumors, timers} = this.dependencies;
+		crashRumors.addVindication(parts, timers.now());
+		this.scheduleSpread(this.timings.rumorFanout);
+	}
+
 	/** Passes a change of a table on to the other instances. */
 	reportTableChange(name: TableName, previous: TablePosition | undefined): void {
 		this.dependencies.tables.recordChange(name, previous, this.dependencies.timers.now());
@@ -116,11 +133,11 @@
 		const isNear = message.from.availabilityZone === self.availabilityZone;
 		this.receive(message);
 		const {from, reportAges} = message;
-		const answer = this.createMessage(from.availabilityZone);
+		const {furtherUpdates, ...answer} = this.createMessage(from.availabilityZone);
 		return {
 			...answer,
 			loads: [...answer.loads, ...peerLoads.selectReports(from.availabilityZone, reportAges, timers.now())],
-			updates: isNear || message.wantsRows ? tables.getMissingUpdates(message) : {},
+			...(isNear || message.wantsRows ? tables.getMissingUpdates(message) : {updates: {}}),
 		};
 	}
 
@@ -149,17 +166,18 @@
 
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
 	private createMessage(recipientZone: string | undefined): GossipMessage {
-		const {self, tables, peerLoads, rumors, placementHolder, timers} = this.dependencies;
+		const {self, tables, peerLoads, rumors, crashRumors, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
-			tables: tables.describe(now),
-			updates: recipientZone === self.availabilityZone ? tables.getRecentUpdates(now) : {},
+			...tables.describe(now),
+			...(recipientZone === self.availabilityZone ? tables.getRecentUpdates(now) : {updates: {}}),
 			reportAges: '',
 			wantsRows: false,
 			// The form of the report depends on the recipient's zone, which is not known of a seed.
 			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
 			...rumors.getCurrent(now),
+			...crashRumors.getCurrent(now),
 			placing: placementHolder.describe(now),
 		};
 	}
@@ -171,7 +189,7 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, rumors, tables, placementHolder, timers} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, crashRumors, tables, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		partners.recordContact(message.from.id);
 		instances.recordContact(message.from);
@@ -180,7 +198,8 @@
 			placementHolder.receive({fencing: message.placing.fencing, seenAt: now - message.placing.age - transitAllowanceMs});
 		}
 
-		if (rumors.receive(message, now)) {
+		const isRumorNew = rumors.receive(message, now);
+		if (crashRumors.receive(message, now) || isRumorNew) {
 			this.scheduleSpread(this.timings.rumorFanout);
 		}
 
--- a/src/peers/table-exchange.ts
+++ b/src/peers/table-exchange.ts
@@ -4,8 +4,13 @@
 import {type TableSet} from '../replication/table-set.js';
 import {type TableUpdate} from '../replication/table-update.js';
 import {type GossipMessage} from './gossip-message.js';
+import {type ByTable, divideByBuild, joinTables} from './table-fields.js';
 
-type TableStatus = NonNullable<GossipMessage['tables'][TableName]>;
+type TableStatus = NonNullable<GossipMessage['tables'][TableName.Catalog]>;
+
+type StatusFields = Pick<GossipMessage, 'tables' | 'furtherTables'>;
+
+type UpdateFields = Pick<GossipMessage, 'updates' | 'furtherUpdates'>;
 
 type RecentChange = {
 	readonly name: TableName;
@@ -30,6 +35,11 @@
 /** Characters of an update that is sent unasked; a larger one is fetched by those that lack it. */
 const maxUnaskedCharacters = 4000;
 
+function toUpdateFields(updates: ByTable<TableUpdate>): UpdateFields {
+	const {original, further} = divideByBuild(updates);
+	return {updates: original, ...(further && {furtherUpdates: further})};
+}
+
 function countCharacters({rows}: TableUpdate): number {
 	return rows.reduce((sum, {key, text}) => sum + key.length + (text?.length ?? 0), 0);
 }
@@ -38,7 +48,7 @@
 export class TableExchange {
 	private recentChanges: RecentChange[] = [];
 	/** The newest state of tables that an instance reported and this one lacks. */
-	private lacking: GossipMessage['tables'] = {};
+	private lacking: ByTable<TableStatus> = {};
 
 	constructor(private readonly tables: TableSet) {}
 
@@ -51,8 +61,8 @@
 	}
 
 	/** Describes this instance's copies. */
-	describe(now: number): GossipMessage['tables'] {
-		const statuses: GossipMessage['tables'] = {};
+	describe(now: number): StatusFields {
+		const statuses: ByTable<TableStatus> = {};
 		for (const name of tableNames) {
 			const {position, lastChange, confirmation: {confirmedAt, outageAt}} = this.tables.get(name);
 			if (position && Number.isFinite(confirmedAt)) {
@@ -62,12 +72,13 @@
 			}
 		}
 
-		return statuses;
+		const {original, further} = divideByBuild(statuses);
+		return {tables: original, ...(further && {furtherTables: further})};
 	}
 
 	/** Returns the recent small changes, for instances whose copies are not known. */
-	getRecentUpdates(now: number): GossipMessage['updates'] {
-		const updates: GossipMessage['updates'] = {};
+	getRecentUpdates(now: number): UpdateFields {
+		const updates: ByTable<TableUpdate> = {};
 		for (const {name, since, at} of this.recentChanges) {
 			const update = now - at <= unaskedSendMs && !updates[name] ? this.tables.get(name).getChangesSince(since) : undefined;
 			if (update?.since && countCharacters(update) <= maxUnaskedCharacters) {
@@ -75,12 +86,13 @@
 			}
 		}
 
-		return updates;
+		return toUpdateFields(updates);
 	}
 
 	/** Returns the rows that an instance with these copies lacks; large updates only if it wants them, since it may be asking several instances. */
-	getMissingUpdates({tables: statuses, wantsRows}: Pick<GossipMessage, 'tables' | 'wantsRows'>): GossipMessage['updates'] {
-		const updates: GossipMessage['updates'] = {};
+	getMissingUpdates({tables, furtherTables, wantsRows}: StatusFields & Pick<GossipMessage, 'wantsRows'>): UpdateFields {
+		const statuses = joinTables({original: tables, further: furtherTables});
+		const updates: ByTable<TableUpdate> = {};
 		for (const name of tableNames) {
 			const update = this.tables.get(name).getChangesSince(statuses[name]);
 			if (update && (wantsRows || countCharacters(update) <= maxUnaskedCharacters)) {
@@ -88,11 +100,14 @@
 			}
 		}
 
-		return updates;
+		return toUpdateFields(updates);
 	}
 
 	/** Applies the updates and confirmations of a message. */
-	receive({from, tables: statuses, updates}: GossipMessage, now: number): TableReceipt {
+	receive(message: GossipMessage, now: number): TableReceipt {
+		const {from} = message;
+		const statuses = joinTables({original: message.tables, further: message.furtherTables});
+		const updates = joinTables({original: message.updates, further: message.furtherUpdates});
 		let isChanged = false;
 		let isBehind = false;
 		for (const name of tableNames) {
--- a/src/replication/table-name.ts
+++ b/src/replication/table-name.ts
@@ -6,6 +6,8 @@
 	Servers = 'servers',
 	/** The instances that share the backend servers. */
 	Instances = 'instances',
+	/** The prompt parts that are under quarantine. */
+	Quarantine = 'quarantine',
 }
 
-export const tableNames = [TableName.Catalog, TableName.Servers, TableName.Instances] as const;
+export const tableNames = [TableName.Catalog, TableName.Servers, TableName.Instances, TableName.Quarantine] as const;
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -49,6 +49,8 @@
 	readonly leaseTable: Table;
 	/** Holds a row for each instance. */
 	readonly instanceTable: Table;
+	/** Holds a row for each prompt part under quarantine. */
+	readonly quarantineTable: Table;
 	readonly feeds: Readonly<Record<TableName, TableFeed>>;
 	readonly catalogDecoder: CatalogDecoder;
 	readonly serverDecoder: ServerDecoder;
@@ -127,7 +129,8 @@
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const {instanceRegistry, peerLoads, gossip, tables, tableWatchers, isStoreReader} = wireControl(settings, {
-		timers, log, metrics, random, directory, serverHealth, serverLoad, lease, clients: gossipClients, instanceTable: adapters.instanceTable, feeds: adapters.feeds,
+		timers, log, metrics, random, directory, serverHealth, serverLoad, lease, clients: gossipClients,
+		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange(instances) {
 			gossipClients.retain(new Set(instances.map(({peers}) => peers)));
@@ -138,6 +141,9 @@
 		onSuspicion(server, reason) {
 			streamMonitor.migrateStreamsFrom(server, reason);
 		},
+		onCrashReport: () => undefined,
+		onVindication: () => undefined,
+		onQuarantine: () => undefined,
 	});
 	// Leaves a part of the allowance unused, so that the total stays within it while instances are being added.
 	const computeRetryAllowance = () => instanceRegistry.isInitialized ? limits.retry_allowance * retryAllowanceFraction / instanceRegistry.all().length : initialRetryAllowance;
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -8,6 +8,7 @@
 import {type BackendServer} from '../../src/pipelines/backend-server.js';
 import {ServerListReader} from '../../src/pipelines/server-list-reader.js';
 import {type GossipMessage} from '../../src/peers/gossip-message.js';
+import {type CrashReport} from '../../src/quarantine/crash-report.js';
 import {TableName} from '../../src/replication/table-name.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {parseRouterSettings} from '../../src/settings/settings-reader.js';
@@ -21,6 +22,13 @@
 /** Approximate bytes of the heads of a request and its response. */
 const callOverheadBytes = 500;
 
+/** A quarantine that an instance read from the store's table. */
+export type LearntQuarantine = {
+	readonly part: string;
+	/** Unix time in milliseconds. */
+	readonly expiresAt: number;
+};
+
 /** An instance of the fleet, with what it believes. */
 export type FleetInstance = {
 	readonly id: string;
@@ -31,6 +39,9 @@
 	readonly serverLoad: ServerLoad;
 	/** Incarnation ids that became suspected because of other instances. */
 	readonly learntSuspicions: string[];
+	readonly learntCrashes: CrashReport[];
+	readonly learntVindications: Array<readonly string[]>;
+	readonly learntQuarantines: LearntQuarantine[];
 	messagesSent: number;
 	bytesSent: number;
 	callsMade: number;
@@ -63,9 +74,9 @@
 		this.byAddress = new Map(this.instances.map(instance => [instance.address, instance]));
 	}
 
-	/** Starts all instances, as after a deployment. */
-	start(): void {
-		for (const {control} of this.instances) {
+	/** Starts instances; all of them at once, as after a deployment, if none are given. */
+	start(instances = this.instances): void {
+		for (const {control} of instances) {
 			for (const watcher of control.tableWatchers) {
 				watcher.start();
 			}
@@ -131,6 +142,9 @@
 		}, log);
 		const serverLoad = new ServerLoad();
 		const learntSuspicions: string[] = [];
+		const learntCrashes: CrashReport[] = [];
+		const learntVindications: Array<readonly string[]> = [];
+		const learntQuarantines: LearntQuarantine[] = [];
 		const settings = parseRouterSettings('fleet.ini', [
 			'[instance]',
 			`id = ${id}`,
@@ -161,16 +175,27 @@
 				},
 			},
 			instanceTable: this.store.openTable('instances', id),
+			quarantineTable: this.store.openTable('quarantine', id),
 			feeds: {
 				[TableName.Catalog]: this.store.openFeed('catalog', id),
 				[TableName.Servers]: this.store.openFeed('servers', id),
 				[TableName.Instances]: this.store.openFeed('instances', id),
+				[TableName.Quarantine]: this.store.openFeed('quarantine', id),
 			},
 		}, {
 			onInstancesChange: () => undefined,
 			onSuspicion(server) {
 				learntSuspicions.push(server.id);
 			},
+			onCrashReport(report) {
+				learntCrashes.push(report);
+			},
+			onVindication(parts) {
+				learntVindications.push(parts);
+			},
+			onQuarantine(part, expiresAt) {
+				learntQuarantines.push({part, expiresAt});
+			},
 		});
 		const reader = new ServerListReader({
 			decoder: serverTableDecoder, directory, log, onRead: () => undefined,
@@ -182,7 +207,8 @@
 			reader.confirm(table);
 		});
 		const instance: FleetInstance = {
-			id, address, control, directory, serverHealth, serverLoad, learntSuspicions, messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false,
+			id, address, control, directory, serverHealth, serverLoad, learntSuspicions, learntCrashes, learntVindications, learntQuarantines,
+			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false,
 		};
 		return instance;
 	}
