--- a/src/quarantine/crash-report.ts
+++ b/src/quarantine/crash-report.ts
@@ -1,16 +1,14 @@
 /** A prompt part that may have crashed a backend server. */
 export type CrashSuspect = {
-	/** Id of the part. */
 	readonly part: string;
-	/** Monotonic time in milliseconds at which the latest request with the part was sent to the crashed server. */
+	/** Monotonic time in milliseconds at which the latest request with the part was sent to the server without having received any event. */
 	readonly sentAt: number;
 };
 
-/** A crash of a backend server that an instance saw. */
+/** What one instance knows about the crash of a backend server. */
 export type CrashReport = {
-	/** Incarnation id of the crashed server. */
 	readonly incarnationId: string;
-	/** Monotonic time in milliseconds. */
+	/** Monotonic time in milliseconds; not before the crash, but possibly later. */
 	readonly crashedAt: number;
 	readonly suspects: readonly CrashSuspect[];
 };
