--- /dev/null
+++ b/src/quarantine/accusation.ts
@@ -0,0 +1,6 @@
+/** A prompt part that is found to crash backend servers. */
+export type Accusation = {
+	readonly part: string;
+	/** Number of crashes, one after another, that the part explains. */
+	readonly crashes: number;
+};
