Decode and log the prompt parts that a request shares with others

When servers ended one after the other, no line told which requests had a part in common: request.accepted now names the shared parts of the prompt (ids only; at most eight).

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -33,6 +33,8 @@
 const lowestPriority = 9;
 /** Sent as Retry-After while draining; short, because another instance can accept the request at once. */
 const drainingRetrySeconds = 0.2;
+/** Prompt parts of a request that are logged. */
+const maxLoggedParts = 8;
 /** In force until the first catalog is applied. */
 const defaultMaxBodyBytes = 4_194_304;
 
@@ -86,7 +88,7 @@
 			}
 
 			dependencies.log.write('request.accepted', {
-				request: callerHeaders.id, route: route.name, service: service.name, workspace: workspace?.name, version, patienceMs: callerHeaders.timeout,
+				request: callerHeaders.id, route: route.name, service: service.name, workspace: workspace?.name, version, patienceMs: callerHeaders.timeout, parts: callerHeaders.promptParts.slice(0, maxLoggedParts).join(' '),
 			});
 			dependencies.exchanges.start({
 				id: callerHeaders.id,
@@ -103,6 +105,7 @@
 				promptTokens: callerHeaders.promptTokens,
 				maxAnswerTokens: callerHeaders.maxAnswerTokens,
 				lastEventId: callerHeaders.lastEventId,
+				promptParts: callerHeaders.promptParts,
 			}, reply);
 		} catch (error) {
 			this.refuse(reply, callerHeaders.id, toFailure(error), message);
--- a/src/relay/exchange-codec.ts
+++ b/src/relay/exchange-codec.ts
@@ -13,6 +13,8 @@
 	readonly promptTokens: number;
 	readonly maxAnswerTokens: number;
 	readonly lastEventId?: number;
+	/** Ids of the prompt parts that the request shares with others. */
+	readonly promptParts: readonly string[];
 	/** Headers to forward to a backend server, as alternating names and values. */
 	readonly forwardedHeaders: readonly string[];
 };
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -24,6 +24,8 @@
 	readonly promptTokens: number;
 	/** Upper bound on the tokens of the answer. */
 	readonly maxAnswerTokens: number;
+	/** Ids of the prompt parts that the request shares with others. */
+	readonly promptParts: readonly string[];
 	/** Id of the last event that the caller received from an earlier request. */
 	readonly lastEventId?: number;
 };
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -143,6 +143,7 @@
 			priority: 1,
 			arrivedAt: this.timers.now(),
 			deadline: this.timers.now() + route.timeout,
+			promptParts: ['shared', 'topic'],
 			promptTokens: 100,
 			maxAnswerTokens: 50,
 		};
