Refuse requests with a prompt part that crashes backend servers

Callers saw: most streams of the service fail or be refused for half a minute, as the servers ended one after the other, took the streams of others with them, and came back empty.

Cause: a query of death. A prompt part ends each server that begins to answer it, and nothing remembered that: each request was sent to two servers (more where those that ended do not count against the route), and each new request again, from every instance.

Ruled out: load, since servers ended while others had capacity, each at the beginning of one request; orders for more layers than fit, none of which preceded.

Change: an attempt that ends before it has received events for half a second is recorded with the shared parts of its prompt, and its server is queried. If the server turns out to have ended, all instances are told of the crash with the suspected parts; instances at which a part works say so. A part that explains three crashes, one after another, better than any other is quarantined by each instance by itself and stored, so that a restarted instance knows it. Also, a stream that lost two servers before it got going is not sent to a third.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -94,7 +94,7 @@
 const rumorTimings = {rumorLifetime: 3000, rumorMemory: 10_000};
 /** Durations in milliseconds. Writing is not urgent: the running instances learn of crashes through gossip. */
 const quarantineTimings = {
-	maxDelay: 3000, expiryTolerance: 10_000, retryPause: 2000, maxRetryPause: 60_000,
+	delayPerInstance: 20, maxDelay: 3000, expiryTolerance: 10_000, retryPause: 2000, maxRetryPause: 60_000,
 };
 const bytesPerMegabit = 125_000;
 /** Time for which an unused part of the budget of bytes may be kept. */
@@ -138,7 +138,7 @@
 		instanceRegistry.update(table);
 	});
 	const quarantineRegister = new QuarantineRegister({
-		table: dependencies.quarantineTable, timers, random, log, onQuarantine: events.onQuarantine,
+		table: dependencies.quarantineTable, timers, random, log, countInstances: () => instanceRegistry.all().length, onQuarantine: events.onQuarantine,
 	}, quarantineTimings);
 	tables.onChange(TableName.Quarantine, table => {
 		quarantineRegister.update(table);
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -7,6 +7,7 @@
 import {listen} from '../network/listen.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
+import {type PromptGuard} from '../quarantine/prompt-guard.js';
 import {type ExchangeCodec} from '../relay/exchange-codec.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
 import {Execution} from '../results/execution.js';
@@ -22,6 +23,7 @@
 	readonly authorizer: RequestAuthorizer;
 	readonly codec: ExchangeCodec;
 	readonly exchanges: ExchangeRegistry;
+	readonly promptGuard: PromptGuard;
 	readonly lifecycle: Lifecycle;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
@@ -87,6 +89,10 @@
 				return;
 			}
 
+			if (service.engine) {
+				dependencies.promptGuard.check(callerHeaders.promptParts);
+			}
+
 			dependencies.log.write('request.accepted', {
 				request: callerHeaders.id, route: route.name, service: service.name, workspace: workspace?.name, version, patienceMs: callerHeaders.timeout, parts: callerHeaders.promptParts.slice(0, maxLoggedParts).join(' '),
 			});
--- /dev/null
+++ b/src/quarantine-wiring.ts
@@ -0,0 +1,78 @@
+import {type Control} from './control-wiring.js';
+import {type DecisionLog} from './observation/decision-log.js';
+import {type Metrics} from './observation/metrics.js';
+import {type BackendServer} from './pipelines/backend-server.js';
+import {type ServerDirectory} from './pipelines/server-directory.js';
+import {type ServerHealthTracker} from './pipelines/server-health-tracker.js';
+import {CrashAnalysis} from './quarantine/crash-analysis.js';
+import {LostAttempts} from './quarantine/lost-attempts.js';
+import {PromptGuard} from './quarantine/prompt-guard.js';
+import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
+import {type Failure} from './results/failure.js';
+import {type TimerService} from './time/timer-service.js';
+
+/** What a prompt guard is built from. */
+export type QuarantineDependencies = Pick<Control, 'gossip' | 'quarantineRegister'> & {
+	readonly directory: ServerDirectory;
+	readonly serverHealth: ServerHealthTracker;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+};
+
+/** What the other parts of the router are asked for. */
+export type QuarantineEvents = {
+	/** Queries a server that lost attempts. */
+	readonly checkServer: (server: BackendServer) => void;
+	/** Called when a part becomes quarantined, to end the requests with it that are in progress. */
+	readonly onQuarantine: (part: string, refusal: Failure) => void;
+};
+
+/** Durations in milliseconds; the others are counts. */
+const analysisOptions = {
+	minCrashes: 3,
+	soundMemory: 600_000,
+	crashMemory: 600_000,
+	maxSoundParts: 20_000,
+	maxCrashes: 200,
+	maxSuspects: 200,
+	maxAccused: 1000,
+};
+/** Time within which a server that lost attempts is found to have ended, in milliseconds. */
+const confirmationTimeoutMs = 4000;
+const checkIntervalMs = 100;
+/** Time that a report may take from one instance to another, in milliseconds. */
+const reportTimeErrorMs = 100;
+const maxQuarantinedParts = 1000;
+
+/**
+Creates the guard that finds and refuses prompts that crash backend servers.
+
+@param quarantine - how long requests with such a part are refused, in milliseconds
+*/
+export function wirePromptGuard(quarantine: number, dependencies: QuarantineDependencies, events: QuarantineEvents): PromptGuard {
+	const {gossip, quarantineRegister, directory, serverHealth, timers, metrics, log} = dependencies;
+	return new PromptGuard({
+		lostAttempts: new LostAttempts(confirmationTimeoutMs),
+		analysis: new CrashAnalysis(analysisOptions),
+		quarantine: new PromptQuarantine(maxQuarantinedParts),
+		reports: {
+			reportCrash(report) {
+				gossip.reportCrash(report);
+			},
+			reportVindication(parts) {
+				gossip.reportVindication(parts);
+			},
+			publish(part, expiresAt) {
+				quarantineRegister.publish(part, expiresAt);
+			},
+		},
+		timers,
+		metrics,
+		log,
+		hasEnded: server => serverHealth.hasEnded(server) || directory.isReplaced(server),
+		...events,
+	}, {
+		quarantine, checkInterval: checkIntervalMs, confirmationTimeout: confirmationTimeoutMs, reportTimeError: reportTimeErrorMs,
+	});
+}
--- /dev/null
+++ b/src/quarantine/prompt-guard.ts
@@ -0,0 +1,205 @@
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
+import {Execution} from '../results/execution.js';
+import {Failure} from '../results/failure.js';
+import {ResultCode} from '../results/result-code.js';
+import {type TimerService} from '../time/timer-service.js';
+import {type Accusation} from './accusation.js';
+import {type CrashAnalysis} from './crash-analysis.js';
+import {type CrashReport} from './crash-report.js';
+import {type LostAttempts} from './lost-attempts.js';
+import {type PromptQuarantine, type QuarantinedPart} from './prompt-quarantine.js';
+
+/** What a prompt guard tells the other instances. */
+export type GuardReports = {
+	/** Sends a crash that this instance saw to the other instances. */
+	readonly reportCrash: (report: CrashReport) => void;
+	/** Tells the other instances of suspected parts that work. */
+	readonly reportVindication: (parts: readonly string[]) => void;
+	/** Stores a quarantine; `expiresAt` is Unix time in milliseconds. */
+	readonly publish: (part: string, expiresAt: number) => void;
+};
+
+/** Dependencies of a prompt guard. */
+export type PromptGuardDependencies = {
+	readonly lostAttempts: LostAttempts;
+	readonly analysis: CrashAnalysis;
+	readonly quarantine: PromptQuarantine;
+	readonly reports: GuardReports;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+	/** Whether it is proven that the process of a server has ended. */
+	readonly hasEnded: (server: BackendServer) => boolean;
+	/** Queries a server, so that one that has ended is found out. */
+	readonly checkServer: (server: BackendServer) => void;
+	/** Called when a part becomes quarantined, to end the requests with it that are in progress. */
+	readonly onQuarantine: (part: string, refusal: Failure) => void;
+};
+
+/** Durations of a prompt guard, in milliseconds. */
+export type PromptGuardTimings = {
+	/** How long requests with a part that crashes servers are refused. */
+	readonly quarantine: number;
+	/** Interval between checks whether servers that lost attempts have ended. */
+	readonly checkInterval: number;
+	/** How long a server that lost attempts is checked. */
+	readonly confirmationTimeout: number;
+	/** Error of the times in reports of other instances. */
+	readonly reportTimeError: number;
+};
+
+type LostServer = {
+	readonly server: BackendServer;
+	/** Monotonic time in milliseconds of the latest lost attempt. */
+	lostAt: number;
+};
+
+const millisecondsPerSecond = 1000;
+
+/** Finds the prompt parts whose requests crash backend servers, from the attempts of this instance and the reports of the others, and refuses requests with them. */
+export class PromptGuard {
+	/** Servers that lost attempts and are not known to have ended, by incarnation id. */
+	private readonly lostServers = new Map<string, LostServer>();
+
+	constructor(private readonly dependencies: PromptGuardDependencies, private readonly timings: PromptGuardTimings) {}
+
+	/** Starts the periodic checks. */
+	start(): void {
+		this.dependencies.timers.repeat(this.timings.checkInterval, () => {
+			this.confirmCrashes();
+			this.releaseExpired();
+		});
+	}
+
+	/** Throws Failure if a request with the parts is to be refused. */
+	check(parts: readonly string[]): void {
+		const quarantined = this.dependencies.quarantine.find(parts, this.dependencies.timers.now());
+		if (quarantined) {
+			throw this.createRefusal(quarantined);
+		}
+	}
+
+	/** Records that a backend server answers a request with the parts, so that they are sound. */
+	recordProgress(parts: readonly string[]): void {
+		this.quarantineAccused(this.dependencies.analysis.recordProgress(parts, this.dependencies.timers.now()));
+	}
+
+	/**
+	Records that an attempt ended before it showed that its parts are sound, because its connection was lost or its server fell silent.
+
+	@param sentAt - monotonic time in milliseconds
+	*/
+	recordLoss(server: BackendServer, parts: readonly string[], sentAt: number): void {
+		const {lostAttempts, timers, checkServer} = this.dependencies;
+		const now = timers.now();
+		const incarnationId = getIncarnationId(server);
+		const report = lostAttempts.record({incarnationId, parts, sentAt}, now);
+		if (report) {
+			this.handleOwnReport(report);
+			return;
+		}
+
+		if (!this.lostServers.has(incarnationId)) {
+			checkServer(server);
+		}
+
+		this.lostServers.set(incarnationId, {server, lostAt: now});
+	}
+
+	/** Adds a crash that another instance saw. Parts that work here are vindicated. */
+	receiveReport(report: CrashReport): void {
+		const {analysis, reports, timers} = this.dependencies;
+		const now = timers.now();
+		const sound = analysis.findSound(report.suspects.map(({part}) => part), now);
+		if (sound.length > 0) {
+			reports.reportVindication(sound);
+		}
+
+		this.quarantineAccused(analysis.recordCrash(report, now, this.timings.reportTimeError));
+	}
+
+	/** Records that another instance saw parts work. */
+	receiveVindication(parts: readonly string[]): void {
+		const {analysis, timers} = this.dependencies;
+		this.quarantineAccused(analysis.recordVindication(parts, timers.now()));
+	}
+
+	/**
+	Applies a quarantine that another instance stored.
+
+	@param expiresAt - Unix time in milliseconds
+	*/
+	receiveQuarantine(part: string, expiresAt: number): void {
+		const {analysis, timers} = this.dependencies;
+		const duration = Math.min(expiresAt - timers.wallClock(), this.timings.quarantine);
+		analysis.accept(part);
+		this.addQuarantine(part, duration, 'store');
+	}
+
+	private confirmCrashes(): void {
+		const {lostAttempts, timers, hasEnded} = this.dependencies;
+		const now = timers.now();
+		for (const [incarnationId, {server, lostAt}] of this.lostServers) {
+			const isConfirmed = hasEnded(server);
+			if (isConfirmed || now - lostAt > this.timings.confirmationTimeout) {
+				this.lostServers.delete(incarnationId);
+			}
+
+			const report = isConfirmed ? lostAttempts.confirmCrash(incarnationId, now) : undefined;
+			if (report) {
+				this.handleOwnReport(report);
+			}
+		}
+	}
+
+	private handleOwnReport(report: CrashReport): void {
+		const {analysis, reports, timers, log} = this.dependencies;
+		const now = timers.now();
+		const suspected = analysis.filterSuspects(report, now);
+		log.warn('server.crashed', {
+			server: report.incarnationId, agoMs: Math.round(now - report.crashedAt), parts: report.suspects.length, suspects: suspected?.suspects.map(({part}) => part).join(' '),
+		});
+		if (suspected) {
+			reports.reportCrash(suspected);
+			this.quarantineAccused(analysis.recordCrash(suspected, now));
+		}
+	}
+
+	private quarantineAccused(accusations: readonly Accusation[]): void {
+		const {reports, timers} = this.dependencies;
+		for (const {part, crashes} of accusations) {
+			this.addQuarantine(part, this.timings.quarantine, 'analysis', crashes);
+			reports.publish(part, timers.wallClock() + this.timings.quarantine);
+		}
+	}
+
+	private addQuarantine(part: string, duration: number, origin: string, crashes?: number): void {
+		const {quarantine, timers, metrics, log, onQuarantine} = this.dependencies;
+		const expiresAt = timers.now() + duration;
+		if (!quarantine.add(part, expiresAt)) {
+			return;
+		}
+
+		metrics.count('siskinnotch_prompt_quarantines', 1, {origin});
+		log.warn('prompt.quarantined', {
+			part, origin, crashes, forMs: Math.round(duration),
+		});
+		onQuarantine(part, this.createRefusal({part, expiresAt}));
+	}
+
+	/** Returns the failure of a request with a quarantined part that was not executed. */
+	private createRefusal({part, expiresAt}: QuarantinedPart): Failure {
+		const seconds = Math.max(1, Math.ceil((expiresAt - this.dependencies.timers.now()) / millisecondsPerSecond));
+		return new Failure(ResultCode.PromptQuarantined, `prompt part ${part} is quarantined, since backend servers crashed on it`, Execution.NotRun, seconds);
+	}
+
+	private releaseExpired(): void {
+		const {quarantine, analysis, timers, log} = this.dependencies;
+		for (const part of quarantine.removeExpired(timers.now())) {
+			analysis.release(part);
+			log.write('prompt.released', {part});
+		}
+	}
+}
--- a/src/quarantine/quarantine-register.ts
+++ b/src/quarantine/quarantine-register.ts
@@ -15,6 +15,8 @@
 	readonly table: Table;
 	readonly timers: TimerService;
 	readonly random: RandomSource;
+	/** Returns the number of instances that may write the same row. */
+	readonly countInstances: () => number;
 	readonly log: DecisionLog;
 	/** Called for each row that is new or changed and has not expired; `expiresAt` is Unix time in milliseconds. */
 	readonly onQuarantine: (part: string, expiresAt: number) => void;
@@ -22,6 +24,8 @@
 
 /** Timings of the register, in milliseconds. */
 export type QuarantineTimings = {
+	/** Part of the random delay before a row is written that each instance adds, so that few instances write the same row. */
+	readonly delayPerInstance: number;
 	/** Longest random delay before a row is written, in which the row of another instance that decided the same may arrive. */
 	readonly maxDelay: number;
 	/** A row that expires earlier than the own decision by no more than this is left as it is, since the instances decide at slightly different times. */
@@ -107,9 +111,9 @@
 	}
 
 	private async writePending(part: string): Promise<void> {
-		const {timers, random} = this.dependencies;
-		const {maxDelay, retryPause, maxRetryPause} = this.timings;
-		await timers.sleep(random.nextFraction() * maxDelay);
+		const {timers, random, countInstances} = this.dependencies;
+		const {delayPerInstance, maxDelay, retryPause, maxRetryPause} = this.timings;
+		await timers.sleep(random.nextFraction() * Math.min(maxDelay, delayPerInstance * countInstances()));
 		let storedExpiry: number | undefined;
 		for (let pause = retryPause; !this.isSettled(part, storedExpiry); pause = Math.min(pause * 2, maxRetryPause)) {
 			storedExpiry = await this.write(part, this.pending.get(part)!); // eslint-disable-line no-await-in-loop
--- a/src/relay/exchange-registry.ts
+++ b/src/relay/exchange-registry.ts
@@ -1,3 +1,4 @@
+import {type Failure} from '../results/failure.js';
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {type Exchange} from './exchange.js';
@@ -47,6 +48,15 @@
 		});
 	}
 
+	/** Ends the streams that have a quarantined prompt part and wait for their first event. */
+	endQuarantined(part: string, refusal: Failure): void {
+		for (const exchange of this.streamExchanges) {
+			if (exchange.request.promptParts.includes(part)) {
+				exchange.endQuarantined(refusal);
+			}
+		}
+	}
+
 	/** Aborts all exchanges when the process shuts down. */
 	abortAll(reason: string): void {
 		for (const exchange of [...this.plainExchanges, ...this.streamExchanges]) {
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -26,6 +26,10 @@
 const successStatus = 200;
 const minNonSuccessStatus = 300;
 const millisecondsPerSecond = 1000;
+/** Time after its first event from which an attempt shows that its prompt does not crash the server that answers it. */
+const soundDelayMs = 500;
+/** Attempts that may end early. A stream that ended two of them may crash each server to which it is sent. */
+const maxEarlyLosses = 2;
 /** Longest body of an error response that is passed on. */
 const maxErrorBytes = 65_536;
 
@@ -43,6 +47,14 @@
 	private head?: ResponseHead;
 	private errorBody: Uint8Array[] = [];
 	private errorBytes = 0;
+	/** Monotonic time in milliseconds at which the current attempt was sent. */
+	private sentAt = 0;
+	/** Monotonic time in milliseconds of the first event of the current attempt; undefined before it. */
+	private firstEventAt?: number;
+	/** Attempts of this stream that ended early. */
+	private earlyLossCount = 0;
+	/** Whether the current attempt has shown that its prompt does not crash the server. */
+	private isSound = false;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
@@ -82,6 +94,7 @@
 		}
 
 		this.currentAttempt.cancel();
+		this.reportLoss();
 		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
 		this.release();
 		this.send(alternative, now);
@@ -89,6 +102,15 @@
 		this.streamDependencies.requestQueue.dispatchReady();
 	}
 
+	/** Ends the exchange if it waits for its first event, because a part of its prompt was quarantined. */
+	endQuarantined(refusal: Failure): void {
+		if (this.isDone || (this.currentAttempt && this.firstEventAt !== undefined)) {
+			return;
+		}
+
+		this.failWith(this.executions.mayHaveExecuted ? new Failure(ResultCode.StreamInterrupted, refusal.message, Execution.Unknown, refusal.retryAfterSeconds) : refusal);
+	}
+
 	receiveHead(head: ResponseHead): void {
 		this.head = head;
 		this.observeServer(this.firstServer, head);
@@ -108,7 +130,7 @@
 		const now = this.dependencies.timers.now();
 		const events = progress.receive(chunk, now);
 		if (events.length > 0) {
-			this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
+			this.recordProgress(now);
 		}
 
 		for (const event of events) {
@@ -130,6 +152,7 @@
 		} else if (head.status !== successStatus || !head.isSigned) {
 			this.handleErrorResponse(head);
 		} else if (this.progress.hasIncompleteEvent || !this.reply.isStarted || !head.isSelfDelimited) {
+			this.recordLoss();
 			this.resumeOrFail('the stream ended and may be incomplete');
 		} else {
 			this.completeStream(head, pipeline);
@@ -147,6 +170,7 @@
 			return;
 		}
 
+		this.recordLoss();
 		this.resumeOrFail(detail);
 	}
 
@@ -240,6 +264,9 @@
 		this.head = undefined;
 		this.errorBody = [];
 		this.errorBytes = 0;
+		this.sentAt = now;
+		this.firstEventAt = undefined;
+		this.isSound = false;
 		progress.beginAttempt(now);
 		this.releaseLoad = dependencies.load.start(pipeline, tokens);
 		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
@@ -256,6 +283,35 @@
 		}, new ExchangeListener(this));
 	}
 
+	private recordProgress(now: number): void {
+		this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
+		this.firstEventAt ??= now;
+		if (now - this.firstEventAt >= soundDelayMs) {
+			this.recordSound();
+		}
+	}
+
+	private recordSound(): void {
+		if (!this.isSound) {
+			this.isSound = true;
+			this.streamDependencies.promptGuard.recordProgress(this.request.promptParts);
+		}
+	}
+
+	/** Records that the current attempt ended early, which a crash of the first stage may have caused. */
+	private recordLoss(): void {
+		if (!this.isSound) {
+			this.earlyLossCount++;
+			this.reportLoss();
+		}
+	}
+
+	private reportLoss(): void {
+		if (!this.isSound) {
+			this.streamDependencies.promptGuard.recordLoss(this.firstServer, this.request.promptParts, this.sentAt);
+		}
+	}
+
 	private receiveErrorData(chunk: Uint8Array): void {
 		this.errorBody.push(chunk);
 		this.errorBytes += chunk.length;
@@ -288,6 +344,7 @@
 	}
 
 	private completeStream(head: ResponseHead, pipeline: Pipeline): void {
+		this.recordSound();
 		this.dependencies.metrics.record('siskinnotch_longest_pause_ms', this.progress.longestPauseMs);
 		this.log.logCompleted(head.status, pipeline, this.attemptCount, this.dependencies.timers.now());
 		this.complete(head.status);
@@ -343,7 +400,7 @@
 	}
 
 	private get mayResume(): boolean {
-		return isRepeatable(this.request.route) && this.remaining > 0;
+		return isRepeatable(this.request.route) && this.remaining > 0 && this.earlyLossCount < maxEarlyLosses;
 	}
 
 	/** Creates the failure to reply with if no pipeline can be used. */
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -66,6 +66,16 @@
 		});
 	}
 
+	/** Queries a server that lost attempts, so that it is suspected if it has ended. */
+	checkServer(server: BackendServer): void {
+		const now = this.dependencies.timers.now();
+		const incarnationId = getIncarnationId(server);
+		if (now - (this.blockedQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.blockedQueryInterval && this.mayQuery(server)) {
+			this.blockedQueriedAt.set(incarnationId, now);
+			void this.queryBlockedRequests(server);
+		}
+	}
+
 	/** Records consecutive rejections of a server. After several, its health is checked, since it may be leaving while the server list can't be read. */
 	recordRejections(server: BackendServer, rejections: number): void {
 		const {timers, getHealthPath} = this.dependencies;
@@ -107,11 +117,8 @@
 			this.migrateSilentStream(exchange, silence, now);
 		}
 
-		for (const [incarnationId, server] of silentFirstStages) {
-			if (now - (this.blockedQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.blockedQueryInterval && this.mayQuery(server)) {
-				this.blockedQueriedAt.set(incarnationId, now);
-				void this.queryBlockedRequests(server);
-			}
+		for (const server of silentFirstStages.values()) {
+			this.checkServer(server);
 		}
 	}
 
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -29,6 +29,7 @@
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementController} from './placement/placement-controller.js';
 import {GossipClients} from './peers/gossip-clients.js';
+import {wirePromptGuard} from './quarantine-wiring.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
 import {type ExchangeCodec} from './relay/exchange-codec.js';
@@ -128,7 +129,7 @@
 	const retryBudgets = new Map<string, RetryBudget>();
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
-	const {instanceRegistry, peerLoads, gossip, tables, tableWatchers, isStoreReader} = wireControl(settings, {
+	const {instanceRegistry, peerLoads, gossip, tables, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
 		timers, log, metrics, random, directory, serverHealth, serverLoad, lease, clients: gossipClients,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
@@ -141,9 +142,25 @@
 		onSuspicion(server, reason) {
 			streamMonitor.migrateStreamsFrom(server, reason);
 		},
-		onCrashReport: () => undefined,
-		onVindication: () => undefined,
-		onQuarantine: () => undefined,
+		onCrashReport(report) {
+			promptGuard.receiveReport(report);
+		},
+		onVindication(parts) {
+			promptGuard.receiveVindication(parts);
+		},
+		onQuarantine(part, expiresAt) {
+			promptGuard.receiveQuarantine(part, expiresAt);
+		},
+	});
+	const promptGuard = wirePromptGuard(limits.prompt_quarantine, {
+		gossip, quarantineRegister, directory, serverHealth, timers, metrics, log,
+	}, {
+		checkServer(server) {
+			streamMonitor.checkServer(server);
+		},
+		onQuarantine(part, refusal) {
+			exchanges.endQuarantined(part, refusal);
+		},
 	});
 	// Leaves a part of the allowance unused, so that the total stays within it while instances are being added.
 	const computeRetryAllowance = () => instanceRegistry.isInitialized ? limits.retry_allowance * retryAllowanceFraction / instanceRegistry.all().length : initialRetryAllowance;
@@ -183,6 +200,7 @@
 				getPeerTokens: (server, now) => peerLoads.getTokens(server, now),
 			}, selectionWeights),
 			requestQueue,
+			promptGuard,
 			limits: {
 				maxRejections, lateRejectionThreshold: limits.stall / 2, onTimeFraction, maxQueueTime: limits.queue_wait, resumeWaitFraction, retryAfter: limits.come_back,
 			},
@@ -237,7 +255,7 @@
 	});
 
 	const entryServer = new EntryServer({
-		authorizer: new RequestAuthorizer(activeCatalog, random), codec: adapters.codec, exchanges, lifecycle, timers, metrics, log,
+		authorizer: new RequestAuthorizer(activeCatalog, random), codec: adapters.codec, exchanges, promptGuard, lifecycle, timers, metrics, log,
 	});
 	const statusServer = new StatusServer(adapters.readinessPath, (): boolean => router.isReady, metrics);
 	metrics.gauge('siskinnotch_log_lines_dropped', countDroppedLines);
@@ -249,7 +267,7 @@
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => serverHealth.countSuspected(timers.now()));
 	const router: Router = new Router(settings, {
-		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, activeCatalog, tableWatchers, isStoreReader,
+		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, promptGuard, activeCatalog, tableWatchers, isStoreReader,
 		directory, instanceRegistry, gossip, gossipClients, lease, leaseManager, placementController,
 	});
 	return router;
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -74,6 +74,8 @@
 		connect: duration('300 ms'),
 		/** Time for which an idle connection to a backend server is kept open. */
 		idle_connection: duration('12 s'),
+		/** Time for which requests with a prompt part that crashes backend servers are refused. */
+		prompt_quarantine: duration('30 min'),
 		/** Bytes of a plain response that are buffered until it is complete, so that another server can still be tried. */
 		held_answer: size('256 kB'),
 	}).prefault({}),
--- a/test/crash-gossip.test.ts
+++ b/test/crash-gossip.test.ts
@@ -242,12 +242,13 @@
 		table: this.store,
 		timers: this.timers,
 		random: new RandomSource(1),
+		countInstances: () => 1,
 		log: this.log,
 		onQuarantine: (id, expiresAt) => {
 			this.learnt.push([id, expiresAt]);
 		},
 	}, {
-		maxDelay: 1000, expiryTolerance: 100, retryPause: 1000, maxRetryPause: 4000,
+		delayPerInstance: 1000, maxDelay: 1000, expiryTolerance: 100, retryPause: 1000, maxRetryPause: 4000,
 	});
 
 	private transaction = 0;
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -2,6 +2,8 @@
 import {getIncarnationId} from '../src/pipelines/backend-server.js';
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
+import {Execution} from '../src/results/execution.js';
+import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {sampleResponseHead, StreamExchangeFixture} from './support/exchange-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
@@ -11,6 +13,16 @@
 const pipeline = [{server: first, range}];
 const encoder = new TextEncoder();
 
+/** Lets the current attempt send events for a duration in milliseconds. */
+function answerFor(fixture: StreamExchangeFixture, duration: number): void {
+	fixture.latest.onHead(sampleResponseHead);
+	for (const part of ['first', 'second']) {
+		const id = Math.round(fixture.timers.now()) + 1;
+		fixture.latest.onData(encoder.encode(`id: ${id}\ndata: ${part}\n\n`));
+		fixture.timers.advance(part === 'first' ? duration : 0);
+	}
+}
+
 test('a silent stream that loses its connection and finds no pipeline fails before its caller abandons it', t => {
 	const fixture = new StreamExchangeFixture();
 	fixture.pipeline = pipeline;
@@ -184,8 +196,10 @@
 	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
 	fixture.pipeline = pipeline;
 	fixture.start();
+	answerFor(fixture, 600);
 	fixture.pipeline = [{server: second, range}];
 	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	answerFor(fixture, 600);
 	fixture.pipeline = undefined;
 	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
 	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
@@ -268,3 +282,65 @@
 	t.is(fixture.sent.length, 3);
 	t.is(fixture.sent[2].attempt.server, first);
 });
+
+// Guards against a crash of a server that is not attributed to the requests that it was about to answer.
+test('an attempt that is lost soon after its start is recorded, a later one is not, and events that go on show that the parts are sound', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	t.deepEqual(fixture.lossesOf, ['first']);
+	t.deepEqual(fixture.soundParts, []);
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	t.deepEqual(fixture.soundParts, [], 'the server may crash on what it has begun');
+	fixture.timers.advance(500);
+	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
+	fixture.latest.onData(encoder.encode('id: 3\ndata: three\n\n'));
+	t.deepEqual(fixture.soundParts, ['shared', 'topic']);
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	fixture.latest.onFailure({reason: AttemptFailureReason.Refused, detail: 'connect ECONNREFUSED', wasConnectionReused: false});
+	t.deepEqual(fixture.lossesOf, ['first']);
+});
+
+// Guards against a refusal that says that a request did not run although it did, and against servers that crash on requests that were under way.
+test('when a part is quarantined, a request that waits is refused as not run and one that was sent fails as unknown', t => {
+	const refusal = new Failure(ResultCode.PromptQuarantined, 'part topic is quarantined', Execution.NotRun, 600);
+	const waiting = new StreamExchangeFixture();
+	waiting.start();
+	waiting.exchange.endQuarantined(refusal);
+	t.is(waiting.reply.failure?.code, ResultCode.PromptQuarantined);
+	t.is(waiting.reply.failure?.execution, Execution.NotRun);
+
+	const sent = new StreamExchangeFixture();
+	sent.pipeline = pipeline;
+	sent.start();
+	sent.exchange.endQuarantined(refusal);
+	t.is(sent.cancelCount, 1);
+	t.is(sent.reply.failure?.execution, Execution.Unknown);
+
+	const answering = new StreamExchangeFixture();
+	answering.pipeline = pipeline;
+	answering.start();
+	answering.latest.onHead(sampleResponseHead);
+	answering.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	answering.exchange.endQuarantined(refusal);
+	t.is(answering.reply.failure, undefined);
+	t.is(answering.cancelCount, 0);
+});
+
+// Guards against one request that crashes a server after the other: servers that ended do not count against its route's limit.
+test('a stream that lost two servers before it got going is not sent to a third', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	for (let losses = 0; losses < 2; losses++) {
+		fixture.latest.onHead(sampleResponseHead);
+		fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	}
+
+	t.is(fixture.sent.length, 2);
+	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
+	t.is(fixture.reply.failure?.execution, Execution.Unknown);
+});
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -156,6 +156,10 @@
 	readonly pipelineRequests: PipelineRequest[] = [];
 	readonly exchange: StreamExchange;
 	readonly requestQueue = new RequestQueue(this.timers, {capacity: 10, dispatchInterval: 40});
+	/** Prompt parts that received an event. */
+	readonly soundParts: string[] = [];
+	/** Ids of the servers that lost an attempt before its first event. */
+	readonly lossesOf: string[] = [];
 	/** The pipeline that the selector returns unless its first stage is excluded. */
 	pipeline?: Pipeline;
 
@@ -170,6 +174,14 @@
 				},
 			} as unknown as PipelineSelector,
 			requestQueue: this.requestQueue,
+			promptGuard: {
+				recordProgress: parts => {
+					this.soundParts.push(...parts);
+				},
+				recordLoss: ({id}) => {
+					this.lossesOf.push(id);
+				},
+			},
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
 			},
