Refuse a silent stream that has not begun before its caller abandons it

Callers saw: by reading, a request on a resumable route whose server stayed silent got neither an answer nor a refusal: its attempt was kept until the caller closed the connection.

Cause: since the attempt of a silent stream is kept until another pipeline takes it over, nothing ended the exchange before the idle timeout of its caller. Before, it waited in the queue and failed at its queue deadline.

Evidence: the new test on the commit before: no failure at 1,810 ms of an idle timeout of 2,000 ms. Not seen in a log.

Change: while no other pipeline can take the stream over, it fails at the same deadline as before (`resumeWaitFraction` of the idle timeout) if no event was delivered. A reply that has begun can't be refused any more, so its attempt goes on.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -90,6 +90,7 @@
 		const now = this.dependencies.timers.now();
 		const alternative = this.findAlternative(faulty, now);
 		if (!alternative || !this.tryAcquireRetry()) {
+			this.refuseIfAbandoned(now);
 			return;
 		}
 
@@ -233,6 +234,14 @@
 		return request.promptTokens + Math.min(request.maxAnswerTokens, model.usualAnswer);
 	}
 
+	/** Refuses a silent stream shortly before its caller abandons it. Once the reply has begun there is nothing left to refuse, so the attempt goes on. */
+	private refuseIfAbandoned(now: number): void {
+		const {queueDeadline} = computeStreamDeadlines(this.request, this.progress, true, this.streamDependencies.limits);
+		if (!this.reply.isStarted && now >= queueDeadline) {
+			this.failWith(this.createCapacityFailure('no event arrived, and no other pipeline had capacity in time'));
+		}
+	}
+
 	/** Finds a pipeline that can take over the current attempt, whose own load does not count. */
 	private findAlternative(faulty: BackendServer | undefined, now: number): Pipeline | undefined {
 		this.releaseLoad?.();
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -344,3 +344,18 @@
 	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
 	t.is(fixture.reply.failure?.execution, Execution.Unknown);
 });
+
+// Guards against requests that get neither an answer nor a refusal: their caller leaves after its idle timeout.
+test('a silent stream without an event is refused shortly before its caller abandons it', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.pipeline = undefined;
+	fixture.timers.advance(1790);
+	fixture.exchange.migrate(first, 'it does not respond');
+	t.is(fixture.reply.failure, undefined, 'the server may still answer in time');
+	fixture.timers.advance(20);
+	fixture.exchange.migrate(first, 'it does not respond');
+	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
+	t.is(fixture.cancelCount, 1);
+});
