Test that an answer of the completion service outlives a pause of a stage

StreamRecovery takes one inspection without a response for the loss of the server (StallCause.ServersLost), cancels the attempt at all stages, and only then looks for a route. If none is found within planningTimeoutMs the answer is cut off, although the stages may continue.

--- a/test/stream-recovery.test.ts
+++ b/test/stream-recovery.test.ts
@@ -244,3 +244,14 @@
 		fc.assert(property, {seed: seed(), numRuns: 3000});
 	});
 });
+
+// Guards against answers that are cut off although their server only paused: one inspection without a response is no proof that it ended.
+test('an attempt whose stage does not respond to an inspection is kept until another route can take it over', t => {
+	const recovery = startRecovery({findRoute: (excluded, previous) => excluded.size === 0 && previous.length === 0 ? createRoute(['a1', 'b1']) : undefined});
+	recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 0)]}, 10);
+	recovery.handle({kind: StreamEventKind.Tick}, 320);
+	const commands = recovery.handle({kind: StreamEventKind.Inspected, attempt: 1, statuses: [createStatus(1, 1), undefined]}, 330);
+	t.false(getKinds(commands).includes(StreamCommandKind.Cancel));
+	const deliveries = recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 1)]}, 1400);
+	t.true(getKinds(deliveries).includes(StreamCommandKind.Deliver));
+});
