Judge a run in which only listed tests fail by the tests that passed

The judge of the test script took the number of passed tests from the closing line, which names it only if no test failed, so a run with a listed failure counted as one without any passed test. It now counts the lines of passed tests, and a test file that ends with an error is a fault of the run.

--- a/harness/judge.ts
+++ b/harness/judge.ts
@@ -1,11 +1,12 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 
-const passedPattern = /^\s*(?<count>\d+) tests? passed/mv;
+/** A line of a test that passed. The closing line of a run with failures does not count those that passed. */
+const passedPattern = /^\s*✔ /gmv;
 const failedTitlePattern = /^\s*✘ \[fail\]: (?<title>.+?)(?: \(.*\))?$/gmv;
 
 /** Failures of the run itself. A run with one of these fails even if all failed tests are known. */
-const runFaultPattern = /Timed out while running tests|Failed to exit when running|Uncaught exception|Unhandled rejection|No tests found/iv;
+const runFaultPattern = /Timed out while running tests|exited with a non-zero exit code|Failed to exit when running|Uncaught exception|Unhandled rejection|No tests found/iv;
 
 /** Reads the test titles (or their beginnings) that KNOWN-RED.txt lists. */
 function readKnownFailures(): readonly string[] {
@@ -18,7 +19,7 @@
 const log = readFileSync(file, 'utf8').replaceAll(/\u001B\[[\d;]*m/gv, ''); // eslint-disable-line no-control-regex
 const knownTitles = readKnownFailures();
 const failed = [...new Set([...log.matchAll(failedTitlePattern)].map(match => match.groups?.title ?? ''))];
-const passed = Number(passedPattern.exec(log)?.groups?.count ?? 0);
+const passed = [...log.matchAll(passedPattern)].length;
 const isKnownFailure = (title: string) => knownTitles.some(start => title.startsWith(start));
 const unknownFailures = failed.filter(title => !isKnownFailure(title));
 for (const title of failed) {
