Take a stream without a length that ends between events as complete

Callers saw: nothing shown; by reading, a complete stream of this kind was sent to another server after its last event, and again if that one answered in the same way, until the budget or the deadline ended it, and the caller found its answer cut off.

Evidence: the new test failed before: a second transmission in place of the end.

Change: such a stream is complete unless it ends inside an event. A plain response of this kind is still retried where the route allows that, otherwise forwarded without a length, as a crash may have truncated it.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -152,7 +152,7 @@
 			this.handleRejection(head, pipeline);
 		} else if (head.status !== successStatus || !head.isSigned) {
 			this.handleErrorResponse(head);
-		} else if (this.progress.hasIncompleteEvent || !this.reply.isStarted || !head.isSelfDelimited) {
+		} else if (this.progress.hasIncompleteEvent || !this.reply.isStarted) {
 			this.recordLoss();
 			this.resumeOrFail('the stream ended and may be incomplete');
 		} else {
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -359,3 +359,26 @@
 	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
 	t.is(fixture.cancelCount, 1);
 });
+
+// Guards against a complete stream without a length that is sent to further servers, and against one that was broken off but looks complete.
+test('a stream without a length is complete if it ends between events, and is resumed if it ends inside an event', t => {
+	const unframed = {...sampleResponseHead, isSelfDelimited: false};
+	const complete = new StreamExchangeFixture();
+	complete.pipeline = pipeline;
+	complete.start();
+	complete.latest.onHead(unframed);
+	complete.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	complete.latest.onEnd();
+	t.true(complete.reply.isEnded);
+	t.is(complete.sent.length, 1);
+
+	const broken = new StreamExchangeFixture();
+	broken.pipeline = pipeline;
+	broken.start();
+	broken.latest.onHead(unframed);
+	broken.latest.onData(encoder.encode('id: 1\ndata: one\n\nid: 2\ndata: tw'));
+	broken.latest.onEnd();
+	t.false(broken.reply.isEnded);
+	t.is(broken.sent.length, 2);
+	t.is(broken.sent[1].attempt.lastEventId, 1);
+});
