Answer requests that have not begun when the process shuts down

Callers saw: by reading, at the end of the grace period the connection was closed under every request in progress, also where nothing of the reply had been sent.

Run: stream-exchange, plain-exchange, platform-process: 42 passed. The new test was not run on the code before.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,5 +1,7 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {type Failure} from '../results/failure.js';
+import {Execution} from '../results/execution.js';
+import {Failure} from '../results/failure.js';
+import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type AttemptFailure} from './attempt-failure.js';
 import {type RunningAttempt} from './backend-client.js';
@@ -43,16 +45,16 @@
 		this.dispatch();
 	}
 
-	/** Aborts the exchange when the process shuts down. */
+	/** Ends the exchange when the process shuts down. A reply that has not begun becomes a failure, so that its caller knows whether to retry. */
 	abort(reason: string): void {
 		if (this.isOver) {
 			return;
 		}
 
 		this.dependencies.log.warn('request.cut', {request: this.request.id, reason, attempts: this.attemptCount});
-		this.currentAttempt?.cancel();
-		this.reply.abort();
-		this.finish('cut');
+		this.failWith(this.mayHaveExecuted
+			? new Failure(ResultCode.BackendFailed, reason, Execution.Unknown)
+			: new Failure(ResultCode.Draining, reason, Execution.NotRun));
 	}
 
 	/** Handles the head of the response. */
@@ -127,6 +129,9 @@
 		return retryBudgets.forService(this.request.service.name).tryAcquire(timers.now());
 	}
 
+	/** Whether a backend server may have executed the request. */
+	protected abstract get mayHaveExecuted(): boolean;
+
 	/** Sends the request to a backend server, or queues it if its kind allows that. */
 	protected abstract dispatch(): void;
 
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -167,6 +167,10 @@
 		this.releaseLoad = undefined;
 	}
 
+	protected get mayHaveExecuted(): boolean {
+		return this.executions > 0;
+	}
+
 	private deliver(head: ResponseHead): void {
 		if (!this.reply.isStarted) {
 			this.startReply(head);
@@ -211,9 +215,9 @@
 
 	/** Fails with the code if the request was not executed, or with `BackendFailed` if it may have been. */
 	private failWithCode(code: ResultCode, reason: string): void {
-		this.failWith(this.executions === 0
-			? new Failure(code, reason, Execution.NotRun, retryAfterSeconds)
-			: new Failure(ResultCode.BackendFailed, reason, Execution.Unknown));
+		this.failWith(this.mayHaveExecuted
+			? new Failure(ResultCode.BackendFailed, reason, Execution.Unknown)
+			: new Failure(code, reason, Execution.NotRun, retryAfterSeconds));
 	}
 
 	/** Whether the request may be sent again. If it may, takes a retry from the budget. */
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -109,7 +109,7 @@
 			return;
 		}
 
-		this.failWith(this.executions.mayHaveExecuted ? new Failure(ResultCode.StreamInterrupted, refusal.message, Execution.Unknown, refusal.retryAfterSeconds) : refusal);
+		this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.StreamInterrupted, refusal.message, Execution.Unknown, refusal.retryAfterSeconds) : refusal);
 	}
 
 	receiveHead(head: ResponseHead): void {
@@ -205,7 +205,7 @@
 
 	protected createDeadlineFailure(): Failure {
 		const limit = Math.round(this.request.deadline - this.request.arrivedAt);
-		return this.executions.mayHaveExecuted
+		return this.mayHaveExecuted
 			? new Failure(ResultCode.DeadlinePassed, `the stream was not complete within ${limit} ms`, Execution.Unknown)
 			: this.createCapacityFailure('the deadline passed before the request was sent');
 	}
@@ -217,6 +217,10 @@
 		this.releaseLoad = undefined;
 	}
 
+	protected get mayHaveExecuted(): boolean {
+		return this.executions.mayHaveExecuted;
+	}
+
 	private get firstServer(): BackendServer {
 		return this.pipeline![0].server;
 	}
@@ -414,7 +418,7 @@
 
 	/** Creates the failure to reply with if no pipeline can be used. */
 	private createCapacityFailure(reason: string): Failure {
-		return this.executions.mayHaveExecuted
+		return this.mayHaveExecuted
 			? new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown)
 			: new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.streamDependencies.limits.retryAfter / millisecondsPerSecond);
 	}
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -382,3 +382,27 @@
 	t.is(broken.sent.length, 2);
 	t.is(broken.sent[1].attempt.lastEventId, 1);
 });
+
+// Guards against requests that get neither an answer nor a refusal when their instance stops.
+test('when the process shuts down, a stream that has not begun gets a failure that says whether it may have run, one that has begun is cut off', t => {
+	const waiting = new StreamExchangeFixture();
+	waiting.start();
+	waiting.exchange.abort('the instance is shutting down');
+	t.is(waiting.reply.failure?.code, ResultCode.Draining);
+	t.is(waiting.reply.failure?.execution, Execution.NotRun);
+
+	const sent = new StreamExchangeFixture();
+	sent.pipeline = pipeline;
+	sent.start();
+	sent.exchange.abort('the instance is shutting down');
+	t.is(sent.reply.failure?.execution, Execution.Unknown);
+	t.is(sent.cancelCount, 1);
+
+	const answering = new StreamExchangeFixture();
+	answering.pipeline = pipeline;
+	answering.start();
+	answering.latest.onHead(sampleResponseHead);
+	answering.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	answering.exchange.abort('the instance is shutting down');
+	t.true(answering.reply.isAborted);
+});
