Keep a silent lookup until another server can take it

Callers saw: by reading, a lookup whose server was slow was cancelled as soon as another server was listed, also if that one was suspected or had no free connection, and then failed.

Evidence: the new test failed before (one cancelled attempt) and passes now.

Change: the other server is selected first; the attempt is kept unless there is one that is not suspected and has a free connection.

--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -129,30 +129,12 @@
 	}
 
 	protected dispatch(): void {
-		const {dependencies, request} = this;
-		const now = dependencies.timers.now();
-		const {name: service, maxConnections} = request.service;
-		const maxRequests = this.plainDependencies.computeConnectionShare(maxConnections);
-		const server = this.plainDependencies.selector.select({service, excluded: this.triedIncarnations, maxRequests}, now)
-			?? this.plainDependencies.selector.select({service, excluded: new Set(), maxRequests}, now);
-		if (!server) {
-			this.failWithCode(ResultCode.NoPipeline, `no server of service ${service} is listed and has a free connection`);
-			return;
+		const server = this.selectServer(this.triedIncarnations) ?? this.selectServer(new Set());
+		if (server) {
+			this.send(server);
+		} else {
+			this.failWithCode(ResultCode.NoPipeline, `no server of service ${this.request.service.name} is listed and has a free connection`);
 		}
-
-		this.server = server;
-		this.triedIncarnations.add(getIncarnationId(server));
-		this.attemptCount++;
-		this.executions++;
-		this.releaseLoad = dependencies.load.start([{server, range: {from: 0, to: 0}}], 0);
-		dependencies.serverHealth.recordDispatch(server, now);
-		dependencies.log.write('request.sent', {
-			request: request.id, server: server.id, attempt: this.attemptCount, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - dependencies.directory.lastReadAt),
-		});
-		this.currentAttempt = dependencies.client.send({
-			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
-		}, new ExchangeListener(this));
-		this.startResponseTimer(server);
 	}
 
 	protected createDeadlineFailure(): Failure {
@@ -171,6 +153,29 @@
 		return this.executions > 0;
 	}
 
+	private selectServer(excluded: ReadonlySet<string>): BackendServer | undefined {
+		const {plainDependencies: {selector, computeConnectionShare}, request: {service: {name: service, maxConnections}}} = this;
+		return selector.select({service, excluded, maxRequests: computeConnectionShare(maxConnections)}, this.dependencies.timers.now());
+	}
+
+	private send(server: BackendServer): void {
+		const {dependencies, request} = this;
+		const now = dependencies.timers.now();
+		this.server = server;
+		this.triedIncarnations.add(getIncarnationId(server));
+		this.attemptCount++;
+		this.executions++;
+		this.releaseLoad = dependencies.load.start([{server, range: {from: 0, to: 0}}], 0);
+		dependencies.serverHealth.recordDispatch(server, now);
+		dependencies.log.write('request.sent', {
+			request: request.id, server: server.id, attempt: this.attemptCount, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - dependencies.directory.lastReadAt),
+		});
+		this.currentAttempt = dependencies.client.send({
+			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
+		}, new ExchangeListener(this));
+		this.startResponseTimer(server);
+	}
+
 	private deliver(head: ResponseHead): void {
 		if (!this.reply.isStarted) {
 			this.startReply(head);
@@ -235,10 +240,14 @@
 	}
 
 	private dispatchAgain(): void {
+		this.resetResponse();
+		this.dispatch();
+	}
+
+	private resetResponse(): void {
 		this.bufferedChunks = [];
 		this.bufferedBytes = 0;
 		this.head = undefined;
-		this.dispatch();
 	}
 
 	/** Retries on another server if this one sends no response while there is still time for a retry. */
@@ -250,8 +259,9 @@
 
 		const timeout = Math.min(this.remaining / 2, request.route.latencyTarget * limits.responseTimeoutFraction);
 		this.responseTimer = dependencies.timers.after(timeout, () => {
-			const others = dependencies.directory.usable(request.service.name).filter(other => !this.triedIncarnations.has(getIncarnationId(other)));
-			if (this.isDone || this.head !== undefined || others.length === 0 || !this.tryAcquireNextAttempt()) {
+			// The server may still answer, so the attempt is kept unless another one can take the request.
+			const alternative = this.isDone || this.head !== undefined ? undefined : this.selectServer(this.triedIncarnations);
+			if (!alternative || dependencies.serverHealth.isSuspected(alternative, dependencies.timers.now()) || !this.tryAcquireNextAttempt()) {
 				return;
 			}
 
@@ -259,7 +269,8 @@
 			this.endAttempt();
 			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
 			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
-			this.dispatchAgain();
+			this.resetResponse();
+			this.send(alternative);
 		});
 	}
 
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {RequestKind} from '../src/catalog/request-kind.js';
 import {PlainServerSelector} from '../src/pipelines/plain-server-selector.js';
+import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {PlainExchange} from '../src/relay/plain-exchange.js';
 import {Execution} from '../src/results/execution.js';
 import {ResultCode} from '../src/results/result-code.js';
@@ -14,10 +15,10 @@
 	...sampleStreamRoute, kind: RequestKind.Idempotent, isResumable: false, targets: [{service: 'records', weight: 1}],
 };
 
-function startLookup(connectionShare: number): ExchangeFixture {
+function startLookup(connectionShare: number, ids: readonly string[] = ['a']): ExchangeFixture {
 	const fixture = new ExchangeFixture();
 	const {dependencies, directory, serverHealth, load} = fixture;
-	directory.applyReading({servers: [sampleServer('a', '', undefined, {service: 'records'})], requestedAt: 0, mayBeIncomplete: false});
+	directory.applyReading({servers: ids.map(id => sampleServer(id, '', undefined, {service: 'records'})), requestedAt: 0, mayBeIncomplete: false});
 	new PlainExchange(dependencies, fixture.createRequest(lookupRoute), fixture.reply, {
 		selector: new PlainServerSelector(directory, serverHealth, load, new RandomSource(seed())),
 		computeConnectionShare: () => connectionShare,
@@ -107,3 +108,27 @@
 
 	t.true(fixture.sent.length > 1 || fixture.reply.failure?.execution === Execution.NotRun);
 });
+
+// Guards against lookups that are cancelled at a server that may still answer, before it is known that another one can be used.
+test('a lookup without a response moves to another server only if that one can be used', t => {
+	for (const isSuspected of [true, false]) {
+		const kept = startLookup(1, ['a', 'b']);
+		const other = kept.directory.all().find(({id}) => id !== kept.sent[0].attempt.server.id)!;
+		if (isSuspected) {
+			kept.serverHealth.suspect(other, 'it does not respond', 0, SuspicionCause.Unresponsive);
+		} else {
+			kept.load.start([{server: other, range: {from: 0, to: 0}}], 0);
+		}
+
+		kept.timers.advance(1000);
+		t.is(kept.cancelCount, 0);
+		kept.latest.onHead({...sampleResponseHead, status: 200});
+		kept.latest.onEnd();
+		t.true(kept.reply.isEnded);
+	}
+
+	const moved = startLookup(5, ['a', 'b']);
+	moved.timers.advance(1000);
+	t.is(moved.sent.length, 2);
+	t.not(moved.sent[0].attempt.server.id, moved.sent[1].attempt.server.id);
+});
