--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -94,7 +94,13 @@
 			}
 
 			dependencies.log.write('request.accepted', {
-				request: callerHeaders.id, route: route.name, service: service.name, workspace: workspace?.name, version, patienceMs: callerHeaders.timeout, parts: callerHeaders.promptParts.slice(0, maxLoggedParts).join(' '),
+				request: callerHeaders.id,
+				route: route.name,
+				service: service.name,
+				workspace: workspace?.name,
+				version,
+				patienceMs: callerHeaders.timeout,
+				parts: callerHeaders.promptParts.slice(0, maxLoggedParts).join(' '),
 			});
 			dependencies.exchanges.start({
 				id: callerHeaders.id,
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -75,7 +75,7 @@
 
 	/** Throws Failure if a request with the parts is to be refused. */
 	check(parts: readonly string[]): void {
-		const quarantined = this.dependencies.quarantine.find(parts, this.dependencies.timers.now());
+		const quarantined = this.dependencies.quarantine.findQuarantined(parts, this.dependencies.timers.now());
 		if (quarantined) {
 			throw this.createRefusal(quarantined);
 		}
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -34,7 +34,7 @@
 	}
 
 	/** Returns the first of the parts that is quarantined, or undefined. */
-	find(parts: readonly string[], now: number): QuarantinedPart | undefined {
+	findQuarantined(parts: readonly string[], now: number): QuarantinedPart | undefined {
 		for (const part of parts) {
 			const expiresAt = this.expiries.get(part);
 			if (expiresAt !== undefined && expiresAt > now) {
--- a/test/prompt-quarantine.test.ts
+++ b/test/prompt-quarantine.test.ts
@@ -5,10 +5,10 @@
 test('a part is found until its quarantine expires', t => {
 	const quarantine = new PromptQuarantine(10);
 	t.true(quarantine.add('deadly', 1000));
-	t.deepEqual(quarantine.find(['preamble', 'deadly'], 999), {part: 'deadly', expiresAt: 1000});
-	t.is(quarantine.find(['preamble', 'deadly'], 1000), undefined);
-	t.is(quarantine.find(['preamble'], 0), undefined);
-	t.is(quarantine.find([], 0), undefined);
+	t.deepEqual(quarantine.findQuarantined(['preamble', 'deadly'], 999), {part: 'deadly', expiresAt: 1000});
+	t.is(quarantine.findQuarantined(['preamble', 'deadly'], 1000), undefined);
+	t.is(quarantine.findQuarantined(['preamble'], 0), undefined);
+	t.is(quarantine.findQuarantined([], 0), undefined);
 });
 
 // Guards against a refusal that names another part than the first quarantined one.
@@ -16,9 +16,9 @@
 	const quarantine = new PromptQuarantine(10);
 	quarantine.add('first', 1000);
 	quarantine.add('second', 2000);
-	t.is(quarantine.find(['second', 'first'], 0)?.part, 'second');
-	t.is(quarantine.find(['second', 'first'], 1500)?.part, 'second');
-	t.is(quarantine.find(['first', 'second'], 1500)?.part, 'second');
+	t.is(quarantine.findQuarantined(['second', 'first'], 0)?.part, 'second');
+	t.is(quarantine.findQuarantined(['second', 'first'], 1500)?.part, 'second');
+	t.is(quarantine.findQuarantined(['first', 'second'], 1500)?.part, 'second');
 });
 
 // Guards against a late message of another instance that shortens a quarantine, and against announcing a part twice.
@@ -26,9 +26,9 @@
 	const quarantine = new PromptQuarantine(10);
 	t.true(quarantine.add('deadly', 1000));
 	t.false(quarantine.add('deadly', 500));
-	t.is(quarantine.find(['deadly'], 0)?.expiresAt, 1000);
+	t.is(quarantine.findQuarantined(['deadly'], 0)?.expiresAt, 1000);
 	t.false(quarantine.add('deadly', 3000));
-	t.is(quarantine.find(['deadly'], 0)?.expiresAt, 3000);
+	t.is(quarantine.findQuarantined(['deadly'], 0)?.expiresAt, 3000);
 });
 
 // Guards against a part that is never released, or is released twice.
@@ -51,7 +51,7 @@
 	}
 
 	t.deepEqual(quarantine.all().map(({part}) => part), ['b', 'c', 'd']);
-	t.is(quarantine.find(['a'], 0), undefined);
+	t.is(quarantine.findQuarantined(['a'], 0), undefined);
 	t.deepEqual(quarantine.removeExpired(0), ['a']);
 	t.deepEqual(quarantine.removeExpired(0), []);
 	for (let index = 0; index < 1000; index++) {
@@ -69,5 +69,5 @@
 	quarantine.add('b', 2000);
 	t.true(quarantine.add('a', 3000));
 	t.deepEqual(quarantine.removeExpired(0), ['b']);
-	t.is(quarantine.find(['a'], 0)?.expiresAt, 3000);
+	t.is(quarantine.findQuarantined(['a'], 0)?.expiresAt, 3000);
 });
