--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,7 +1,6 @@
 import {isRepeatable} from '../catalog/route.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
-import {type PipelineRequest} from '../pipelines/pipeline-selector.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {Execution} from '../results/execution.js';
@@ -10,6 +9,8 @@
 import {type TimerHandle} from '../time/timer-handle.js';
 import {AttemptFailureReason, isUnsent, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
+import {CrashEvidence} from './crash-evidence.js';
+import {ErrorBody} from './error-body.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {ExchangeListener} from './exchange-listener.js';
 import {Exchange} from './exchange.js';
@@ -26,13 +27,6 @@
 const successStatus = 200;
 const minNonSuccessStatus = 300;
 const millisecondsPerSecond = 1000;
-/** Time after its first event from which an attempt shows that its prompt does not crash the server that answers it. */
-const soundDelayMs = 500;
-/** Attempts that may end early. A stream that ended two of them may crash each server to which it is sent. */
-const maxEarlyLosses = 2;
-/** Longest body of an error response that is passed on. */
-const maxErrorBytes = 65_536;
-
 /** Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received. */
 export class StreamExchange extends Exchange {
 	private pipeline?: Pipeline;
@@ -45,25 +39,18 @@
 	private readonly failureDetector: StageFailureDetector;
 	private rejectionCount = 0;
 	private head?: ResponseHead;
-	private errorBody: Uint8Array[] = [];
-	private errorBytes = 0;
-	/** Monotonic time in milliseconds at which the current attempt was sent. */
-	private sentAt = 0;
-	/** Monotonic time in milliseconds of the first event of the current attempt; undefined before it. */
-	private firstEventAt?: number;
-	/** Attempts of this stream that ended early. */
-	private earlyLossCount = 0;
-	/** Whether the current attempt has shown that its prompt does not crash the server. */
-	private isSound = false;
+	private errorBody = new ErrorBody();
+	private readonly crashEvidence: CrashEvidence;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
 		this.log = new StreamLog(dependencies.log, request, this.progress);
-		this.selector = new StreamPipelineSelector(streamDependencies.selector);
+		this.crashEvidence = new CrashEvidence(streamDependencies.promptGuard, request.promptParts);
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server =>
 			!dependencies.directory.isReplaced(server) && !dependencies.serverHealth.hasEnded(server));
+		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
 	}
 
 	/** The stages in use; undefined while no attempt is in progress. */
@@ -95,7 +82,7 @@
 		}
 
 		this.currentAttempt.cancel();
-		this.reportLoss();
+		this.crashEvidence.recordSilence(this.firstServer);
 		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
 		this.release();
 		this.send(alternative, now);
@@ -105,7 +92,7 @@
 
 	/** Ends the exchange if it waits for its first event, because a part of its prompt was quarantined. */
 	endQuarantined(refusal: Failure): void {
-		if (this.isDone || (this.currentAttempt && this.firstEventAt !== undefined)) {
+		if (this.isDone || (this.currentAttempt && this.crashEvidence.hasReceivedEvent)) {
 			return;
 		}
 
@@ -131,7 +118,8 @@
 		const now = this.dependencies.timers.now();
 		const events = progress.receive(chunk, now);
 		if (events.length > 0) {
-			this.recordProgress(now);
+			this.crashEvidence.recordEvent(now);
+			this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
 		}
 
 		for (const event of events) {
@@ -153,7 +141,7 @@
 		} else if (head.status !== successStatus || !head.isSigned) {
 			this.handleErrorResponse(head);
 		} else if (this.progress.hasIncompleteEvent || !this.reply.isStarted) {
-			this.recordLoss();
+			this.crashEvidence.recordLoss(this.firstServer);
 			this.resumeOrFail('the stream ended and may be incomplete');
 		} else {
 			this.completeStream(head, pipeline);
@@ -171,7 +159,7 @@
 			return;
 		}
 
-		this.recordLoss();
+		this.crashEvidence.recordLoss(firstServer);
 		this.resumeOrFail(detail);
 	}
 
@@ -225,19 +213,6 @@
 		return this.pipeline![0].server;
 	}
 
-	private get pipelineRequest(): Omit<PipelineRequest, 'excluded'> {
-		const {request, streamDependencies: {model}} = this;
-		return {
-			service: request.service.name, model, tokens: this.expectedTokens, firstStageCandidates: this.executions.allowedIncarnations,
-		};
-	}
-
-	/** Tokens that the request is expected to hold. The caller's bound on the answer is far above the length of most answers. */
-	private get expectedTokens(): number {
-		const {request, streamDependencies: {model}} = this;
-		return request.promptTokens + Math.min(request.maxAnswerTokens, model.usualAnswer);
-	}
-
 	/** Refuses a silent stream shortly before its caller abandons it. Once the reply has begun there is nothing left to refuse, so the attempt goes on. */
 	private refuseIfAbandoned(now: number): void {
 		const {queueDeadline} = computeStreamDeadlines(this.request, this.progress, true, this.streamDependencies.limits);
@@ -249,15 +224,15 @@
 	/** Finds a pipeline that can take over the current attempt, whose own load does not count. */
 	private findAlternative(faulty: BackendServer | undefined, now: number): Pipeline | undefined {
 		this.releaseLoad?.();
-		const alternative = this.selector.selectAlternative(this.pipelineRequest, now, faulty);
-		this.releaseLoad = this.dependencies.load.hold(this.pipeline!, this.expectedTokens);
+		const alternative = this.selector.selectAlternative(now, faulty);
+		this.releaseLoad = this.dependencies.load.hold(this.pipeline!, this.selector.expectedTokens);
 		return alternative;
 	}
 
 	private tryStart(): boolean {
 		const {dependencies} = this;
 		const now = dependencies.timers.now();
-		const pipeline = this.selector.select(this.pipelineRequest, now);
+		const pipeline = this.selector.select(now);
 		// A retry stays queued until the retry budget allows it.
 		if (!pipeline || (this.attemptCount > 0 && !this.tryAcquireRetry())) {
 			return false;
@@ -268,18 +243,15 @@
 	}
 
 	private send(pipeline: Pipeline, now: number): void {
-		const {dependencies, request, progress, expectedTokens: tokens} = this;
+		const {dependencies, request, progress, selector: {expectedTokens: tokens}} = this;
 		const [{server}] = pipeline;
 		this.pipeline = pipeline;
 		this.queueEntry = undefined;
 		this.attemptCount++;
 		this.executions.recordStart(server);
 		this.head = undefined;
-		this.errorBody = [];
-		this.errorBytes = 0;
-		this.sentAt = now;
-		this.firstEventAt = undefined;
-		this.isSound = false;
+		this.errorBody = new ErrorBody();
+		this.crashEvidence.beginAttempt(now);
 		progress.beginAttempt(now);
 		this.releaseLoad = dependencies.load.start(pipeline, tokens);
 		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
@@ -296,39 +268,9 @@
 		}, new ExchangeListener(this));
 	}
 
-	private recordProgress(now: number): void {
-		this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
-		this.firstEventAt ??= now;
-		if (now - this.firstEventAt >= soundDelayMs) {
-			this.recordSound();
-		}
-	}
-
-	private recordSound(): void {
-		if (!this.isSound) {
-			this.isSound = true;
-			this.streamDependencies.promptGuard.recordProgress(this.request.promptParts);
-		}
-	}
-
-	/** Records that the current attempt ended early, which a crash of the first stage may have caused. */
-	private recordLoss(): void {
-		if (!this.isSound) {
-			this.earlyLossCount++;
-			this.reportLoss();
-		}
-	}
-
-	private reportLoss(): void {
-		if (!this.isSound) {
-			this.streamDependencies.promptGuard.recordLoss(this.firstServer, this.request.promptParts, this.sentAt);
-		}
-	}
-
 	private receiveErrorData(chunk: Uint8Array): void {
-		this.errorBody.push(chunk);
-		this.errorBytes += chunk.length;
-		if (this.errorBytes > maxErrorBytes) {
+		this.errorBody.add(chunk);
+		if (this.errorBody.isOversized) {
 			this.abandonAttempt('the body of an error response has no end');
 		}
 	}
@@ -357,7 +299,7 @@
 	}
 
 	private completeStream(head: ResponseHead, pipeline: Pipeline): void {
-		this.recordSound();
+		this.crashEvidence.recordSound();
 		this.dependencies.metrics.record('siskinnotch_longest_pause_ms', this.progress.longestPauseMs);
 		this.log.logCompleted(head.status, pipeline, this.attemptCount, this.dependencies.timers.now());
 		this.complete(head.status);
@@ -379,7 +321,7 @@
 		}
 
 		this.reply.begin(head.status, head.headers, head.isSelfDelimited);
-		for (const chunk of this.errorBody) {
+		for (const chunk of this.errorBody.chunks) {
 			this.reply.write(chunk);
 		}
 
@@ -413,7 +355,7 @@
 	}
 
 	private get mayResume(): boolean {
-		return isRepeatable(this.request.route) && this.remaining > 0 && this.earlyLossCount < maxEarlyLosses;
+		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive;
 	}
 
 	/** Creates the failure to reply with if no pipeline can be used. */
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -1,6 +1,9 @@
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
-import {type PipelineSelector, type PipelineRequest} from '../pipelines/pipeline-selector.js';
+import {type EngineModel} from '../pipelines/engine-model.js';
+import {type PipelineSelector} from '../pipelines/pipeline-selector.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
+import {type ExecutionHistory} from './execution-history.js';
+import {type RelayRequest} from './relay-request.js';
 
 /** Selects pipelines for one stream, without the stages that have already failed it. */
 export class StreamPipelineSelector {
@@ -9,7 +12,17 @@
 	/** Incarnation ids of stages on which the stream went silent. */
 	private readonly avoided = new Set<string>();
 
-	constructor(private readonly selector: PipelineSelector) {}
+	constructor(
+		private readonly selector: PipelineSelector,
+		private readonly request: RelayRequest,
+		private readonly model: EngineModel,
+		private readonly executions: ExecutionHistory,
+	) {}
+
+	/** Tokens that the request is expected to hold. The caller's bound on the answer is far above the length of most answers. */
+	get expectedTokens(): number {
+		return this.request.promptTokens + Math.min(this.request.maxAnswerTokens, this.model.usualAnswer);
+	}
 
 	/** Excludes a faulty stage for the rest of the stream. */
 	exclude(server: BackendServer): void {
@@ -22,9 +35,8 @@
 	}
 
 	/** Selects the pipeline to use now; returns undefined if none has capacity. */
-	select(request: Omit<PipelineRequest, 'excluded'>, now: number): Pipeline | undefined {
-		return this.selectAlternative(request, now)
-			?? (this.avoided.size > 0 ? this.selector.select({...request, excluded: this.excluded}, now) : undefined);
+	select(now: number): Pipeline | undefined {
+		return this.selectAlternative(now) ?? (this.avoided.size > 0 ? this.selectWithout(this.excluded, now) : undefined);
 	}
 
 	/**
@@ -33,8 +45,15 @@
 	@param faulty - a stage that is known to be silent now; stages that were avoided before it are then used if there is no other pipeline, since they may work again
 	@returns undefined if no pipeline has capacity
 	*/
-	selectAlternative(request: Omit<PipelineRequest, 'excluded'>, now: number, faulty?: BackendServer): Pipeline | undefined {
-		const preferred = this.selector.select({...request, excluded: new Set([...this.excluded, ...this.avoided])}, now);
-		return preferred ?? (faulty && this.avoided.size > 1 ? this.selector.select({...request, excluded: new Set([...this.excluded, getIncarnationId(faulty)])}, now) : undefined);
+	selectAlternative(now: number, faulty?: BackendServer): Pipeline | undefined {
+		return this.selectWithout(new Set([...this.excluded, ...this.avoided]), now)
+			?? (faulty && this.avoided.size > 1 ? this.selectWithout(new Set([...this.excluded, getIncarnationId(faulty)]), now) : undefined);
+	}
+
+	private selectWithout(excluded: ReadonlySet<string>, now: number): Pipeline | undefined {
+		const {request, model, expectedTokens: tokens, executions} = this;
+		return this.selector.select({
+			service: request.service.name, model, tokens, excluded, firstStageCandidates: executions.allowedIncarnations,
+		}, now);
 	}
 }
