--- a/src/pipelines/suspicion-cause.ts
+++ b/src/pipelines/suspicion-cause.ts
@@ -1,11 +1,11 @@
 /** Why a backend server is suspected. */
 export enum SuspicionCause {
-	/** Other instances reported it. */
+	/** Other instances reported the server. */
 	Reported = 'reported',
-	/** It did not answer in time, or another server waits for it. It may still be executing requests. */
+	/** The server did not answer in time, or another one waits for it. It may still be executing requests. */
 	Unresponsive = 'unresponsive',
-	/** Its address refuses connections, so its process has ended. */
+	/** The server's address refuses connections, so its process has ended. */
 	Refusing = 'refusing',
-	/** It answers, and what it answers shows that it fails or is leaving. */
+	/** The server's own answers show that it is failing or leaving. */
 	Failing = 'failing',
 }
