--- /dev/null
+++ b/src/backpressure/backpressure.ts
@@ -0,0 +1,6 @@
+import {type ServerPauses} from './server-pauses.js';
+
+/** What backend servers themselves ask of the instances that send them requests, apart from the suspicions that an instance forms. */
+export type Backpressure = {
+	readonly pauses: ServerPauses;
+};
--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -1,3 +1,4 @@
+import {type Backpressure} from '../backpressure/backpressure.js';
 import {getIncarnationId, type BackendServer} from './backend-server.js';
 import {computeTokenCapacity, type EngineModel} from './engine-model.js';
 import {getLayerCount, type LayerRange} from './layer-range.js';
@@ -38,6 +39,7 @@
 export type PipelineSelectorDependencies = {
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
+	readonly backpressure: Backpressure;
 	readonly load: ServerLoad;
 	readonly slowdowns: ServerSlowdowns;
 	/** Availability zone of this instance. */
@@ -82,8 +84,9 @@
 	}
 
 	private findUsableServers({service, excluded}: PipelineRequest, now: number): readonly BackendServer[] {
-		return this.dependencies.directory.usable(service).filter(server =>
-			server.range !== undefined && !excluded.has(getIncarnationId(server)) && this.dependencies.serverHealth.isUsable(server, now));
+		const {directory, serverHealth, backpressure} = this.dependencies;
+		return directory.usable(service).filter(server =>
+			server.range !== undefined && !excluded.has(getIncarnationId(server)) && serverHealth.isUsable(server, now) && !backpressure.pauses.isPaused(server, now));
 	}
 
 	private createCosts({model, tokens, firstStageCandidates}: PipelineRequest, now: number): PipelineCosts {
--- a/src/pipelines/plain-server-selector.ts
+++ b/src/pipelines/plain-server-selector.ts
@@ -1,3 +1,4 @@
+import {type Backpressure} from '../backpressure/backpressure.js';
 import {type RandomSource} from '../routing/random-source.js';
 import {getIncarnationId, type BackendServer} from './backend-server.js';
 import {type ServerHealthTracker} from './server-health-tracker.js';
@@ -20,6 +21,14 @@
 	readonly maxRequests: number;
 };
 
+export type PlainServerSelectorDependencies = {
+	readonly directory: ServerDirectory;
+	readonly serverHealth: ServerHealthTracker;
+	readonly backpressure: Backpressure;
+	readonly load: ServerLoad;
+	readonly random: RandomSource;
+};
+
 type FailureCount = {
 	value: number;
 	updatedAt: number;
@@ -29,12 +38,7 @@
 export class PlainServerSelector {
 	private readonly failures = new Map<string, FailureCount>();
 
-	constructor(
-		private readonly directory: ServerDirectory,
-		private readonly serverHealth: ServerHealthTracker,
-		private readonly load: ServerLoad,
-		private readonly random: RandomSource,
-	) {}
+	constructor(private readonly dependencies: PlainServerSelectorDependencies) {}
 
 	/**
 	Selects the server to use now.
@@ -42,18 +46,19 @@
 	@returns undefined if no server is left
 	*/
 	select({service, excluded, maxRequests: mostRequests}: PlainServerRequirements, now: number): BackendServer | undefined {
-		const listed = this.directory.usable(service).filter(server =>
-			!excluded.has(getIncarnationId(server)) && !this.serverHealth.isPaused(server, now) && this.load.getRequests(server) < mostRequests);
-		const usable = listed.filter(server => this.serverHealth.isUsable(server, now));
-		const unsuspected = usable.length > 0 ? usable : listed.filter(server => !this.serverHealth.isSuspected(server, now));
+		const {directory, serverHealth, backpressure, load, random} = this.dependencies;
+		const listed = directory.usable(service).filter(server =>
+			!excluded.has(getIncarnationId(server)) && !backpressure.pauses.isPaused(server, now) && load.getRequests(server) < mostRequests);
+		const usable = listed.filter(server => serverHealth.isUsable(server, now));
+		const unsuspected = usable.length > 0 ? usable : listed.filter(server => !serverHealth.isSuspected(server, now));
 		// If all servers are suspected, trying one of them is better than failing the request.
 		const servers = unsuspected.length > 0 ? unsuspected : listed;
 		if (servers.length === 0) {
 			return undefined;
 		}
 
-		const first = this.random.pick(servers);
-		const second = this.random.pick(servers);
+		const first = random.pick(servers);
+		const second = random.pick(servers);
 		return this.computeScore(second, now) < this.computeScore(first, now) ? second : first;
 	}
 
@@ -69,7 +74,8 @@
 	}
 
 	private computeScore(server: BackendServer, now: number): number {
-		const reported = this.load.getReportedRequests(server, now, maxLoadAgeMs) ?? 0;
-		return Math.max(reported, this.load.getRequests(server)) + (this.getFailures(server, now) * failureWeight);
+		const {load} = this.dependencies;
+		const reported = load.getReportedRequests(server, now, maxLoadAgeMs) ?? 0;
+		return Math.max(reported, load.getRequests(server)) + (this.getFailures(server, now) * failureWeight);
 	}
 }
--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -35,8 +35,6 @@
 	readonly maxSuspicion: number;
 	/** How long a server gets no requests after its first rejection; grows with each consecutive one. */
 	readonly saturationBackoff: number;
-	/** Longest pause that a server may ask for. */
-	readonly maxPause: number;
 	/** Pause between trial requests to a server whose suspicion expired. */
 	readonly trialPause: number;
 };
@@ -48,8 +46,6 @@
 */
 export class ServerHealthTracker {
 	private readonly records = new Map<string, HealthRecord>();
-	/** Monotonic times until which servers want no requests of this instance, by incarnation. */
-	private readonly pausedUntil = new Map<string, number>();
 
 	constructor(private readonly timings: ServerHealthTimings, private readonly log: DecisionLog) {}
 
@@ -95,22 +91,6 @@
 		return record.consecutiveRejections;
 	}
 
-	/**
-	Records that a server wants no requests of this instance for a while. Success of an earlier request does not end the pause.
-
-	@param duration - milliseconds; a longer one than the limit is cut off there
-	*/
-	pause(server: BackendServer, duration: number, now: number): void {
-		const forMs = Math.min(duration, this.timings.maxPause);
-		this.pausedUntil.set(getIncarnationId(server), Math.max(now + forMs, this.pausedUntil.get(getIncarnationId(server)) ?? 0));
-		this.log.write('server.paused', {server: server.id, forMs, askedMs: duration});
-	}
-
-	/** Whether the server asked this instance for a pause that is not over. */
-	isPaused(server: BackendServer, now: number): boolean {
-		return (this.pausedUntil.get(getIncarnationId(server)) ?? 0) > now;
-	}
-
 	/** Resets the health record of a server that completed work sent after the suspicion began. */
 	clearSuspicion(server: BackendServer, now: number): void {
 		const record = this.records.get(getIncarnationId(server));
@@ -160,10 +140,6 @@
 
 	/** Whether the server may be selected for a new request. */
 	isUsable(server: BackendServer, now: number): boolean {
-		if (this.isPaused(server, now)) {
-			return false;
-		}
-
 		const record = this.records.get(getIncarnationId(server));
 		if (!record) {
 			return true;
@@ -194,11 +170,9 @@
 	/** Removes the records of incarnations that are no longer listed. */
 	retain(servers: Iterable<BackendServer>): void {
 		const listed = new Set([...servers].map(server => getIncarnationId(server)));
-		for (const records of [this.records, this.pausedUntil]) {
-			for (const incarnationId of records.keys()) {
-				if (!listed.has(incarnationId)) {
-					records.delete(incarnationId);
-				}
+		for (const incarnationId of this.records.keys()) {
+			if (!listed.has(incarnationId)) {
+				this.records.delete(incarnationId);
 			}
 		}
 	}
--- a/src/placement/placement-controller.ts
+++ b/src/placement/placement-controller.ts
@@ -1,3 +1,4 @@
+import {type Backpressure} from '../backpressure/backpressure.js';
 import {type ActiveCatalog} from '../catalog/active-catalog.js';
 import {type Service} from '../catalog/service.js';
 import {type Lease} from '../leases/lease.js';
@@ -21,6 +22,7 @@
 	readonly catalog: ActiveCatalog;
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
+	readonly backpressure: Backpressure;
 	readonly reporter: StageReporter;
 	readonly sender: OrderSender;
 	readonly timers: TimerService;
@@ -158,7 +160,7 @@
 	private mayOrder(server: BackendServer, now: number): boolean {
 		const incarnationId = getIncarnationId(server);
 		const sinceRefusal = now - (this.refusedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY);
-		return !this.pending.has(incarnationId) && sinceRefusal >= this.timings.refusalBackoff && !this.dependencies.serverHealth.isPaused(server, now);
+		return !this.pending.has(incarnationId) && sinceRefusal >= this.timings.refusalBackoff && !this.dependencies.backpressure.pauses.isPaused(server, now);
 	}
 
 	private startOrders(placements: readonly Placement[], model: EngineModel, now: number, reason: string): void {
--- a/src/relay/exchange-dependencies.ts
+++ b/src/relay/exchange-dependencies.ts
@@ -1,4 +1,5 @@
 import {type RetryBudget} from '../admission/retry-budget.js';
+import {type Backpressure} from '../backpressure/backpressure.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
@@ -17,6 +18,7 @@
 	readonly client: BackendClient;
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
+	readonly backpressure: Backpressure;
 	readonly load: ServerLoad;
 	readonly retryBudgets: RetryBudgets;
 	readonly timers: TimerService;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -119,7 +119,7 @@
 		}
 
 		if (pause !== undefined) {
-			dependencies.serverHealth.pause(server, pause, now);
+			dependencies.backpressure.pauses.pause(server, pause, now);
 		}
 	}
 
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -1,3 +1,4 @@
+import {type Backpressure} from '../backpressure/backpressure.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
@@ -16,6 +17,7 @@
 	readonly exchanges: ExchangeRegistry;
 	readonly reporter: StageReporter;
 	readonly serverHealth: ServerHealthTracker;
+	readonly backpressure: Backpressure;
 	readonly serverSlowdowns: ServerSlowdowns;
 	readonly directory: ServerDirectory;
 	readonly timers: TimerService;
@@ -134,7 +136,7 @@
 
 	/** Whether the server may be asked for its health or state; it may not while it wants no requests. */
 	private mayQuery(server: BackendServer): boolean {
-		return !this.dependencies.serverHealth.isPaused(server, this.dependencies.timers.now());
+		return !this.dependencies.backpressure.pauses.isPaused(server, this.dependencies.timers.now());
 	}
 
 	private querySlowdowns(exchange: StreamExchange, now: number): void {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,6 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {type Logger} from 'winston';
 import {RetryBudget} from './admission/retry-budget.js';
+import {type Backpressure} from './backpressure/backpressure.js';
+import {ServerPauses} from './backpressure/server-pauses.js';
 import {ActiveCatalog} from './catalog/active-catalog.js';
 import {type CatalogDecoder} from './catalog/catalog-decoder.js';
 import {CatalogReader} from './catalog/catalog-reader.js';
@@ -75,8 +77,10 @@
 const randomSeedRange = 0x7F_FF_FF_FF;
 /** Durations in milliseconds. */
 const serverHealthTimings = {
-	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
+	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 };
+/** Longest pause that a backend server may ask for. */
+const maxPauseMs = 60_000;
 /** Weights of pipeline selection; `maxLoadAge` in milliseconds. */
 const selectionWeights = {
 	remoteZone: 0.4, crossing: 5, maxOccupancy: 1, occupancyWeight: 3, maxLoadAge: 1500,
@@ -122,6 +126,7 @@
 	const random = new RandomSource(Math.floor(Math.random() * randomSeedRange));
 	const directory = new ServerDirectory(timers, log);
 	const serverHealth = new ServerHealthTracker(serverHealthTimings, log);
+	const backpressure: Backpressure = {pauses: new ServerPauses(maxPauseMs, log)};
 	const serverLoad = new ServerLoad();
 	const slowdowns = new ServerSlowdowns(slowdownExpiryMs);
 	const activeCatalog = new ActiveCatalog(log, timers);
@@ -174,7 +179,7 @@
 		codec: adapters.codec, agent: new BackendAgent(timers, limits.idle_connection), timers, connectTimeout: limits.connect,
 	});
 	const exchangeDependencies: ExchangeDependencies = {
-		client: backendClient, directory, serverHealth, load: serverLoad, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
+		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
 		streamMonitor.migrateStreamsFrom(server, reason);
@@ -185,7 +190,9 @@
 	const exchanges = new ExchangeRegistry(
 		exchangeDependencies,
 		{
-			selector: new PlainServerSelector(directory, serverHealth, serverLoad, random),
+			selector: new PlainServerSelector({
+				directory, serverHealth, backpressure, load: serverLoad, random,
+			}),
 			computeConnectionShare: connections => Math.max(1, Math.floor(connections / instanceRegistry.all().length)),
 			limits: {maxBufferedBytes: limits.held_answer, responseTimeoutFraction: plainResponseTimeoutFraction},
 		},
@@ -193,6 +200,7 @@
 			selector: new PipelineSelector({
 				directory,
 				serverHealth,
+				backpressure,
 				load: serverLoad,
 				slowdowns,
 				availabilityZone: instance.availability_zone,
@@ -213,6 +221,7 @@
 	const streamMonitor = new StreamMonitor({
 		exchanges, reporter: adapters.stageReporter,
 		serverHealth,
+		backpressure,
 		serverSlowdowns: slowdowns,
 		directory,
 		timers,
@@ -223,7 +232,7 @@
 
 	const leaseManager = new LeaseManager('placement', lease, {table: adapters.leaseTable, timers, log: createPartLog(logger, 'leases')});
 	const placementController = new PlacementController({
-		lease, catalog: activeCatalog, directory, serverHealth, reporter: adapters.stageReporter, sender: adapters.orderSender, timers, metrics, log, onRangeConfirmed(server, range) {
+		lease, catalog: activeCatalog, directory, serverHealth, backpressure, reporter: adapters.stageReporter, sender: adapters.orderSender, timers, metrics, log, onRangeConfirmed(server, range) {
 			directory.overrideRange(getIncarnationId(server), range);
 			gossip.reportRange(server, range);
 		},
@@ -242,6 +251,7 @@
 	const serverListReader = new ServerListReader({
 		decoder: adapters.serverDecoder, directory, log, onRead() {
 			serverHealth.retain(directory.all());
+			backpressure.pauses.retain(directory.all());
 			serverLoad.retain(directory.all());
 			slowdowns.retain(directory.all());
 			requestQueue.dispatchReady();
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {sampleModel} from '../harness/sample-model.js';
+import {ServerPauses} from '../src/backpressure/server-pauses.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {InterzoneBandwidthBudget} from '../src/pipelines/interzone-bandwidth-budget.js';
 import {PipelineSelector} from '../src/pipelines/pipeline-selector.js';
@@ -18,7 +19,7 @@
 import {seed} from './support/seed.js';
 
 const healthTimings = {
-	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 150, maxPause: 60_000, trialPause: 700,
+	suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 150, trialPause: 700,
 };
 
 function createSelector(servers: readonly BackendServer[]) {
@@ -31,6 +32,7 @@
 	const selector = new PipelineSelector({
 		directory,
 		serverHealth,
+		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog())},
 		load,
 		slowdowns,
 		availabilityZone: 'zone-a',
@@ -190,7 +192,9 @@
 	const servers = ['a', 'b'].map(id => sampleServer(id, '', undefined, {service: 'records'}));
 	directory.applyReading({servers, requestedAt: 0, mayBeIncomplete: false});
 	const load = new ServerLoad();
-	const selector = new PlainServerSelector(directory, new ServerHealthTracker(healthTimings, log), load, new RandomSource(seed()));
+	const selector = new PlainServerSelector({
+		directory, serverHealth: new ServerHealthTracker(healthTimings, log), backpressure: {pauses: new ServerPauses(60_000, log)}, load, random: new RandomSource(seed()),
+	});
 	const selected: string[] = [];
 	for (let request = 0; request < 10; request++) {
 		const server = selector.select({service: 'records', excluded: new Set(), maxRequests: 3}, 0);
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -17,10 +17,12 @@
 
 function startLookup(connectionShare: number, ids: readonly string[] = ['a']): ExchangeFixture {
 	const fixture = new ExchangeFixture();
-	const {dependencies, directory, serverHealth, load} = fixture;
+	const {dependencies, directory, serverHealth, backpressure, load} = fixture;
 	directory.applyReading({servers: ids.map(id => sampleServer(id, '', undefined, {service: 'records'})), requestedAt: 0, mayBeIncomplete: false});
 	new PlainExchange(dependencies, fixture.createRequest(lookupRoute), fixture.reply, {
-		selector: new PlainServerSelector(directory, serverHealth, load, new RandomSource(seed())),
+		selector: new PlainServerSelector({
+			directory, serverHealth, backpressure, load, random: new RandomSource(seed()),
+		}),
 		computeConnectionShare: () => connectionShare,
 		limits: {maxBufferedBytes: 1000, responseTimeoutFraction: 0.8},
 	}).start(() => undefined);
@@ -62,11 +64,13 @@
 
 test('a server that asks for a pause gets no request until it is over, also with many queued and after success of an earlier one', t => {
 	const fixture = startLookup(5);
-	const {timers, serverHealth, dependencies, directory, load} = fixture;
+	const {timers, serverHealth, backpressure, dependencies, directory, load} = fixture;
 	const server = directory.usable('records')[0];
 	const start = () => {
 		new PlainExchange(dependencies, fixture.createRequest(lookupRoute), fixture.reply, {
-			selector: new PlainServerSelector(directory, serverHealth, load, new RandomSource(seed())),
+			selector: new PlainServerSelector({
+				directory, serverHealth, backpressure, load, random: new RandomSource(seed()),
+			}),
 			computeConnectionShare: () => 5,
 			limits: {maxBufferedBytes: 1000, responseTimeoutFraction: 0.8},
 		}).start(() => undefined);
@@ -90,12 +94,12 @@
 });
 
 test('a pause is bounded, and a new incarnation of the server starts without it', t => {
-	const {serverHealth} = new ExchangeFixture();
+	const {backpressure: {pauses}} = new ExchangeFixture();
 	const server = sampleServer('a', '');
-	serverHealth.pause(server, 1e12, 0);
-	t.true(serverHealth.isPaused(server, 59_999));
-	t.false(serverHealth.isPaused(server, 60_000));
-	t.false(serverHealth.isPaused({...server, startedAt: 2}, 0));
+	pauses.pause(server, 1e12, 0);
+	t.true(pauses.isPaused(server, 59_999));
+	t.false(pauses.isPaused(server, 60_000));
+	t.false(pauses.isPaused({...server, startedAt: 2}, 0));
 });
 
 test('a rejection whose body has no end is handled without waiting for it', t => {
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {ServerPauses} from '../src/backpressure/server-pauses.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
@@ -56,13 +57,14 @@
 	const directory = new ServerDirectory(timers, new RecordingLog());
 	directory.applyReading({servers, requestedAt: 0, mayBeIncomplete: false});
 	const serverHealth = new ServerHealthTracker({
-		suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
+		suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 	}, new RecordingLog());
 	const reported: string[] = [];
 	const monitor = new StreamMonitor({
 		exchanges: {streams: new Set(streams)} as unknown as ExchangeRegistry, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		reporter,
 		serverHealth,
+		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog())},
 		serverSlowdowns: new ServerSlowdowns(3000),
 		directory,
 		timers,
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -138,7 +138,7 @@
 		const log = new RecordingLog(this.timers);
 		const directory = new ServerDirectory(this.timers, log);
 		const serverHealth = new ServerHealthTracker({
-			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
+			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
 		const serverLoad = new ServerLoad();
 		const learntSuspicions: string[] = [];
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -2,6 +2,8 @@
 import {RetryBudget} from '../../src/admission/retry-budget.js';
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
+import {type Backpressure} from '../../src/backpressure/backpressure.js';
+import {ServerPauses} from '../../src/backpressure/server-pauses.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {getIncarnationId} from '../../src/pipelines/backend-server.js';
 import {type Pipeline} from '../../src/pipelines/pipeline.js';
@@ -90,6 +92,7 @@
 	/** Number of attempts that the exchange cancelled. */
 	cancelCount = 0;
 	readonly serverHealth: ServerHealthTracker;
+	readonly backpressure: Backpressure;
 	readonly directory: ServerDirectory;
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
@@ -99,8 +102,9 @@
 		const log = new RecordingLog(timers);
 		const retryBudget = new RetryBudget(0.2, 100, 10_000);
 		this.serverHealth = new ServerHealthTracker({
-			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, maxPause: 60_000, trialPause: 700,
+			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
+		this.backpressure = {pauses: new ServerPauses(60_000, log)};
 		this.directory = new ServerDirectory(timers, log);
 		this.dependencies = {
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
@@ -117,6 +121,7 @@
 			} as unknown as BackendClient,
 			directory: this.directory,
 			serverHealth: this.serverHealth,
+			backpressure: this.backpressure,
 			load,
 			retryBudgets: {forService: () => retryBudget},
 			timers,
