Log the request limits that backend servers name

A response's limit is decoded and logged (server.limited, siskinnotch_servers_limited); it is not applied yet.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -14,6 +14,8 @@
 export abstract class Exchange {
 	protected currentAttempt?: RunningAttempt;
 	protected attemptCount = 0;
+	/** Monotonic time in milliseconds at which the current attempt was sent. */
+	protected sentAt = 0;
 	private isOver = false;
 	private deadlineTimer?: TimerHandle;
 	private endListener?: () => void;
@@ -107,9 +109,10 @@
 	}
 
 	/** Records what the head of a response says about the server that sent it. */
-	protected observeServer(server: BackendServer, {load, isLeaving, pause}: ResponseHead): void {
-		const {dependencies} = this;
+	protected observeServer(server: BackendServer, {load, isLeaving, pause, requestLimit}: ResponseHead): void {
+		const {dependencies, sentAt} = this;
 		const now = dependencies.timers.now();
+		dependencies.backpressure.limits.observe(server, {perSecond: requestLimit, sentAt}, now);
 		if (load) {
 			dependencies.load.observe(server, load, now);
 		}
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -162,6 +162,7 @@
 		const {dependencies, request} = this;
 		const now = dependencies.timers.now();
 		this.server = server;
+		this.sentAt = now;
 		this.triedIncarnations.add(getIncarnationId(server));
 		this.attemptCount++;
 		this.executions++;
--- a/src/relay/response-head.ts
+++ b/src/relay/response-head.ts
@@ -21,6 +21,8 @@
 	readonly isLeaving: boolean;
 	/** Milliseconds for which the backend server wants no requests of this instance; undefined if it did not say so. */
 	readonly pause?: number;
+	/** Requests per second that the backend server accepts from all instances together; undefined if it names no limit. */
+	readonly requestLimit?: number;
 	/** The load that the backend server reports. */
 	readonly load?: LoadReading;
 };
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -246,6 +246,7 @@
 		const {dependencies, request, progress, selector: {expectedTokens: tokens}} = this;
 		const [{server}] = pipeline;
 		this.pipeline = pipeline;
+		this.sentAt = now;
 		this.queueEntry = undefined;
 		this.attemptCount++;
 		this.executions.recordStart(server);
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -2,6 +2,7 @@
 import {type Logger} from 'winston';
 import {RetryBudget} from './admission/retry-budget.js';
 import {type Backpressure} from './backpressure/backpressure.js';
+import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
 import {ActiveCatalog} from './catalog/active-catalog.js';
 import {type CatalogDecoder} from './catalog/catalog-decoder.js';
@@ -126,7 +127,7 @@
 	const random = new RandomSource(Math.floor(Math.random() * randomSeedRange));
 	const directory = new ServerDirectory(timers, log);
 	const serverHealth = new ServerHealthTracker(serverHealthTimings, log);
-	const backpressure: Backpressure = {pauses: new ServerPauses(maxPauseMs, log)};
+	const backpressure: Backpressure = {pauses: new ServerPauses(maxPauseMs, log), limits: new ServerLimits(log)};
 	const serverLoad = new ServerLoad();
 	const slowdowns = new ServerSlowdowns(slowdownExpiryMs);
 	const activeCatalog = new ActiveCatalog(log, timers);
@@ -252,6 +253,7 @@
 		decoder: adapters.serverDecoder, directory, log, onRead() {
 			serverHealth.retain(directory.all());
 			backpressure.pauses.retain(directory.all());
+			backpressure.limits.retain(directory.all());
 			serverLoad.retain(directory.all());
 			slowdowns.retain(directory.all());
 			requestQueue.dispatchReady();
@@ -276,6 +278,7 @@
 	metrics.gauge('siskinnotch_peers_heard', () => peerLoads.getReportingInstances(timers.now()).length);
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => serverHealth.countSuspected(timers.now()));
+	metrics.gauge('siskinnotch_servers_limited', () => backpressure.limits.size);
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, promptGuard, activeCatalog, tableWatchers, isStoreReader,
 		directory, instanceRegistry, gossip, gossipClients, lease, leaseManager, placementController,
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {sampleModel} from '../harness/sample-model.js';
+import {ServerLimits} from '../src/backpressure/server-limits.js';
 import {ServerPauses} from '../src/backpressure/server-pauses.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {InterzoneBandwidthBudget} from '../src/pipelines/interzone-bandwidth-budget.js';
@@ -32,7 +33,7 @@
 	const selector = new PipelineSelector({
 		directory,
 		serverHealth,
-		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog())},
+		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog()), limits: new ServerLimits(new RecordingLog())},
 		load,
 		slowdowns,
 		availabilityZone: 'zone-a',
@@ -193,7 +194,11 @@
 	directory.applyReading({servers, requestedAt: 0, mayBeIncomplete: false});
 	const load = new ServerLoad();
 	const selector = new PlainServerSelector({
-		directory, serverHealth: new ServerHealthTracker(healthTimings, log), backpressure: {pauses: new ServerPauses(60_000, log)}, load, random: new RandomSource(seed()),
+		directory,
+		serverHealth: new ServerHealthTracker(healthTimings, log),
+		backpressure: {pauses: new ServerPauses(60_000, log), limits: new ServerLimits(log)},
+		load,
+		random: new RandomSource(seed()),
 	});
 	const selected: string[] = [];
 	for (let request = 0; request < 10; request++) {
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {ServerLimits} from '../src/backpressure/server-limits.js';
 import {ServerPauses} from '../src/backpressure/server-pauses.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
@@ -64,7 +65,7 @@
 		exchanges: {streams: new Set(streams)} as unknown as ExchangeRegistry, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		reporter,
 		serverHealth,
-		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog())},
+		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog()), limits: new ServerLimits(new RecordingLog())},
 		serverSlowdowns: new ServerSlowdowns(3000),
 		directory,
 		timers,
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -3,6 +3,7 @@
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
 import {type Backpressure} from '../../src/backpressure/backpressure.js';
+import {ServerLimits} from '../../src/backpressure/server-limits.js';
 import {ServerPauses} from '../../src/backpressure/server-pauses.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {getIncarnationId} from '../../src/pipelines/backend-server.js';
@@ -104,7 +105,7 @@
 		this.serverHealth = new ServerHealthTracker({
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
-		this.backpressure = {pauses: new ServerPauses(60_000, log)};
+		this.backpressure = {pauses: new ServerPauses(60_000, log), limits: new ServerLimits(log)};
 		this.directory = new ServerDirectory(timers, log);
 		this.dependencies = {
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
