--- a/simulators/stage-simulator.ts
+++ b/simulators/stage-simulator.ts
@@ -36,6 +36,8 @@
 	rejectionStatus?: number;
 	/** Id of a prompt part; a stream on a prompt with this part, other than as its last one, crashes the simulator just before its first event. */
 	crashingPart?: string;
+	/** Requests per second that the simulator says it accepts from all instances together; it serves more nevertheless. */
+	requestLimit?: number;
 	/** Milliseconds from a crash until the next incarnation listens. */
 	restartPause: number;
 	/** Milliseconds for which the simulator is silent after the first event of the next stream; it sends nothing then and answers later whatever arrives. */
@@ -171,6 +173,10 @@
 			arrival.wasAborted ||= !response.writableFinished;
 		});
 		response.setHeader('Siskinnotch-Attempt-Id', arrival.id);
+		if (this.behaviour.requestLimit !== undefined) {
+			response.setHeader('Server-Limit', String(this.behaviour.requestLimit));
+		}
+
 		if (arrival.isMisdirected) {
 			response.writeHead(misdirectedStatus, {'Siskinnotch-Not-Executed': '1'}).end();
 			return;
