Share the request limits that backend servers name among the instances

The class of fault: a bound that holds for all instances together needs each of them to know the others and its own share. Ruled out: retries and health checks beyond the limit (the counts are those of first attempts).

Each instance now keeps a token bucket with its share of each limit, weighted by availability zone, for plain requests and for first stages of streams, retries included. Limits and their ends are passed on by gossip, an instance that joins gets all of them, and one that does not know the others sends nothing to a limited server. Why it works: the shares of all add up to the limit, and their bursts to less than what is tolerated beyond it; a property test runs 1 to 195 instances with limits from 0 to 60 a second, also with all of them starting at once after a pause.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -1,3 +1,4 @@
+import {type ServerLimits} from './backpressure/server-limits.js';
 import {InstanceRegistry, type RegisteredInstance} from './entry/instance-registry.js';
 import {type Lease} from './leases/lease.js';
 import {type DecisionLog} from './observation/decision-log.js';
@@ -11,6 +12,7 @@
 import {CrashRumors, type CrashEvents} from './peers/crash-rumors.js';
 import {GossipService} from './peers/gossip-service.js';
 import {getIdDigest} from './peers/id-digest.js';
+import {LimitExchange} from './peers/limit-exchange.js';
 import {PartnerSelector} from './peers/partner-selector.js';
 import {PeerLoads} from './peers/peer-loads.js';
 import {PlacementHolder} from './peers/placement-holder.js';
@@ -50,6 +52,7 @@
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
 	readonly serverLoad: ServerLoad;
+	readonly serverLimits: ServerLimits;
 	readonly lease: Lease;
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
 	/** Holds a row for each instance. */
@@ -155,6 +158,7 @@
 			suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize), directory, serverHealth, onSuspicion: events.onSuspicion,
 		}, rumorTimings),
 		crashRumors: new CrashRumors(instance.id, timers.wallClock(), events, rumorTimings),
+		limitExchange: new LimitExchange(dependencies.serverLimits),
 		serverLoad,
 		placementHolder: new PlacementHolder(lease),
 		timers,
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -49,6 +49,15 @@
 	parts: z.array(z.string()),
 });
 
+const limitSchema = z.object({
+	/** Incarnation id of the backend server. */
+	life: z.string(),
+	/** Requests per second that the server accepts from all instances together; absent if it lifted its limit. */
+	perSecond: z.number().nonnegative().optional(),
+	/** Milliseconds since the server said so. */
+	age: z.number().nonnegative(),
+});
+
 const instanceSchema = z.object({id: z.string(), availabilityZone: z.string(), peers: z.string()});
 
 const tableStatusSchema = z.object({
@@ -84,6 +93,8 @@
 	crashes: z.array(crashSchema).optional(),
 	/** Suspected prompt parts that an instance saw work; absent if there are none. */
 	vindications: z.array(vindicationSchema).optional(),
+	/** Limits that backend servers named or lifted; absent if there are none. */
+	limits: z.array(limitSchema).optional(),
 	/** The newest sign of the holder of the placement lease; undefined if none is known. */
 	placing: z.object({
 		/** Fencing number under which it holds the lease. */
@@ -93,7 +104,7 @@
 	}).optional(),
 });
 
-/** Message in which an instance shares its load, and what it knows of the store's tables, suspicions, ordered ranges and crashes. */
+/** Message in which an instance shares its load, and what it knows of the store's tables, suspicions, ordered ranges, crashes and limits. */
 export type GossipMessage = z.infer<typeof gossipMessageSchema>;
 
 /** A report that a backend server does not work. */
@@ -105,5 +116,8 @@
 /** A report that a backend server crashed, with the prompt parts that may have caused it. */
 export type ReportedCrash = z.infer<typeof crashSchema>;
 
+/** The limit that a backend server named or lifted. */
+export type ReportedLimit = z.infer<typeof limitSchema>;
+
 /** A report that suspected prompt parts worked. */
 export type Vindication = z.infer<typeof vindicationSchema>;
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -15,6 +15,7 @@
 import {type GossipClients} from './gossip-clients.js';
 import {type GossipMessage} from './gossip-message.js';
 import {type GossipReceiver} from './gossip-procedures.js';
+import {type LimitExchange} from './limit-exchange.js';
 import {type Fanout, type PartnerSelector} from './partner-selector.js';
 import {type PeerLoads} from './peer-loads.js';
 import {getIdDigest} from './id-digest.js';
@@ -32,6 +33,7 @@
 	readonly peerLoads: PeerLoads;
 	readonly rumors: ServerRumors;
 	readonly crashRumors: CrashRumors;
+	readonly limitExchange: LimitExchange;
 	readonly serverLoad: ServerLoad;
 	readonly placementHolder: PlacementHolder;
 	readonly timers: TimerService;
@@ -65,7 +67,7 @@
 const holderFanout: Fanout = {near: 0, far: 2};
 
 /**
-Exchanges loads, suspicions, ordered ranges, reports of crashes and the rows of the store's tables with other instances.
+Exchanges loads, suspicions, ordered ranges, reports of crashes, limits of backend servers and the rows of the store's tables with other instances.
 
 Each instance contacts a fixed number of others in each round, and passes news on as soon as it first receives it, so that its work does not grow with their number (A. Demers et al., Epidemic algorithms for replicated database maintenance, PODC 1987).
 */
@@ -117,6 +119,11 @@
 		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
+	/** Passes a limit that a backend server named or lifted on to the other instances. */
+	reportLimitChange(): void {
+		this.scheduleSpread(this.timings.rumorFanout);
+	}
+
 	/** Passes a change of a table on to the other instances. */
 	reportTableChange(name: TableName, previous: TablePosition | undefined): void {
 		this.dependencies.tables.recordChange(name, previous, this.dependencies.timers.now());
@@ -133,7 +140,7 @@
 		const isNear = message.from.availabilityZone === self.availabilityZone;
 		this.receive(message);
 		const {from, reportAges} = message;
-		const {furtherUpdates, ...answer} = this.createMessage(from.availabilityZone);
+		const {furtherUpdates, ...answer} = this.createMessage(from.availabilityZone, message.wantsRows);
 		return {
 			...answer,
 			loads: [...answer.loads, ...peerLoads.selectReports(from.availabilityZone, reportAges, timers.now())],
@@ -165,8 +172,8 @@
 	}
 
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
-	private createMessage(recipientZone: string | undefined): GossipMessage {
-		const {self, tables, peerLoads, rumors, crashRumors, placementHolder, timers} = this.dependencies;
+	private createMessage(recipientZone: string | undefined, isRecipientJoining = false): GossipMessage {
+		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
@@ -178,6 +185,7 @@
 			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
 			...rumors.getCurrent(now),
 			...crashRumors.getCurrent(now),
+			...limitExchange.getCurrent(isRecipientJoining, now),
 			placing: placementHolder.describe(now),
 		};
 	}
@@ -189,7 +197,7 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, rumors, crashRumors, tables, placementHolder, timers} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, tables, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		partners.recordContact(message.from.id);
 		instances.recordContact(message.from);
@@ -198,6 +206,7 @@
 			placementHolder.receive({fencing: message.placing.fencing, seenAt: now - message.placing.age - transitAllowanceMs});
 		}
 
+		limitExchange.receive(message, now);
 		const isRumorNew = rumors.receive(message, now);
 		if (crashRumors.receive(message, now) || isRumorNew) {
 			this.scheduleSpread(this.timings.rumorFanout);
--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -93,8 +93,7 @@
 		const fastest = model.layers * Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace));
 		const layerCosts = new Map<BackendServer, number>();
 		const computeStageCost = (server: BackendServer, range: LayerRange) => {
-			const isAllowed = range.from > 0 || !firstStageCandidates || firstStageCandidates.has(getIncarnationId(server));
-			if (!isAllowed) {
+			if (range.from === 0 && !this.isAllowedFirst(server, firstStageCandidates, now)) {
 				return Number.POSITIVE_INFINITY;
 			}
 
@@ -107,6 +106,11 @@
 		return {computeStageCost, crossingCost: fastest * this.weights.crossing};
 	}
 
+	/** Whether a server may get the request as the first stage of a pipeline. Only the first stage's limit counts the request. */
+	private isAllowedFirst(server: BackendServer, candidates: ReadonlySet<string> | undefined, now: number): boolean {
+		return (!candidates || candidates.has(getIncarnationId(server))) && this.dependencies.backpressure.limits.allows(server, now);
+	}
+
 	/** Returns the cost of one layer on a server; infinite if the server lacks capacity for the tokens. */
 	private computeLayerCost(server: BackendServer, model: EngineModel, tokens: number, now: number): number {
 		const acceleratorType = model.acceleratorTypes.get(server.card);
--- a/src/pipelines/plain-server-selector.ts
+++ b/src/pipelines/plain-server-selector.ts
@@ -29,6 +29,13 @@
 	readonly random: RandomSource;
 };
 
+/** A server that may get a request after a delay. */
+export type DelayedServer = {
+	readonly server: BackendServer;
+	/** Milliseconds. */
+	readonly delay: number;
+};
+
 type FailureCount = {
 	value: number;
 	updatedAt: number;
@@ -45,10 +52,9 @@
 
 	@returns undefined if no server is left
 	*/
-	select({service, excluded, maxRequests: mostRequests}: PlainServerRequirements, now: number): BackendServer | undefined {
-		const {directory, serverHealth, backpressure, load, random} = this.dependencies;
-		const listed = directory.usable(service).filter(server =>
-			!excluded.has(getIncarnationId(server)) && !backpressure.pauses.isPaused(server, now) && load.getRequests(server) < mostRequests);
+	select(requirements: PlainServerRequirements, now: number): BackendServer | undefined {
+		const {serverHealth, backpressure, random} = this.dependencies;
+		const listed = this.findServers(requirements, now).filter(server => backpressure.limits.allows(server, now));
 		const usable = listed.filter(server => serverHealth.isUsable(server, now));
 		const unsuspected = usable.length > 0 ? usable : listed.filter(server => !serverHealth.isSuspected(server, now));
 		// If all servers are suspected, trying one of them is better than failing the request.
@@ -62,11 +68,31 @@
 		return this.computeScore(second, now) < this.computeScore(first, now) ? second : first;
 	}
 
+	/**
+	Finds the server whose request limit is the first to allow a request, for a request that finds none to use now.
+
+	@returns undefined if no server is left, or if this instance has no share of their limits
+	*/
+	findNextAllowed(requirements: PlainServerRequirements, now: number): DelayedServer | undefined {
+		const {backpressure} = this.dependencies;
+		const [next] = this.findServers(requirements, now)
+			.map(server => ({server, delay: backpressure.limits.computeDelay(server, now)}))
+			.toSorted((left, right) => left.delay - right.delay);
+		return next && Number.isFinite(next.delay) ? next : undefined;
+	}
+
 	/** Records that a request to the server failed for a reason other than the request itself. */
 	recordFailure(server: BackendServer, now: number): void {
 		this.failures.set(getIncarnationId(server), {value: this.getFailures(server, now) + 1, updatedAt: now});
 	}
 
+	/** Returns the servers that may get a request apart from their limits, whether they are suspected or not. */
+	private findServers({service, excluded, maxRequests: mostRequests}: PlainServerRequirements, now: number): readonly BackendServer[] {
+		const {directory, backpressure, load} = this.dependencies;
+		return directory.usable(service).filter(server =>
+			!excluded.has(getIncarnationId(server)) && !backpressure.pauses.isPaused(server, now) && load.getRequests(server) < mostRequests);
+	}
+
 	/** Returns the number of failures, decayed by their age. */
 	private getFailures(server: BackendServer, now: number): number {
 		const failures = this.failures.get(getIncarnationId(server));
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -1,6 +1,6 @@
 import {isRepeatable} from '../catalog/route.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
-import {type PlainServerSelector} from '../pipelines/plain-server-selector.js';
+import {type PlainServerRequirements, type PlainServerSelector} from '../pipelines/plain-server-selector.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
@@ -37,6 +37,9 @@
 /** Attempts beyond the executions that the route allows, since an attempt that was not executed doesn't count as one. */
 const extraAttempts = 3;
 const retryAfterSeconds = 0.5;
+const millisecondsPerSecond = 1000;
+/** Fraction of the time left for which a request waits for the limit of a server at most. */
+const maxLimitWaitFraction = 0.5;
 
 /** Exchange of a request to a plain service. The response is buffered until it is complete, unless it is large. */
 export class PlainExchange extends Exchange {
@@ -46,6 +49,8 @@
 	private server?: BackendServer;
 	private releaseLoad?: () => void;
 	private responseTimer?: TimerHandle;
+	/** Set while the request waits for the limit of a server. */
+	private limitTimer?: TimerHandle;
 	private bufferedChunks: Uint8Array[] = [];
 	private bufferedBytes = 0;
 	private head?: ResponseHead;
@@ -131,9 +136,10 @@
 	protected dispatch(): void {
 		const server = this.selectServer(this.triedIncarnations) ?? this.selectServer(new Set());
 		if (server) {
+			this.dependencies.backpressure.limits.recordRequest(server, this.dependencies.timers.now());
 			this.send(server);
 		} else {
-			this.failWithCode(ResultCode.NoPipeline, `no server of service ${this.request.service.name} is listed and has a free connection`);
+			this.waitForLimit();
 		}
 	}
 
@@ -145,6 +151,7 @@
 
 	protected release(): void {
 		this.responseTimer?.cancel();
+		this.limitTimer?.cancel();
 		this.releaseLoad?.();
 		this.releaseLoad = undefined;
 	}
@@ -154,8 +161,50 @@
 	}
 
 	private selectServer(excluded: ReadonlySet<string>): BackendServer | undefined {
-		const {plainDependencies: {selector, computeConnectionShare}, request: {service: {name: service, maxConnections}}} = this;
-		return selector.select({service, excluded, maxRequests: computeConnectionShare(maxConnections)}, this.dependencies.timers.now());
+		return this.plainDependencies.selector.select(this.createRequirements(excluded), this.dependencies.timers.now());
+	}
+
+	private createRequirements(excluded: ReadonlySet<string>): PlainServerRequirements {
+		const {plainDependencies: {computeConnectionShare}, request: {service: {name: service, maxConnections}}} = this;
+		return {service, excluded, maxRequests: computeConnectionShare(maxConnections)};
+	}
+
+	/** Reserves the next request that the limit of a server allows, and sends it then; refuses the request at once if that is too late. */
+	private waitForLimit(): void {
+		const {request, dependencies: {timers, backpressure, log}, plainDependencies: {selector}} = this;
+		const now = timers.now();
+		const next = selector.findNextAllowed(this.createRequirements(new Set()), now);
+		if (!next) {
+			this.failWithCode(ResultCode.NoPipeline, `no server of service ${request.service.name} is listed, has a free connection and accepts requests of this instance`);
+			return;
+		}
+
+		const {server, delay} = next;
+		if (delay > Math.min(request.route.latencyTarget, this.remaining * maxLimitWaitFraction)) {
+			this.failWithCode(ResultCode.NoPipeline, `the servers of service ${request.service.name} limit their requests`, delay / millisecondsPerSecond);
+			return;
+		}
+
+		backpressure.limits.recordRequest(server, now);
+		log.write('request.waiting', {
+			request: request.id, server: server.id, limitMs: Math.round(delay), attempts: this.attemptCount,
+		});
+		this.limitTimer = timers.after(delay, () => {
+			this.limitTimer = undefined;
+			this.sendReserved(server);
+		});
+	}
+
+	/** Sends the request to a server with a reservation, or to another one if that server must not be used any more. */
+	private sendReserved(server: BackendServer): void {
+		const {directory, backpressure, serverHealth, timers} = this.dependencies;
+		const now = timers.now();
+		const isListed = directory.usable(server.service).some(listed => getIncarnationId(listed) === getIncarnationId(server));
+		if (isListed && !backpressure.pauses.isPaused(server, now) && !serverHealth.isSuspected(server, now)) {
+			this.send(server);
+		} else {
+			this.dispatch();
+		}
 	}
 
 	private send(server: BackendServer): void {
@@ -220,10 +269,10 @@
 	}
 
 	/** Fails with the code if the request was not executed, or with `BackendFailed` if it may have been. */
-	private failWithCode(code: ResultCode, reason: string): void {
+	private failWithCode(code: ResultCode, reason: string, retryAfter = retryAfterSeconds): void {
 		this.failWith(this.mayHaveExecuted
 			? new Failure(ResultCode.BackendFailed, reason, Execution.Unknown)
-			: new Failure(code, reason, Execution.NotRun, retryAfterSeconds));
+			: new Failure(code, reason, Execution.NotRun, retryAfter));
 	}
 
 	/** Whether the request may be sent again. If it may, takes a retry from the budget. */
@@ -271,6 +320,7 @@
 			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
 			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
 			this.resetResponse();
+			dependencies.backpressure.limits.recordRequest(alternative, dependencies.timers.now());
 			this.send(alternative);
 		});
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -256,6 +256,7 @@
 		progress.beginAttempt(now);
 		this.releaseLoad = dependencies.load.start(pipeline, tokens);
 		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
+		dependencies.backpressure.limits.recordRequest(server, now);
 		this.log.logSent(pipeline, {
 			tokens,
 			attempt: this.attemptCount,
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -127,7 +127,16 @@
 	const random = new RandomSource(Math.floor(Math.random() * randomSeedRange));
 	const directory = new ServerDirectory(timers, log);
 	const serverHealth = new ServerHealthTracker(serverHealthTimings, log);
-	const backpressure: Backpressure = {pauses: new ServerPauses(maxPauseMs, log), limits: new ServerLimits(log)};
+	const backpressure: Backpressure = {
+		pauses: new ServerPauses(maxPauseMs, log), limits: new ServerLimits({
+			self: instance.id,
+			findInstances: () => instanceRegistry.isInitialized ? instanceRegistry.all() : undefined,
+			log,
+			onChange() {
+				gossip.reportLimitChange();
+			},
+		}),
+	};
 	const serverLoad = new ServerLoad();
 	const slowdowns = new ServerSlowdowns(slowdownExpiryMs);
 	const activeCatalog = new ActiveCatalog(log, timers);
@@ -136,7 +145,7 @@
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const {instanceRegistry, peerLoads, gossip, tables, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
-		timers, log, metrics, random, directory, serverHealth, serverLoad, lease, clients: gossipClients,
+		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, lease, clients: gossipClients,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange(instances) {
@@ -253,7 +262,7 @@
 		decoder: adapters.serverDecoder, directory, log, onRead() {
 			serverHealth.retain(directory.all());
 			backpressure.pauses.retain(directory.all());
-			backpressure.limits.retain(directory.all());
+			backpressure.limits.retain(directory.all(), timers.now());
 			serverLoad.retain(directory.all());
 			slowdowns.retain(directory.all());
 			requestQueue.dispatchReady();
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -1,8 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {sampleModel} from '../harness/sample-model.js';
-import {ServerLimits} from '../src/backpressure/server-limits.js';
-import {ServerPauses} from '../src/backpressure/server-pauses.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {InterzoneBandwidthBudget} from '../src/pipelines/interzone-bandwidth-budget.js';
 import {PipelineSelector} from '../src/pipelines/pipeline-selector.js';
@@ -16,6 +14,7 @@
 import {ServerSlowdowns} from '../src/pipelines/server-slowdowns.js';
 import {RandomSource} from '../src/routing/random-source.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {sampleBackpressure} from './support/sample-backpressure.js';
 import {RecordingLog, sampleServer} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
 
@@ -30,10 +29,11 @@
 	const serverHealth = new ServerHealthTracker(healthTimings, new RecordingLog());
 	const load = new ServerLoad();
 	const slowdowns = new ServerSlowdowns(3000);
+	const backpressure = sampleBackpressure();
 	const selector = new PipelineSelector({
 		directory,
 		serverHealth,
-		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog()), limits: new ServerLimits(new RecordingLog())},
+		backpressure,
 		load,
 		slowdowns,
 		availabilityZone: 'zone-a',
@@ -46,7 +46,7 @@
 		service: 'model', model: sampleModel, tokens, excluded: new Set(),
 	}, now)?.map(({server}) => server.id);
 	return {
-		selectIds, directory, serverHealth, load, slowdowns, timers,
+		selectIds, directory, serverHealth, backpressure, load, slowdowns, timers,
 	};
 }
 
@@ -58,6 +58,23 @@
 	];
 }
 
+// Guards against streams that are refused while another first stage accepts requests, and against stages that are left out in the middle of pipelines.
+test('a first stage that reached its limit gets no further streams, and goes on as a later stage', t => {
+	const limited = sampleServer('limited', 'large', {from: 0, to: 30});
+	const middle = sampleServer('middle', 'large', {from: 30, to: 60});
+	const slow = sampleServer('slow', 'small', {from: 0, to: 7});
+	const last = sampleServer('last', 'large', {from: 60, to: 80});
+	const {selectIds, backpressure} = createSelector([limited, slow, middle, last]);
+	t.deepEqual(selectIds(), ['limited', 'middle', 'last']);
+	backpressure.limits.observe(limited, {perSecond: 1, sentAt: 0}, 0);
+	while (backpressure.limits.allows(limited, 0)) {
+		backpressure.limits.recordRequest(limited, 0);
+	}
+
+	t.deepEqual(selectIds(), ['slow', 'limited', 'middle', 'last']);
+	t.deepEqual(selectIds(1000), ['limited', 'middle', 'last']);
+});
+
 test('a found pipeline runs each layer once, in order, and uses each server at most once', t => {
 	const range = fc.tuple(fc.nat(79), fc.integer({min: 1, max: 60})).map(([from, length]) => ({from, to: Math.min(80, from + length)}));
 	fc.assert(fc.property(fc.array(fc.tuple(range, fc.constantFrom('zone-a', 'zone-b')), {maxLength: 14}), entries => {
@@ -196,7 +213,7 @@
 	const selector = new PlainServerSelector({
 		directory,
 		serverHealth: new ServerHealthTracker(healthTimings, log),
-		backpressure: {pauses: new ServerPauses(60_000, log), limits: new ServerLimits(log)},
+		backpressure: sampleBackpressure(),
 		load,
 		random: new RandomSource(seed()),
 	});
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -136,3 +136,51 @@
 	t.is(moved.sent.length, 2);
 	t.not(moved.sent[0].attempt.server.id, moved.sent[1].attempt.server.id);
 });
+
+// Guards against lookups that are refused although a limited server is going to accept them in time, or that wait although it is not.
+test('a lookup waits for the limit of its server if that allows it in time, and is refused at once with the delay otherwise', t => {
+	const exhaustLimit = (perSecond: number) => {
+		const fixture = startLookup(5);
+		const {timers, backpressure, directory} = fixture;
+		const [server] = directory.usable('records');
+		backpressure.limits.observe(server, {perSecond, sentAt: 0}, 0);
+		while (backpressure.limits.allows(server, 0)) {
+			backpressure.limits.recordRequest(server, 0);
+		}
+
+		fixture.latest.onHead({
+			...sampleResponseHead, status: 503, isNotExecuted: true, requestLimit: perSecond,
+		});
+		fixture.latest.onEnd();
+		const attempts = fixture.sent.length;
+		timers.advance(backpressure.limits.computeDelay(server, 0));
+		return {failure: fixture.reply.failure, attempts, lateAttempts: fixture.sent.length - attempts};
+	};
+
+	const waiting = exhaustLimit(4);
+	t.is(waiting.failure, undefined);
+	t.is(waiting.attempts, 1);
+	t.is(waiting.lateAttempts, 1);
+	const refused = exhaustLimit(0.3);
+	t.is(refused.failure?.execution, Execution.NotRun);
+	t.true(refused.failure!.retryAfterSeconds! > 1);
+	t.is(refused.lateAttempts, 0);
+});
+
+test('a lookup that waits for the limit of a server goes to another one if that server leaves', t => {
+	const fixture = startLookup(5);
+	const {timers, backpressure, directory} = fixture;
+	const [server] = directory.usable('records');
+	backpressure.limits.observe(server, {perSecond: 4, sentAt: 0}, 0);
+	while (backpressure.limits.allows(server, 0)) {
+		backpressure.limits.recordRequest(server, 0);
+	}
+
+	fixture.latest.onHead({
+		...sampleResponseHead, status: 503, isNotExecuted: true, requestLimit: 4,
+	});
+	fixture.latest.onEnd();
+	directory.applyReading({servers: [sampleServer('other', '', undefined, {service: 'records'})], requestedAt: 1, mayBeIncomplete: false});
+	timers.advance(500);
+	t.is(fixture.sent.at(-1)?.attempt.server.id, 'other');
+});
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -1,6 +1,4 @@
 import test from 'ava';
-import {ServerLimits} from '../src/backpressure/server-limits.js';
-import {ServerPauses} from '../src/backpressure/server-pauses.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
@@ -10,6 +8,7 @@
 import {type ExchangeRegistry} from '../src/relay/exchange-registry.js';
 import {StreamMonitor} from '../src/relay/stream-monitor.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {sampleBackpressure} from './support/sample-backpressure.js';
 import {RecordingLog, sampleServer} from './support/sample-fleet.js';
 
 class FakeReporter extends StageReporter {
@@ -65,7 +64,7 @@
 		exchanges: {streams: new Set(streams)} as unknown as ExchangeRegistry, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		reporter,
 		serverHealth,
-		backpressure: {pauses: new ServerPauses(60_000, new RecordingLog()), limits: new ServerLimits(new RecordingLog())},
+		backpressure: sampleBackpressure(),
 		serverSlowdowns: new ServerSlowdowns(3000),
 		directory,
 		timers,
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -1,5 +1,6 @@
 import {setImmediate} from 'node:timers/promises';
 import {wireControl, type Control} from '../../src/control-wiring.js';
+import {ServerLimits} from '../../src/backpressure/server-limits.js';
 import {Lease} from '../../src/leases/lease.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {ServerDirectory} from '../../src/pipelines/server-directory.js';
@@ -37,6 +38,7 @@
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
 	readonly serverLoad: ServerLoad;
+	readonly serverLimits: ServerLimits;
 	/** Incarnation ids that became suspected because of other instances. */
 	readonly learntSuspicions: string[];
 	readonly learntCrashes: CrashReport[];
@@ -141,6 +143,14 @@
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
 		const serverLoad = new ServerLoad();
+		const serverLimits: ServerLimits = new ServerLimits({
+			self: id,
+			findInstances: () => control.instanceRegistry.all(),
+			log,
+			onChange() {
+				control.gossip.reportLimitChange();
+			},
+		});
 		const learntSuspicions: string[] = [];
 		const learntCrashes: CrashReport[] = [];
 		const learntVindications: Array<readonly string[]> = [];
@@ -159,7 +169,7 @@
 			'[seeds]',
 			`peers = ${Array.from({length: seedCount}, (_, seed) => `10.0.${seed % this.zones}.${seed}:7000`).join(',')}`,
 		].join('\n'));
-		const control = wireControl(settings, {
+		const control: Control = wireControl(settings, {
 			timers: this.timers,
 			log,
 			metrics: new Metrics(),
@@ -167,6 +177,7 @@
 			directory,
 			serverHealth,
 			serverLoad,
+			serverLimits,
 			lease: new Lease(id, 2500),
 			clients: {
 				exchange: async (target, message) => this.deliver(instance, target, message),
@@ -207,7 +218,7 @@
 			reader.confirm(table);
 		});
 		const instance: FleetInstance = {
-			id, address, control, directory, serverHealth, serverLoad, learntSuspicions, learntCrashes, learntVindications, learntQuarantines,
+			id, address, control, directory, serverHealth, serverLoad, serverLimits, learntSuspicions, learntCrashes, learntVindications, learntQuarantines,
 			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false,
 		};
 		return instance;
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -3,8 +3,6 @@
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
 import {type Backpressure} from '../../src/backpressure/backpressure.js';
-import {ServerLimits} from '../../src/backpressure/server-limits.js';
-import {ServerPauses} from '../../src/backpressure/server-pauses.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {getIncarnationId} from '../../src/pipelines/backend-server.js';
 import {type Pipeline} from '../../src/pipelines/pipeline.js';
@@ -22,6 +20,7 @@
 import {StreamExchange} from '../../src/relay/stream-exchange.js';
 import {type Failure} from '../../src/results/failure.js';
 import {ManualTimerService} from '../../src/time/manual-timer-service.js';
+import {sampleBackpressure} from './sample-backpressure.js';
 import {RecordingLog} from './sample-fleet.js';
 
 /** The route of a resumable stream. */
@@ -105,7 +104,7 @@
 		this.serverHealth = new ServerHealthTracker({
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
-		this.backpressure = {pauses: new ServerPauses(60_000, log), limits: new ServerLimits(log)};
+		this.backpressure = sampleBackpressure();
 		this.directory = new ServerDirectory(timers, log);
 		this.dependencies = {
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
