--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -8,6 +8,7 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type PromptGuard} from '../quarantine/prompt-guard.js';
+import {computeRequestFingerprint} from '../quarantine/request-fingerprint.js';
 import {type ExchangeCodec} from '../relay/exchange-codec.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
 import {Execution} from '../results/execution.js';
@@ -89,6 +90,11 @@
 				return;
 			}
 
+			const method = message.method ?? 'GET';
+			const {host, target} = authorizationRequest;
+			const fingerprint = computeRequestFingerprint({
+				host, method, target, workspace: workspace?.name, body,
+			});
 			if (service.engine) {
 				dependencies.promptGuard.check(callerHeaders.promptParts);
 			}
@@ -100,12 +106,13 @@
 				workspace: workspace?.name,
 				version,
 				patienceMs: callerHeaders.timeout,
+				fingerprint,
 				parts: callerHeaders.promptParts.slice(0, maxLoggedParts).join(' '),
 			});
 			dependencies.exchanges.start({
 				id: callerHeaders.id,
-				method: message.method ?? 'GET',
-				target: message.url ?? '/',
+				method,
+				target,
 				headers: callerHeaders.forwardedHeaders,
 				body,
 				route,
@@ -118,6 +125,7 @@
 				maxAnswerTokens: callerHeaders.maxAnswerTokens,
 				lastEventId: callerHeaders.lastEventId,
 				promptParts: callerHeaders.promptParts,
+				fingerprint,
 			}, reply);
 		} catch (error) {
 			this.refuse(reply, callerHeaders.id, toFailure(error), message);
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -26,6 +26,8 @@
 	readonly maxAnswerTokens: number;
 	/** Ids of the prompt parts that the request shares with others. */
 	readonly promptParts: readonly string[];
+	/** Equal for equal requests of one caller. */
+	readonly fingerprint: string;
 	/** Id of the last event that the caller received from an earlier request. */
 	readonly lastEventId?: number;
 };
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -149,6 +149,7 @@
 			arrivedAt: this.timers.now(),
 			deadline: this.timers.now() + route.timeout,
 			promptParts: ['shared', 'topic'],
+			fingerprint: 'request:sample',
 			promptTokens: 100,
 			maxAnswerTokens: 50,
 		};
