--- a/simulators/stage-simulator.ts
+++ b/simulators/stage-simulator.ts
@@ -36,6 +36,8 @@
 	rejectionStatus?: number;
 	/** Id of a prompt part; a stream on a prompt with this part, other than as its last one, crashes the simulator just before its first event. */
 	crashingPart?: string;
+	/** Path of the requests that crash the simulator when it begins to run them. */
+	crashingPath?: string;
 	/** Requests per second that the simulator says it accepts from all instances together; it serves more nevertheless. */
 	requestLimit?: number;
 	/** Milliseconds from a crash until the next incarnation listens. */
@@ -187,6 +189,12 @@
 			return;
 		}
 
+		if (arrival.path === this.behaviour.crashingPath) {
+			await this.timers.sleep(this.behaviour.pause);
+			await this.crash();
+			return;
+		}
+
 		response.setHeader('Siskinnotch-Replica-Signature', `signature of ${this.id}`);
 		await (arrival.pipeline === undefined ? this.answerPlainRequest(response) : this.streamEvents(response, arrival));
 	}
--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -102,7 +102,7 @@
 
 	constructor(stageCount = defaultStageCount) {
 		this.stages = [...'abcdefgh'].slice(0, stageCount).map(letter => new StageSimulator(`stage-${letter}`, 1000, this.timers));
-		this.heartbeats = new StageHeartbeats(this.stages, {
+		this.heartbeats = new StageHeartbeats([...this.stages, ...this.records], {
 			write: stage => {
 				this.listServer(stage, stage.port, 'ready');
 			},
@@ -213,7 +213,7 @@
 		}
 	}
 
-	/** From now on, the entries of the stages in the server list follow their layers and their restarts. */
+	/** From now on, the entries of the servers in the server list follow their layers and their restarts. */
 	startHeartbeats(): void {
 		this.heartbeats.start();
 	}
