Refuse a request that crashes each backend server that runs it

Cause: a query of death. Ruled out: load (servers ended with nothing else to do).

The fingerprint of a request is now a suspect of the crashes of servers on which it was lost, beside the parts of its prompt, and travels the same way among the instances and into the store. A request is accused when it explains three crashes, two of them one after the other, unless another one was under way at all of them; a part is not accused while one request explains all its crashes. Plain exchanges report lost connections, and complete responses as proof that a request is sound; a plain server that lost one gets a health check, so that its end is known soon. A lookup that lost two servers, or one and is a suspect already, is sent to no further one. Why it works: all instances know a crash within a gossip spread, so the request is refused everywhere after the third one; the second arrival ends at most one more server.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -95,9 +95,7 @@
 			const fingerprint = computeRequestFingerprint({
 				host, method, target, workspace: workspace?.name, body,
 			});
-			if (service.engine) {
-				dependencies.promptGuard.check(callerHeaders.promptParts);
-			}
+			dependencies.promptGuard.check([fingerprint, ...callerHeaders.promptParts]);
 
 			dependencies.log.write('request.accepted', {
 				request: callerHeaders.id,
--- a/src/quarantine-wiring.ts
+++ b/src/quarantine-wiring.ts
@@ -22,8 +22,8 @@
 
 /** What the other parts of the router are asked for. */
 export type QuarantineEvents = {
-	/** Queries a server that lost attempts. */
-	readonly checkServer: (server: BackendServer) => void;
+	/** Queries a server that lost attempts; returns false if it must not be queried yet. */
+	readonly checkServer: (server: BackendServer) => boolean;
 	/** Called when a part becomes quarantined, to end the requests with it that are in progress. */
 	readonly onQuarantine: (part: string, refusal: Failure) => void;
 };
@@ -34,6 +34,7 @@
 	soundMemory: 600_000,
 	crashMemory: 600_000,
 	maxSoundParts: 20_000,
+	maxSoundRequests: 5000,
 	maxCrashes: 200,
 	maxSuspects: 200,
 	maxAccused: 1000,
--- a/src/quarantine/crash-analysis-options.ts
+++ b/src/quarantine/crash-analysis-options.ts
@@ -1,17 +1,15 @@
+import {type CrashHistoryOptions} from './crash-history.js';
+
 /** Options of a crash analysis. */
-export type CrashAnalysisOptions = {
-	/** Number of crashes, one after another, that a part must explain to be accused. */
+export type CrashAnalysisOptions = CrashHistoryOptions & {
+	/** Number of crashes that a part, one after another, or a request must explain to be accused. */
 	readonly minCrashes: number;
-	/** Milliseconds for which a part that made progress is remembered as sound. */
+	/** Milliseconds for which a part or request that made progress is remembered as sound. */
 	readonly soundMemory: number;
-	/** Milliseconds for which a crash is held. */
-	readonly crashMemory: number;
 	/** Number of parts that are remembered as sound. */
 	readonly maxSoundParts: number;
-	/** Number of crashes that are held. */
-	readonly maxCrashes: number;
-	/** Number of suspects that are held of each crash. */
-	readonly maxSuspects: number;
-	/** Number of accused parts that are remembered. */
+	/** Number of requests that are remembered as sound. */
+	readonly maxSoundRequests: number;
+	/** Number of accused parts, and of accused requests, that are remembered. */
 	readonly maxAccused: number;
 };
--- a/src/quarantine/crash-analysis.ts
+++ b/src/quarantine/crash-analysis.ts
@@ -1,7 +1,9 @@
 import {type Accusation} from './accusation.js';
 import {type CrashAnalysisOptions} from './crash-analysis-options.js';
 import {type CrashReport} from './crash-report.js';
-import {Crash} from './crash.js';
+import {CrashHistory} from './crash-history.js';
+import {RequestCrashes} from './request-crashes.js';
+import {isRequestFingerprint} from './request-fingerprint.js';
 import {SoundParts} from './sound-parts.js';
 
 /** Crashes of servers to each of which a part was sent after the crash before it. */
@@ -10,25 +12,27 @@
 	length: number;
 	/** Monotonic time in milliseconds of the last crash. */
 	endsAt: number;
-	/** All crashes in which the part is a suspect, also those outside of the sequence. */
-	suspicions: number;
+	/** Incarnation ids of all crashes in which the part is a suspect, also those outside of the sequence. */
+	readonly suspicions: string[];
 };
 
 /**
-Finds the prompt parts that crash each backend server that begins to answer them, from reports of crashes.
+Finds the prompt parts and the single requests that crash each backend server that begins to answer them, from reports of crashes.
 
-A part is accused if it explains more crashes, one after another, than any other part. All times are monotonic, in milliseconds.
+A part is accused if it explains more crashes, one after another, than any other part, and no single request explains them all. All times are monotonic, in milliseconds. The parts in arguments and results are ids of prompt parts or fingerprints of requests.
 */
 export class CrashAnalysis {
 	private readonly sound: SoundParts;
-	/** By incarnation id. */
-	private readonly crashes = new Map<string, Crash>();
+	private readonly history: CrashHistory;
+	private readonly requests: RequestCrashes;
 	private readonly accused = new Set<string>();
 	/** Whether several parts explain enough crashes, so that progress can decide. */
 	private isTied = false;
 
 	constructor(private readonly options: CrashAnalysisOptions) {
 		this.sound = new SoundParts(options.soundMemory, options.maxSoundParts);
+		this.history = new CrashHistory(options);
+		this.requests = new RequestCrashes(options);
 	}
 
 	/**
@@ -38,14 +42,11 @@
 	*/
 	recordProgress(parts: readonly string[], now: number): readonly Accusation[] {
 		for (const part of parts) {
-			// A part that is remembered as sound is not held as a suspect.
-			if (!this.sound.has(part, now)) {
-				for (const crash of this.crashes.values()) {
-					crash.clear(part);
-				}
+			if (isRequestFingerprint(part)) {
+				this.requests.recordProgress(part, now);
+			} else {
+				this.clear(part, now);
 			}
-
-			this.sound.add(part, now);
 		}
 
 		return this.isTied ? this.accuse(now) : [];
@@ -58,12 +59,12 @@
 
 	/** Returns those of the parts that are remembered as sound, to answer reports of other instances. */
 	findSound(parts: readonly string[], now: number): readonly string[] {
-		return parts.filter(part => this.sound.has(part, now));
+		return parts.filter(part => this.isSound(part, now));
 	}
 
 	/** Returns a report without the parts that are remembered as sound, to send it to other instances; undefined if no suspect is left. */
 	filterSuspects(report: CrashReport, now: number): CrashReport | undefined {
-		const suspects = report.suspects.filter(({part}) => !this.sound.has(part, now));
+		const suspects = report.suspects.filter(({part}) => !this.isSound(part, now));
 		return suspects.length === 0 ? undefined : {...report, suspects};
 	}
 
@@ -78,22 +79,38 @@
 	recordCrash(report: CrashReport, now: number, timeError = 0): readonly Accusation[] {
 		const crashedAt = report.crashedAt + timeError;
 		const suspects = this.filterSuspects(report, now)?.suspects.map(({part, sentAt}) => ({part, sentAt: sentAt - timeError}));
-		if (!suspects || now - crashedAt > this.options.crashMemory) {
+		if (!suspects || this.history.isOutdated(crashedAt, now)) {
 			return [];
 		}
 
-		const crash = this.crashes.get(report.incarnationId) ?? new Crash(this.options.maxSuspects);
-		this.crashes.set(report.incarnationId, crash);
-		crash.merge(crashedAt, suspects);
-		if (suspects.some(({part}) => this.accused.has(part))) {
+		const {incarnationId} = report;
+		const requests = this.requests.recordCrash({incarnationId, crashedAt, suspects: suspects.filter(({part}) => isRequestFingerprint(part))}, now);
+		const parts = suspects.filter(({part}) => !isRequestFingerprint(part));
+		if (parts.length === 0) {
+			return requests;
+		}
+
+		const crash = this.history.getOrCreate(incarnationId);
+		crash.merge(crashedAt, parts);
+		if (parts.some(({part}) => this.accused.has(part))) {
 			crash.explain();
 		}
 
-		return this.accuse(now);
+		return [...requests, ...this.accuse(now)];
+	}
+
+	/** Whether a request is a suspect of any crash. */
+	isSuspectedRequest(fingerprint: string): boolean {
+		return this.requests.isSuspect(fingerprint);
 	}
 
 	/** Records that another instance accused a part, so that it explains the crashes in which it was a suspect. */
 	accept(part: string): void {
+		if (isRequestFingerprint(part)) {
+			this.requests.accept(part);
+			return;
+		}
+
 		this.accused.add(part);
 		if (this.accused.size > this.options.maxAccused) {
 			const [oldest] = this.accused;
@@ -101,7 +118,7 @@
 		}
 
 		// The part may have caused any crash since its first one, even if the reports that name it are still on their way.
-		const crashes = this.sortCrashes();
+		const crashes = this.history.listInOrder().map(([, crash]) => crash);
 		const first = crashes.findIndex(({suspects}) => suspects.has(part));
 		for (const crash of first === -1 ? [] : crashes.slice(first)) {
 			crash.explain();
@@ -110,11 +127,15 @@
 
 	/** Gives up an accused part when its quarantine ends; later crashes can make it accused again. */
 	release(part: string): void {
+		if (isRequestFingerprint(part)) {
+			this.requests.release(part);
+		}
+
 		this.accused.delete(part);
 	}
 
 	private accuse(now: number): readonly Accusation[] {
-		this.removeOld(now);
+		this.history.removeOld(now);
 		const accusations: Accusation[] = [];
 		for (let accusation = this.findAccusation(); accusation; accusation = this.findAccusation()) {
 			this.accept(accusation.part);
@@ -132,7 +153,8 @@
 		}
 
 		// Other reports of the crashes in the sequence may still be on their way, so a part that is suspected in many crashes outside of a sequence ties too.
-		this.isTied = others.some(other => other.length === first.length || other.suspicions >= first.suspicions);
+		const hasRival = others.some(other => other.length === first.length || other.suspicions.length >= first.suspicions.length);
+		this.isTied = hasRival || this.requests.explainsAll(first.suspicions);
 		return this.isTied ? undefined : {part: first.part, crashes: first.length};
 	}
 
@@ -140,13 +162,13 @@
 	private findSequences(): readonly Sequence[] {
 		const sequences = new Map<string, Sequence>();
 		// The sequence that takes the earliest possible crash each time is the longest.
-		for (const {crashedAt, suspects} of this.sortCrashes()) {
+		for (const [incarnationId, {crashedAt, suspects}] of this.history.listInOrder()) {
 			for (const [part, sentAt] of suspects) {
 				const sequence = sequences.get(part) ?? {
-					part, length: 0, endsAt: Number.NEGATIVE_INFINITY, suspicions: 0,
+					part, length: 0, endsAt: Number.NEGATIVE_INFINITY, suspicions: [],
 				};
 				sequences.set(part, sequence);
-				sequence.suspicions++;
+				sequence.suspicions.push(incarnationId);
 				if (sentAt >= sequence.endsAt) {
 					sequence.length++;
 					sequence.endsAt = crashedAt;
@@ -157,18 +179,18 @@
 		return [...sequences.values()];
 	}
 
-	private sortCrashes(): readonly Crash[] {
-		return [...this.crashes.values()].toSorted((left, right) => left.crashedAt - right.crashedAt);
+	private isSound(part: string, now: number): boolean {
+		return isRequestFingerprint(part) ? this.requests.isSound(part, now) : this.sound.has(part, now);
 	}
 
-	private removeOld(now: number): void {
-		const kept = new Set(this.sortCrashes()
-			.filter(({crashedAt}) => now - crashedAt <= this.options.crashMemory)
-			.slice(-this.options.maxCrashes));
-		for (const [incarnationId, crash] of this.crashes) {
-			if (!kept.has(crash)) {
-				this.crashes.delete(incarnationId);
+	private clear(part: string, now: number): void {
+		// A part that is remembered as sound is not held as a suspect.
+		if (!this.sound.has(part, now)) {
+			for (const crash of this.history.all().values()) {
+				crash.clear(part);
 			}
 		}
+
+		this.sound.add(part, now);
 	}
 }
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -9,6 +9,7 @@
 import {type CrashAnalysis} from './crash-analysis.js';
 import {type CrashReport} from './crash-report.js';
 import {type LostAttempts} from './lost-attempts.js';
+import {isRequestFingerprint} from './request-fingerprint.js';
 import {type PromptQuarantine, type QuarantinedPart} from './prompt-quarantine.js';
 
 /** What a prompt guard tells the other instances. */
@@ -32,8 +33,8 @@
 	readonly log: DecisionLog;
 	/** Whether it is proven that the process of a server has ended. */
 	readonly hasEnded: (server: BackendServer) => boolean;
-	/** Queries a server, so that one that has ended is found out. */
-	readonly checkServer: (server: BackendServer) => void;
+	/** Queries a server, so that one that has ended is found out; returns false if it must not be queried yet. */
+	readonly checkServer: (server: BackendServer) => boolean;
 	/** Called when a part becomes quarantined, to end the requests with it that are in progress. */
 	readonly onQuarantine: (part: string, refusal: Failure) => void;
 };
@@ -53,10 +54,14 @@
 type LostServer = {
 	readonly server: BackendServer;
 	/** Monotonic time in milliseconds of the latest lost attempt. */
-	lostAt: number;
+	readonly lostAt: number;
+	/** Whether a query of the server began since then. */
+	isChecked: boolean;
 };
 
 const millisecondsPerSecond = 1000;
+/** Suspects of a crash that are logged. */
+const maxLoggedSuspects = 16;
 
 /** Finds the prompt parts whose requests crash backend servers, from the attempts of this instance and the reports of the others, and refuses requests with them. */
 export class PromptGuard {
@@ -81,6 +86,11 @@
 		}
 	}
 
+	/** Whether a request is a suspect of a crash. */
+	isSuspectedRequest(fingerprint: string): boolean {
+		return this.dependencies.analysis.isSuspectedRequest(fingerprint);
+	}
+
 	/** Records that a backend server answers a request with the parts, so that they are sound. */
 	recordProgress(parts: readonly string[]): void {
 		this.quarantineAccused(this.dependencies.analysis.recordProgress(parts, this.dependencies.timers.now()));
@@ -101,11 +111,7 @@
 			return;
 		}
 
-		if (!this.lostServers.has(incarnationId)) {
-			checkServer(server);
-		}
-
-		this.lostServers.set(incarnationId, {server, lostAt: now});
+		this.lostServers.set(incarnationId, {server, lostAt: now, isChecked: checkServer(server)});
 	}
 
 	/** Adds a crash that another instance saw. Parts that work here are vindicated. */
@@ -139,14 +145,16 @@
 	}
 
 	private confirmCrashes(): void {
-		const {lostAttempts, timers, hasEnded} = this.dependencies;
+		const {lostAttempts, timers, hasEnded, checkServer} = this.dependencies;
 		const now = timers.now();
-		for (const [incarnationId, {server, lostAt}] of this.lostServers) {
+		for (const [incarnationId, lostServer] of this.lostServers) {
+			const {server, lostAt} = lostServer;
 			const isConfirmed = hasEnded(server);
 			if (isConfirmed || now - lostAt > this.timings.confirmationTimeout) {
 				this.lostServers.delete(incarnationId);
 			}
 
+			lostServer.isChecked ||= isConfirmed || checkServer(server);
 			const report = isConfirmed ? lostAttempts.confirmCrash(incarnationId, now) : undefined;
 			if (report) {
 				this.handleOwnReport(report);
@@ -158,8 +166,9 @@
 		const {analysis, reports, timers, log} = this.dependencies;
 		const now = timers.now();
 		const suspected = analysis.filterSuspects(report, now);
+		const suspects = suspected?.suspects.slice(0, maxLoggedSuspects).map(({part}) => part).join(' ');
 		log.warn('server.crashed', {
-			server: report.incarnationId, agoMs: Math.round(now - report.crashedAt), parts: report.suspects.length, suspects: suspected?.suspects.map(({part}) => part).join(' '),
+			server: report.incarnationId, agoMs: Math.round(now - report.crashedAt), parts: report.suspects.length, suspects,
 		});
 		if (suspected) {
 			reports.reportCrash(suspected);
@@ -191,8 +200,9 @@
 
 	/** Returns the failure of a request with a quarantined part that was not executed. */
 	private createRefusal({part, expiresAt}: QuarantinedPart): Failure {
+		const subject = isRequestFingerprint(part) ? 'the request' : `prompt part ${part}`;
 		const seconds = Math.max(1, Math.ceil((expiresAt - this.dependencies.timers.now()) / millisecondsPerSecond));
-		return new Failure(ResultCode.PromptQuarantined, `prompt part ${part} is quarantined, since backend servers crashed on it`, Execution.NotRun, seconds);
+		return new Failure(ResultCode.RequestQuarantined, `${subject} is quarantined, since backend servers crashed on it`, Execution.NotRun, seconds);
 	}
 
 	private releaseExpired(): void {
--- a/src/relay/crash-evidence.ts
+++ b/src/relay/crash-evidence.ts
@@ -1,26 +1,30 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type PromptGuard} from '../quarantine/prompt-guard.js';
+import {type RelayRequest} from './relay-request.js';
 
-/** Time after its first event from which an attempt shows that its prompt does not crash the server that answers it. */
+/** Time after its first event from which an attempt shows that its request does not crash the server that answers it. */
 const soundDelayMs = 500;
-/** Attempts that may end early. A stream that ended two of them may crash each server to which it is sent. */
+/** Attempts that may end early. A request that ended two of them may crash each server to which it is sent. */
 const maxEarlyLosses = 2;
 
-/** Collects what the attempts of one stream show about whether its prompt crashes backend servers. Times are monotonic milliseconds. */
+/** The part of a guard that learns from attempts. */
+export type CrashGuard = Pick<PromptGuard, 'recordProgress' | 'recordLoss' | 'isSuspectedRequest'>;
+
+/** Collects what the attempts of one request show about whether it crashes backend servers. Times are monotonic milliseconds. */
 export class CrashEvidence {
+	private readonly suspects: readonly string[];
 	private earlyLosses = 0;
 	private sentAt = 0;
 	private firstEventAt?: number;
 	private isSound = false;
 
-	/**
-	@param parts - ids of the prompt parts that the stream shares with others
-	*/
-	constructor(private readonly guard: Pick<PromptGuard, 'recordProgress' | 'recordLoss'>, private readonly parts: readonly string[]) {}
+	constructor(private readonly guard: CrashGuard, private readonly request: Pick<RelayRequest, 'promptParts' | 'fingerprint'>) {
+		this.suspects = [...request.promptParts, request.fingerprint];
+	}
 
-	/** Whether the stream lost so many attempts early that it must not be sent to a further server. */
+	/** Whether the request must not be sent to a further server: it lost several attempts early, or one and is a suspect of earlier crashes. */
 	get isConclusive(): boolean {
-		return this.earlyLosses >= maxEarlyLosses;
+		return this.earlyLosses >= maxEarlyLosses || (this.earlyLosses > 0 && this.guard.isSuspectedRequest(this.request.fingerprint));
 	}
 
 	/** Whether the current attempt has received an event. */
@@ -43,26 +47,26 @@
 		}
 	}
 
-	/** Records that the current attempt shows that the prompt is sound. */
+	/** Records that the current attempt shows that the request is sound. */
 	recordSound(): void {
 		if (!this.isSound) {
 			this.isSound = true;
-			this.guard.recordProgress(this.parts);
+			this.guard.recordProgress(this.suspects);
 		}
 	}
 
-	/** Records that the connection of the current attempt to a first stage was lost. */
-	recordLoss(firstStage: BackendServer): void {
+	/** Records that the connection of the current attempt to its server or first stage was lost. */
+	recordLoss(server: BackendServer): void {
 		if (!this.isSound) {
 			this.earlyLosses++;
-			this.recordSilence(firstStage);
+			this.recordSilence(server);
 		}
 	}
 
-	/** Records that the current attempt was given up because a stage was silent, which is no loss of a server yet. */
-	recordSilence(firstStage: BackendServer): void {
+	/** Records that the current attempt was given up because a server was silent, which is no loss of a server yet. */
+	recordSilence(server: BackendServer): void {
 		if (!this.isSound) {
-			this.guard.recordLoss(firstStage, this.parts, this.sentAt);
+			this.guard.recordLoss(server, this.suspects, this.sentAt);
 		}
 	}
 }
--- a/src/relay/exchange-registry.ts
+++ b/src/relay/exchange-registry.ts
@@ -48,10 +48,11 @@
 		});
 	}
 
-	/** Ends the streams that have a quarantined prompt part and wait for their first event. */
+	/** Ends the exchanges of a quarantined request, or with a quarantined prompt part, that nothing shows to be sound yet. */
 	endQuarantined(part: string, refusal: Failure): void {
-		for (const exchange of this.streamExchanges) {
-			if (exchange.request.promptParts.includes(part)) {
+		for (const exchange of [...this.plainExchanges, ...this.streamExchanges]) {
+			const {fingerprint, promptParts} = exchange.request;
+			if (fingerprint === part || promptParts.includes(part)) {
 				exchange.endQuarantined(refusal);
 			}
 		}
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -59,6 +59,9 @@
 			: new Failure(ResultCode.Draining, reason, Execution.NotRun));
 	}
 
+	/** Ends the exchange if nothing shows yet that its request is sound, because the request or a part of its prompt was quarantined. */
+	abstract endQuarantined(refusal: Failure): void;
+
 	/** Handles the head of the response. */
 	abstract receiveHead(head: ResponseHead): void;
 
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -8,6 +8,7 @@
 import {type TimerHandle} from '../time/timer-handle.js';
 import {AttemptFailureReason, isUnsent, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
+import {CrashEvidence} from './crash-evidence.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {ExchangeListener} from './exchange-listener.js';
 import {Exchange} from './exchange.js';
@@ -54,9 +55,19 @@
 	private bufferedChunks: Uint8Array[] = [];
 	private bufferedBytes = 0;
 	private head?: ResponseHead;
+	private readonly crashEvidence: CrashEvidence;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly plainDependencies: PlainExchangeDependencies) {
 		super(dependencies, request, reply);
+		this.crashEvidence = new CrashEvidence(dependencies.promptGuard, request);
+	}
+
+	override endQuarantined(refusal: Failure): void {
+		if (this.isDone || this.head) {
+			return;
+		}
+
+		this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.BackendFailed, refusal.message, Execution.Unknown) : refusal);
 	}
 
 	receiveHead(head: ResponseHead): void {
@@ -95,6 +106,7 @@
 			return;
 		}
 
+		this.crashEvidence.recordSound();
 		if (head.status >= minServerErrorStatus) {
 			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
 			this.retryOrFail(`the server responded with status ${head.status}`, head);
@@ -119,6 +131,10 @@
 		const now = this.dependencies.timers.now();
 		this.endAttempt();
 		this.plainDependencies.selector.recordFailure(this.server!, now);
+		if (reason === AttemptFailureReason.ConnectionLost) {
+			this.crashEvidence.recordLoss(this.server!);
+		}
+
 		if (isUnsent(reason)) {
 			this.executions--;
 			const cause = reason === AttemptFailureReason.Refused ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
@@ -213,6 +229,7 @@
 		this.server = server;
 		this.sentAt = now;
 		this.triedIncarnations.add(getIncarnationId(server));
+		this.crashEvidence.beginAttempt(now);
 		this.attemptCount++;
 		this.executions++;
 		this.releaseLoad = dependencies.load.start([{server, range: {from: 0, to: 0}}], 0);
@@ -280,7 +297,7 @@
 		const {request} = this;
 		const mayExecute = !this.reply.isStarted && (this.executions === 0 || (isRepeatable(request.route) && this.executions < request.route.maxExecutions));
 		const isWithinLimits = this.attemptCount < request.route.maxExecutions + extraAttempts && this.remaining > 0;
-		return mayExecute && isWithinLimits && this.tryAcquireRetry();
+		return mayExecute && isWithinLimits && !this.crashEvidence.isConclusive && this.tryAcquireRetry();
 	}
 
 	private logFailedAttempt(reason: string, isRepeated: boolean): void {
@@ -316,6 +333,7 @@
 			}
 
 			this.currentAttempt?.cancel();
+			this.crashEvidence.recordSilence(server);
 			this.endAttempt();
 			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
 			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
--- a/src/relay/stream-exchange-dependencies.ts
+++ b/src/relay/stream-exchange-dependencies.ts
@@ -1,6 +1,5 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type PipelineSelector} from '../pipelines/pipeline-selector.js';
-import {type PromptGuard} from '../quarantine/prompt-guard.js';
 import {type RequestQueue} from './request-queue.js';
 
 /** Limits of stream exchanges. */
@@ -23,7 +22,6 @@
 export type StreamExchangeDependencies = {
 	readonly selector: PipelineSelector;
 	readonly requestQueue: RequestQueue;
-	readonly promptGuard: Pick<PromptGuard, 'recordProgress' | 'recordLoss'>;
 	readonly limits: StreamLimits;
 	/** Called when a server rejects a request, with the number of its consecutive rejections. */
 	readonly onRejection: (server: BackendServer, rejections: number) => void;
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -46,7 +46,7 @@
 		super(dependencies, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
 		this.log = new StreamLog(dependencies.log, request, this.progress);
-		this.crashEvidence = new CrashEvidence(streamDependencies.promptGuard, request.promptParts);
+		this.crashEvidence = new CrashEvidence(dependencies.promptGuard, request);
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server =>
 			!dependencies.directory.isReplaced(server) && !dependencies.serverHealth.hasEnded(server));
@@ -90,8 +90,7 @@
 		this.streamDependencies.requestQueue.dispatchReady();
 	}
 
-	/** Ends the exchange if it waits for its first event, because a part of its prompt was quarantined. */
-	endQuarantined(refusal: Failure): void {
+	override endQuarantined(refusal: Failure): void {
 		if (this.isDone || (this.currentAttempt && this.crashEvidence.hasReceivedEvent)) {
 			return;
 		}
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -68,24 +68,28 @@
 		});
 	}
 
-	/** Queries a server that lost attempts, so that it is suspected if it has ended. */
-	checkServer(server: BackendServer): void {
+	/** Queries a server that lost attempts or is silent, so that it is suspected if it has ended; returns false if it must not be queried yet. */
+	checkServer(server: BackendServer): boolean {
+		if (server.card === '') {
+			return this.checkPlainServer(server);
+		}
+
 		const now = this.dependencies.timers.now();
 		const incarnationId = getIncarnationId(server);
-		if (now - (this.blockedQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.blockedQueryInterval && this.mayQuery(server)) {
-			this.blockedQueriedAt.set(incarnationId, now);
-			void this.queryBlockedRequests(server);
+		const isDue = now - (this.blockedQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.blockedQueryInterval;
+		if (!isDue || !this.mayQuery(server)) {
+			return false;
 		}
+
+		this.blockedQueriedAt.set(incarnationId, now);
+		void this.queryBlockedRequests(server);
+		return true;
 	}
 
 	/** Records consecutive rejections of a server. After several, its health is checked, since it may be leaving while the server list can't be read. */
 	recordRejections(server: BackendServer, rejections: number): void {
-		const {timers, getHealthPath} = this.dependencies;
-		const incarnationId = getIncarnationId(server);
-		const isDue = timers.now() - (this.healthCheckedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.healthCheckInterval;
-		if (rejections >= this.timings.rejectionThreshold && isDue && this.mayQuery(server)) {
-			this.healthCheckedAt.set(incarnationId, timers.now());
-			void this.checkHealth(server, getHealthPath(server.service));
+		if (rejections >= this.timings.rejectionThreshold && this.tryBeginHealthCheck(server)) {
+			void this.checkHealth(server);
 		}
 	}
 
@@ -101,6 +105,29 @@
 		}
 	}
 
+	/** Checks whether a plain server, which reports no state, still accepts connections. */
+	private checkPlainServer(server: BackendServer): boolean {
+		const isDue = this.tryBeginHealthCheck(server);
+		if (isDue) {
+			void this.checkAcceptsConnections(server);
+		}
+
+		return isDue;
+	}
+
+	/** Whether a health check of a server is due; from then on none is for a while. */
+	private tryBeginHealthCheck(server: BackendServer): boolean {
+		const now = this.dependencies.timers.now();
+		const incarnationId = getIncarnationId(server);
+		const isDue = now - (this.healthCheckedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.healthCheckInterval;
+		if (!isDue || !this.mayQuery(server)) {
+			return false;
+		}
+
+		this.healthCheckedAt.set(incarnationId, now);
+		return true;
+	}
+
 	private checkStreams(): void {
 		const now = this.dependencies.timers.now();
 		const silentFirstStages = new Map<string, BackendServer>();
@@ -149,10 +176,24 @@
 		}
 	}
 
-	private async checkHealth(server: BackendServer, path: string): Promise<void> {
+	private async checkAcceptsConnections(server: BackendServer): Promise<void> {
+		const {reporter, getHealthPath, log} = this.dependencies;
+		try {
+			const health = await reporter.checkHealth(server, getHealthPath(server.service));
+			log.write('server.health', {server: server.id, health});
+		} catch (error) {
+			log.write('server.no_health', {server: server.id, reason: getErrorMessage(error)});
+			if (isConnectionRefused(error)) {
+				this.suspectSilent(server, error, 'it lost a connection and accepts no other');
+			}
+		}
+	}
+
+	private async checkHealth(server: BackendServer): Promise<void> {
+		const {reporter, getHealthPath, log} = this.dependencies;
 		try {
-			const health = await this.dependencies.reporter.checkHealth(server, path);
-			this.dependencies.log.write('server.health', {server: server.id, health});
+			const health = await reporter.checkHealth(server, getHealthPath(server.service));
+			log.write('server.health', {server: server.id, health});
 			if (health === Health.Bad) {
 				this.suspect(server, {cause: SuspicionCause.Failing, isBlocking: true, reason: 'it rejects requests and reports that it is failing or leaving'});
 			}
--- a/src/results/result-code.ts
+++ b/src/results/result-code.ts
@@ -32,7 +32,7 @@
 	StreamLimitReached = 67,
 	DeadlineUnreachable = 68,
 	RetryBudgetSpent = 69,
-	PromptQuarantined = 70,
+	RequestQuarantined = 70,
 	ActionConflict = 80,
 	ActionInProgress = 81,
 	ActionOutcomeUnknown = 82,
--- a/src/results/result-table.ts
+++ b/src/results/result-table.ts
@@ -41,7 +41,7 @@
 	[ResultCode.StreamLimitReached]: row(429, 67, 'The workspace has too many concurrent streams.', 1),
 	[ResultCode.DeadlineUnreachable]: row(503, 68, 'The work cannot be done before its deadline.', 1),
 	[ResultCode.RetryBudgetSpent]: row(503, 69, 'A backend server failed and the retry budget is spent.', 2),
-	[ResultCode.PromptQuarantined]: row(503, 70, 'A part of the prompt is quarantined, since backend servers crashed on it.', 60),
+	[ResultCode.RequestQuarantined]: row(503, 70, 'The request or a part of its prompt is quarantined, since backend servers crashed on it.', 60),
 	[ResultCode.ActionConflict]: row(422, 80, 'The Idempotency-Key was used with another body.'),
 	[ResultCode.ActionInProgress]: row(409, 81, 'A request with this Idempotency-Key is in progress.', 1),
 	[ResultCode.ActionOutcomeUnknown]: row(502, 82, 'The action was sent and its outcome is unknown; look it up.'),
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -170,9 +170,7 @@
 	const promptGuard = wirePromptGuard(limits.prompt_quarantine, {
 		gossip, quarantineRegister, directory, serverHealth, timers, metrics, log,
 	}, {
-		checkServer(server) {
-			streamMonitor.checkServer(server);
-		},
+		checkServer: server => streamMonitor.checkServer(server),
 		onQuarantine(part, refusal) {
 			exchanges.endQuarantined(part, refusal);
 		},
@@ -189,7 +187,7 @@
 		codec: adapters.codec, agent: new BackendAgent(timers, limits.idle_connection), timers, connectTimeout: limits.connect,
 	});
 	const exchangeDependencies: ExchangeDependencies = {
-		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
+		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, promptGuard, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
 		streamMonitor.migrateStreamsFrom(server, reason);
@@ -218,7 +216,6 @@
 				getPeerTokens: (server, now) => peerLoads.getTokens(server, now),
 			}, selectionWeights),
 			requestQueue,
-			promptGuard,
 			limits: {
 				maxRejections, lateRejectionThreshold: limits.stall / 2, onTimeFraction, maxQueueTime: limits.queue_wait, resumeWaitFraction, retryAfter: limits.come_back,
 			},
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -3,7 +3,9 @@
 import {PlainServerSelector} from '../src/pipelines/plain-server-selector.js';
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {PlainExchange} from '../src/relay/plain-exchange.js';
+import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {Execution} from '../src/results/execution.js';
+import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {resultTable} from '../src/results/result-table.js';
 import {RandomSource} from '../src/routing/random-source.js';
@@ -15,17 +17,21 @@
 	...sampleStreamRoute, kind: RequestKind.Idempotent, isResumable: false, targets: [{service: 'records', weight: 1}],
 };
 
-function startLookup(connectionShare: number, ids: readonly string[] = ['a']): ExchangeFixture {
-	const fixture = new ExchangeFixture();
+/** A fixture with the exchange of one lookup. */
+type LookupFixture = ExchangeFixture & {exchange?: PlainExchange};
+
+function startLookup(connectionShare: number, ids: readonly string[] = ['a'], maxExecutions = lookupRoute.maxExecutions): LookupFixture {
+	const fixture: LookupFixture = new ExchangeFixture();
 	const {dependencies, directory, serverHealth, backpressure, load} = fixture;
 	directory.applyReading({servers: ids.map(id => sampleServer(id, '', undefined, {service: 'records'})), requestedAt: 0, mayBeIncomplete: false});
-	new PlainExchange(dependencies, fixture.createRequest(lookupRoute), fixture.reply, {
+	fixture.exchange = new PlainExchange(dependencies, fixture.createRequest({...lookupRoute, maxExecutions}), fixture.reply, {
 		selector: new PlainServerSelector({
 			directory, serverHealth, backpressure, load, random: new RandomSource(seed()),
 		}),
 		computeConnectionShare: () => connectionShare,
 		limits: {maxBufferedBytes: 1000, responseTimeoutFraction: 0.8},
-	}).start(() => undefined);
+	});
+	fixture.exchange.start(() => undefined);
 	return fixture;
 }
 
@@ -184,3 +190,53 @@
 	timers.advance(500);
 	t.is(fixture.sent.at(-1)?.attempt.server.id, 'other');
 });
+
+const connectionLost = {reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false};
+
+// Guards against a lookup that crashes a server with each of its attempts.
+test('a lookup that lost two servers is not sent to a third, and one that is suspected of earlier crashes not to a second', t => {
+	const fixture = startLookup(5, ['a', 'b', 'c'], 3);
+	fixture.latest.onFailure(connectionLost);
+	t.is(fixture.sent.length, 2);
+	fixture.latest.onFailure(connectionLost);
+	t.is(fixture.sent.length, 2);
+	t.is(fixture.reply.failure?.execution, Execution.Unknown);
+	t.deepEqual(fixture.lossesOf, fixture.sent.map(({attempt}) => attempt.server.id));
+
+	const suspected = startLookup(5, ['a', 'b', 'c'], 3);
+	suspected.suspectedRequests.add('request:sample');
+	suspected.latest.onFailure(connectionLost);
+	t.is(suspected.sent.length, 1);
+	t.is(suspected.reply.failure?.execution, Execution.Unknown);
+});
+
+// Guards against requests that are taken for the cause of crashes although servers ran them, and against failures that are taken for crashes.
+test('a complete response shows that a lookup is sound, and only a lost connection counts against it', t => {
+	const failing = startLookup(5, ['a', 'b']);
+	failing.latest.onHead({...sampleResponseHead, status: 500});
+	failing.latest.onEnd();
+	t.deepEqual(failing.soundParts, ['shared', 'topic', 'request:sample']);
+	t.deepEqual(failing.lossesOf, []);
+
+	const unsent = startLookup(5, ['a', 'b']);
+	unsent.latest.onFailure({reason: AttemptFailureReason.Refused, detail: 'connect ECONNREFUSED', wasConnectionReused: false});
+	unsent.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+	unsent.latest.onEnd();
+	t.deepEqual(unsent.soundParts, []);
+	t.deepEqual(unsent.lossesOf, []);
+});
+
+// Guards against a quarantined request that goes on crashing servers because it was under way, and against a promise that it did not run.
+test('when a request is quarantined, its attempt without a response is cancelled and fails as unknown', t => {
+	const refusal = new Failure(ResultCode.RequestQuarantined, 'the request is quarantined', Execution.NotRun, 600);
+	const fixture = startLookup(5);
+	fixture.exchange!.endQuarantined(refusal);
+	t.is(fixture.cancelCount, 1);
+	t.is(fixture.reply.failure?.execution, Execution.Unknown);
+
+	const answered = startLookup(5);
+	answered.latest.onHead(sampleResponseHead);
+	answered.exchange!.endQuarantined(refusal);
+	answered.latest.onEnd();
+	t.true(answered.reply.isEnded);
+});
--- a/test/prompt-guard.test.ts
+++ b/test/prompt-guard.test.ts
@@ -25,6 +25,8 @@
 	readonly vindicated: string[] = [];
 	readonly published: Array<[string, number]> = [];
 	readonly quarantined: string[] = [];
+	/** Whether servers may be queried. */
+	mayCheck = true;
 	readonly guard: PromptGuard;
 	private serverCount = 0;
 
@@ -32,7 +34,7 @@
 		this.guard = new PromptGuard({
 			lostAttempts: new LostAttempts(timings.confirmationTimeout),
 			analysis: new CrashAnalysis({
-				minCrashes: 3, soundMemory: 60_000, crashMemory: 600_000, maxSoundParts: 100, maxCrashes: 100, maxSuspects: 100, maxAccused: 100,
+				minCrashes: 3, soundMemory: 60_000, crashMemory: 600_000, maxSoundParts: 100, maxSoundRequests: 100, maxCrashes: 100, maxSuspects: 100, maxAccused: 100,
 			}),
 			quarantine: new PromptQuarantine(100),
 			reports: {
@@ -52,6 +54,7 @@
 			hasEnded: server => this.ended.has(getIncarnationId(server)),
 			checkServer: ({id}) => {
 				this.checked.push(id);
+				return this.mayCheck;
 			},
 			onQuarantine: part => {
 				this.quarantined.push(part);
@@ -94,7 +97,7 @@
 	const failure = t.throws(() => {
 		fixture.guard.check(['shared', 'bad']);
 	}, {instanceOf: Failure});
-	t.is(failure.code, ResultCode.PromptQuarantined);
+	t.is(failure.code, ResultCode.RequestQuarantined);
 	t.is(failure.execution, Execution.NotRun);
 	t.true(failure.retryAfterSeconds! > 590 && failure.retryAfterSeconds! <= 600);
 	t.notThrows(() => {
@@ -162,3 +165,34 @@
 	fixture.crash(['bad']);
 	t.deepEqual(fixture.quarantined, ['bad', 'bad']);
 });
+
+// Guards against a crash that is never confirmed because its server was queried shortly before.
+test('a server that must not be queried yet is queried later, and once', t => {
+	const fixture = new GuardFixture();
+	fixture.mayCheck = false;
+	const {id} = fixture.lose(['bad']);
+	fixture.timers.advance(250);
+	fixture.mayCheck = true;
+	fixture.timers.advance(1000);
+	t.deepEqual(fixture.checked, [id, id, id, id]);
+});
+
+// Guards against one request that ends one server after the other, at whatever instance it arrives.
+test('a request that crashed three servers is refused as not run, and becomes a suspect with the first crash', t => {
+	const fixture = new GuardFixture();
+	const deadly = 'request:deadly';
+	t.false(fixture.guard.isSuspectedRequest(deadly));
+	for (let crashes = 0; crashes < 3; crashes++) {
+		fixture.crash([deadly]);
+		t.true(fixture.guard.isSuspectedRequest(deadly));
+	}
+
+	t.deepEqual(fixture.quarantined, [deadly]);
+	const failure = t.throws(() => {
+		fixture.guard.check([deadly]);
+	}, {instanceOf: Failure});
+	t.is(failure.execution, Execution.NotRun);
+	t.notThrows(() => {
+		fixture.guard.check(['request:other']);
+	});
+});
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -298,7 +298,7 @@
 	fixture.timers.advance(500);
 	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
 	fixture.latest.onData(encoder.encode('id: 3\ndata: three\n\n'));
-	t.deepEqual(fixture.soundParts, ['shared', 'topic']);
+	t.deepEqual(fixture.soundParts, ['shared', 'topic', 'request:sample']);
 	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
 	fixture.latest.onFailure({reason: AttemptFailureReason.Refused, detail: 'connect ECONNREFUSED', wasConnectionReused: false});
 	t.deepEqual(fixture.lossesOf, ['first']);
@@ -306,11 +306,11 @@
 
 // Guards against a refusal that says that a request did not run although it did, and against servers that crash on requests that were under way.
 test('when a part is quarantined, a request that waits is refused as not run and one that was sent fails as unknown', t => {
-	const refusal = new Failure(ResultCode.PromptQuarantined, 'part topic is quarantined', Execution.NotRun, 600);
+	const refusal = new Failure(ResultCode.RequestQuarantined, 'part topic is quarantined', Execution.NotRun, 600);
 	const waiting = new StreamExchangeFixture();
 	waiting.start();
 	waiting.exchange.endQuarantined(refusal);
-	t.is(waiting.reply.failure?.code, ResultCode.PromptQuarantined);
+	t.is(waiting.reply.failure?.code, ResultCode.RequestQuarantined);
 	t.is(waiting.reply.failure?.execution, Execution.NotRun);
 
 	const sent = new StreamExchangeFixture();
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -172,3 +172,36 @@
 	await settle();
 	t.deepEqual(kept.migrations, ['second', 'second', 'second']);
 });
+
+// Guards against a plain server that is asked for a state it does not report, and is suspected because it lost one connection.
+test('a plain server that lost an attempt gets a health check, and is suspected only if it refuses connections', async t => {
+	const plain = sampleServer('records', '', undefined, {service: 'records'});
+	let answer = () => Health.Good;
+	const reporter = new FakeReporter(() => {
+		throw new Error('the server answered with status 404');
+	}, () => answer());
+	const {monitor, timers, serverHealth} = createMonitor(reporter, []);
+	const failures = [
+		() => Health.Good,
+		() => Health.Busy,
+		() => {
+			throw new Error('no response within 350 ms');
+		},
+	];
+	for (const failure of failures) {
+		answer = failure;
+		t.true(monitor.checkServer(plain));
+		t.false(monitor.checkServer(plain), 'not again at once');
+		await settle(); // eslint-disable-line no-await-in-loop
+		t.false(serverHealth.isSuspected(plain, timers.now()));
+		timers.advance(1500);
+	}
+
+	answer = () => {
+		throw Object.assign(new Error('connect ECONNREFUSED'), {code: 'ECONNREFUSED'});
+	};
+
+	t.true(monitor.checkServer(plain));
+	await settle();
+	t.true(serverHealth.hasEnded(plain));
+});
--- a/test/support/crash-simulation.ts
+++ b/test/support/crash-simulation.ts
@@ -68,7 +68,7 @@
 const assumedClockError = 150;
 
 export const simulationAnalysisOptions: CrashAnalysisOptions = {
-	minCrashes: 3, soundMemory: 3_600_000, crashMemory: 600_000, maxSoundParts: 20_000, maxCrashes: 100, maxSuspects: 500, maxAccused: 100,
+	minCrashes: 3, soundMemory: 3_600_000, crashMemory: 600_000, maxSoundParts: 20_000, maxSoundRequests: 20_000, maxCrashes: 100, maxSuspects: 500, maxAccused: 100,
 };
 
 /** Plays instances, backend servers and requests, some of which crash each server that begins to answer them. */
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -96,6 +96,12 @@
 	readonly directory: ServerDirectory;
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
+	/** Prompt parts and fingerprints of requests that were shown to be sound. */
+	readonly soundParts: string[] = [];
+	/** Ids of the servers that lost an attempt early. */
+	readonly lossesOf: string[] = [];
+	/** Fingerprints of requests that are suspects of crashes. */
+	readonly suspectedRequests = new Set<string>();
 
 	constructor() {
 		const {timers, load} = this;
@@ -123,6 +129,15 @@
 			serverHealth: this.serverHealth,
 			backpressure: this.backpressure,
 			load,
+			promptGuard: {
+				recordProgress: parts => {
+					this.soundParts.push(...parts);
+				},
+				recordLoss: ({id}) => {
+					this.lossesOf.push(id);
+				},
+				isSuspectedRequest: fingerprint => this.suspectedRequests.has(fingerprint),
+			},
 			retryBudgets: {forService: () => retryBudget},
 			timers,
 			metrics: new Metrics(),
@@ -162,10 +177,6 @@
 	readonly pipelineRequests: PipelineRequest[] = [];
 	readonly exchange: StreamExchange;
 	readonly requestQueue = new RequestQueue(this.timers, {capacity: 10, dispatchInterval: 40});
-	/** Prompt parts that received an event. */
-	readonly soundParts: string[] = [];
-	/** Ids of the servers that lost an attempt before its first event. */
-	readonly lossesOf: string[] = [];
 	/** The pipeline that the selector returns unless its first stage is excluded. */
 	pipeline?: Pipeline;
 
@@ -180,14 +191,6 @@
 				},
 			} as unknown as PipelineSelector,
 			requestQueue: this.requestQueue,
-			promptGuard: {
-				recordProgress: parts => {
-					this.soundParts.push(...parts);
-				},
-				recordLoss: ({id}) => {
-					this.lossesOf.push(id);
-				},
-			},
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
 			},
