Pass quarantines on among the instances, also while the store is unavailable

An instance that restarted or was cut off while the others learned of a deadly request, with the store down, would let it through again: reports of crashes are passed on for three seconds only, and the row in the store cannot be written or read. Each message now carries the newest quarantines and some others in turn, and the first exchange of an instance that joins all of them. Test: crash-gossip, 'a quarantine reaches instances that were cut off or restarted'.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -16,9 +16,11 @@
 import {PartnerSelector} from './peers/partner-selector.js';
 import {PeerLoads} from './peers/peer-loads.js';
 import {PlacementHolder} from './peers/placement-holder.js';
+import {QuarantineExchange} from './peers/quarantine-exchange.js';
 import {ServerRumors} from './peers/server-rumors.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
+import {type PromptQuarantine} from './quarantine/prompt-quarantine.js';
 import {QuarantineRegister} from './quarantine/quarantine-register.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
 import {type TableFeed} from './replication/table-feed.js';
@@ -53,6 +55,8 @@
 	readonly serverHealth: ServerHealthTracker;
 	readonly serverLoad: ServerLoad;
 	readonly serverLimits: ServerLimits;
+	/** The requests and prompt parts that this instance refuses. */
+	readonly quarantine: PromptQuarantine;
 	readonly lease: Lease;
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
 	/** Holds a row for each instance. */
@@ -68,8 +72,10 @@
 	readonly onInstancesChange: (instances: readonly RegisteredInstance[]) => void;
 	/** Called when a backend server becomes suspected because of reports of other instances. */
 	readonly onSuspicion: (server: BackendServer, reason: string) => void;
-	/** Called when the store has a new or changed quarantine of a prompt part that has not expired; `expiresAt` is Unix time in milliseconds. */
+	/** Called when the store has a new or changed quarantine that has not expired; `expiresAt` is Unix time in milliseconds. */
 	readonly onQuarantine: (part: string, expiresAt: number) => void;
+	/** Called when another instance has a quarantine that is not in force here; `expiresAt` is Unix time in milliseconds. */
+	readonly onQuarantineReport: (part: string, expiresAt: number) => void;
 };
 
 type TablePolling = {
@@ -159,6 +165,7 @@
 		}, rumorTimings),
 		crashRumors: new CrashRumors(instance.id, timers.wallClock(), events, rumorTimings),
 		limitExchange: new LimitExchange(dependencies.serverLimits),
+		quarantineExchange: new QuarantineExchange(dependencies.quarantine, timers, events.onQuarantineReport),
 		serverLoad,
 		placementHolder: new PlacementHolder(lease),
 		timers,
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -58,6 +58,13 @@
 	age: z.number().nonnegative(),
 });
 
+const quarantineSchema = z.object({
+	/** Id of a prompt part, or fingerprint of a request. */
+	part: z.string(),
+	/** Unix time in milliseconds. */
+	expiresAt: z.number(),
+});
+
 const instanceSchema = z.object({id: z.string(), availabilityZone: z.string(), peers: z.string()});
 
 const tableStatusSchema = z.object({
@@ -95,6 +102,8 @@
 	vindications: z.array(vindicationSchema).optional(),
 	/** Limits that backend servers named or lifted; absent if there are none. */
 	limits: z.array(limitSchema).optional(),
+	/** Requests and prompt parts that are refused; absent if there are none. */
+	quarantines: z.array(quarantineSchema).optional(),
 	/** The newest sign of the holder of the placement lease; undefined if none is known. */
 	placing: z.object({
 		/** Fencing number under which it holds the lease. */
@@ -104,7 +113,7 @@
 	}).optional(),
 });
 
-/** Message in which an instance shares its load, and what it knows of the store's tables, suspicions, ordered ranges, crashes and limits. */
+/** Message in which an instance shares its load, and what it knows of the store's tables, suspicions, ordered ranges, crashes, quarantines and limits. */
 export type GossipMessage = z.infer<typeof gossipMessageSchema>;
 
 /** A report that a backend server does not work. */
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -20,6 +20,7 @@
 import {type PeerLoads} from './peer-loads.js';
 import {getIdDigest} from './id-digest.js';
 import {type PlacementHolder} from './placement-holder.js';
+import {type QuarantineExchange} from './quarantine-exchange.js';
 import {type ServerRumors} from './server-rumors.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
@@ -34,6 +35,7 @@
 	readonly rumors: ServerRumors;
 	readonly crashRumors: CrashRumors;
 	readonly limitExchange: LimitExchange;
+	readonly quarantineExchange: QuarantineExchange;
 	readonly serverLoad: ServerLoad;
 	readonly placementHolder: PlacementHolder;
 	readonly timers: TimerService;
@@ -67,7 +69,7 @@
 const holderFanout: Fanout = {near: 0, far: 2};
 
 /**
-Exchanges loads, suspicions, ordered ranges, reports of crashes, limits of backend servers and the rows of the store's tables with other instances.
+Exchanges loads, suspicions, ordered ranges, reports of crashes, quarantines, limits of backend servers and the rows of the store's tables with other instances.
 
 Each instance contacts a fixed number of others in each round, and passes news on as soon as it first receives it, so that its work does not grow with their number (A. Demers et al., Epidemic algorithms for replicated database maintenance, PODC 1987).
 */
@@ -173,7 +175,7 @@
 
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
 	private createMessage(recipientZone: string | undefined, isRecipientJoining = false): GossipMessage {
-		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, placementHolder, timers} = this.dependencies;
+		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
@@ -186,6 +188,7 @@
 			...rumors.getCurrent(now),
 			...crashRumors.getCurrent(now),
 			...limitExchange.getCurrent(isRecipientJoining, now),
+			...quarantineExchange.getCurrent(isRecipientJoining),
 			placing: placementHolder.describe(now),
 		};
 	}
@@ -197,7 +200,7 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, tables, placementHolder, timers} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, tables, placementHolder, timers} = this.dependencies;
 		const now = timers.now();
 		partners.recordContact(message.from.id);
 		instances.recordContact(message.from);
@@ -207,6 +210,7 @@
 		}
 
 		limitExchange.receive(message, now);
+		quarantineExchange.receive(message);
 		const isRumorNew = rumors.receive(message, now);
 		if (crashRumors.receive(message, now) || isRumorNew) {
 			this.scheduleSpread(this.timings.rumorFanout);
--- a/src/peers/limit-exchange.ts
+++ b/src/peers/limit-exchange.ts
@@ -1,6 +1,7 @@
 import {type KnownLimit, type ServerLimits} from '../backpressure/server-limits.js';
 import {type GossipMessage, type ReportedLimit} from './gossip-message.js';
 import {transitAllowanceMs} from './table-exchange.js';
+import {takeInTurn} from './take-in-turn.js';
 
 /** Time after a change for which each message carries it, in milliseconds. */
 const newsLifetimeMs = 3000;
@@ -13,7 +14,7 @@
 
 /** Passes the limits that backend servers name on among the instances. */
 export class LimitExchange {
-	/** Number of messages so far, by which the repeated limits are selected in turn. */
+	/** Number of messages so far. */
 	private messages = 0;
 
 	constructor(private readonly limits: ServerLimits) {}
@@ -41,9 +42,6 @@
 	/** Selects the limits that changed lately, and some of the others in turn. */
 	private selectLimits(all: readonly KnownLimit[], now: number): readonly KnownLimit[] {
 		const news = all.filter(({changedAt}) => now - changedAt <= newsLifetimeMs).slice(0, maxNewsInMessage);
-		const others = all.slice(news.length);
-		const first = others.length === 0 ? 0 : (this.messages * repeatedLimits) % others.length;
-		this.messages++;
-		return [...news, ...others.slice(first, first + repeatedLimits)];
+		return [...news, ...takeInTurn(all.slice(news.length), repeatedLimits, this.messages++)];
 	}
 }
--- a/src/quarantine-wiring.ts
+++ b/src/quarantine-wiring.ts
@@ -7,7 +7,7 @@
 import {CrashAnalysis} from './quarantine/crash-analysis.js';
 import {LostAttempts} from './quarantine/lost-attempts.js';
 import {PromptGuard} from './quarantine/prompt-guard.js';
-import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
+import {type PromptQuarantine} from './quarantine/prompt-quarantine.js';
 import {type Failure} from './results/failure.js';
 import {type TimerService} from './time/timer-service.js';
 
@@ -15,6 +15,7 @@
 export type QuarantineDependencies = Pick<Control, 'gossip' | 'quarantineRegister'> & {
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
+	readonly quarantine: PromptQuarantine;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
@@ -44,19 +45,18 @@
 const checkIntervalMs = 100;
 /** Time that a report may take from one instance to another, in milliseconds. */
 const reportTimeErrorMs = 100;
-const maxQuarantinedParts = 1000;
 
 /**
 Creates the guard that finds and refuses prompts that crash backend servers.
 
-@param quarantine - how long requests with such a part are refused, in milliseconds
+@param quarantineDuration - how long requests with such a part are refused, in milliseconds
 */
-export function wirePromptGuard(quarantine: number, dependencies: QuarantineDependencies, events: QuarantineEvents): PromptGuard {
+export function wirePromptGuard(quarantineDuration: number, dependencies: QuarantineDependencies, events: QuarantineEvents): PromptGuard {
 	const {gossip, quarantineRegister, directory, serverHealth, timers, metrics, log} = dependencies;
 	return new PromptGuard({
 		lostAttempts: new LostAttempts(confirmationTimeoutMs),
 		analysis: new CrashAnalysis(analysisOptions),
-		quarantine: new PromptQuarantine(maxQuarantinedParts),
+		quarantine: dependencies.quarantine,
 		reports: {
 			reportCrash(report) {
 				gossip.reportCrash(report);
@@ -74,6 +74,6 @@
 		hasEnded: server => serverHealth.hasEnded(server) || directory.isReplaced(server),
 		...events,
 	}, {
-		quarantine, checkInterval: checkIntervalMs, confirmationTimeout: confirmationTimeoutMs, reportTimeError: reportTimeErrorMs,
+		quarantine: quarantineDuration, checkInterval: checkIntervalMs, confirmationTimeout: confirmationTimeoutMs, reportTimeError: reportTimeErrorMs,
 	});
 }
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -9,6 +9,7 @@
 import {type CrashAnalysis} from './crash-analysis.js';
 import {type CrashReport} from './crash-report.js';
 import {type LostAttempts} from './lost-attempts.js';
+import {QuarantineOrigin} from './quarantine-origin.js';
 import {isRequestFingerprint} from './request-fingerprint.js';
 import {type PromptQuarantine, type QuarantinedPart} from './prompt-quarantine.js';
 
@@ -133,15 +134,15 @@
 	}
 
 	/**
-	Applies a quarantine that another instance stored.
+	Applies a quarantine that another instance decided.
 
 	@param expiresAt - Unix time in milliseconds
 	*/
-	receiveQuarantine(part: string, expiresAt: number): void {
+	receiveQuarantine(part: string, expiresAt: number, origin: QuarantineOrigin): void {
 		const {analysis, timers} = this.dependencies;
 		const duration = Math.min(expiresAt - timers.wallClock(), this.timings.quarantine);
 		analysis.accept(part);
-		this.addQuarantine(part, duration, 'store');
+		this.addQuarantine(part, duration, origin);
 	}
 
 	private confirmCrashes(): void {
@@ -179,12 +180,12 @@
 	private quarantineAccused(accusations: readonly Accusation[]): void {
 		const {reports, timers} = this.dependencies;
 		for (const {part, crashes} of accusations) {
-			this.addQuarantine(part, this.timings.quarantine, 'analysis', crashes);
+			this.addQuarantine(part, this.timings.quarantine, QuarantineOrigin.Analysis, crashes);
 			reports.publish(part, timers.wallClock() + this.timings.quarantine);
 		}
 	}
 
-	private addQuarantine(part: string, duration: number, origin: string, crashes?: number): void {
+	private addQuarantine(part: string, duration: number, origin: QuarantineOrigin, crashes?: number): void {
 		const {quarantine, timers, metrics, log, onQuarantine} = this.dependencies;
 		const expiresAt = timers.now() + duration;
 		if (!quarantine.add(part, expiresAt)) {
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -33,6 +33,11 @@
 		return known === undefined;
 	}
 
+	/** Whether the part is quarantined, or its quarantine was not removed yet. */
+	has(part: string): boolean {
+		return this.expiries.has(part);
+	}
+
 	/** Returns the first of the parts that is quarantined, or undefined. */
 	findQuarantined(parts: readonly string[], now: number): QuarantinedPart | undefined {
 		for (const part of parts) {
@@ -57,7 +62,7 @@
 		return released;
 	}
 
-	/** Returns all parts that were not removed yet. */
+	/** Returns all parts that were not removed yet, in the order in which they were added. */
 	all(): readonly QuarantinedPart[] {
 		return [...this.expiries].map(([part, expiresAt]) => ({part, expiresAt}));
 	}
--- /dev/null
+++ b/src/quarantine/quarantine-origin.ts
@@ -0,0 +1,6 @@
+/** Where an instance learned of a quarantine. */
+export enum QuarantineOrigin {
+	Analysis = 'analysis',
+	Store = 'store',
+	Peer = 'peer',
+}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -32,6 +32,8 @@
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementController} from './placement/placement-controller.js';
 import {GossipClients} from './peers/gossip-clients.js';
+import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
+import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
 import {wirePromptGuard} from './quarantine-wiring.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
@@ -82,6 +84,8 @@
 };
 /** Longest pause that a backend server may ask for. */
 const maxPauseMs = 60_000;
+/** Requests and prompt parts that are refused at a time. */
+const maxQuarantined = 1000;
 /** Weights of pipeline selection; `maxLoadAge` in milliseconds. */
 const selectionWeights = {
 	remoteZone: 0.4, crossing: 5, maxOccupancy: 1, occupancyWeight: 3, maxLoadAge: 1500,
@@ -137,6 +141,7 @@
 			},
 		}),
 	};
+	const quarantine = new PromptQuarantine(maxQuarantined);
 	const serverLoad = new ServerLoad();
 	const slowdowns = new ServerSlowdowns(slowdownExpiryMs);
 	const activeCatalog = new ActiveCatalog(log, timers);
@@ -145,7 +150,7 @@
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const {instanceRegistry, peerLoads, gossip, tables, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
-		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, lease, clients: gossipClients,
+		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, quarantine, lease, clients: gossipClients,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange(instances) {
@@ -164,11 +169,14 @@
 			promptGuard.receiveVindication(parts);
 		},
 		onQuarantine(part, expiresAt) {
-			promptGuard.receiveQuarantine(part, expiresAt);
+			promptGuard.receiveQuarantine(part, expiresAt, QuarantineOrigin.Store);
+		},
+		onQuarantineReport(part, expiresAt) {
+			promptGuard.receiveQuarantine(part, expiresAt, QuarantineOrigin.Peer);
 		},
 	});
 	const promptGuard = wirePromptGuard(limits.prompt_quarantine, {
-		gossip, quarantineRegister, directory, serverHealth, timers, metrics, log,
+		gossip, quarantine, quarantineRegister, directory, serverHealth, timers, metrics, log,
 	}, {
 		checkServer: server => streamMonitor.checkServer(server),
 		onQuarantine(part, refusal) {
--- a/test/crash-gossip.test.ts
+++ b/test/crash-gossip.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import * as z from 'zod';
 import {gossipMessageSchema} from '../src/peers/gossip-message.js';
+import {type PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
 import {QuarantineRegister} from '../src/quarantine/quarantine-register.js';
 import {ReplicatedTable} from '../src/replication/replicated-table.js';
 import {TableName} from '../src/replication/table-name.js';
@@ -349,3 +350,36 @@
 	await fixture.elapse(20_000);
 	t.is(fixture.store.rows.get(part)?.value, '{"expiresAt":60000}');
 });
+
+// Guards against an instance that lets a deadly request through because it was cut off, or started, while the others learned of it and the store was unavailable.
+test('a quarantine reaches instances that were cut off or restarted, without the store', async t => {
+	const fleet = new ControlFleet(9, 3, 6);
+	fleet.start();
+	await fleet.elapse(8000);
+	const [first] = fleet.instances;
+	const cutOff = fleet.instances.at(-1)!;
+	cutOff.isStopped = true;
+	const expiresAt = fleet.timers.now() + 600_000;
+	for (let index = 0; index < 30; index++) {
+		first.quarantine.add(`request:${index}`, expiresAt);
+	}
+
+	await fleet.elapse(10_000);
+	cutOff.isStopped = false;
+	const knowsAll = (quarantine: PromptQuarantine) => quarantine.all().length === 30;
+	t.true(await fleet.measureUntil(() => fleet.instances.every(({quarantine}) => knowsAll(quarantine)), 20_000) <= 15_000);
+	t.true(Math.abs(cutOff.quarantine.all()[0].expiresAt - expiresAt) <= 1);
+
+	const restarted = new ControlFleet(2, 1, 1);
+	restarted.instances[0].quarantine.add('request:1', expiresAt);
+	await Promise.all([restarted.instances[1].control.gossip.join([restarted.instances[0].address]), restarted.elapse(100)]);
+	t.true(restarted.instances[1].quarantine.has('request:1'));
+});
+
+test('a quarantine that expired is not passed on', async t => {
+	const fleet = new ControlFleet(2, 1, 1);
+	const [first, second] = fleet.instances;
+	first.quarantine.add('request:1', fleet.timers.now() - 1);
+	await Promise.all([second.control.gossip.join([first.address]), fleet.elapse(100)]);
+	t.false(second.quarantine.has('request:1'));
+});
--- a/test/prompt-guard.test.ts
+++ b/test/prompt-guard.test.ts
@@ -6,6 +6,7 @@
 import {LostAttempts} from '../src/quarantine/lost-attempts.js';
 import {PromptGuard} from '../src/quarantine/prompt-guard.js';
 import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
+import {QuarantineOrigin} from '../src/quarantine/quarantine-origin.js';
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
@@ -139,7 +140,7 @@
 // Guards against a part that crashes servers again after each restart of an instance.
 test('a quarantine from the store is in force at once, is not stored again, and ends', t => {
 	const fixture = new GuardFixture();
-	fixture.guard.receiveQuarantine('bad', fixture.timers.wallClock() + 5000);
+	fixture.guard.receiveQuarantine('bad', fixture.timers.wallClock() + 5000, QuarantineOrigin.Store);
 	t.deepEqual(fixture.quarantined, ['bad']);
 	t.deepEqual(fixture.published, []);
 	t.throws(() => {
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -10,6 +10,7 @@
 import {ServerListReader} from '../../src/pipelines/server-list-reader.js';
 import {type GossipMessage} from '../../src/peers/gossip-message.js';
 import {type CrashReport} from '../../src/quarantine/crash-report.js';
+import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.js';
 import {TableName} from '../../src/replication/table-name.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {parseRouterSettings} from '../../src/settings/settings-reader.js';
@@ -39,6 +40,7 @@
 	readonly serverHealth: ServerHealthTracker;
 	readonly serverLoad: ServerLoad;
 	readonly serverLimits: ServerLimits;
+	readonly quarantine: PromptQuarantine;
 	/** Incarnation ids that became suspected because of other instances. */
 	readonly learntSuspicions: string[];
 	readonly learntCrashes: CrashReport[];
@@ -143,6 +145,7 @@
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
 		const serverLoad = new ServerLoad();
+		const quarantine = new PromptQuarantine(100);
 		const serverLimits: ServerLimits = new ServerLimits({
 			self: id,
 			findInstances: () => control.instanceRegistry.all(),
@@ -178,6 +181,7 @@
 			serverHealth,
 			serverLoad,
 			serverLimits,
+			quarantine,
 			lease: new Lease(id, 2500),
 			clients: {
 				exchange: async (target, message) => this.deliver(instance, target, message),
@@ -207,6 +211,9 @@
 			onQuarantine(part, expiresAt) {
 				learntQuarantines.push({part, expiresAt});
 			},
+			onQuarantineReport: (part, expiresAt) => {
+				quarantine.add(part, expiresAt - this.timers.wallClock() + this.timers.now());
+			},
 		});
 		const reader = new ServerListReader({
 			decoder: serverTableDecoder, directory, log, onRead: () => undefined,
@@ -218,7 +225,7 @@
 			reader.confirm(table);
 		});
 		const instance: FleetInstance = {
-			id, address, control, directory, serverHealth, serverLoad, serverLimits, learntSuspicions, learntCrashes, learntVindications, learntQuarantines,
+			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, learntSuspicions, learntCrashes, learntVindications, learntQuarantines,
 			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false,
 		};
 		return instance;
