Keep an attempt whose stage does not respond while no other route can take it over

Silence was taken for proof of an end, and the attempt was cancelled before there was anything to replace it with. Now it is kept for 1.5 s in all while its connection is open, and inspected again; another route takes it over as soon as there is one, and then it ends with an explicit failure as before.

--- a/src/routing/stream-recovery.ts
+++ b/src/routing/stream-recovery.ts
@@ -15,6 +15,8 @@
 const maximumAttempts = 8;
 const maximumMoves = 2;
 const planningTimeoutMs = 1500;
+/** Time for which an attempt whose stages do not respond is kept if there is no other route. */
+const keepTimeoutMs = 1500;
 
 enum Phase {
 	Planning,
@@ -26,7 +28,7 @@
 /**
 State machine that continues one answer across failures: it receives events and returns commands.
 
-Tokens already delivered to the caller are never repeated. When tokens stop arriving, the stages are inspected over new connections before any server is suspected. A server that does not respond is replaced; if only a connection is silent, just the connection is replaced; a stage that is merely slow is given more time.
+Tokens already delivered to the caller are never repeated. When tokens stop arriving, the stages are inspected over new connections before any server is suspected. A server that does not respond is replaced if there is another route; if only a connection is silent, just the connection is replaced; a stage that is merely slow is given more time.
 */
 export class StreamRecovery {
 	private readonly validator: FrameValidator;
@@ -41,6 +43,10 @@
 	private connection = 0;
 	private planningSince: number;
 	private retryNotBefore = Number.NEGATIVE_INFINITY;
+	/** Whether the current connection was not closed by its other end. */
+	private isConnectionOpen = false;
+	/** Monotonic time since which the attempt is kept although a stage does not respond. */
+	private keptSince?: number;
 	private previousStatuses: ReadonlyArray<StageStatus | undefined> = [];
 
 	constructor(private readonly options: StreamRecoveryOptions, now: number) {
@@ -119,6 +125,8 @@
 		this.connection++;
 		this.stallDetector.reset(now);
 		this.previousStatuses = [];
+		this.isConnectionOpen = true;
+		this.keptSince = undefined;
 		this.phase = Phase.Running;
 		return [{
 			kind: StreamCommandKind.Run, attempt: this.attempt, connection: this.connection, route,
@@ -146,6 +154,7 @@
 		if (tokens.length > 0) {
 			this.tokenRate.record(tokens.length, this.stallDetector.getIdleTime(now));
 			this.stallDetector.reset(now);
+			this.keptSince = undefined;
 			this.phase = Phase.Running;
 		}
 
@@ -174,6 +183,7 @@
 	}
 
 	private handleClosed(unreachableServer: string | undefined, now: number): readonly StreamCommand[] {
+		this.isConnectionOpen = false;
 		if (unreachableServer !== undefined && this.route.some(({server}) => server === unreachableServer)) {
 			return this.replace(new Set([unreachableServer]), now);
 		}
@@ -210,7 +220,10 @@
 		this.stallDetector.recordInspection(stallDiagnosis.isOnLink);
 		const suspects = new Set(stallDiagnosis.stages.map(index => this.route[index].server));
 		switch (stallDiagnosis.cause) {
-			case StallCause.ServersLost:
+			case StallCause.ServersLost: {
+				return this.mayKeep(suspects, now) ? this.keep(suspects, now) : this.replace(suspects, now);
+			}
+
 			case StallCause.Stuck: {
 				return this.replace(suspects, now);
 			}
@@ -247,8 +260,32 @@
 		return this.restart(suspects, now);
 	}
 
+	/** Whether to wait for stages that do not respond: they may only pause, and no other route can take the attempt over. */
+	private mayKeep(suspects: ReadonlySet<string>, now: number): boolean {
+		const isWithinTimeout = now - (this.keptSince ?? now) < keepTimeoutMs;
+		return this.isConnectionOpen && isWithinTimeout && !this.hasAlternative(suspects, now);
+	}
+
+	private hasAlternative(suspects: ReadonlySet<string>, now: number): boolean {
+		const {findRoute} = this.options;
+		return (findRoute(new Set([...this.excluded, ...suspects]), this.route, now) ?? findRoute(suspects, this.route, now)) !== undefined;
+	}
+
+	/** Keeps the attempt, whose stages are inspected again if no token arrives. */
+	private keep(suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+		this.keptSince ??= now;
+		this.phase = Phase.Running;
+		this.stallDetector.restartTimer(now);
+		return this.createSuspectCommands(suspects);
+	}
+
+	private createSuspectCommands(suspects: ReadonlySet<string>): readonly StreamCommand[] {
+		return [...suspects].map((server): StreamCommand => ({kind: StreamCommandKind.Suspect, server}));
+	}
+
 	private attach(now: number): readonly StreamCommand[] {
 		this.connection++;
+		this.isConnectionOpen = true;
 		this.phase = Phase.Running;
 		this.stallDetector.restartTimer(now);
 		return [{
@@ -258,7 +295,7 @@
 
 	/** Cancels the attempt and starts another one without the suspects, unless too many attempts have failed. */
 	private replace(suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
-		const suspectCommands = [...suspects].map((server): StreamCommand => ({kind: StreamCommandKind.Suspect, server}));
+		const suspectCommands = this.createSuspectCommands(suspects);
 		if (this.attempt >= maximumAttempts) {
 			return [...suspectCommands, ...this.fail(ResultCode.BackendFailed, `${this.attempt} attempts failed`)];
 		}
--- a/test/stream-recovery.test.ts
+++ b/test/stream-recovery.test.ts
@@ -255,3 +255,32 @@
 	const deliveries = recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 1)]}, 1400);
 	t.true(getKinds(deliveries).includes(StreamCommandKind.Deliver));
 });
+
+// Guards against an answer that never ends because the attempt is kept for a server that is gone.
+test('an attempt whose stage does not respond for long ends with an explicit failure', t => {
+	const recovery = startRecovery({findRoute: (excluded, previous) => excluded.size === 0 && previous.length === 0 ? createRoute(['a1', 'b1']) : undefined});
+	recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 0)]}, 10);
+	const kinds: StreamCommandKind[] = [];
+	for (let now = 20; now < 6000 && !recovery.isOver; now += 20) {
+		const commands = recovery.handle({kind: StreamEventKind.Tick}, now);
+		const isInspection = getKinds(commands).includes(StreamCommandKind.Inspect);
+		const results = isInspection ? recovery.handle({kind: StreamEventKind.Inspected, attempt: 1, statuses: [createStatus(1, 1), undefined]}, now) : [];
+		kinds.push(...getKinds(commands), ...getKinds(results));
+	}
+
+	t.is(kinds.at(-1), StreamCommandKind.Fail);
+	t.is(kinds.filter(kind => kind === StreamCommandKind.Cancel).length, 2, 'when the attempt is given up, and when the answer fails');
+});
+
+// Guards against a wait for a server that may pause although another route could go on at once.
+test('an attempt that was kept moves as soon as there is another route', t => {
+	let hasAlternative = false;
+	const recovery = startRecovery({findRoute: excluded => excluded.size === 0 ? createRoute(['a1', 'b1']) : (hasAlternative ? createRoute(['a1', 'b2']) : undefined)});
+	recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 0)]}, 10);
+	recovery.handle({kind: StreamEventKind.Tick}, 320);
+	recovery.handle({kind: StreamEventKind.Inspected, attempt: 1, statuses: [createStatus(1, 1), undefined]}, 330);
+	hasAlternative = true;
+	recovery.handle({kind: StreamEventKind.Tick}, 1000);
+	const commands = recovery.handle({kind: StreamEventKind.Inspected, attempt: 1, statuses: [createStatus(1, 1), undefined]}, 1010);
+	t.deepEqual(getNewRoute(commands), ['a1', 'b2']);
+});
