--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -12,7 +12,9 @@
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {ExchangeListener} from './exchange-listener.js';
 import {Exchange} from './exchange.js';
+import {LimitReservation} from './limit-reservation.js';
 import {type RelayRequest} from './relay-request.js';
+import {ResponseBuffer} from './response-buffer.js';
 import {type ResponseHead} from './response-head.js';
 
 /** Limits of plain exchanges. */
@@ -50,20 +52,19 @@
 	private server?: BackendServer;
 	private releaseLoad?: () => void;
 	private responseTimer?: TimerHandle;
-	/** Set while the request waits for the limit of a server. */
-	private limitTimer?: TimerHandle;
-	private bufferedChunks: Uint8Array[] = [];
-	private bufferedBytes = 0;
-	private head?: ResponseHead;
+	private readonly response: ResponseBuffer;
+	private readonly reservation: LimitReservation;
 	private readonly crashEvidence: CrashEvidence;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly plainDependencies: PlainExchangeDependencies) {
 		super(dependencies, request, reply);
 		this.crashEvidence = new CrashEvidence(dependencies.promptGuard, request);
+		this.response = new ResponseBuffer(plainDependencies.limits.maxBufferedBytes);
+		this.reservation = new LimitReservation(dependencies);
 	}
 
 	override endQuarantined(refusal: Failure): void {
-		if (this.isDone || this.head) {
+		if (this.isDone || this.response.head) {
 			return;
 		}
 
@@ -72,7 +73,7 @@
 
 	receiveHead(head: ResponseHead): void {
 		this.observeServer(this.server!, head);
-		this.head = head;
+		this.response.head = head;
 	}
 
 	receiveData(chunk: Uint8Array): void {
@@ -81,23 +82,23 @@
 			return;
 		}
 
-		this.bufferedChunks.push(chunk);
-		this.bufferedBytes += chunk.length;
-		if (this.bufferedBytes <= this.plainDependencies.limits.maxBufferedBytes || !this.head) {
+		const {response} = this;
+		response.add(chunk);
+		if (!response.isFull || !response.head) {
 			return;
 		}
 
-		if (this.head.isNotExecuted) {
+		if (response.head.isNotExecuted) {
 			// Its body is not passed on, so there is no need to wait for its end.
 			this.currentAttempt?.cancel();
 			this.receiveEnd();
 		} else {
-			this.startReply(this.head);
+			this.startReply(response.head);
 		}
 	}
 
 	receiveEnd(): void {
-		const head = this.head!;
+		const head = this.response.head!;
 		this.endAttempt();
 		if (head.isNotExecuted) {
 			this.executions--;
@@ -167,7 +168,7 @@
 
 	protected release(): void {
 		this.responseTimer?.cancel();
-		this.limitTimer?.cancel();
+		this.reservation.cancel();
 		this.releaseLoad?.();
 		this.releaseLoad = undefined;
 	}
@@ -187,7 +188,7 @@
 
 	/** Reserves the next request that the limit of a server allows, and sends it then; refuses the request at once if that is too late. */
 	private waitForLimit(): void {
-		const {request, dependencies: {timers, backpressure, log}, plainDependencies: {selector}} = this;
+		const {request, dependencies: {timers, log}, plainDependencies: {selector}} = this;
 		const now = timers.now();
 		const next = selector.findNextAllowed(this.createRequirements(new Set()), now);
 		if (!next) {
@@ -201,28 +202,18 @@
 			return;
 		}
 
-		backpressure.limits.recordRequest(server, now);
 		log.write('request.waiting', {
 			request: request.id, server: server.id, limitMs: Math.round(delay), attempts: this.attemptCount,
 		});
-		this.limitTimer = timers.after(delay, () => {
-			this.limitTimer = undefined;
-			this.sendReserved(server);
+		this.reservation.begin(next, isUsable => {
+			if (isUsable) {
+				this.send(server);
+			} else {
+				this.dispatch();
+			}
 		});
 	}
 
-	/** Sends the request to a server with a reservation, or to another one if that server must not be used any more. */
-	private sendReserved(server: BackendServer): void {
-		const {directory, backpressure, serverHealth, timers} = this.dependencies;
-		const now = timers.now();
-		const isListed = directory.usable(server.service).some(listed => getIncarnationId(listed) === getIncarnationId(server));
-		if (isListed && !backpressure.pauses.isPaused(server, now) && !serverHealth.isSuspected(server, now)) {
-			this.send(server);
-		} else {
-			this.dispatch();
-		}
-	}
-
 	private send(server: BackendServer): void {
 		const {dependencies, request} = this;
 		const now = dependencies.timers.now();
@@ -257,7 +248,7 @@
 	/** Sends the head and the buffered part of the body to the caller; from then on no other server can be tried. */
 	private startReply(head: ResponseHead): void {
 		this.reply.begin(head.status, head.headers, head.isSelfDelimited);
-		for (const chunk of this.bufferedChunks.splice(0)) {
+		for (const chunk of this.response.take()) {
 			this.forward(chunk);
 		}
 	}
@@ -307,16 +298,10 @@
 	}
 
 	private dispatchAgain(): void {
-		this.resetResponse();
+		this.response.clear();
 		this.dispatch();
 	}
 
-	private resetResponse(): void {
-		this.bufferedChunks = [];
-		this.bufferedBytes = 0;
-		this.head = undefined;
-	}
-
 	/** Retries on another server if this one sends no response while there is still time for a retry. */
 	private startResponseTimer(server: BackendServer): void {
 		const {request, dependencies, plainDependencies: {limits}} = this;
@@ -327,7 +312,7 @@
 		const timeout = Math.min(this.remaining / 2, request.route.latencyTarget * limits.responseTimeoutFraction);
 		this.responseTimer = dependencies.timers.after(timeout, () => {
 			// The server may still answer, so the attempt is kept unless another one can take the request.
-			const alternative = this.isDone || this.head !== undefined ? undefined : this.selectServer(this.triedIncarnations);
+			const alternative = this.isDone || this.response.head ? undefined : this.selectServer(this.triedIncarnations);
 			if (!alternative || dependencies.serverHealth.isSuspected(alternative, dependencies.timers.now()) || !this.tryAcquireNextAttempt()) {
 				return;
 			}
@@ -337,7 +322,7 @@
 			this.endAttempt();
 			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
 			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
-			this.resetResponse();
+			this.response.clear();
 			dependencies.backpressure.limits.recordRequest(alternative, dependencies.timers.now());
 			this.send(alternative);
 		});
