--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -20,7 +20,7 @@
 import {ServerRumors} from './peers/server-rumors.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
-import {type PromptQuarantine} from './quarantine/prompt-quarantine.js';
+import {type Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRegister} from './quarantine/quarantine-register.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
 import {type TableFeed} from './replication/table-feed.js';
@@ -56,7 +56,7 @@
 	readonly serverLoad: ServerLoad;
 	readonly serverLimits: ServerLimits;
 	/** The requests and prompt parts that this instance refuses. */
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: Quarantine;
 	readonly lease: Lease;
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
 	/** Holds a row for each instance. */
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -7,7 +7,7 @@
 import {listen} from '../network/listen.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
-import {type PromptGuard} from '../quarantine/prompt-guard.js';
+import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {computeRequestFingerprint} from '../quarantine/request-fingerprint.js';
 import {type ExchangeCodec} from '../relay/exchange-codec.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
@@ -24,7 +24,7 @@
 	readonly authorizer: RequestAuthorizer;
 	readonly codec: ExchangeCodec;
 	readonly exchanges: ExchangeRegistry;
-	readonly promptGuard: PromptGuard;
+	readonly crashGuard: CrashGuard;
 	readonly lifecycle: Lifecycle;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
@@ -95,7 +95,7 @@
 			const fingerprint = computeRequestFingerprint({
 				host, method, target, workspace: workspace?.name, body,
 			});
-			dependencies.promptGuard.check([fingerprint, ...callerHeaders.promptParts]);
+			dependencies.crashGuard.check([fingerprint, ...callerHeaders.promptParts]);
 
 			dependencies.log.write('request.accepted', {
 				request: callerHeaders.id,
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -8,7 +8,7 @@
 import {type GossipClients} from '../peers/gossip-clients.js';
 import {type GossipService} from '../peers/gossip-service.js';
 import {type PlacementController} from '../placement/placement-controller.js';
-import {type PromptGuard} from '../quarantine/prompt-guard.js';
+import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
 import {type StreamMonitor} from '../relay/stream-monitor.js';
 import {type TableWatcher} from '../replication/table-watcher.js';
@@ -29,7 +29,7 @@
 	readonly statusServer: StatusServer;
 	readonly exchanges: ExchangeRegistry;
 	readonly streamMonitor: StreamMonitor;
-	readonly promptGuard: PromptGuard;
+	readonly crashGuard: CrashGuard;
 	readonly activeCatalog: ActiveCatalog;
 	readonly tableWatchers: readonly TableWatcher[];
 	/** Whether this instance is one of those that read the store in normal operation. */
@@ -69,7 +69,7 @@
 
 		dependencies.instanceRegistry.start();
 		dependencies.streamMonitor.start();
-		dependencies.promptGuard.start();
+		dependencies.crashGuard.start();
 		dependencies.gossip.start();
 		void this.joinUntilReady();
 		this.startPeriodicWork();
--- a/src/peers/crash-rumors.ts
+++ b/src/peers/crash-rumors.ts
@@ -1,5 +1,5 @@
 import {type CrashReport} from '../quarantine/crash-report.js';
-import {type GossipMessage, type ReportedCrash, type Vindication} from './gossip-message.js';
+import {type GossipMessage, type ReportedCrash, type ClearedReport} from './gossip-message.js';
 import {RumorBuffer, type RumorHeader} from './rumor-buffer.js';
 import {type RumorTimings} from './server-rumors.js';
 
@@ -8,12 +8,12 @@
 	/** Called when another instance saw a backend server crash; the times are on this instance's monotonic clock. */
 	readonly onCrashReport: (report: CrashReport) => void;
 	/** Called when another instance saw suspected prompt parts work. */
-	readonly onVindication: (parts: readonly string[]) => void;
+	readonly onCleared: (parts: readonly string[]) => void;
 };
 
 /** Prompt parts in one rumor at most. */
 const maxPartsInRumor = 32;
-/** Prompt parts that all crash reports of a message name at most, and also all of its vindications. */
+/** Prompt parts that all crash reports of a message name at most, and also all that its reports clear. */
 const maxPartsInMessage = 128;
 
 /** Returns the newest rumors that together name no more than the maximum number of parts. */
@@ -29,10 +29,10 @@
 	return rumors.slice(first);
 }
 
-/** The crashes of backend servers with the suspected prompt parts, and the vindications of parts, that are passed on among the instances. */
+/** The crashes of backend servers with the suspected prompt parts, and the parts that were cleared, that are passed on among the instances. */
 export class CrashRumors {
 	private readonly crashes: RumorBuffer<ReportedCrash>;
-	private readonly vindications: RumorBuffer<Vindication>;
+	private readonly cleared: RumorBuffer<ClearedReport>;
 	private count = 0;
 
 	/**
@@ -41,7 +41,7 @@
 	*/
 	constructor(private readonly self: string, private readonly epoch: number, private readonly events: CrashEvents, {rumorLifetime, rumorMemory}: RumorTimings) {
 		this.crashes = new RumorBuffer(rumorLifetime, rumorMemory);
-		this.vindications = new RumorBuffer(rumorLifetime, rumorMemory);
+		this.cleared = new RumorBuffer(rumorLifetime, rumorMemory);
 	}
 
 	/** Starts a rumor that this instance saw a backend server crash. Of many suspects, those sent last are reported. */
@@ -56,16 +56,16 @@
 	}
 
 	/** Starts rumors that this instance saw suspected parts work. */
-	addVindication(parts: readonly string[], now: number): void {
+	addCleared(parts: readonly string[], now: number): void {
 		for (let start = 0; start < parts.length; start += maxPartsInRumor) {
-			this.vindications.add([{...this.createHeader(), parts: parts.slice(start, start + maxPartsInRumor)}], now);
+			this.cleared.add([{...this.createHeader(), parts: parts.slice(start, start + maxPartsInRumor)}], now);
 		}
 	}
 
 	/** Returns the rumors to pass on. */
 	getCurrent(now: number): Pick<GossipMessage, 'crashes' | 'vindications'> {
 		const crashes = limitParts(this.crashes.getCurrent(now), ({suspects}) => suspects.length);
-		const vindications = limitParts(this.vindications.getCurrent(now), ({parts}) => parts.length);
+		const vindications = limitParts(this.cleared.getCurrent(now), ({parts}) => parts.length);
 		return {...(crashes.length > 0 && {crashes}), ...(vindications.length > 0 && {vindications})};
 	}
 
@@ -76,12 +76,12 @@
 			this.reportCrash(crash, now);
 		}
 
-		const unknownVindications = this.vindications.add(vindications.filter(rumor => this.isForeign(rumor)), now);
-		for (const {parts} of unknownVindications) {
-			this.events.onVindication(parts);
+		const unknownCleared = this.cleared.add(vindications.filter(rumor => this.isForeign(rumor)), now);
+		for (const {parts} of unknownCleared) {
+			this.events.onCleared(parts);
 		}
 
-		return unknownCrashes.length > 0 || unknownVindications.length > 0;
+		return unknownCrashes.length > 0 || unknownCleared.length > 0;
 	}
 
 	private reportCrash({age, life: incarnationId, crashAge, suspects}: ReportedCrash, now: number): void {
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -43,7 +43,7 @@
 	})),
 });
 
-const vindicationSchema = z.object({
+const clearedSchema = z.object({
 	...rumorHeader,
 	/** Ids of prompt parts. */
 	parts: z.array(z.string()),
@@ -99,7 +99,7 @@
 	/** Crashes of backend servers that an instance saw; absent if there are none. */
 	crashes: z.array(crashSchema).optional(),
 	/** Suspected prompt parts that an instance saw work; absent if there are none. */
-	vindications: z.array(vindicationSchema).optional(),
+	vindications: z.array(clearedSchema).optional(),
 	/** Limits that backend servers named or lifted; absent if there are none. */
 	limits: z.array(limitSchema).optional(),
 	/** Requests and prompt parts that are refused; absent if there are none. */
@@ -129,4 +129,4 @@
 export type ReportedLimit = z.infer<typeof limitSchema>;
 
 /** A report that suspected prompt parts worked. */
-export type Vindication = z.infer<typeof vindicationSchema>;
+export type ClearedReport = z.infer<typeof clearedSchema>;
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -115,9 +115,9 @@
 	}
 
 	/** Reports to the other instances that this one saw suspected prompt parts work. */
-	reportVindication(parts: readonly string[]): void {
+	reportCleared(parts: readonly string[]): void {
 		const {crashRumors, timers} = this.dependencies;
-		crashRumors.addVindication(parts, timers.now());
+		crashRumors.addCleared(parts, timers.now());
 		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
--- a/src/peers/quarantine-exchange.ts
+++ b/src/peers/quarantine-exchange.ts
@@ -1,4 +1,4 @@
-import {type PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import {type Quarantine} from '../quarantine/quarantine.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type GossipMessage} from './gossip-message.js';
 import {takeInTurn} from './take-in-turn.js';
@@ -18,7 +18,7 @@
 	/**
 	@param onQuarantine - called for each quarantine in a message that is not in force here; `expiresAt` is Unix time in milliseconds
 	*/
-	constructor(private readonly quarantine: PromptQuarantine, private readonly timers: TimerService, private readonly onQuarantine: (part: string, expiresAt: number) => void) {}
+	constructor(private readonly quarantine: Quarantine, private readonly timers: TimerService, private readonly onQuarantine: (part: string, expiresAt: number) => void) {}
 
 	/**
 	Returns the quarantines for a message.
--- a/src/quarantine-wiring.ts
+++ b/src/quarantine-wiring.ts
@@ -6,8 +6,8 @@
 import {type ServerHealthTracker} from './pipelines/server-health-tracker.js';
 import {CrashAnalysis} from './quarantine/crash-analysis.js';
 import {LostAttempts} from './quarantine/lost-attempts.js';
-import {PromptGuard} from './quarantine/prompt-guard.js';
-import {type PromptQuarantine} from './quarantine/prompt-quarantine.js';
+import {CrashGuard} from './quarantine/crash-guard.js';
+import {type Quarantine} from './quarantine/quarantine.js';
 import {type Failure} from './results/failure.js';
 import {type TimerService} from './time/timer-service.js';
 
@@ -15,7 +15,7 @@
 export type QuarantineDependencies = Pick<Control, 'gossip' | 'quarantineRegister'> & {
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: Quarantine;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
@@ -32,13 +32,13 @@
 /** Durations in milliseconds; the others are counts. */
 const analysisOptions = {
 	minCrashes: 3,
-	soundMemory: 600_000,
+	clearedMemory: 600_000,
 	crashMemory: 600_000,
-	maxSoundParts: 20_000,
-	maxSoundRequests: 5000,
+	maxClearedParts: 20_000,
+	maxClearedRequests: 5000,
 	maxCrashes: 200,
 	maxSuspects: 200,
-	maxAccused: 1000,
+	maxCauses: 1000,
 };
 /** Time within which a server that lost attempts is found to have ended, in milliseconds. */
 const confirmationTimeoutMs = 4000;
@@ -51,9 +51,9 @@
 
 @param quarantineDuration - how long requests with such a part are refused, in milliseconds
 */
-export function wirePromptGuard(quarantineDuration: number, dependencies: QuarantineDependencies, events: QuarantineEvents): PromptGuard {
+export function wireCrashGuard(quarantineDuration: number, dependencies: QuarantineDependencies, events: QuarantineEvents): CrashGuard {
 	const {gossip, quarantineRegister, directory, serverHealth, timers, metrics, log} = dependencies;
-	return new PromptGuard({
+	return new CrashGuard({
 		lostAttempts: new LostAttempts(confirmationTimeoutMs),
 		analysis: new CrashAnalysis(analysisOptions),
 		quarantine: dependencies.quarantine,
@@ -61,8 +61,8 @@
 			reportCrash(report) {
 				gossip.reportCrash(report);
 			},
-			reportVindication(parts) {
-				gossip.reportVindication(parts);
+			reportCleared(parts) {
+				gossip.reportCleared(parts);
 			},
 			publish(part, expiresAt) {
 				quarantineRegister.publish(part, expiresAt);
--- a/src/quarantine/sound-parts.ts
+++ b/src/quarantine/cleared-suspects.ts
@@ -1,5 +1,5 @@
-/** Remembers the prompt parts that are known to be sound. */
-export class SoundParts {
+/** Remembers the suspects that were cleared, since a backend server ran them without crashing. */
+export class ClearedSuspects {
 	/** Monotonic times in milliseconds of the latest progress, oldest first. */
 	private readonly progress = new Map<string, number>();
 
--- a/src/quarantine/crash-analysis.ts
+++ b/src/quarantine/crash-analysis.ts
@@ -1,10 +1,10 @@
-import {type Accusation} from './accusation.js';
+import {type CrashCause} from './crash-cause.js';
 import {type CrashAnalysisOptions} from './crash-analysis-options.js';
 import {type CrashReport} from './crash-report.js';
 import {CrashHistory} from './crash-history.js';
 import {RequestCrashes} from './request-crashes.js';
 import {isRequestFingerprint} from './request-fingerprint.js';
-import {SoundParts} from './sound-parts.js';
+import {ClearedSuspects} from './cleared-suspects.js';
 
 /** Crashes of servers to each of which a part was sent after the crash before it. */
 type Sequence = {
@@ -19,28 +19,28 @@
 /**
 Finds the prompt parts and the single requests that crash each backend server that begins to answer them, from reports of crashes.
 
-A part is accused if it explains more crashes, one after another, than any other part, and no single request explains them all. All times are monotonic, in milliseconds. The parts in arguments and results are ids of prompt parts or fingerprints of requests.
+A part is a cause if it explains more crashes, one after another, than any other part, and no single request explains them all. All times are monotonic, in milliseconds. The parts in arguments and results are ids of prompt parts or fingerprints of requests.
 */
 export class CrashAnalysis {
-	private readonly sound: SoundParts;
+	private readonly cleared: ClearedSuspects;
 	private readonly history: CrashHistory;
 	private readonly requests: RequestCrashes;
-	private readonly accused = new Set<string>();
+	private readonly causes = new Set<string>();
 	/** Whether several parts explain enough crashes, so that progress can decide. */
 	private isTied = false;
 
 	constructor(private readonly options: CrashAnalysisOptions) {
-		this.sound = new SoundParts(options.soundMemory, options.maxSoundParts);
+		this.cleared = new ClearedSuspects(options.clearedMemory, options.maxClearedParts);
 		this.history = new CrashHistory(options);
 		this.requests = new RequestCrashes(options);
 	}
 
 	/**
-	Records that a request received an event from a backend server, so that all its parts are sound.
+	Records that a request received an event from a backend server, so that all its parts are cleared.
 
 	@returns the parts to quarantine now, since progress can break a tie; usually none
 	*/
-	recordProgress(parts: readonly string[], now: number): readonly Accusation[] {
+	recordProgress(parts: readonly string[], now: number): readonly CrashCause[] {
 		for (const part of parts) {
 			if (isRequestFingerprint(part)) {
 				this.requests.recordProgress(part, now);
@@ -49,22 +49,22 @@
 			}
 		}
 
-		return this.isTied ? this.accuse(now) : [];
+		return this.isTied ? this.findCauses(now) : [];
 	}
 
 	/** Records that another instance saw progress of parts; has the effect of `recordProgress`. */
-	recordVindication(parts: readonly string[], now: number): readonly Accusation[] {
+	recordCleared(parts: readonly string[], now: number): readonly CrashCause[] {
 		return this.recordProgress(parts, now);
 	}
 
-	/** Returns those of the parts that are remembered as sound, to answer reports of other instances. */
-	findSound(parts: readonly string[], now: number): readonly string[] {
-		return parts.filter(part => this.isSound(part, now));
+	/** Returns those of the parts that are remembered as cleared, to answer reports of other instances. */
+	findCleared(parts: readonly string[], now: number): readonly string[] {
+		return parts.filter(part => this.isCleared(part, now));
 	}
 
-	/** Returns a report without the parts that are remembered as sound, to send it to other instances; undefined if no suspect is left. */
+	/** Returns a report without the parts that are remembered as cleared, to send it to other instances; undefined if no suspect is left. */
 	filterSuspects(report: CrashReport, now: number): CrashReport | undefined {
-		const suspects = report.suspects.filter(({part}) => !this.isSound(part, now));
+		const suspects = report.suspects.filter(({part}) => !this.isCleared(part, now));
 		return suspects.length === 0 ? undefined : {...report, suspects};
 	}
 
@@ -76,7 +76,7 @@
 	@param timeError - milliseconds by which the times of the report may be off in either direction; 0 for own reports
 	@returns the parts to quarantine now, usually none
 	*/
-	recordCrash(report: CrashReport, now: number, timeError = 0): readonly Accusation[] {
+	recordCrash(report: CrashReport, now: number, timeError = 0): readonly CrashCause[] {
 		const crashedAt = report.crashedAt + timeError;
 		const suspects = this.filterSuspects(report, now)?.suspects.map(({part, sentAt}) => ({part, sentAt: sentAt - timeError}));
 		if (!suspects || this.history.isOutdated(crashedAt, now)) {
@@ -92,11 +92,11 @@
 
 		const crash = this.history.getOrCreate(incarnationId);
 		crash.merge(crashedAt, parts);
-		if (parts.some(({part}) => this.accused.has(part))) {
+		if (parts.some(({part}) => this.causes.has(part))) {
 			crash.explain();
 		}
 
-		return [...requests, ...this.accuse(now)];
+		return [...requests, ...this.findCauses(now)];
 	}
 
 	/** Whether a request is a suspect of any crash. */
@@ -104,17 +104,17 @@
 		return this.requests.isSuspect(fingerprint);
 	}
 
-	/** Records that another instance accused a part, so that it explains the crashes in which it was a suspect. */
+	/** Records that another instance found a part to be a cause, so that it explains the crashes in which it was a suspect. */
 	accept(part: string): void {
 		if (isRequestFingerprint(part)) {
 			this.requests.accept(part);
 			return;
 		}
 
-		this.accused.add(part);
-		if (this.accused.size > this.options.maxAccused) {
-			const [oldest] = this.accused;
-			this.accused.delete(oldest);
+		this.causes.add(part);
+		if (this.causes.size > this.options.maxCauses) {
+			const [oldest] = this.causes;
+			this.causes.delete(oldest);
 		}
 
 		// The part may have caused any crash since its first one, even if the reports that name it are still on their way.
@@ -125,27 +125,27 @@
 		}
 	}
 
-	/** Gives up an accused part when its quarantine ends; later crashes can make it accused again. */
+	/** Gives up a cause when its quarantine ends; later crashes can make it one again. */
 	release(part: string): void {
 		if (isRequestFingerprint(part)) {
 			this.requests.release(part);
 		}
 
-		this.accused.delete(part);
+		this.causes.delete(part);
 	}
 
-	private accuse(now: number): readonly Accusation[] {
+	private findCauses(now: number): readonly CrashCause[] {
 		this.history.removeOld(now);
-		const accusations: Accusation[] = [];
-		for (let accusation = this.findAccusation(); accusation; accusation = this.findAccusation()) {
-			this.accept(accusation.part);
-			accusations.push(accusation);
+		const causes: CrashCause[] = [];
+		for (let cause = this.findCause(); cause; cause = this.findCause()) {
+			this.accept(cause.part);
+			causes.push(cause);
 		}
 
-		return accusations;
+		return causes;
 	}
 
-	private findAccusation(): Accusation | undefined {
+	private findCause(): CrashCause | undefined {
 		const [first, ...others] = this.findSequences().toSorted((left, right) => right.length - left.length);
 		if (!first || first.length < this.options.minCrashes) {
 			this.isTied = false;
@@ -179,18 +179,18 @@
 		return [...sequences.values()];
 	}
 
-	private isSound(part: string, now: number): boolean {
-		return isRequestFingerprint(part) ? this.requests.isSound(part, now) : this.sound.has(part, now);
+	private isCleared(part: string, now: number): boolean {
+		return isRequestFingerprint(part) ? this.requests.isCleared(part, now) : this.cleared.has(part, now);
 	}
 
 	private clear(part: string, now: number): void {
-		// A part that is remembered as sound is not held as a suspect.
-		if (!this.sound.has(part, now)) {
+		// A part that is remembered as cleared is not held as a suspect.
+		if (!this.cleared.has(part, now)) {
 			for (const crash of this.history.all().values()) {
 				crash.clear(part);
 			}
 		}
 
-		this.sound.add(part, now);
+		this.cleared.add(part, now);
 	}
 }
--- a/src/quarantine/accusation.ts
+++ b/src/quarantine/crash-cause.ts
@@ -1,5 +1,5 @@
 /** A prompt part that is found to crash backend servers. */
-export type Accusation = {
+export type CrashCause = {
 	readonly part: string;
 	/** Number of crashes, one after another, that the part explains. */
 	readonly crashes: number;
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -5,29 +5,29 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerService} from '../time/timer-service.js';
-import {type Accusation} from './accusation.js';
+import {type CrashCause} from './crash-cause.js';
 import {type CrashAnalysis} from './crash-analysis.js';
 import {type CrashReport} from './crash-report.js';
 import {type LostAttempts} from './lost-attempts.js';
 import {QuarantineOrigin} from './quarantine-origin.js';
 import {isRequestFingerprint} from './request-fingerprint.js';
-import {type PromptQuarantine, type QuarantinedPart} from './prompt-quarantine.js';
+import {type Quarantine, type QuarantinedPart} from './quarantine.js';
 
 /** What a prompt guard tells the other instances. */
 export type GuardReports = {
 	/** Sends a crash that this instance saw to the other instances. */
 	readonly reportCrash: (report: CrashReport) => void;
 	/** Tells the other instances of suspected parts that work. */
-	readonly reportVindication: (parts: readonly string[]) => void;
+	readonly reportCleared: (parts: readonly string[]) => void;
 	/** Stores a quarantine; `expiresAt` is Unix time in milliseconds. */
 	readonly publish: (part: string, expiresAt: number) => void;
 };
 
 /** Dependencies of a prompt guard. */
-export type PromptGuardDependencies = {
+export type CrashGuardDependencies = {
 	readonly lostAttempts: LostAttempts;
 	readonly analysis: CrashAnalysis;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: Quarantine;
 	readonly reports: GuardReports;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
@@ -41,7 +41,7 @@
 };
 
 /** Durations of a prompt guard, in milliseconds. */
-export type PromptGuardTimings = {
+export type CrashGuardTimings = {
 	/** How long requests with a part that crashes servers are refused. */
 	readonly quarantine: number;
 	/** Interval between checks whether servers that lost attempts have ended. */
@@ -65,11 +65,11 @@
 const maxLoggedSuspects = 16;
 
 /** Finds the prompt parts whose requests crash backend servers, from the attempts of this instance and the reports of the others, and refuses requests with them. */
-export class PromptGuard {
+export class CrashGuard {
 	/** Servers that lost attempts and are not known to have ended, by incarnation id. */
 	private readonly lostServers = new Map<string, LostServer>();
 
-	constructor(private readonly dependencies: PromptGuardDependencies, private readonly timings: PromptGuardTimings) {}
+	constructor(private readonly dependencies: CrashGuardDependencies, private readonly timings: CrashGuardTimings) {}
 
 	/** Starts the periodic checks. */
 	start(): void {
@@ -92,13 +92,13 @@
 		return this.dependencies.analysis.isSuspectedRequest(fingerprint);
 	}
 
-	/** Records that a backend server answers a request with the parts, so that they are sound. */
+	/** Records that a backend server answers a request with the parts, so that they are cleared. */
 	recordProgress(parts: readonly string[]): void {
-		this.quarantineAccused(this.dependencies.analysis.recordProgress(parts, this.dependencies.timers.now()));
+		this.quarantineCauses(this.dependencies.analysis.recordProgress(parts, this.dependencies.timers.now()));
 	}
 
 	/**
-	Records that an attempt ended before it showed that its parts are sound, because its connection was lost or its server fell silent.
+	Records that an attempt ended before it cleared its parts, because its connection was lost or its server fell silent.
 
 	@param sentAt - monotonic time in milliseconds
 	*/
@@ -115,22 +115,22 @@
 		this.lostServers.set(incarnationId, {server, lostAt: now, isChecked: checkServer(server)});
 	}
 
-	/** Adds a crash that another instance saw. Parts that work here are vindicated. */
+	/** Adds a crash that another instance saw. Parts that work here are cleared. */
 	receiveReport(report: CrashReport): void {
 		const {analysis, reports, timers} = this.dependencies;
 		const now = timers.now();
-		const sound = analysis.findSound(report.suspects.map(({part}) => part), now);
-		if (sound.length > 0) {
-			reports.reportVindication(sound);
+		const cleared = analysis.findCleared(report.suspects.map(({part}) => part), now);
+		if (cleared.length > 0) {
+			reports.reportCleared(cleared);
 		}
 
-		this.quarantineAccused(analysis.recordCrash(report, now, this.timings.reportTimeError));
+		this.quarantineCauses(analysis.recordCrash(report, now, this.timings.reportTimeError));
 	}
 
 	/** Records that another instance saw parts work. */
-	receiveVindication(parts: readonly string[]): void {
+	receiveCleared(parts: readonly string[]): void {
 		const {analysis, timers} = this.dependencies;
-		this.quarantineAccused(analysis.recordVindication(parts, timers.now()));
+		this.quarantineCauses(analysis.recordCleared(parts, timers.now()));
 	}
 
 	/**
@@ -173,13 +173,13 @@
 		});
 		if (suspected) {
 			reports.reportCrash(suspected);
-			this.quarantineAccused(analysis.recordCrash(suspected, now));
+			this.quarantineCauses(analysis.recordCrash(suspected, now));
 		}
 	}
 
-	private quarantineAccused(accusations: readonly Accusation[]): void {
+	private quarantineCauses(causes: readonly CrashCause[]): void {
 		const {reports, timers} = this.dependencies;
-		for (const {part, crashes} of accusations) {
+		for (const {part, crashes} of causes) {
 			this.addQuarantine(part, this.timings.quarantine, QuarantineOrigin.Analysis, crashes);
 			reports.publish(part, timers.wallClock() + this.timings.quarantine);
 		}
--- a/src/quarantine/crash.ts
+++ b/src/quarantine/crash.ts
@@ -43,7 +43,7 @@
 		this.sentAt.delete(part);
 	}
 
-	/** Records that an accused part caused the crash, which clears all suspects, also those of later reports. */
+	/** Records that a part that was found to be a cause explains the crash, which clears all suspects, also those of later reports. */
 	explain(): void {
 		this.hasCause = true;
 		this.sentAt.clear();
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -6,7 +6,7 @@
 };
 
 /** Holds the prompt parts whose requests are refused. */
-export class PromptQuarantine {
+export class Quarantine {
 	private readonly expiries = new Map<string, number>();
 	/** Parts dropped since `removeExpired` was last called. */
 	private readonly dropped = new Set<string>();
--- a/src/quarantine/request-crashes.ts
+++ b/src/quarantine/request-crashes.ts
@@ -1,10 +1,10 @@
-import {type Accusation} from './accusation.js';
+import {type CrashCause} from './crash-cause.js';
 import {type CrashAnalysisOptions} from './crash-analysis-options.js';
 import {CrashHistory} from './crash-history.js';
 import {type CrashReport} from './crash-report.js';
-import {SoundParts} from './sound-parts.js';
+import {ClearedSuspects} from './cleared-suspects.js';
 
-/** Crashes, one after another, that a request must explain to be accused; the others may have come at the same moment. */
+/** Crashes, one after another, that a request must explain to be found a cause; the others may have come at the same moment. */
 const minSequence = 2;
 
 /** The crashes in which one request is a suspect. */
@@ -19,29 +19,29 @@
 
 /** Finds single requests that crash each backend server that begins to run them, by their fingerprints. All times are monotonic, in milliseconds. */
 export class RequestCrashes {
-	private readonly sound: SoundParts;
+	private readonly cleared: ClearedSuspects;
 	private readonly history: CrashHistory;
-	private readonly accused = new Set<string>();
+	private readonly causes = new Set<string>();
 
 	constructor(private readonly options: CrashAnalysisOptions) {
-		this.sound = new SoundParts(options.soundMemory, options.maxSoundRequests);
+		this.cleared = new ClearedSuspects(options.clearedMemory, options.maxClearedRequests);
 		this.history = new CrashHistory(options);
 	}
 
 	/** Records that a backend server ran the request without crashing. */
 	recordProgress(fingerprint: string, now: number): void {
-		if (!this.sound.has(fingerprint, now)) {
+		if (!this.cleared.has(fingerprint, now)) {
 			for (const crash of this.history.all().values()) {
 				crash.clear(fingerprint);
 			}
 		}
 
-		this.sound.add(fingerprint, now);
+		this.cleared.add(fingerprint, now);
 	}
 
-	/** Whether the request is remembered as sound. */
-	isSound(fingerprint: string, now: number): boolean {
-		return this.sound.has(fingerprint, now);
+	/** Whether the request is remembered as cleared. */
+	isCleared(fingerprint: string, now: number): boolean {
+		return this.cleared.has(fingerprint, now);
 	}
 
 	/** Whether the request is a suspect of any crash that is held. */
@@ -50,19 +50,19 @@
 	}
 
 	/** Adds what a report says about a crash, whose suspects are fingerprints and whose times are exact or taken at their worst; returns the requests to quarantine now. */
-	recordCrash({incarnationId, crashedAt, suspects}: CrashReport, now: number): readonly Accusation[] {
+	recordCrash({incarnationId, crashedAt, suspects}: CrashReport, now: number): readonly CrashCause[] {
 		if (suspects.length === 0 || this.history.isOutdated(crashedAt, now)) {
 			return [];
 		}
 
 		this.history.getOrCreate(incarnationId).merge(crashedAt, suspects);
 		this.history.removeOld(now);
-		const accusations = this.findAccusations();
-		for (const {part} of accusations) {
+		const causes = this.findCauses();
+		for (const {part} of causes) {
 			this.accept(part);
 		}
 
-		return accusations;
+		return causes;
 	}
 
 	/** Whether one request is a suspect of all these crashes, so that nothing else needs to be looked for. */
@@ -73,25 +73,25 @@
 
 	/** Records that a request is quarantined. */
 	accept(fingerprint: string): void {
-		this.accused.add(fingerprint);
-		if (this.accused.size > this.options.maxAccused) {
-			const [oldest] = this.accused;
-			this.accused.delete(oldest);
+		this.causes.add(fingerprint);
+		if (this.causes.size > this.options.maxCauses) {
+			const [oldest] = this.causes;
+			this.causes.delete(oldest);
 		}
 	}
 
-	/** Gives up an accused request when its quarantine ends; only later crashes count against it. */
+	/** Gives up a cause when its quarantine ends; only later crashes count against it. */
 	release(fingerprint: string): void {
-		this.accused.delete(fingerprint);
+		this.causes.delete(fingerprint);
 		for (const crash of this.history.all().values()) {
 			crash.clear(fingerprint);
 		}
 	}
 
-	private findAccusations(): readonly Accusation[] {
+	private findCauses(): readonly CrashCause[] {
 		const suspicions = this.findSuspicions();
 		const candidates = suspicions.filter(({fingerprint, incarnationIds, sequence}) =>
-			!this.accused.has(fingerprint) && incarnationIds.length >= this.options.minCrashes && sequence >= minSequence);
+			!this.causes.has(fingerprint) && incarnationIds.length >= this.options.minCrashes && sequence >= minSequence);
 		return candidates
 			.filter(candidate => !suspicions.some(other => other !== candidate && candidate.incarnationIds.every(id => other.incarnationIds.includes(id))))
 			.map(({fingerprint, incarnationIds}) => ({part: fingerprint, crashes: incarnationIds.length}));
--- a/src/relay/crash-evidence.ts
+++ b/src/relay/crash-evidence.ts
@@ -1,14 +1,14 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {type PromptGuard} from '../quarantine/prompt-guard.js';
+import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {type RelayRequest} from './relay-request.js';
 
 /** Time after its first event from which an attempt shows that its request does not crash the server that answers it. */
-const soundDelayMs = 500;
+const harmlessDelayMs = 500;
 /** Attempts that may end early. A request that ended two of them may crash each server to which it is sent. */
 const maxEarlyLosses = 2;
 
 /** The part of a guard that learns from attempts. */
-export type CrashGuard = Pick<PromptGuard, 'recordProgress' | 'recordLoss' | 'isSuspectedRequest'>;
+export type CrashRecorder = Pick<CrashGuard, 'recordProgress' | 'recordLoss' | 'isSuspectedRequest'>;
 
 /** Collects what the attempts of one request show about whether it crashes backend servers. Times are monotonic milliseconds. */
 export class CrashEvidence {
@@ -16,9 +16,9 @@
 	private earlyLosses = 0;
 	private sentAt = 0;
 	private firstEventAt?: number;
-	private isSound = false;
+	private isCleared = false;
 
-	constructor(private readonly guard: CrashGuard, private readonly request: Pick<RelayRequest, 'promptParts' | 'fingerprint'>) {
+	constructor(private readonly guard: CrashRecorder, private readonly request: Pick<RelayRequest, 'promptParts' | 'fingerprint'>) {
 		this.suspects = [...request.promptParts, request.fingerprint];
 	}
 
@@ -36,28 +36,28 @@
 	beginAttempt(now: number): void {
 		this.sentAt = now;
 		this.firstEventAt = undefined;
-		this.isSound = false;
+		this.isCleared = false;
 	}
 
 	/** Records an event of the current attempt. */
 	recordEvent(now: number): void {
 		this.firstEventAt ??= now;
-		if (now - this.firstEventAt >= soundDelayMs) {
-			this.recordSound();
+		if (now - this.firstEventAt >= harmlessDelayMs) {
+			this.recordHarmless();
 		}
 	}
 
-	/** Records that the current attempt shows that the request is sound. */
-	recordSound(): void {
-		if (!this.isSound) {
-			this.isSound = true;
+	/** Records that the current attempt clears the request of crashing servers. */
+	recordHarmless(): void {
+		if (!this.isCleared) {
+			this.isCleared = true;
 			this.guard.recordProgress(this.suspects);
 		}
 	}
 
 	/** Records that the connection of the current attempt to its server or first stage was lost. */
 	recordLoss(server: BackendServer): void {
-		if (!this.isSound) {
+		if (!this.isCleared) {
 			this.earlyLosses++;
 			this.recordSilence(server);
 		}
@@ -65,7 +65,7 @@
 
 	/** Records that the current attempt was given up because a server was silent, which is no loss of a server yet. */
 	recordSilence(server: BackendServer): void {
-		if (!this.isSound) {
+		if (!this.isCleared) {
 			this.guard.recordLoss(server, this.suspects, this.sentAt);
 		}
 	}
--- a/src/relay/exchange-dependencies.ts
+++ b/src/relay/exchange-dependencies.ts
@@ -7,7 +7,7 @@
 import {type ServerLoad} from '../pipelines/server-load.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type BackendClient} from './backend-client.js';
-import {type CrashGuard} from './crash-evidence.js';
+import {type CrashRecorder} from './crash-evidence.js';
 
 /** The retry budgets of all services; each is shared by all requests to its service. */
 export type RetryBudgets = {
@@ -21,7 +21,7 @@
 	readonly serverHealth: ServerHealthTracker;
 	readonly backpressure: Backpressure;
 	readonly load: ServerLoad;
-	readonly promptGuard: CrashGuard;
+	readonly crashGuard: CrashRecorder;
 	readonly retryBudgets: RetryBudgets;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
--- a/src/relay/exchange-registry.ts
+++ b/src/relay/exchange-registry.ts
@@ -48,7 +48,7 @@
 		});
 	}
 
-	/** Ends the exchanges of a quarantined request, or with a quarantined prompt part, that nothing shows to be sound yet. */
+	/** Ends the exchanges of a quarantined request, or with a quarantined prompt part, that nothing clears yet. */
 	endQuarantined(part: string, refusal: Failure): void {
 		for (const exchange of [...this.plainExchanges, ...this.streamExchanges]) {
 			const {fingerprint, promptParts} = exchange.request;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -59,7 +59,7 @@
 			: new Failure(ResultCode.Draining, reason, Execution.NotRun));
 	}
 
-	/** Ends the exchange if nothing shows yet that its request is sound, because the request or a part of its prompt was quarantined. */
+	/** Ends the exchange if nothing clears its request yet, because the request or a part of its prompt was quarantined. */
 	abstract endQuarantined(refusal: Failure): void;
 
 	/** Handles the head of the response. */
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -58,7 +58,7 @@
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly plainDependencies: PlainExchangeDependencies) {
 		super(dependencies, request, reply);
-		this.crashEvidence = new CrashEvidence(dependencies.promptGuard, request);
+		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request);
 		this.response = new ResponseBuffer(plainDependencies.limits.maxBufferedBytes);
 		this.reservation = new LimitReservation(dependencies);
 	}
@@ -107,7 +107,7 @@
 			return;
 		}
 
-		this.crashEvidence.recordSound();
+		this.crashEvidence.recordHarmless();
 		if (head.status >= minServerErrorStatus) {
 			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
 			this.retryOrFail(`the server responded with status ${head.status}`, head);
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -46,7 +46,7 @@
 		super(dependencies, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
 		this.log = new StreamLog(dependencies.log, request, this.progress);
-		this.crashEvidence = new CrashEvidence(dependencies.promptGuard, request);
+		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request);
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server =>
 			!dependencies.directory.isReplaced(server) && !dependencies.serverHealth.hasEnded(server));
@@ -300,7 +300,7 @@
 	}
 
 	private completeStream(head: ResponseHead, pipeline: Pipeline): void {
-		this.crashEvidence.recordSound();
+		this.crashEvidence.recordHarmless();
 		this.dependencies.metrics.record('siskinnotch_longest_pause_ms', this.progress.longestPauseMs);
 		this.log.logCompleted(head.status, pipeline, this.attemptCount, this.dependencies.timers.now());
 		this.complete(head.status);
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -33,8 +33,8 @@
 import {PlacementController} from './placement/placement-controller.js';
 import {GossipClients} from './peers/gossip-clients.js';
 import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
-import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
-import {wirePromptGuard} from './quarantine-wiring.js';
+import {Quarantine} from './quarantine/quarantine.js';
+import {wireCrashGuard} from './quarantine-wiring.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
 import {type ExchangeCodec} from './relay/exchange-codec.js';
@@ -141,7 +141,7 @@
 			},
 		}),
 	};
-	const quarantine = new PromptQuarantine(maxQuarantined);
+	const quarantine = new Quarantine(maxQuarantined);
 	const serverLoad = new ServerLoad();
 	const slowdowns = new ServerSlowdowns(slowdownExpiryMs);
 	const activeCatalog = new ActiveCatalog(log, timers);
@@ -163,19 +163,19 @@
 			streamMonitor.migrateStreamsFrom(server, reason);
 		},
 		onCrashReport(report) {
-			promptGuard.receiveReport(report);
+			crashGuard.receiveReport(report);
 		},
-		onVindication(parts) {
-			promptGuard.receiveVindication(parts);
+		onCleared(parts) {
+			crashGuard.receiveCleared(parts);
 		},
 		onQuarantine(part, expiresAt) {
-			promptGuard.receiveQuarantine(part, expiresAt, QuarantineOrigin.Store);
+			crashGuard.receiveQuarantine(part, expiresAt, QuarantineOrigin.Store);
 		},
 		onQuarantineReport(part, expiresAt) {
-			promptGuard.receiveQuarantine(part, expiresAt, QuarantineOrigin.Peer);
+			crashGuard.receiveQuarantine(part, expiresAt, QuarantineOrigin.Peer);
 		},
 	});
-	const promptGuard = wirePromptGuard(limits.prompt_quarantine, {
+	const crashGuard = wireCrashGuard(limits.prompt_quarantine, {
 		gossip, quarantine, quarantineRegister, directory, serverHealth, timers, metrics, log,
 	}, {
 		checkServer: server => streamMonitor.checkServer(server),
@@ -195,7 +195,7 @@
 		codec: adapters.codec, agent: new BackendAgent(timers, limits.idle_connection), timers, connectTimeout: limits.connect,
 	});
 	const exchangeDependencies: ExchangeDependencies = {
-		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, promptGuard, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
+		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
 		streamMonitor.migrateStreamsFrom(server, reason);
@@ -281,7 +281,7 @@
 	});
 
 	const entryServer = new EntryServer({
-		authorizer: new RequestAuthorizer(activeCatalog, random), codec: adapters.codec, exchanges, promptGuard, lifecycle, timers, metrics, log,
+		authorizer: new RequestAuthorizer(activeCatalog, random), codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
 	});
 	const statusServer = new StatusServer(adapters.readinessPath, (): boolean => router.isReady, metrics);
 	metrics.gauge('siskinnotch_log_lines_dropped', countDroppedLines);
@@ -294,7 +294,7 @@
 	metrics.gauge('siskinnotch_servers_suspected', () => serverHealth.countSuspected(timers.now()));
 	metrics.gauge('siskinnotch_servers_limited', () => backpressure.limits.size);
 	const router: Router = new Router(settings, {
-		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, promptGuard, activeCatalog, tableWatchers, isStoreReader,
+		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
 		directory, instanceRegistry, gossip, gossipClients, lease, leaseManager, placementController,
 	});
 	return router;
--- a/test/crash-analysis.test.ts
+++ b/test/crash-analysis.test.ts
@@ -12,13 +12,13 @@
 	return {incarnationId: server, crashedAt, suspects: parts.map(part => ({part, sentAt}))};
 }
 
-/** Records reports in their order, each 100 ms after its crash; returns the accused parts. */
+/** Records reports in their order, each 100 ms after its crash; returns the part that was founds. */
 function recordAll(analysis: CrashAnalysis, reports: readonly CrashReport[]): readonly string[] {
 	return reports.flatMap(report => analysis.recordCrash(report, report.crashedAt + 100)).map(({part}) => part);
 }
 
 // Guards against a query of death that is not found because all requests share its first part.
-test('a part that crashes each server is accused at the third crash', t => {
+test('a part that crashes each server is found at the third crash', t => {
 	const analysis = new CrashAnalysis(options);
 	analysis.recordProgress(['preamble', 'sound'], 0);
 	t.deepEqual(recordAll(analysis, [createReport('s1@0', 1000, ['preamble', deadlyPart, 'x']), createReport('s2@0', 2000, ['preamble', deadlyPart, 'y'])]), []);
@@ -26,40 +26,40 @@
 });
 
 // Guards against evidence that is lost because no instance sees more than one crash.
-test('several instances that each see one crash all accuse the part at the third one', t => {
+test('several instances that each see one crash all find the part at the third one', t => {
 	const analyses = [0, 1, 2].map(() => new CrashAnalysis(options));
 	for (const analysis of analyses) {
 		analysis.recordProgress(['preamble'], 0);
 	}
 
 	for (const [own, report] of [1000, 2000, 3000].map(at => createReport(`s${at}@0`, at, ['preamble', deadlyPart])).entries()) {
-		const accusations = analyses.map((analysis, index) => {
+		const causes = analyses.map((analysis, index) => {
 			const sent = index === own ? report : analysis.filterSuspects(report, report.crashedAt)!;
 			return analysis.recordCrash(sent, report.crashedAt + 200, index === own ? 0 : 150);
 		});
-		t.deepEqual(accusations.map(list => list.map(({part}) => part)), analyses.map(() => own === 2 ? [deadlyPart] : []));
+		t.deepEqual(causes.map(list => list.map(({part}) => part)), analyses.map(() => own === 2 ? [deadlyPart] : []));
 	}
 });
 
 // Guards against losses of a resumed request that are taken for simultaneous, since it is sent again at once.
-test('a request that is resumed and crashes a second and a third server is accused', t => {
+test('a request that is resumed and crashes a second and a third server is found', t => {
 	const lost = new LostAttempts(confirmationTimeout);
 	const analysis = new CrashAnalysis(options);
 	analysis.recordProgress(['preamble'], 0);
 	const parts = ['preamble', deadlyPart];
-	const accused: string[] = [];
+	const found: string[] = [];
 	for (const [index, sentAt] of [1000, 1300, 1600].entries()) {
 		const incarnationId = `s${index}@0`;
 		// Another request's connection is seen to break 2 ms after the one of the resumed request.
 		t.is(lost.record({incarnationId, parts, sentAt}, sentAt + 300), undefined);
 		t.is(lost.record({incarnationId, parts: ['preamble', `other-${index}`], sentAt: sentAt - 100}, sentAt + 302), undefined);
-		accused.push(...analysis.recordCrash(lost.confirmCrash(incarnationId, sentAt + 350)!, sentAt + 350).map(({part}) => part));
-		t.deepEqual(accused, index === 2 ? [deadlyPart] : []);
+		found.push(...analysis.recordCrash(lost.confirmCrash(incarnationId, sentAt + 350)!, sentAt + 350).map(({part}) => part));
+		t.deepEqual(found, index === 2 ? [deadlyPart] : []);
 	}
 });
 
 // Guards against a loss of power that looks like many crashes of whatever was in flight, also with times that are off.
-test('a rack of ten servers that dies at one moment accuses nobody', t => {
+test('a rack of ten servers that dies at one moment finds no cause', t => {
 	for (const timeError of [0, 100]) {
 		const analysis = new CrashAnalysis(options);
 		for (let index = 0; index < 400; index++) {
@@ -73,7 +73,7 @@
 });
 
 // Guards against crashes at one moment that seem to come one after another, since each is reported with another error of time.
-test('three servers that die at one moment accuse nobody, although the times of their reports differ', t => {
+test('three servers that die at one moment find no cause, although the times of their reports differ', t => {
 	const analysis = new CrashAnalysis(options);
 	for (const [index, shift] of [-100, 0, 100].entries()) {
 		t.deepEqual(analysis.recordCrash(createReport(`s${index}@0`, 10_000 + shift, ['rare'], 9960 + shift), 10_200, 100), []);
@@ -93,7 +93,7 @@
 });
 
 // Guards against blocking sound parts when the loss of power repeats.
-test('three racks one after another, with progress in between, accuse nobody', t => {
+test('three racks one after another, with progress in between, find no cause', t => {
 	const analysis = new CrashAnalysis(options);
 	const parts = Array.from({length: 40}, (_, index) => `part-${index}`);
 	for (const at of [10_000, 20_000, 30_000]) {
@@ -108,7 +108,7 @@
 });
 
 // Guards against blocking parts whose requests died along with the deadly part.
-test('sound parts that were on the crashed servers are not accused, since the deadly part explains the crashes', t => {
+test('sound parts that were on the crashed servers are not found to be a cause, since the deadly part explains the crashes', t => {
 	const analysis = new CrashAnalysis(options);
 	t.deepEqual(recordAll(analysis, [
 		createReport('s1@0', 10_000, [deadlyPart, 'unlucky', 'very unlucky']),
@@ -116,7 +116,7 @@
 		createReport('s3@0', 30_000, [deadlyPart, 'unlucky']),
 	]), [deadlyPart]);
 	t.deepEqual(recordAll(analysis, [
-		// The accused part explains these, also if a report that names it comes last.
+		// The part that was found explains these, also if a report that names it comes last.
 		createReport('s4@0', 40_000, [deadlyPart, 'unlucky', 'very unlucky']),
 		createReport('s5@0', 50_000, ['unlucky', 'very unlucky']),
 		createReport('s5@0', 50_050, [deadlyPart]),
@@ -126,8 +126,8 @@
 	]), []);
 });
 
-// Guards against a false accusation while reports that name the deadly part are still on their way.
-test('a part is not accused while another one is a suspect in as many crashes, in whatever order', t => {
+// Guards against a wrong cause while reports that name the deadly part are still on their way.
+test('a part is not found to be a cause while another one is a suspect in as many crashes, in whatever order', t => {
 	const analysis = new CrashAnalysis(options);
 	// The deadly part crashed all five servers, but the reports of 's1@0' and 's2@0' that name it come late.
 	t.deepEqual(recordAll(analysis, [
@@ -142,8 +142,8 @@
 	t.deepEqual(analysis.recordCrash(createReport('s6@0', 4000, [deadlyPart]), 4100), [{part: deadlyPart, crashes: 4}]);
 });
 
-// Guards against a false accusation right after a true one, while reports that name the accused part are still on their way.
-test('crashes since the first one of an accused part are no evidence against others', t => {
+// Guards against a wrong cause right after a right one, while reports that name the part that was found are still on their way.
+test('crashes since the first one of a part that was found are no evidence against others', t => {
 	const analysis = new CrashAnalysis(options);
 	t.deepEqual(recordAll(analysis, [
 		createReport('s1@0', 1000, [deadlyPart]),
@@ -159,7 +159,7 @@
 });
 
 // Guards against blindness while the crashes keep nearly everything from being served.
-test('the part is accused while nearly nothing is served', t => {
+test('the part is found while nearly nothing is served', t => {
 	const analysis = new CrashAnalysis(options);
 	// No part ever made progress, and each crash takes ten other requests along; the parts vary from crash to crash.
 	const reports = [0, 1, 2, 3].map(crash => createReport(`s${crash}@0`, 10_000 * (crash + 1), [
@@ -171,7 +171,7 @@
 });
 
 // States the limit of the rules: the crash of a server cannot be told from a coincidence if nothing else explains it.
-test('a rare part whose only three requests died on three servers is accused, unless it is served once', t => {
+test('a rare part whose only three requests died on three servers is found, unless it is served once', t => {
 	const reports = [createReport('s1@0', 10_000, ['rare', 'a']), createReport('s2@0', 20_000, ['rare', 'b']), createReport('s3@0', 30_000, ['rare', 'c'])];
 	t.deepEqual(recordAll(new CrashAnalysis(options), reports), ['rare']);
 	const analysis = new CrashAnalysis(options);
@@ -181,17 +181,17 @@
 });
 
 // Guards against a guess between parts that explain the crashes equally well.
-test('a tie accuses nobody until a crash, progress or a vindication breaks it', t => {
+test('a tie finds no cause until a crash, progress or a report that clears a part breaks it', t => {
 	const tie = [10_000, 20_000, 30_000].map(at => createReport(`s1@${at}`, at, [deadlyPart, 'twin']));
-	const [byCrash, byProgress, byVindication] = [0, 1, 2].map(() => new CrashAnalysis(options));
-	for (const analysis of [byCrash, byProgress, byVindication]) {
+	const [byCrash, byProgress, byReport] = [0, 1, 2].map(() => new CrashAnalysis(options));
+	for (const analysis of [byCrash, byProgress, byReport]) {
 		t.deepEqual(recordAll(analysis, tie), []);
 	}
 
 	t.deepEqual(recordAll(byCrash, [createReport('s1@40', 40_000, [deadlyPart])]), [deadlyPart]);
 	t.deepEqual(byProgress.recordProgress(['twin'], 31_000), [{part: deadlyPart, crashes: 3}]);
-	t.deepEqual(byVindication.recordVindication(['other'], 31_000), []);
-	t.deepEqual(byVindication.recordVindication(['twin'], 31_000), [{part: deadlyPart, crashes: 3}]);
+	t.deepEqual(byReport.recordCleared(['other'], 31_000), []);
+	t.deepEqual(byReport.recordCleared(['twin'], 31_000), [{part: deadlyPart, crashes: 3}]);
 });
 
 // Guards against blaming a sound part because the deadly one was sent to several servers at once, which counts once.
@@ -203,18 +203,18 @@
 	t.deepEqual(recordAll(analysis, [4, 5, 6].map(index => createReport(`s${index}@0`, 1000 * index, [deadlyPart]))), [deadlyPart]);
 });
 
-// Guards against accusing a part that is known to be sound, here or at another instance, and against knowing it for ever.
-test('a part that made progress before is not accused while it is remembered', t => {
+// Guards against suspecting a part that is known to be sound, here or at another instance, and against knowing it for ever.
+test('a part that made progress before is not found to be a cause while it is remembered', t => {
 	const analysis = new CrashAnalysis(options);
 	analysis.recordProgress(['a', 'b'], 0);
-	analysis.recordVindication(['c'], 0);
+	analysis.recordCleared(['c'], 0);
 	const report = createReport('s1@0', 1000, ['a', 'b', 'c', 'd']);
-	t.deepEqual(analysis.findSound(['d', 'c', 'a'], 1000), ['c', 'a']);
+	t.deepEqual(analysis.findCleared(['d', 'c', 'a'], 1000), ['c', 'a']);
 	t.deepEqual(analysis.filterSuspects(report, 1000), createReport('s1@0', 1000, ['d']));
 	t.is(analysis.filterSuspects(createReport('s1@0', 1000, ['a', 'c']), 1000), undefined);
 	t.deepEqual(recordAll(analysis, [1000, 2000, 3000, 4000].map(at => createReport(`s1@${at}`, at, ['a']))), []);
-	t.deepEqual(analysis.findSound(['a'], options.soundMemory), ['a']);
-	t.deepEqual(analysis.findSound(['a'], options.soundMemory + 1), []);
+	t.deepEqual(analysis.findCleared(['a'], options.clearedMemory), ['a']);
+	t.deepEqual(analysis.findCleared(['a'], options.clearedMemory + 1), []);
 });
 
 // Guards against a crash that is counted twice, and against reports that are useless because they come late.
@@ -241,7 +241,7 @@
 	t.deepEqual(recordAll(analysis, [20_000, 30_000].map(at => createReport(`s4@${at}`, at, ['b']))), []);
 });
 
-// Guards against an accusation from crashes that have nothing to do with each other, over days.
+// Guards against a cause found from crashes that have nothing to do with each other, over days.
 test('crashes are forgotten after a while', t => {
 	const analysis = new CrashAnalysis(options);
 	const gap = (options.crashMemory / 2) + 1000;
@@ -249,8 +249,8 @@
 	t.deepEqual(analysis.recordCrash(createReport('s2@0', 1000, ['rare']), 20 * gap), []);
 });
 
-// Guards against a part that stays exempt from the analysis after its quarantine, or is accused again by old crashes.
-test('a released part is accused again only by new crashes', t => {
+// Guards against a part that stays exempt from the analysis after its quarantine, or is found again by old crashes.
+test('a released part is found again only by new crashes', t => {
 	const analysis = new CrashAnalysis(options);
 	const crash = (at: number) => createReport(`s1@${at}`, at, [deadlyPart]);
 	t.deepEqual(recordAll(analysis, [10_000, 20_000, 30_000, 40_000].map(at => crash(at))), [deadlyPart]);
@@ -259,21 +259,21 @@
 	t.deepEqual(recordAll(analysis, [crash(70_000)]), [deadlyPart]);
 });
 
-// Guards against sound parts that are blamed by an instance that learned of the accusation from another one.
-test('a part that another instance accused explains its crashes', t => {
+// Guards against sound parts that are blamed by an instance that learned of the cause from another one.
+test('a part that another instance found explains its crashes', t => {
 	const analysis = new CrashAnalysis(options);
 	recordAll(analysis, [createReport('s1@0', 10_000, ['unlucky', deadlyPart]), createReport('s2@0', 20_000, ['unlucky', deadlyPart])]);
 	analysis.accept(deadlyPart);
 	t.deepEqual(recordAll(analysis, [30_000, 40_000].map(at => createReport(`s3@${at}`, at, ['unlucky']))), []);
 });
 
-// Guards against memory that grows with crashes, suspects, accusations and parts.
+// Guards against memory that grows with crashes, suspects, causes and parts.
 test('the memory of an analysis is bounded', t => {
 	const analysis = new CrashAnalysis({
-		...options, maxSoundParts: 100, maxCrashes: 5, maxSuspects: 10, maxAccused: 1,
+		...options, maxClearedParts: 100, maxCrashes: 5, maxSuspects: 10, maxCauses: 1,
 	});
 	analysis.recordProgress(Array.from({length: 101}, (_, index) => `sound-${index}`), 0);
-	t.deepEqual(analysis.findSound(['sound-0', 'sound-1', 'sound-100'], 0), ['sound-1', 'sound-100']);
+	t.deepEqual(analysis.findCleared(['sound-0', 'sound-1', 'sound-100'], 0), ['sound-1', 'sound-100']);
 	// The oldest of six crashes is dropped, so that 'old' has only two left.
 	t.deepEqual(recordAll(analysis, [
 		createReport('s1@0', 1000, ['old']),
@@ -350,37 +350,37 @@
 const maxKnownCrashes = 6;
 
 // Guards against blocking sound parts while servers and racks crash for other reasons.
-test('simulation: without a deadly part nothing is ever accused', t => {
+test('simulation: without a deadly part nothing is ever found', t => {
 	for (const seed of seeds) {
 		const simulation = new CrashSimulation({
-			seed, deadlyRate: 0, serverCrashRate: 0.05, rackCrashRate: 0.01, deadlyFrom: 0, sharesAccusations: false,
+			seed, deadlyRate: 0, serverCrashRate: 0.05, rackCrashRate: 0.01, deadlyFrom: 0, sharesCauses: false,
 		});
 		simulation.play(10 * quietDuration);
 		t.true(simulation.otherCrashes > 0, `seed ${seed}`);
-		t.deepEqual(simulation.accusations, [], `seed ${seed}`);
+		t.deepEqual(simulation.causes, [], `seed ${seed}`);
 	}
 });
 
 // Guards against a query of death that is not found, or is found by blocking other parts, or only after many crashes.
-test('simulation: each instance by itself accuses exactly the deadly part', t => {
+test('simulation: each instance by itself finds exactly the deadly part', t => {
 	for (const seed of seeds) {
 		const simulation = new CrashSimulation({
-			seed, deadlyRate: 0.2, serverCrashRate: 0.05, rackCrashRate: 0, deadlyFrom: quietDuration, sharesAccusations: false,
+			seed, deadlyRate: 0.2, serverCrashRate: 0.05, rackCrashRate: 0, deadlyFrom: quietDuration, sharesCauses: false,
 		});
 		simulation.play(4 * quietDuration);
-		const {accusations} = simulation;
-		t.deepEqual(new Set(accusations.map(({part}) => part)), new Set([deadlyPart]), `seed ${seed}`);
-		t.true(accusations[0].knownCrashes <= maxKnownCrashes, `seed ${seed}: ${accusations[0].knownCrashes} crashes`);
+		const {causes} = simulation;
+		t.deepEqual(new Set(causes.map(({part}) => part)), new Set([deadlyPart]), `seed ${seed}`);
+		t.true(causes[0].knownCrashes <= maxKnownCrashes, `seed ${seed}: ${causes[0].knownCrashes} crashes`);
 	}
 });
 
-// Guards against wrong accusations while no part is known to be sound and the crashes are frequent.
-test('simulation: exactly the deadly part is accused if it comes first of all and often', t => {
+// Guards against wrong causes while no part is known to be sound and the crashes are frequent.
+test('simulation: exactly the deadly part is found if it comes first of all and often', t => {
 	for (const seed of seeds) {
 		const simulation = new CrashSimulation({
-			seed, deadlyRate: 1, serverCrashRate: 0.05, rackCrashRate: 0.01, deadlyFrom: 0, sharesAccusations: true,
+			seed, deadlyRate: 1, serverCrashRate: 0.05, rackCrashRate: 0.01, deadlyFrom: 0, sharesCauses: true,
 		});
 		simulation.play(quietDuration);
-		t.deepEqual(new Set(simulation.accusations.map(({part}) => part)), new Set([deadlyPart]), `seed ${seed}`);
+		t.deepEqual(new Set(simulation.causes.map(({part}) => part)), new Set([deadlyPart]), `seed ${seed}`);
 	}
 });
--- a/test/crash-gossip.test.ts
+++ b/test/crash-gossip.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import * as z from 'zod';
 import {gossipMessageSchema} from '../src/peers/gossip-message.js';
-import {type PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
+import {type Quarantine} from '../src/quarantine/quarantine.js';
 import {QuarantineRegister} from '../src/quarantine/quarantine-register.js';
 import {ReplicatedTable} from '../src/replication/replicated-table.js';
 import {TableName} from '../src/replication/table-name.js';
@@ -60,30 +60,30 @@
 	}
 });
 
-// Guards against vindications that are lost, repeated or told to their own origin.
-test.serial('a vindication reaches each of 60 instances once', async t => {
+// Guards against reports of cleared parts that are lost, repeated or told to their own origin.
+test.serial('a report that clears a part reaches each of 60 instances once', async t => {
 	const fleet = await startFleet(60);
 	const [origin, ...others] = fleet.instances;
-	origin.control.gossip.reportVindication(['a', 'b']);
+	origin.control.gossip.reportCleared(['a', 'b']);
 	await fleet.elapse(15_000);
-	t.deepEqual(origin.learntVindications, []);
-	for (const {id, learntVindications} of others) {
-		t.deepEqual(learntVindications, [['a', 'b']], `at ${id}`);
+	t.deepEqual(origin.learntCleared, []);
+	for (const {id, learntCleared} of others) {
+		t.deepEqual(learntCleared, [['a', 'b']], `at ${id}`);
 	}
 });
 
-// Guards against messages that grow with the number of running requests, and against the loss of vindications by that bound.
-test.serial('of many suspects those sent last are reported; all of many vindicated parts arrive', async t => {
+// Guards against messages that grow with the number of running requests, and against the loss of cleared parts by that bound.
+test.serial('of many suspects those sent last are reported; all of many cleared parts arrive', async t => {
 	const fleet = await startFleet(7);
 	const [origin, ...others] = fleet.instances;
 	const now = fleet.timers.now();
 	const parts = Array.from({length: 100}, (_, index) => `part-${index}`);
 	origin.control.gossip.reportCrash({incarnationId: 'server/1', crashedAt: now, suspects: parts.map((id, index) => ({part: id, sentAt: now - 1000 + index}))});
-	origin.control.gossip.reportVindication(parts);
+	origin.control.gossip.reportCleared(parts);
 	await fleet.elapse(5000);
-	for (const {id, learntCrashes, learntVindications} of others) {
+	for (const {id, learntCrashes, learntCleared} of others) {
 		t.deepEqual(learntCrashes[0].suspects.map(suspect => suspect.part).toSorted(), parts.slice(-32).toSorted(), `at ${id}`);
-		t.deepEqual(learntVindications.flat().toSorted(), parts.toSorted(), `at ${id}`);
+		t.deepEqual(learntCleared.flat().toSorted(), parts.toSorted(), `at ${id}`);
 	}
 });
 
@@ -94,7 +94,7 @@
 	const now = fleet.timers.now();
 	for (let crash = 0; crash < 50; crash++) {
 		gossip.reportCrash({incarnationId: `server/${crash}`, crashedAt: now, suspects: Array.from({length: 30}, (_, index) => ({part: `part-${index}`, sentAt: now}))});
-		gossip.reportVindication(Array.from({length: 30}, (_, index) => `part-${index}`));
+		gossip.reportCleared(Array.from({length: 30}, (_, index) => `part-${index}`));
 	}
 
 	const {crashes = [], vindications = []} = gossip.exchange(gossipMessageSchema.parse(previousMessage));
@@ -212,7 +212,7 @@
 	const {control} = fleet.instances[0];
 	control.quarantineRegister.publish(part, expiresAt);
 	await fleet.elapse(publicationMs);
-	control.gossip.reportVindication([part]);
+	control.gossip.reportCleared([part]);
 	const answer = control.gossip.exchange(gossipMessageSchema.parse(previousMessage));
 	t.deepEqual(Object.keys(previousTablesSchema.parse(answer.tables)).toSorted(), ['catalog', 'instances', 'servers']);
 	t.deepEqual(Object.keys(previousTablesSchema.parse(answer.updates)).toSorted(), ['catalog', 'instances', 'servers']);
@@ -366,7 +366,7 @@
 
 	await fleet.elapse(10_000);
 	cutOff.isStopped = false;
-	const knowsAll = (quarantine: PromptQuarantine) => quarantine.all().length === 30;
+	const knowsAll = (quarantine: Quarantine) => quarantine.all().length === 30;
 	t.true(await fleet.measureUntil(() => fleet.instances.every(({quarantine}) => knowsAll(quarantine)), 20_000) <= 15_000);
 	t.true(Math.abs(cutOff.quarantine.all()[0].expiresAt - expiresAt) <= 1);
 
--- a/test/prompt-guard.test.ts
+++ b/test/crash-guard.test.ts
@@ -4,8 +4,8 @@
 import {CrashAnalysis} from '../src/quarantine/crash-analysis.js';
 import {type CrashReport} from '../src/quarantine/crash-report.js';
 import {LostAttempts} from '../src/quarantine/lost-attempts.js';
-import {PromptGuard} from '../src/quarantine/prompt-guard.js';
-import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
+import {CrashGuard} from '../src/quarantine/crash-guard.js';
+import {Quarantine} from '../src/quarantine/quarantine.js';
 import {QuarantineOrigin} from '../src/quarantine/quarantine-origin.js';
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
@@ -23,27 +23,27 @@
 	readonly ended = new Set<string>();
 	readonly checked: string[] = [];
 	readonly reported: CrashReport[] = [];
-	readonly vindicated: string[] = [];
+	readonly cleared: string[] = [];
 	readonly published: Array<[string, number]> = [];
 	readonly quarantined: string[] = [];
 	/** Whether servers may be queried. */
 	mayCheck = true;
-	readonly guard: PromptGuard;
+	readonly guard: CrashGuard;
 	private serverCount = 0;
 
 	constructor() {
-		this.guard = new PromptGuard({
+		this.guard = new CrashGuard({
 			lostAttempts: new LostAttempts(timings.confirmationTimeout),
 			analysis: new CrashAnalysis({
-				minCrashes: 3, soundMemory: 60_000, crashMemory: 600_000, maxSoundParts: 100, maxSoundRequests: 100, maxCrashes: 100, maxSuspects: 100, maxAccused: 100,
+				minCrashes: 3, clearedMemory: 60_000, crashMemory: 600_000, maxClearedParts: 100, maxClearedRequests: 100, maxCrashes: 100, maxSuspects: 100, maxCauses: 100,
 			}),
-			quarantine: new PromptQuarantine(100),
+			quarantine: new Quarantine(100),
 			reports: {
 				reportCrash: report => {
 					this.reported.push(report);
 				},
-				reportVindication: parts => {
-					this.vindicated.push(...parts);
+				reportCleared: parts => {
+					this.cleared.push(...parts);
 				},
 				publish: (part, expiresAt) => {
 					this.published.push([part, expiresAt]);
@@ -120,7 +120,7 @@
 });
 
 // Guards against servers that crash again because an instance waits for crashes of its own.
-test('crashes that other instances report count, and parts that work here are vindicated', t => {
+test('crashes that other instances report count, and parts that work here are cleared', t => {
 	const fixture = new GuardFixture();
 	fixture.guard.recordProgress(['shared']);
 	for (let crashes = 0; crashes < 3; crashes++) {
@@ -131,7 +131,7 @@
 	}
 
 	t.deepEqual(fixture.quarantined, ['bad']);
-	t.deepEqual(fixture.vindicated, ['shared', 'shared', 'shared']);
+	t.deepEqual(fixture.cleared, ['shared', 'shared', 'shared']);
 	t.notThrows(() => {
 		fixture.guard.check(['shared']);
 	});
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -215,14 +215,14 @@
 	const failing = startLookup(5, ['a', 'b']);
 	failing.latest.onHead({...sampleResponseHead, status: 500});
 	failing.latest.onEnd();
-	t.deepEqual(failing.soundParts, ['shared', 'topic', 'request:sample']);
+	t.deepEqual(failing.clearedParts, ['shared', 'topic', 'request:sample']);
 	t.deepEqual(failing.lossesOf, []);
 
 	const unsent = startLookup(5, ['a', 'b']);
 	unsent.latest.onFailure({reason: AttemptFailureReason.Refused, detail: 'connect ECONNREFUSED', wasConnectionReused: false});
 	unsent.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
 	unsent.latest.onEnd();
-	t.deepEqual(unsent.soundParts, []);
+	t.deepEqual(unsent.clearedParts, []);
 	t.deepEqual(unsent.lossesOf, []);
 });
 
--- a/test/prompt-quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
-import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
+import {Quarantine} from '../src/quarantine/quarantine.js';
 
 // Guards against requests that are refused after the quarantine of their part is over, or not refused before.
 test('a part is found until its quarantine expires', t => {
-	const quarantine = new PromptQuarantine(10);
+	const quarantine = new Quarantine(10);
 	t.true(quarantine.add('deadly', 1000));
 	t.deepEqual(quarantine.findQuarantined(['preamble', 'deadly'], 999), {part: 'deadly', expiresAt: 1000});
 	t.is(quarantine.findQuarantined(['preamble', 'deadly'], 1000), undefined);
@@ -13,7 +13,7 @@
 
 // Guards against a refusal that names another part than the first quarantined one.
 test('the first quarantined part of a request is found', t => {
-	const quarantine = new PromptQuarantine(10);
+	const quarantine = new Quarantine(10);
 	quarantine.add('first', 1000);
 	quarantine.add('second', 2000);
 	t.is(quarantine.findQuarantined(['second', 'first'], 0)?.part, 'second');
@@ -23,7 +23,7 @@
 
 // Guards against a late message of another instance that shortens a quarantine, and against announcing a part twice.
 test('the later expiry wins, and only the first addition is new', t => {
-	const quarantine = new PromptQuarantine(10);
+	const quarantine = new Quarantine(10);
 	t.true(quarantine.add('deadly', 1000));
 	t.false(quarantine.add('deadly', 500));
 	t.is(quarantine.findQuarantined(['deadly'], 0)?.expiresAt, 1000);
@@ -33,7 +33,7 @@
 
 // Guards against a part that is never released, or is released twice.
 test('expired parts are released once and can be quarantined again', t => {
-	const quarantine = new PromptQuarantine(10);
+	const quarantine = new Quarantine(10);
 	quarantine.add('early', 1000);
 	quarantine.add('late', 2000);
 	t.deepEqual(quarantine.removeExpired(999), []);
@@ -45,7 +45,7 @@
 
 // Guards against unbounded memory, and against a dropped part that the analysis still takes for quarantined.
 test('too many parts: the one that expires first is dropped and reported as released', t => {
-	const quarantine = new PromptQuarantine(3);
+	const quarantine = new Quarantine(3);
 	for (const [part, expiresAt] of [['b', 2000], ['a', 1000], ['c', 3000], ['d', 4000]] as const) {
 		t.true(quarantine.add(part, expiresAt));
 	}
@@ -64,7 +64,7 @@
 
 // Guards against a release of a part that was dropped but is quarantined again.
 test('a dropped part that is added again is not released', t => {
-	const quarantine = new PromptQuarantine(1);
+	const quarantine = new Quarantine(1);
 	quarantine.add('a', 1000);
 	quarantine.add('b', 2000);
 	t.true(quarantine.add('a', 3000));
--- a/test/request-crashes.test.ts
+++ b/test/request-crashes.test.ts
@@ -14,7 +14,7 @@
 	return {incarnationId: server, crashedAt, suspects: suspects.map(part => ({part, sentAt}))};
 }
 
-/** Records the reports of other instances; returns the accused parts and requests. */
+/** Records the reports of other instances; returns the part that was founds and requests. */
 function recordAll(analysis: CrashAnalysis, reports: readonly CrashReport[]): readonly string[] {
 	return reports.flatMap(report => analysis.recordCrash(report, report.crashedAt + 50, timeError)).map(({part}) => part);
 }
@@ -32,7 +32,7 @@
 });
 
 // Guards against a request that is found only after further crashes, since its own retry followed so soon that the crashes seem simultaneous elsewhere.
-test('a request that crashed two servers in quick succession and a third one later is accused by all instances', t => {
+test('a request that crashed two servers in quick succession and a third one later is found by all instances', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(analysis, [
 		createReport('s1@0', 5128, [deadly], 5049),
@@ -42,26 +42,26 @@
 });
 
 // Guards against much asked requests that are refused because servers died together.
-test('servers that die at one moment accuse no request, however many they were running', t => {
+test('servers that die at one moment find no cause, however many they were running', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(analysis, [0, 1, 2, 3, 4].map(index => createReport(`s${index}@0`, 10_000 + (index * 20), [deadly, other]))), []);
 });
 
 // Guards against sound requests that are refused after crashes of other causes.
-test('a request that a server has run is not accused, here and at instances that are told', t => {
+test('a request that a server has run is not found to be a cause, here and at instances that are told', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	analysis.recordProgress([deadly], 0);
-	t.deepEqual(analysis.findSound([deadly, other], 0), [deadly]);
+	t.deepEqual(analysis.findCleared([deadly, other], 0), [deadly]);
 	t.deepEqual(recordAll(analysis, [1000, 2000, 3000, 4000].map(at => createReport(`s1@${at}`, at, [deadly]))), []);
 	const told = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(told, [1000, 2000].map(at => createReport(`s1@${at}`, at, [deadly]))), []);
-	told.recordVindication([deadly], 2500);
+	told.recordCleared([deadly], 2500);
 	t.false(told.isSuspectedRequest(deadly));
 	t.deepEqual(recordAll(told, [3000].map(at => createReport(`s1@${at}`, at, [deadly]))), []);
 });
 
 // Guards against sound requests that are refused because they were under way on the servers that another one crashed.
-test('a request that was under way at some of the crashes is not accused beside one that was at all of them', t => {
+test('a request that was under way at some of the crashes is not found to be a cause beside one that was at all of them', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(analysis, [1000, 2000, 3000].map(at => createReport(`s1@${at}`, at, [deadly, other]))), [], 'both explain the crashes');
 	t.deepEqual(recordAll(analysis, [createReport('s1@4000', 4000, [deadly])]), [deadly]);
@@ -69,19 +69,19 @@
 });
 
 // Guards against a second deadly request that is not found after a first one.
-test('two deadly requests are both accused, also if they come at the same time', t => {
+test('two deadly requests are both found, also if they come at the same time', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(analysis, [1000, 2000, 3000, 4000, 5000, 6000].map((at, index) => createReport(`s1@${at}`, at, [index % 2 === 0 ? deadly : other]))), [deadly, other]);
 });
 
 // Guards against a refusal of all requests with a prompt part, if only one of them crashes servers.
-test('a prompt part is not accused while one request explains its crashes, and is when another request with it crashes servers too', t => {
+test('a prompt part is not found to be a cause while one request explains its crashes, and is when another request with it crashes servers too', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(analysis, [1000, 2000, 3000, 4000].map(at => createReport(`s1@${at}`, at, ['part', deadly]))), [deadly]);
 	t.deepEqual(recordAll(analysis, [createReport('s1@5000', 5000, ['part', other])]), ['part']);
 });
 
-test('a request whose quarantine ended is accused again only by new crashes', t => {
+test('a request whose quarantine ended is found again only by new crashes', t => {
 	const analysis = new CrashAnalysis(simulationAnalysisOptions);
 	t.deepEqual(recordAll(analysis, [1000, 2000, 3000].map(at => createReport(`s1@${at}`, at, [deadly]))), [deadly]);
 	analysis.release(deadly);
@@ -91,11 +91,11 @@
 
 // Guards against memory that grows with the requests, and against requests that push the prompt parts out of it.
 test('the memory of sound requests is bounded and separate from that of prompt parts', t => {
-	const analysis = new CrashAnalysis({...simulationAnalysisOptions, maxSoundParts: 2, maxSoundRequests: 10});
+	const analysis = new CrashAnalysis({...simulationAnalysisOptions, maxClearedParts: 2, maxClearedRequests: 10});
 	analysis.recordProgress(['part'], 0);
 	for (let index = 0; index < 20; index++) {
 		analysis.recordProgress([`request:${index}`], 0);
 	}
 
-	t.deepEqual(analysis.findSound(['part', 'request:9', 'request:10'], 0), ['part', 'request:10']);
+	t.deepEqual(analysis.findCleared(['part', 'request:9', 'request:10'], 0), ['part', 'request:10']);
 });
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -291,14 +291,14 @@
 	fixture.latest.onHead(sampleResponseHead);
 	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
 	t.deepEqual(fixture.lossesOf, ['first']);
-	t.deepEqual(fixture.soundParts, []);
+	t.deepEqual(fixture.clearedParts, []);
 	fixture.latest.onHead(sampleResponseHead);
 	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
-	t.deepEqual(fixture.soundParts, [], 'the server may crash on what it has begun');
+	t.deepEqual(fixture.clearedParts, [], 'the server may crash on what it has begun');
 	fixture.timers.advance(500);
 	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
 	fixture.latest.onData(encoder.encode('id: 3\ndata: three\n\n'));
-	t.deepEqual(fixture.soundParts, ['shared', 'topic', 'request:sample']);
+	t.deepEqual(fixture.clearedParts, ['shared', 'topic', 'request:sample']);
 	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
 	fixture.latest.onFailure({reason: AttemptFailureReason.Refused, detail: 'connect ECONNREFUSED', wasConnectionReused: false});
 	t.deepEqual(fixture.lossesOf, ['first']);
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -10,7 +10,7 @@
 import {ServerListReader} from '../../src/pipelines/server-list-reader.js';
 import {type GossipMessage} from '../../src/peers/gossip-message.js';
 import {type CrashReport} from '../../src/quarantine/crash-report.js';
-import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.js';
+import {Quarantine} from '../../src/quarantine/quarantine.js';
 import {TableName} from '../../src/replication/table-name.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {parseRouterSettings} from '../../src/settings/settings-reader.js';
@@ -40,11 +40,11 @@
 	readonly serverHealth: ServerHealthTracker;
 	readonly serverLoad: ServerLoad;
 	readonly serverLimits: ServerLimits;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: Quarantine;
 	/** Incarnation ids that became suspected because of other instances. */
 	readonly learntSuspicions: string[];
 	readonly learntCrashes: CrashReport[];
-	readonly learntVindications: Array<readonly string[]>;
+	readonly learntCleared: Array<readonly string[]>;
 	readonly learntQuarantines: LearntQuarantine[];
 	messagesSent: number;
 	bytesSent: number;
@@ -145,7 +145,7 @@
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
 		const serverLoad = new ServerLoad();
-		const quarantine = new PromptQuarantine(100);
+		const quarantine = new Quarantine(100);
 		const serverLimits: ServerLimits = new ServerLimits({
 			self: id,
 			findInstances: () => control.instanceRegistry.all(),
@@ -156,7 +156,7 @@
 		});
 		const learntSuspicions: string[] = [];
 		const learntCrashes: CrashReport[] = [];
-		const learntVindications: Array<readonly string[]> = [];
+		const learntCleared: Array<readonly string[]> = [];
 		const learntQuarantines: LearntQuarantine[] = [];
 		const settings = parseRouterSettings('fleet.ini', [
 			'[instance]',
@@ -205,8 +205,8 @@
 			onCrashReport(report) {
 				learntCrashes.push(report);
 			},
-			onVindication(parts) {
-				learntVindications.push(parts);
+			onCleared(parts) {
+				learntCleared.push(parts);
 			},
 			onQuarantine(part, expiresAt) {
 				learntQuarantines.push({part, expiresAt});
@@ -225,7 +225,7 @@
 			reader.confirm(table);
 		});
 		const instance: FleetInstance = {
-			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, learntSuspicions, learntCrashes, learntVindications, learntQuarantines,
+			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, learntSuspicions, learntCrashes, learntCleared, learntQuarantines,
 			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false,
 		};
 		return instance;
--- a/test/support/crash-simulation.ts
+++ b/test/support/crash-simulation.ts
@@ -13,8 +13,8 @@
 	readonly rackCrashRate: number;
 	/** Milliseconds from the start, after which deadly requests arrive. */
 	readonly deadlyFrom: number;
-	/** Whether an instance tells the others about its accusations. */
-	readonly sharesAccusations: boolean;
+	/** Whether an instance tells the others about its causes. */
+	readonly sharesCauses: boolean;
 };
 
 type Server = {
@@ -39,17 +39,17 @@
 	readonly clockOffset: number;
 	readonly lost: LostAttempts;
 	readonly analysis: CrashAnalysis;
-	readonly accused: Set<string>;
+	readonly found: Set<string>;
 	/** Incarnations of which a report named the deadly part. */
 	readonly knownCrashes: Set<string>;
 };
 
-/** An accusation by one instance. */
-export type SimulatedAccusation = {
+/** A cause that one instance found. */
+export type SimulatedCause = {
 	readonly part: string;
-	/** Crashes that the accusing instance counted. */
+	/** Crashes that the instance counted. */
 	readonly crashes: number;
-	/** Crashes of which the accusing instance had a report that named the deadly part. */
+	/** Crashes of which the instance had a report that named the deadly part. */
 	readonly knownCrashes: number;
 	/** Crashes that the deadly part had caused by then. */
 	readonly deadlyCrashes: number;
@@ -68,12 +68,12 @@
 const assumedClockError = 150;
 
 export const simulationAnalysisOptions: CrashAnalysisOptions = {
-	minCrashes: 3, soundMemory: 3_600_000, crashMemory: 600_000, maxSoundParts: 20_000, maxSoundRequests: 20_000, maxCrashes: 100, maxSuspects: 500, maxAccused: 100,
+	minCrashes: 3, clearedMemory: 3_600_000, crashMemory: 600_000, maxClearedParts: 20_000, maxClearedRequests: 20_000, maxCrashes: 100, maxSuspects: 500, maxCauses: 100,
 };
 
 /** Plays instances, backend servers and requests, some of which crash each server that begins to answer them. */
 export class CrashSimulation {
-	readonly accusations: SimulatedAccusation[] = [];
+	readonly causes: SimulatedCause[] = [];
 	/** Crashes that the deadly part caused. */
 	deadlyCrashes = 0;
 	/** Crashes of other causes. */
@@ -87,7 +87,7 @@
 	constructor(private readonly options: CrashSimulationOptions) {
 		this.random = new RandomSource(options.seed);
 		this.instances = Array.from({length: instanceCount}, (_, index) => ({
-			clockOffset: index * 1_000_000, lost: new LostAttempts(10_000), analysis: new CrashAnalysis(simulationAnalysisOptions), accused: new Set(), knownCrashes: new Set(),
+			clockOffset: index * 1_000_000, lost: new LostAttempts(10_000), analysis: new CrashAnalysis(simulationAnalysisOptions), found: new Set(), knownCrashes: new Set(),
 		}));
 		let sum = 0;
 		this.zipf = Array.from({length: commonParts}, (_, index) => {
@@ -149,7 +149,7 @@
 
 	private send(request: Request): void {
 		const up = this.servers.filter(({isUp}) => isUp);
-		if (up.length === 0 || request.attempts >= maxAttempts || request.parts.some(part => request.instance.accused.has(part))) {
+		if (up.length === 0 || request.attempts >= maxAttempts || request.parts.some(part => request.instance.found.has(part))) {
 			return;
 		}
 
@@ -169,7 +169,7 @@
 			}
 
 			attempt.hasEvent = true;
-			this.accuse(request.instance, request.instance.analysis.recordProgress(request.parts, this.getLocalTime(request.instance)));
+			this.recordCauses(request.instance, request.instance.analysis.recordProgress(request.parts, this.getLocalTime(request.instance)));
 			this.timers.after(this.between(1000, 8000), () => {
 				server.attempts.delete(attempt);
 			});
@@ -216,7 +216,7 @@
 
 		const filtered = from.analysis.filterSuspects(report, this.getLocalTime(from));
 		this.noteDeadly(from, report);
-		this.accuse(from, from.analysis.recordCrash(report, this.getLocalTime(from)));
+		this.recordCauses(from, from.analysis.recordCrash(report, this.getLocalTime(from)));
 		if (!filtered) {
 			return;
 		}
@@ -229,12 +229,12 @@
 	private receive(from: Instance, to: Instance, report: CrashReport): void {
 		const shift = to.clockOffset - from.clockOffset + this.between(-maxClockError, maxClockError);
 		const suspects = report.suspects.map(({part, sentAt}) => ({part, sentAt: sentAt + shift}));
-		const sound = to.analysis.findSound(suspects.map(({part}) => part), this.getLocalTime(to));
+		const sound = to.analysis.findCleared(suspects.map(({part}) => part), this.getLocalTime(to));
 		this.noteDeadly(to, report);
-		this.accuse(to, to.analysis.recordCrash({...report, crashedAt: report.crashedAt + shift, suspects}, this.getLocalTime(to), assumedClockError));
+		this.recordCauses(to, to.analysis.recordCrash({...report, crashedAt: report.crashedAt + shift, suspects}, this.getLocalTime(to), assumedClockError));
 		if (sound.length > 0) {
 			this.tellOthers(to, other => {
-				this.accuse(other, other.analysis.recordVindication(sound, this.getLocalTime(other)));
+				this.recordCauses(other, other.analysis.recordCleared(sound, this.getLocalTime(other)));
 			});
 		}
 	}
@@ -245,16 +245,16 @@
 		}
 	}
 
-	private accuse(instance: Instance, accusations: ReturnType<CrashAnalysis['recordCrash']>): void {
-		for (const {part, crashes} of accusations) {
-			this.accusations.push({
+	private recordCauses(instance: Instance, causes: ReturnType<CrashAnalysis['recordCrash']>): void {
+		for (const {part, crashes} of causes) {
+			this.causes.push({
 				part, crashes, knownCrashes: instance.knownCrashes.size, deadlyCrashes: this.deadlyCrashes,
 			});
-			instance.accused.add(part);
-			if (this.options.sharesAccusations) {
+			instance.found.add(part);
+			if (this.options.sharesCauses) {
 				this.tellOthers(instance, other => {
 					other.analysis.accept(part);
-					other.accused.add(part);
+					other.found.add(part);
 				});
 			}
 		}
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -97,7 +97,7 @@
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
 	/** Prompt parts and fingerprints of requests that were shown to be sound. */
-	readonly soundParts: string[] = [];
+	readonly clearedParts: string[] = [];
 	/** Ids of the servers that lost an attempt early. */
 	readonly lossesOf: string[] = [];
 	/** Fingerprints of requests that are suspects of crashes. */
@@ -129,9 +129,9 @@
 			serverHealth: this.serverHealth,
 			backpressure: this.backpressure,
 			load,
-			promptGuard: {
+			crashGuard: {
 				recordProgress: parts => {
-					this.soundParts.push(...parts);
+					this.clearedParts.push(...parts);
 				},
 				recordLoss: ({id}) => {
 					this.lossesOf.push(id);
