Let only signed responses lift the limit of a backend server

Read in the code: any response without Server-Limit lifted the limit, also one of something else at the server's address, or an error that says nothing of it; until the next response all instances would exceed the limit. Test: plain-exchange, 'a response that is not signed does not lift the limit of its server'.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -112,10 +112,14 @@
 	}
 
 	/** Records what the head of a response says about the server that sent it. */
-	protected observeServer(server: BackendServer, {load, isLeaving, pause, requestLimit}: ResponseHead): void {
+	protected observeServer(server: BackendServer, {load, isLeaving, pause, requestLimit, isSigned}: ResponseHead): void {
 		const {dependencies, sentAt} = this;
 		const now = dependencies.timers.now();
-		dependencies.backpressure.limits.observe(server, {perSecond: requestLimit, sentAt}, now);
+		// A response that is not signed may come from something else than the server, so it lifts no limit.
+		if (requestLimit !== undefined || isSigned) {
+			dependencies.backpressure.limits.observe(server, {perSecond: requestLimit, sentAt}, now);
+		}
+
 		if (load) {
 			dependencies.load.observe(server, load, now);
 		}
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -240,3 +240,15 @@
 	answered.latest.onEnd();
 	t.true(answered.reply.isEnded);
 });
+
+// Guards against a limit that is lifted by a response that says nothing about it.
+test('a response that is not signed does not lift the limit of its server', t => {
+	const fixture = startLookup(5);
+	const {backpressure, directory} = fixture;
+	backpressure.limits.observe(directory.usable('records')[0], {perSecond: 4, sentAt: 0}, 0);
+	fixture.latest.onHead({...sampleResponseHead, status: 502, isSigned: false});
+	t.is(backpressure.limits.size, 1);
+	fixture.timers.advance(1);
+	fixture.latest.onHead(sampleResponseHead);
+	t.is(backpressure.limits.size, 0);
+});
