Forget a lifted limit at all instances

Found by review: instances reminded one another of a limit that a server had lifted, so that each message carried it for as long as the server was listed. A lift is now ignored where no limit is known.

--- a/src/backpressure/server-limits.ts
+++ b/src/backpressure/server-limits.ts
@@ -88,7 +88,9 @@
 	apply(statement: LimitStatement, now: number): void {
 		const {incarnationId, perSecond, statedAt} = statement;
 		const known = this.limits.get(incarnationId);
-		if (known && known.statedAt >= statedAt) {
+		// A lift says nothing about a server without a known limit; the instances would remind one another of it for ever.
+		const isRelevant = known ? known.statedAt < statedAt : perSecond !== undefined;
+		if (!isRelevant) {
 			return;
 		}
 
--- a/test/server-limits.test.ts
+++ b/test/server-limits.test.ts
@@ -213,3 +213,22 @@
 	await Promise.all([second.control.gossip.join([first.address]), fleet.elapse(100)]);
 	t.is(second.serverLimits.size, 100);
 });
+
+// Guards against messages that carry a lifted limit for ever, since the instances remind one another of it.
+test('a lifted limit is forgotten by all instances after a while, also while its server answers', async t => {
+	const fleet = await startControlFleet(6);
+	const {timers} = fleet;
+	const [first] = fleet.instances;
+	first.serverLimits.observe(server, {perSecond: 5, sentAt: timers.now()}, timers.now());
+	await fleet.elapse(2000);
+	for (let second = 0; second < 130; second++) {
+		for (const {serverLimits} of fleet.instances) {
+			serverLimits.observe(server, {sentAt: timers.now()}, timers.now() + 1);
+			serverLimits.retain([server], timers.now());
+		}
+
+		await fleet.elapse(1000); // eslint-disable-line no-await-in-loop
+	}
+
+	t.deepEqual(fleet.instances.map(({serverLimits}) => serverLimits.findStatements().length), [0, 0, 0, 0, 0, 0]);
+});
