--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -129,4 +129,54 @@
 		['src/admission/retry-budget.js', 'retries + 1 > this.minimum + (this.ratio * requests)', 'false'],
 		['test/decisions.test.ts', 'retry budget*'],
 	),
+	mutation(
+		'an instance uses only its share of a limit that a server names',
+		['src/backpressure/limit-share.js', 'computeWeight(own) / sharing', '1; void sharing'],
+		['test/server-limits.test.ts', 'all instances together*'],
+	),
+	mutation(
+		'a low limit is shared by few instances',
+		['src/backpressure/limit-share.js', 'instances.length <= count', 'true'],
+		['test/server-limits.test.ts', 'all instances together*'],
+	),
+	mutation(
+		'a first stage that reached its limit gets no stream',
+		['src/pipelines/pipeline-selector.js', '&& this.dependencies.backpressure.limits.allows(server, now)', ''],
+		['test/pipelines.test.ts', 'a first stage that reached*'],
+	),
+	mutation(
+		'streams count against the limit of their first stage',
+		['src/relay/stream-exchange.js', 'dependencies.backpressure.limits.recordRequest(server, now);', ''],
+		['test/server-limits-process.test.ts', 'a first stage gets*'],
+	),
+	mutation(
+		'limits are learned from other instances',
+		['src/peers/limit-exchange.js', 'this.limits.apply(', 'void ('],
+		['test/server-limits.test.ts', 'a limit and its end*'],
+	),
+	mutation(
+		'servers that die at one moment do not make a request a cause',
+		['src/quarantine/request-crashes.js', 'sequence >= minSequence', 'true'],
+		['test/request-crashes.test.ts', 'servers that die at one moment*'],
+	),
+	mutation(
+		'a prompt part is no cause while one request explains its crashes',
+		['src/quarantine/crash-analysis.js', 'hasRival || this.requests.explainsAll(first.suspicions)', 'hasRival'],
+		['test/request-crashes.test.ts', 'a prompt part is not*'],
+	),
+	mutation(
+		'a complete response clears a plain request',
+		['src/relay/plain-exchange.js', 'this.crashEvidence.recordHarmless();', ''],
+		['test/plain-exchange.test.ts', 'a complete response*'],
+	),
+	mutation(
+		'quarantines are learned from other instances',
+		['src/peers/quarantine-exchange.js', '!this.quarantine.has(part)', 'false'],
+		['test/crash-gossip.test.ts', 'a quarantine reaches*'],
+	),
+	mutation(
+		'an attempt is kept while no other route can take it over',
+		['src/routing/stream-recovery.js', 'return this.isConnectionOpen && isWithinTimeout', 'return false && isWithinTimeout'],
+		['test/stream-recovery.test.ts', 'an attempt whose stage does not respond to*'],
+	),
 ];
--- a/test/request-crashes.test.ts
+++ b/test/request-crashes.test.ts
@@ -43,8 +43,10 @@
 
 // Guards against much asked requests that are refused because servers died together.
 test('servers that die at one moment find no cause, however many they were running', t => {
-	const analysis = new CrashAnalysis(simulationAnalysisOptions);
-	t.deepEqual(recordAll(analysis, [0, 1, 2, 3, 4].map(index => createReport(`s${index}@0`, 10_000 + (index * 20), [deadly, other]))), []);
+	for (const requests of [[deadly], [deadly, other]]) {
+		const analysis = new CrashAnalysis(simulationAnalysisOptions);
+		t.deepEqual(recordAll(analysis, [0, 1, 2, 3, 4].map(index => createReport(`s${index}@0`, 10_000 + (index * 20), requests))), []);
+	}
 });
 
 // Guards against sound requests that are refused after crashes of other causes.
