--- a/src/backpressure/server-limits.ts
+++ b/src/backpressure/server-limits.ts
@@ -49,7 +49,7 @@
 /** Time for which a lifted limit is remembered, in milliseconds; longer than older statements of it circulate. */
 const liftMemoryMs = 60_000;
 
-function isNews(known: number | undefined, stated: number | undefined): boolean {
+function differsNotably(known: number | undefined, stated: number | undefined): boolean {
 	if (known === undefined || stated === undefined) {
 		return known !== stated;
 	}
@@ -94,7 +94,7 @@
 			return;
 		}
 
-		const hasChanged = isNews(known?.perSecond, perSecond);
+		const hasChanged = differsNotably(known?.perSecond, perSecond);
 		this.limits.set(incarnationId, {...statement, changedAt: hasChanged ? now : known?.changedAt ?? now});
 		if (hasChanged) {
 			this.dependencies.log.write('server.limited', {server: incarnationId, perSecond, previous: known?.perSecond});
--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -38,7 +38,7 @@
 	readonly peerLoads: PeerLoads;
 	readonly gossip: GossipService;
 	readonly tables: TableSet;
-	/** Keeps the quarantines of prompt parts in the store. */
+	/** Keeps the quarantines in the store. */
 	readonly quarantineRegister: QuarantineRegister;
 	readonly tableWatchers: readonly TableWatcher[];
 	/** Whether this instance is one of those that read the store in normal operation. */
@@ -61,7 +61,7 @@
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
 	/** Holds a row for each instance. */
 	readonly instanceTable: Table;
-	/** Holds a row for each prompt part under quarantine. */
+	/** Holds a row for each request and prompt part under quarantine. */
 	readonly quarantineTable: Table;
 	readonly feeds: Readonly<Record<TableName, TableFeed>>;
 };
--- a/src/quarantine/crash-cause.ts
+++ b/src/quarantine/crash-cause.ts
@@ -1,4 +1,4 @@
-/** A prompt part that is found to crash backend servers. */
+/** A prompt part or request that is found to crash backend servers. */
 export type CrashCause = {
 	readonly part: string;
 	/** Number of crashes, one after another, that the part explains. */
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -13,7 +13,7 @@
 import {isRequestFingerprint} from './request-fingerprint.js';
 import {type Quarantine, type QuarantinedPart} from './quarantine.js';
 
-/** What a prompt guard tells the other instances. */
+/** What a crash guard tells the other instances. A part is the id of a prompt part or the fingerprint of a request here, as in all of this folder. */
 export type GuardReports = {
 	/** Sends a crash that this instance saw to the other instances. */
 	readonly reportCrash: (report: CrashReport) => void;
@@ -23,7 +23,7 @@
 	readonly publish: (part: string, expiresAt: number) => void;
 };
 
-/** Dependencies of a prompt guard. */
+/** Dependencies of a crash guard. */
 export type CrashGuardDependencies = {
 	readonly lostAttempts: LostAttempts;
 	readonly analysis: CrashAnalysis;
@@ -40,7 +40,7 @@
 	readonly onQuarantine: (part: string, refusal: Failure) => void;
 };
 
-/** Durations of a prompt guard, in milliseconds. */
+/** Durations of a crash guard, in milliseconds. */
 export type CrashGuardTimings = {
 	/** How long requests with a part that crashes servers are refused. */
 	readonly quarantine: number;
@@ -64,7 +64,7 @@
 /** Suspects of a crash that are logged. */
 const maxLoggedSuspects = 16;
 
-/** Finds the prompt parts whose requests crash backend servers, from the attempts of this instance and the reports of the others, and refuses requests with them. */
+/** Finds the prompt parts and requests that crash backend servers, from the attempts of this instance and the reports of the others, and refuses requests with them. */
 export class CrashGuard {
 	/** Servers that lost attempts and are not known to have ended, by incarnation id. */
 	private readonly lostServers = new Map<string, LostServer>();
--- a/src/quarantine/crash-report.ts
+++ b/src/quarantine/crash-report.ts
@@ -1,4 +1,4 @@
-/** A prompt part that may have crashed a backend server. */
+/** A prompt part or request that may have crashed a backend server. */
 export type CrashSuspect = {
 	readonly part: string;
 	/** Monotonic time in milliseconds at which the latest request with the part was sent to the server without having received any event. */
--- a/src/quarantine/quarantine-register.ts
+++ b/src/quarantine/quarantine-register.ts
@@ -51,7 +51,7 @@
 	readonly era?: number;
 };
 
-/** Writes the quarantines of prompt parts to the platform's store, and reports those that the copy of its table holds. */
+/** Writes the quarantines to the platform's store, and reports those that the copy of its table holds. */
 export class QuarantineRegister {
 	private knownRows: ReadonlyMap<string, KnownRow> = new Map();
 	private era?: number;
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,11 +1,11 @@
-/** A prompt part whose requests are refused. */
+/** A prompt part whose requests are refused, or a request that is. */
 export type QuarantinedPart = {
 	readonly part: string;
 	/** Monotonic time in milliseconds. */
 	readonly expiresAt: number;
 };
 
-/** Holds the prompt parts whose requests are refused. */
+/** Holds the prompt parts and requests that are refused. */
 export class Quarantine {
 	private readonly expiries = new Map<string, number>();
 	/** Parts dropped since `removeExpired` was last called. */
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -89,7 +89,7 @@
 		}
 
 		if (response.head.isNotExecuted) {
-			// Its body is not passed on, so there is no need to wait for its end.
+			// The body of a rejection is not passed on, so there is no need to wait for its end.
 			this.currentAttempt?.cancel();
 			this.receiveEnd();
 		} else {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -55,7 +55,7 @@
 	readonly leaseTable: Table;
 	/** Holds a row for each instance. */
 	readonly instanceTable: Table;
-	/** Holds a row for each prompt part under quarantine. */
+	/** Holds a row for each request and prompt part under quarantine. */
 	readonly quarantineTable: Table;
 	readonly feeds: Readonly<Record<TableName, TableFeed>>;
 	readonly catalogDecoder: CatalogDecoder;
