Log how far a call to another instance got, and how current the configuration is

peers.not_told now has the milliseconds and the bytes received; request.refused has whether another instance reported a newer configuration, and the age of the copy. The newest change that any instance reported is kept by table for this; before, only the last message that was ahead was. No decision changes; the clients of other instances are no longer cached, since each call counts its own bytes.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -23,6 +23,7 @@
 import {type Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRegister} from './quarantine/quarantine-register.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
+import {TableCurrency} from './replication/table-currency.js';
 import {type TableFeed} from './replication/table-feed.js';
 import {TableName} from './replication/table-name.js';
 import {TableSet} from './replication/table-set.js';
@@ -38,6 +39,8 @@
 	readonly peerLoads: PeerLoads;
 	readonly gossip: GossipService;
 	readonly tables: TableSet;
+	/** How current the copy of the configuration is. */
+	readonly catalogCurrency: TableCurrency;
 	/** Keeps the quarantines in the store. */
 	readonly quarantineRegister: QuarantineRegister;
 	readonly tableWatchers: readonly TableWatcher[];
@@ -152,13 +155,14 @@
 	tables.onChange(TableName.Quarantine, table => {
 		quarantineRegister.update(table);
 	});
+	const tableExchange = new TableExchange(tables);
 	const gossip = new GossipService({
 		self,
 		instances: instanceRegistry,
 		clients,
 		byteBudget: new ByteBudget(bytesPerSecond, bytesPerSecond * gossipBurstSeconds),
 		partners: new PartnerSelector(self, random),
-		tables: new TableExchange(tables),
+		tables: tableExchange,
 		peerLoads,
 		rumors: new ServerRumors(instance.id, timers.wallClock(), {
 			suspicionQuorum: new SuspicionQuorum(suspicionWindowMs, suspicionQuorumSize), directory, serverHealth, onSuspicion: events.onSuspicion,
@@ -221,6 +225,13 @@
 		createTableWatcher(TableName.Quarantine, {wait: store.instances_wait, pauseAfterCall: store.list_pause}),
 	];
 	return {
-		instanceRegistry, peerLoads, gossip, tables, quarantineRegister, tableWatchers, isStoreReader,
+		instanceRegistry,
+		peerLoads,
+		gossip,
+		tables,
+		catalogCurrency: new TableCurrency(tables.get(TableName.Catalog), () => tableExchange.isLacking(TableName.Catalog), timers),
+		quarantineRegister,
+		tableWatchers,
+		isStoreReader,
 	};
 }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -11,6 +11,7 @@
 import {computeRequestFingerprint} from '../quarantine/request-fingerprint.js';
 import {type ExchangeCodec} from '../relay/exchange-codec.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
+import {type TableCurrency} from '../replication/table-currency.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
@@ -22,6 +23,7 @@
 /** Dependencies of an entry server. */
 export type EntryServerDependencies = {
 	readonly authorizer: RequestAuthorizer;
+	readonly catalogCurrency: TableCurrency;
 	readonly codec: ExchangeCodec;
 	readonly exchanges: ExchangeRegistry;
 	readonly crashGuard: CrashGuard;
@@ -137,8 +139,9 @@
 	}
 
 	private refuse(reply: HttpCallerReply, id: string, failure: Failure, message: IncomingMessage): void {
+		const {isBehind, age} = this.dependencies.catalogCurrency.describe();
 		this.dependencies.log.warn('request.refused', {
-			request: id, code: failure.code, execution: failure.execution, reason: failure.message,
+			request: id, code: failure.code, execution: failure.execution, reason: failure.message, isCatalogBehind: isBehind, catalogAgeMs: Math.round(age),
 		});
 		this.dependencies.metrics.count('siskinnotch_refusals', 1, {code: String(failure.code)});
 		if (!reply.isGone && !reply.isStarted) {
--- a/src/peers/gossip-clients.ts
+++ b/src/peers/gossip-clients.ts
@@ -2,9 +2,11 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {listen} from '../network/listen.js';
+import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {HttpFetch, type FetchOptions, type FetchResponse} from '../store/http-fetch.js';
 import {type GossipTraffic} from './byte-budget.js';
+import {CallFailure} from './call-failure.js';
 import {gossipMessageSchema, type GossipMessage} from './gossip-message.js';
 import {createGossipProcedures, type GossipProcedures, type GossipReceiver} from './gossip-procedures.js';
 
@@ -15,9 +17,12 @@
 /** Largest message accepted; a whole server list and configuration fit in it. */
 const maxMessageBytes = 16_000_000;
 
+type CallProgress = {
+	receivedBytes: number;
+};
+
 /** Sends and receives the calls between pipeline routers over tRPC and HTTP. */
 export class GossipClients {
-	private readonly clients = new Map<string, TRPCClient<GossipProcedures>>();
 	private readonly http = new HttpFetch();
 	private server?: Server;
 	private calls = 0;
@@ -45,30 +50,32 @@
 		return {calls: this.calls, bytes: this.bytes};
 	}
 
-	/** Sends a message to an instance and returns its answer. Rejects if it does not answer. */
+	/** Sends a message to an instance and returns its answer. Rejects with CallFailure if no complete answer arrives. */
 	async exchange(address: string, message: GossipMessage): Promise<GossipMessage> {
-		return this.call(address, async (client, signal) => gossipMessageSchema.parse(await client.exchange.mutate(message, {signal})));
-	}
-
-	/** Removes the clients of all other addresses. */
-	retain(addresses: ReadonlySet<string>): void {
-		for (const address of this.clients.keys()) {
-			if (!addresses.has(address)) {
-				this.clients.delete(address);
-			}
+		const startedAt = this.timers.now();
+		const progress: CallProgress = {receivedBytes: 0};
+		try {
+			return await this.timers.runWithTimeout(this.timeout, async signal =>
+				gossipMessageSchema.parse(await this.createClient(address, progress).exchange.mutate(message, {signal})));
+		} catch (error) {
+			throw new CallFailure(getErrorMessage(error), Math.round(this.timers.now() - startedAt), progress.receivedBytes);
 		}
 	}
 
-	private async call<Value>(address: string, operation: (client: TRPCClient<GossipProcedures>, signal: AbortSignal) => Promise<Value>): Promise<Value> {
-		const client = this.clients.get(address) ?? createTRPCClient<GossipProcedures>({
+	private createClient(address: string, progress: CallProgress): TRPCClient<GossipProcedures> {
+		return createTRPCClient<GossipProcedures>({
 			links: [httpLink({
 				url: `http://${address}`, fetch: async (url, options) => this.fetch(String(url), {
-					method: options?.method, headers: options?.headers, body: typeof options?.body === 'string' ? options.body : undefined, signal: options?.signal ?? undefined,
+					method: options?.method,
+					headers: options?.headers,
+					body: typeof options?.body === 'string' ? options.body : undefined,
+					signal: options?.signal ?? undefined,
+					onData(bytes) {
+						progress.receivedBytes += bytes;
+					},
 				}),
 			})],
 		});
-		this.clients.set(address, client);
-		return this.timers.runWithTimeout(this.timeout, async signal => operation(client, signal));
 	}
 
 	private async fetch(url: string, options: FetchOptions): Promise<FetchResponse> {
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -11,6 +11,7 @@
 import {type RandomSource} from '../routing/random-source.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type ByteBudget} from './byte-budget.js';
+import {CallFailure} from './call-failure.js';
 import {type CrashRumors} from './crash-rumors.js';
 import {type GossipClients} from './gossip-clients.js';
 import {type GossipMessage} from './gossip-message.js';
@@ -291,7 +292,9 @@
 			return true;
 		} catch (error) {
 			metrics.count('siskinnotch_news_failures');
-			log.write('peers.not_told', {peer: address, reason: getErrorMessage(error)});
+			log.write('peers.not_told', {
+				peer: address, reason: getErrorMessage(error), ...(error instanceof CallFailure && {afterMs: error.afterMs, receivedBytes: error.receivedBytes}),
+			});
 			return false;
 		}
 	}
--- a/src/peers/table-exchange.ts
+++ b/src/peers/table-exchange.ts
@@ -1,6 +1,6 @@
 import {UpdateResult} from '../replication/replicated-table.js';
 import {type TableName, tableNames} from '../replication/table-name.js';
-import {type TablePosition} from '../replication/table-position.js';
+import {isLater, type TablePosition} from '../replication/table-position.js';
 import {type TableSet} from '../replication/table-set.js';
 import {type TableUpdate} from '../replication/table-update.js';
 import {type GossipMessage} from './gossip-message.js';
@@ -47,8 +47,8 @@
 /** Exchanges the rows of the store's tables with other instances, so that few of them have to read the store. */
 export class TableExchange {
 	private recentChanges: RecentChange[] = [];
-	/** The newest state of tables that an instance reported and this one lacks. */
-	private lacking: ByTable<TableStatus> = {};
+	/** The newest change of each table that another instance reported. */
+	private readonly reportedChanges: ByTable<TablePosition> = {};
 
 	constructor(private readonly tables: TableSet) {}
 
@@ -114,23 +114,24 @@
 			const status = statuses[name];
 			if (status) {
 				isChanged = this.applyUpdate(name, status, {update: updates[name], from: from.id}, now) || isChanged;
-				isBehind ||= this.isBehind(name, status);
+				const change = {era: status.era, transaction: status.lastChange};
+				this.recordReport(name, change);
+				isBehind ||= isLater(change, this.tables.get(name).position);
 			}
 		}
 
-		if (isBehind) {
-			this.lacking = statuses;
-		}
-
 		return {isChanged, isBehind};
 	}
 
-	/** Whether this instance still lacks rows that another one last reported to have. */
+	/** Whether this instance still lacks rows that another one reported to have. */
 	isLackingRows(): boolean {
-		return tableNames.some(name => {
-			const status = this.lacking[name];
-			return status !== undefined && this.isBehind(name, status);
-		});
+		return tableNames.some(name => this.isLacking(name));
+	}
+
+	/** Whether this instance still lacks rows of a table that another one reported to have. */
+	isLacking(name: TableName): boolean {
+		const reported = this.reportedChanges[name];
+		return reported !== undefined && isLater(reported, this.tables.get(name).position);
 	}
 
 	/** Returns whether rows changed. */
@@ -147,8 +148,9 @@
 		return isChanged;
 	}
 
-	private isBehind(name: TableName, {era, lastChange}: TableStatus): boolean {
-		const own = this.tables.get(name).position;
-		return !own || own.era < era || (own.era === era && own.transaction < lastChange);
+	private recordReport(name: TableName, change: TablePosition): void {
+		if (isLater(change, this.reportedChanges[name])) {
+			this.reportedChanges[name] = change;
+		}
 	}
 }
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -149,12 +149,11 @@
 	const retryBudgets = new Map<string, RetryBudget>();
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
-	const {instanceRegistry, peerLoads, gossip, tables, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
+	const {instanceRegistry, peerLoads, gossip, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
 		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, quarantine, lease, clients: gossipClients,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
-		onInstancesChange(instances) {
-			gossipClients.retain(new Set(instances.map(({peers}) => peers)));
+		onInstancesChange() {
 			for (const retryBudget of retryBudgets.values()) {
 				retryBudget.setMinimum(computeRetryAllowance());
 			}
@@ -281,7 +280,7 @@
 	});
 
 	const entryServer = new EntryServer({
-		authorizer: new RequestAuthorizer(activeCatalog, random), codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
+		authorizer: new RequestAuthorizer(activeCatalog, random), catalogCurrency, codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
 	});
 	const statusServer = new StatusServer(adapters.readinessPath, (): boolean => router.isReady, metrics);
 	metrics.gauge('siskinnotch_log_lines_dropped', countDroppedLines);
--- a/src/store/http-fetch.ts
+++ b/src/store/http-fetch.ts
@@ -8,6 +8,8 @@
 	readonly headers?: ConstructorParameters<typeof Headers>[0];
 	readonly body?: string;
 	readonly signal?: AbortSignal;
+	/** Called with the number of bytes of each part of the response's body. */
+	readonly onData?: (bytes: number) => void;
 };
 
 /** A response with its complete body. */
@@ -20,16 +22,22 @@
 	text(): Promise<string>;
 };
 
+type Settlement = {
+	resolve(response: FetchResponse): void;
+	reject(error: Error): void;
+};
+
 /** Largest body of a response; more than any list or configuration of the platform. */
 const maxBodyBytes = 33_554_432;
 
 /** Collects the body of a response; a body that is too long closes its connection. */
-function collect(response: IncomingMessage, resolve: (response: FetchResponse) => void, reject: (error: Error) => void): void {
+function collect(response: IncomingMessage, onData: FetchOptions['onData'], {resolve, reject}: Settlement): void {
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
 	response.on('data', (chunk: Uint8Array) => {
 		chunks.push(chunk);
 		bytes += chunk.length;
+		onData?.(chunk.length);
 		if (bytes > maxBodyBytes) {
 			response.destroy(new Error(`the body of the response exceeds ${maxBodyBytes} bytes`));
 		}
@@ -58,14 +66,14 @@
 	constructor(private readonly agent = new Agent({keepAlive: true, maxSockets: 4})) {}
 
 	/** Sends a request. Rejects if no complete response arrives. */
-	async fetch(url: string, {method, headers, body, signal}: FetchOptions): Promise<FetchResponse> {
+	async fetch(url: string, {method, headers, body, signal, onData}: FetchOptions): Promise<FetchResponse> {
 		const fields = {'accept-encoding': 'identity', ...Object.fromEntries(new Headers(headers))};
 		return new Promise((resolve, reject) => {
 			get({
 				url, method: method ?? 'GET', headers: fields, body, agent: this.agent, signal, followRedirects: false,
 			}, (error, response) => {
 				if (response) {
-					collect(response, resolve, reject);
+					collect(response, onData, {resolve, reject});
 				} else {
 					reject(error ?? new Error('no response received'));
 				}
--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -26,6 +26,7 @@
 				return {};
 			},
 		},
+		catalogCurrency: {describe: () => ({isBehind: false, age: 0})},
 		codec: {decodeRequest: () => ({id: 'r1', forwardedHeaders: []}), encodeReplyHeaders: () => []},
 		exchanges: {},
 		lifecycle: new Lifecycle(),
