--- a/test/catalog.test.ts
+++ b/test/catalog.test.ts
@@ -1,9 +1,7 @@
 import test from 'ava';
 import {ActiveCatalog} from '../src/catalog/active-catalog.js';
 import {CatalogIndex} from '../src/catalog/catalog-index.js';
-import {type Catalog} from '../src/catalog/catalog.js';
 import {RequestKind} from '../src/catalog/request-kind.js';
-import {type Route} from '../src/catalog/route.js';
 import {RequestAuthorizer} from '../src/entry/request-authorizer.js';
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
@@ -12,37 +10,7 @@
 import {decodeCatalog} from '../platform/catalog-decoder.js';
 import {RecordingLog} from './support/sample-fleet.js';
 import {createSiteConfiguration} from './support/router-process.js';
-
-function createRoute(pathPrefix: string, changes: Partial<Route> = {}): Route {
-	return {
-		name: pathPrefix,
-		host: 'site',
-		pathPrefix,
-		kind: RequestKind.Idempotent,
-		timeout: 1000,
-		priority: 1,
-		targets: [{service: 'a', weight: 1}],
-		maxExecutions: 2,
-		isAnonymous: false,
-		isResumable: false,
-		latencyTarget: 300,
-		callerIdleTimeout: 2000,
-		...changes,
-	};
-}
-
-function createCatalog(version: number, routes: readonly Route[]): Catalog {
-	return {
-		version,
-		text: '',
-		routes,
-		services: new Map(['a', 'b'].map(name => [name, {name, healthPath: '/healthz', maxConnections: 1}])),
-		limits: {
-			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeout: 1, idleTimeout: 1,
-		},
-		workspaces: [{name: 'team', keys: ['key-1', 'key-2'], priority: 0}],
-	};
-}
+import {createCatalog, createRoute} from './support/sample-catalog.js';
 
 /** Returns the code of the `Failure` that the function throws; undefined if it throws none. */
 function catchCode(action: () => unknown): ResultCode | undefined {
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -24,6 +24,14 @@
 /** Approximate bytes of the heads of a request and its response. */
 const callOverheadBytes = 500;
 
+/** The links of the instances. */
+export type FleetNetwork = {
+	/** Bytes that an instance sends in a second at most, one message after the other. */
+	readonly bytesPerSecond: number;
+	/** Milliseconds after which a call is aborted. */
+	readonly callTimeout: number;
+};
+
 /** A quarantine that an instance read from the store's table. */
 export type LearntQuarantine = {
 	readonly part: string;
@@ -55,6 +63,8 @@
 	farBytesSent: number;
 	/** Whether the process is stopped, so that it neither sends nor answers. */
 	isStopped: boolean;
+	/** Monotonic time in milliseconds at which the link has sent all messages so far. */
+	linkFreeAt: number;
 };
 
 const serverTableDecoder = {
@@ -68,7 +78,10 @@
 	readonly instances: readonly FleetInstance[];
 	private readonly byAddress: ReadonlyMap<string, FleetInstance>;
 
-	constructor(size: number, private readonly zones: number, servers: number) {
+	/**
+	@param network - links of the instances; without limits if undefined
+	*/
+	constructor(size: number, private readonly zones: number, servers: number, private readonly network?: FleetNetwork) {
 		this.store.put('catalog', 'config', '1');
 		for (let index = 0; index < servers; index++) {
 			this.store.put('servers', `zone-${index % zones}/server-${index}`, 'ready');
@@ -226,7 +239,7 @@
 		});
 		const instance: FleetInstance = {
 			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, learntSuspicions, learntCrashes, learntCleared, learntQuarantines,
-			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false,
+			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false, linkFreeAt: 0,
 		};
 		return instance;
 	}
@@ -244,13 +257,27 @@
 			throw new Error('no response');
 		}
 
+		const deadline = this.timers.now() + (this.network?.callTimeout ?? Number.POSITIVE_INFINITY);
 		sender.messagesSent++;
 		sender.callsMade++;
-		sender.bytesExchanged += callOverheadBytes + this.countBytes(sender, recipient, message);
-		await this.timers.sleep(networkDelayMs);
+		const requestBytes = this.countBytes(sender, recipient, message);
+		sender.bytesExchanged += callOverheadBytes + requestBytes;
+		await this.transfer(sender, requestBytes, deadline);
 		const answer = recipient.control.gossip.exchange(message);
-		sender.bytesExchanged += this.countBytes(recipient, sender, answer);
-		await this.timers.sleep(networkDelayMs);
+		const answerBytes = this.countBytes(recipient, sender, answer);
+		sender.bytesExchanged += answerBytes;
+		await this.transfer(recipient, answerBytes, deadline);
 		return answer;
 	}
+
+	/** Waits until an instance's link has sent a message. Throws when the call is aborted, which does not stop the sender. */
+	private async transfer(from: FleetInstance, bytes: number, deadline: number): Promise<void> {
+		const now = this.timers.now();
+		from.linkFreeAt = Math.max(from.linkFreeAt, now) + (this.network ? bytes / this.network.bytesPerSecond * 1000 : 0);
+		const arrivesAt = from.linkFreeAt + networkDelayMs;
+		await this.timers.sleep(Math.min(arrivesAt, deadline) - now);
+		if (arrivesAt > deadline) {
+			throw new Error('aborted');
+		}
+	}
 }
