Abort a call only when its answer stops arriving

Callers got 404 for routes that were in force for seconds: on links of 20 Mbit/s no instance received a configuration of 2,210 routes from another one.

The limit now holds for the beginning of an answer and for each pause in it; 5 s bound the whole transfer. An instance or a store that falls silent is given up as soon as before.

npx ava test/slow-responses.test.ts: the two tests of answers that keep arriving failed before and pass; the two of answers that stop pass as before.

--- a/src/peers/gossip-clients.ts
+++ b/src/peers/gossip-clients.ts
@@ -12,15 +12,13 @@
 
 /** Time for which an idle connection of another instance is kept; instances contact each other in random order. */
 const idleConnectionMs = 60_000;
+/** Longest time that the transfer of a whole table may take over a slow link. */
+const maxCallMs = 5000;
 /** Approximate bytes of the heads of a request and its response. */
 const callOverheadBytes = 500;
 /** Largest message accepted; a whole server list and configuration fit in it. */
 const maxMessageBytes = 16_000_000;
 
-type CallProgress = {
-	receivedBytes: number;
-};
-
 /** Sends and receives the calls between pipeline routers over tRPC and HTTP. */
 export class GossipClients {
 	private readonly http = new HttpFetch();
@@ -29,7 +27,7 @@
 	private bytes = 0;
 
 	/**
-	@param timeout - milliseconds that a call may take
+	@param timeout - milliseconds that an instance may take to begin its answer, and between two parts of it
 	*/
 	constructor(private readonly timers: TimerService, private readonly timeout: number) {}
 
@@ -53,16 +51,21 @@
 	/** Sends a message to an instance and returns its answer. Rejects with CallFailure if no complete answer arrives. */
 	async exchange(address: string, message: GossipMessage): Promise<GossipMessage> {
 		const startedAt = this.timers.now();
-		const progress: CallProgress = {receivedBytes: 0};
+		let receivedBytes = 0;
 		try {
-			return await this.timers.runWithTimeout(this.timeout, async signal =>
-				gossipMessageSchema.parse(await this.createClient(address, progress).exchange.mutate(message, {signal})));
+			return await this.timers.runWhileProgressing({start: this.timeout, pause: this.timeout, total: maxCallMs}, async (signal, recordProgress) => {
+				const client = this.createClient(address, bytes => {
+					receivedBytes += bytes;
+					recordProgress();
+				});
+				return gossipMessageSchema.parse(await client.exchange.mutate(message, {signal}));
+			});
 		} catch (error) {
-			throw new CallFailure(getErrorMessage(error), Math.round(this.timers.now() - startedAt), progress.receivedBytes);
+			throw new CallFailure(getErrorMessage(error), Math.round(this.timers.now() - startedAt), receivedBytes);
 		}
 	}
 
-	private createClient(address: string, progress: CallProgress): TRPCClient<GossipProcedures> {
+	private createClient(address: string, onData: (bytes: number) => void): TRPCClient<GossipProcedures> {
 		return createTRPCClient<GossipProcedures>({
 			links: [httpLink({
 				url: `http://${address}`, fetch: async (url, options) => this.fetch(String(url), {
@@ -70,9 +73,7 @@
 					headers: options?.headers,
 					body: typeof options?.body === 'string' ? options.body : undefined,
 					signal: options?.signal ?? undefined,
-					onData(bytes) {
-						progress.receivedBytes += bytes;
-					},
+					onData,
 				}),
 			})],
 		});
--- a/src/store/http-client.ts
+++ b/src/store/http-client.ts
@@ -13,6 +13,8 @@
 };
 
 const connectionMaxAgeMs = 30_000;
+/** Longest time that the body of a response may take over a slow link. */
+const maxTransferMs = 5000;
 
 /** Sends JSON requests to the platform over kept-alive connections, which are replaced periodically. */
 export class HttpClient {
@@ -21,7 +23,7 @@
 
 	/**
 	@param baseUrl - URL of the platform without a trailing slash
-	@param timeout - default time limit of a request, in milliseconds
+	@param timeout - milliseconds that the platform may take to begin a response by default, and between two parts of it
 	*/
 	constructor(private readonly baseUrl: string, private readonly timeout: number, private readonly timers: TimerService) {
 		this.retirementTimer = timers.repeat(connectionMaxAgeMs, () => {
@@ -30,17 +32,19 @@
 	}
 
 	/**
-	Sends a request. Resolves for statuses below 500; throws PlatformError for any other status and if no complete response arrives in time.
+	Sends a request. Resolves for statuses below 500; throws PlatformError for any other status, and if the response begins late or stops arriving.
 
-	@param timeout - time limit of this request, in milliseconds
+	@param timeout - milliseconds that the platform may take to begin this response
 	*/
 	async send(method: 'GET' | 'POST' | 'PUT', path: string, body?: unknown, timeout = this.timeout): Promise<PlatformResponse> {
+		const timeouts = {start: timeout, pause: this.timeout, total: timeout + maxTransferMs};
 		try {
-			const {status, headers, text} = await this.timers.runWithTimeout(timeout, async signal => new HttpFetch(this.agent).fetch(this.baseUrl + path, {
+			const {status, headers, text} = await this.timers.runWhileProgressing(timeouts, async (signal, onData) => new HttpFetch(this.agent).fetch(this.baseUrl + path, {
 				method,
 				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: {'content-type': 'application/json'},
 				signal,
+				onData,
 			}));
 			if (status >= 500) {
 				throw new PlatformError(`the platform answered ${path} with status ${status}`, status !== 503);
--- a/src/time/timer-service.ts
+++ b/src/time/timer-service.ts
@@ -1,3 +1,4 @@
+import {type ProgressTimeouts} from './progress-timeouts.js';
 import {type TimerHandle} from './timer-handle.js';
 
 /** The only source of time: no other code reads a clock or sets a timer, so that tests can control time. */
@@ -50,6 +51,32 @@
 		}
 	}
 
+	/**
+	Runs work with a signal that is aborted when the work makes no progress for too long, or takes too long altogether.
+
+	@param work - calls `recordProgress` each time that a part of it is done
+	*/
+	async runWhileProgressing<Value>({start, pause, total}: ProgressTimeouts, work: (signal: AbortSignal, recordProgress: () => void) => Promise<Value>): Promise<Value> {
+		const controller = new AbortController();
+		const abort = () => {
+			controller.abort();
+		};
+
+		const totalTimer = this.after(total, abort);
+		let progressTimer = this.after(start, abort);
+		const recordProgress = () => {
+			progressTimer.cancel();
+			progressTimer = this.after(pause, abort);
+		};
+
+		try {
+			return await work(controller.signal, recordProgress);
+		} finally {
+			progressTimer.cancel();
+			totalTimer.cancel();
+		}
+	}
+
 	/** Monotonic time in milliseconds from an arbitrary origin. */
 	abstract now(): number;
 
