Refuse no request for good by a configuration that may be out of date

Callers got 404 for routes, and 401 for keys, that the configuration in force has: an instance answered by its own copy, although it had heard that others have a newer one, or although nothing had confirmed its copy for long.

A planned stop waits for requests that are still being authorized.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -17,6 +17,7 @@
 import {ResultCode} from '../results/result-code.js';
 import {toFailure} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
+import {CarefulAuthorizer} from './careful-authorizer.js';
 import {HttpCallerReply} from './http-caller-reply.js';
 import {type RequestAuthorizer} from './request-authorizer.js';
 
@@ -46,9 +47,12 @@
 /** Accepts HTTP requests from callers, authorizes them and starts an exchange for each. */
 export class EntryServer {
 	private readonly server: Server;
+	private readonly authorizer: CarefulAuthorizer;
+	private pending = 0;
 	private maxBodyBytes = defaultMaxBodyBytes;
 
 	constructor(private readonly dependencies: EntryServerDependencies) {
+		this.authorizer = new CarefulAuthorizer(dependencies);
 		this.server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
 		});
@@ -76,7 +80,21 @@
 		this.server.close();
 	}
 
+	/** Number of requests that are being received or authorized. */
+	get pendingRequests(): number {
+		return this.pending;
+	}
+
 	private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		this.pending++;
+		try {
+			await this.acceptRequest(message, response);
+		} finally {
+			this.pending--;
+		}
+	}
+
+	private async acceptRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {dependencies} = this;
 		const arrivedAt = dependencies.timers.now();
 		const callerHeaders = dependencies.codec.decodeRequest(message);
@@ -84,10 +102,10 @@
 		try {
 			this.checkAcceptsRequests();
 			const authorizationRequest = {host: message.headers.host ?? '', target: message.url ?? '/', apiKey: callerHeaders.key};
-			dependencies.authorizer.authorize(authorizationRequest);
+			await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
 			const body = await this.readBody(message);
 			// The catalog may have changed while the body was received.
-			const {route, service, workspace, version} = dependencies.authorizer.authorize(authorizationRequest);
+			const {route, service, workspace, version} = await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
 			if (reply.isGone) {
 				return;
 			}
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -102,7 +102,7 @@
 		const drainDeadline = stopRequestedAt + settings.stop.grace - settings.stop.margin;
 		while (dependencies.timers.now() < drainDeadline) {
 			dependencies.entryServer.closeIdle();
-			if (dependencies.exchanges.size === 0) {
+			if (dependencies.exchanges.size === 0 && dependencies.entryServer.pendingRequests === 0) {
 				break;
 			}
 
