Test instances that are partitioned from all backend servers

Three router processes share a store and ten servers; two of them are cut off from the servers: silently, with resets, or for new connections only.

The partition is simulated in the routers' processes (test/support/partition-*.ts), which a test loads into them; a router can now be started beside another one.

--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -11,6 +11,7 @@
 import {ClockTimerService} from '../../src/time/clock-timer-service.js';
 import {StageSimulator} from '../../simulators/stage-simulator.js';
 import {StoreSimulator} from '../../simulators/store-simulator.js';
+import {type PartitionKind, writePartition} from './partition.js';
 import {StageHeartbeats} from './stage-heartbeats.js';
 
 /** A response as received by a caller. */
@@ -88,20 +89,39 @@
 		return router;
 	}
 
+	/** Starts a further router beside the first one, with the same simulators, and waits until it is ready. */
+	static async startBeside(first: RouterProcess, id: string): Promise<RouterProcess> {
+		const router = new RouterProcess(0, {first, id});
+		await router.writeSettings();
+		await router.startRouter();
+		return router;
+	}
+
 	readonly timers = new ClockTimerService();
-	readonly store = new StoreSimulator(this.timers);
+	readonly store: StoreSimulator;
 	readonly stages: readonly StageSimulator[];
-	readonly records = ['records-a', 'records-b'].map(id => new StageSimulator(id, 1000, this.timers));
+	readonly records: readonly StageSimulator[];
 	/** Log lines written by the router. */
 	readonly logLines: string[] = [];
-	private readonly ports = {callers: 0, readiness: 0};
+	private readonly id: string;
+	private readonly ports = {
+		callers: 0, readiness: 0, peers: 0, store: 0,
+	};
+
 	private settingsFile = '';
+	private partitionFile = '';
 	private child?: ChildProcess;
 	private sentRequests = 0;
 	private readonly heartbeats: StageHeartbeats;
 
-	constructor(stageCount = defaultStageCount) {
-		this.stages = [...'abcdefgh'].slice(0, stageCount).map(letter => new StageSimulator(`stage-${letter}`, 1000, this.timers));
+	/**
+	@param beside - the router whose simulators to use, and the id; undefined for the first router
+	*/
+	constructor(stageCount = defaultStageCount, private readonly beside?: {readonly first: RouterProcess; readonly id: string}) {
+		this.id = beside?.id ?? 'entry-a';
+		this.store = beside?.first.store ?? new StoreSimulator(this.timers);
+		this.stages = beside?.first.stages ?? [...'abcdefgh'].slice(0, stageCount).map(letter => new StageSimulator(`stage-${letter}`, 1000, this.timers));
+		this.records = beside?.first.records ?? ['records-a', 'records-b'].map(id => new StageSimulator(id, 1000, this.timers));
 		this.heartbeats = new StageHeartbeats([...this.stages, ...this.records], {
 			write: stage => {
 				this.listServer(stage, stage.port, 'ready');
@@ -114,7 +134,7 @@
 
 	/** Starts the simulators, lists them in the store and writes the settings file. */
 	async startSimulators(): Promise<void> {
-		const storePort = await this.store.listen(await freePort());
+		this.ports.store = await this.store.listen(await freePort());
 		for (const server of [...this.stages, ...this.records]) {
 			const port = await server.listen(await freePort()); // eslint-disable-line no-await-in-loop
 			this.listServer(server, port, 'ready');
@@ -122,20 +142,31 @@
 
 		this.store.putRow('servers', 'alien', 'not an entry');
 		this.store.putRow('op', 'config', createSiteConfiguration(3));
+		await this.writeSettings();
+	}
+
+	/** Writes the settings file, with free ports. */
+	async writeSettings(): Promise<void> {
 		this.ports.callers = await freePort();
 		this.ports.readiness = await freePort();
-		this.settingsFile = path.join(mkdtempSync(path.join(tmpdir(), 'router-')), 'entry.ini');
+		this.ports.peers = await freePort();
+		const folder = mkdtempSync(path.join(tmpdir(), 'router-'));
+		this.settingsFile = path.join(folder, 'entry.ini');
+		this.partitionFile = path.join(folder, 'partition.json');
+		const first = this.beside?.first ?? this;
 		const here = '127.0.0.1';
 		writeFileSync(this.settingsFile, [
 			'[instance]',
-			'id = entry-a',
+			`id = ${this.id}`,
 			'availability_zone = zone-a',
 			`callers = ${here}:${this.ports.callers}`,
 			`readiness = ${here}:${this.ports.readiness}`,
-			`peers = ${here}:${await freePort()}`,
+			`peers = ${here}:${this.ports.peers}`,
 			`metrics = ${here}:${await freePort()}`,
+			'[seeds]',
+			`peers = ${here}:${first.ports.peers}`,
 			'[store]',
-			`address = ${here}:${storePort}`,
+			`address = ${here}:${first.ports.store}`,
 			'list_pause = 50 ms',
 			'[placement]',
 			'settle = 300 ms',
@@ -149,13 +180,21 @@
 	/** Starts the router and waits until it is ready. */
 	async startRouter(): Promise<void> {
 		const program = new URL('../../platform/main.js', import.meta.url).pathname;
-		this.child = spawn(process.execPath, [program], {stdio: ['ignore', 'pipe', 'inherit'], env: {...process.env, SISKINNOTCH_NODE_FILE: this.settingsFile}}); // eslint-disable-line @typescript-eslint/naming-convention
+		const partitionModule = new URL('partition-process.js', import.meta.url).pathname;
+		// eslint-disable-next-line @typescript-eslint/naming-convention
+		const environment = {...process.env, SISKINNOTCH_NODE_FILE: this.settingsFile, PARTITION_FILE: this.partitionFile};
+		this.child = spawn(process.execPath, ['--import', partitionModule, program], {stdio: ['ignore', 'pipe', 'inherit'], env: environment});
 		createInterface({input: this.child.stdout!}).on('line', line => {
 			this.logLines.push(line);
 		});
 		await this.waitUntil(async () => (await this.fetchStatus(this.ports.readiness, '/v1/readyz')) === 200);
 	}
 
+	/** Partitions this router from all backend servers, or ends the partition. */
+	partition(kind: PartitionKind): void {
+		writePartition(this.partitionFile, {kind, ports: [...this.stages, ...this.records].map(({port}) => port)});
+	}
+
 	/** Appends text to the settings file. */
 	changeSettings(lines: string): void {
 		appendFileSync(this.settingsFile, lines);
@@ -180,6 +219,10 @@
 		this.heartbeats.stop();
 		this.signal('SIGKILL');
 		await this.waitForExit();
+		if (this.beside) {
+			return;
+		}
+
 		await Promise.all([this.store.close(), ...[...this.stages, ...this.records].map(async server => server.close())]);
 	}
 
@@ -222,7 +265,7 @@
 	async send(target: string, options: {method?: string; body?: string; key?: string; leaveAfter?: number; promptParts?: string} = {}): Promise<CallerResponse> {
 		const headers: Record<string, string> = {
 			host: 'site.example',
-			'siskinnotch-attempt-id': `attempt-${++this.sentRequests}`,
+			'siskinnotch-attempt-id': `${this.id}-attempt-${++this.sentRequests}`,
 			'siskinnotch-deadline-remaining': '5000',
 			'siskinnotch-token-usage': '100,50',
 			'x-api-key': options.key ?? 'key-1',
