Apply a delta to the version that it names, also if another one arrived meanwhile

What callers would see: a version of the configuration arrives a message later, and as a whole row, where links are busy anyway. Cause: a packed row was unpacked with the version that the instance has now; if the store or another instance brought one between question and answer, the delta was rejected, and deltas were switched off.

--- a/src/peers/packed-update.ts
+++ b/src/peers/packed-update.ts
@@ -21,14 +21,21 @@
 
 /** Packs the large rows of an update for an instance. */
 export function packUpdate(update: TableUpdate, table: ReplicatedTable, {position, packing}: PackingRequest): PackedUpdate {
-	const findBase = ({key}: TableRow) => position && packing === RowPacking.Delta ? table.findEarlierVersion(key, position) : undefined;
+	const findBase = ({key}: TableRow) => position && packing === RowPacking.Delta ? table.findVersion(key, position) : undefined;
 	return {
 		update: {...update, rows: update.rows.filter(row => !isLargeRow(row))},
 		packedRows: update.rows.filter(row => isLargeRow(row)).map(row => packRow(row, findBase(row))),
 	};
 }
 
-/** Returns the update with its packed rows. Throws if one cannot be unpacked with the versions that this instance has. */
+/** Returns the update with its packed rows. Throws if one cannot be unpacked with the versions that this instance has or had. */
 export function unpackUpdate({update, packedRows}: PackedUpdate, table: ReplicatedTable): TableUpdate {
-	return {...update, rows: [...update.rows, ...packedRows.map(row => unpackRow(row, table.get(row.key)))]};
+	const {era} = update.position;
+	const rows = packedRows.map(row => {
+		// A newer version may have arrived since this instance asked.
+		const own = table.position?.era === era ? table.get(row.key) : undefined;
+		const base = row.base === undefined ? undefined : table.findVersion(row.key, {era, transaction: row.base});
+		return own && own.transaction >= row.transaction ? own : unpackRow(row, base);
+	});
+	return {...update, rows: [...update.rows, ...rows]};
 }
--- a/src/replication/replicated-table.ts
+++ b/src/replication/replicated-table.ts
@@ -58,8 +58,13 @@
 	}
 
 	/** Finds the version of a large row that a copy at the position has, as far as this copy knows; undefined if it was not kept. */
-	findEarlierVersion(key: string, {era, transaction}: TablePosition): TableRow | undefined {
-		return era === this.currentPosition?.era ? this.history.getVersion(key, transaction) : undefined;
+	findVersion(key: string, {era, transaction}: TablePosition): TableRow | undefined {
+		if (era !== this.currentPosition?.era) {
+			return undefined;
+		}
+
+		const current = this.rows.get(key);
+		return current && current.transaction <= transaction ? current : this.history.getVersion(key, transaction);
 	}
 
 	/** Number of the transaction that last changed a row, as far as this copy knows; 0 without rows. */
--- a/test/packed-rows.test.ts
+++ b/test/packed-rows.test.ts
@@ -114,6 +114,34 @@
 	t.is(recipient.exchange.packing, RowPacking.Delta);
 });
 
+// Guards against whole rows on links that are busy anyway, because an answer that something overtook counts as a delta that cannot be applied.
+test('a delta whose version arrived meanwhile is ignored, and deltas go on', t => {
+	const sender = new Copies('entry-a');
+	const recipient = new Copies('entry-b');
+	recipient.readFromStore(5, createText(5));
+	sender.readFromStore(5, createText(5));
+	sender.readFromStore(8, createText(8));
+	const answer = sender.answer(recipient.ask(RowPacking.Delta));
+	recipient.readFromStore(8, createText(8));
+	t.is(recipient.exchange.receive(answer, 1000).unpackingError, undefined);
+	t.is(recipient.exchange.packing, RowPacking.Delta);
+});
+
+// Guards against a newest version that is thrown away because an older one arrived since it was asked for.
+test('a delta for the version that an instance had when it asked is applied although a version between arrived', t => {
+	const sender = new Copies('entry-a');
+	const recipient = new Copies('entry-b');
+	recipient.readFromStore(5, createText(5));
+	for (const transaction of [5, 6, 8]) {
+		sender.readFromStore(transaction, createText(transaction));
+	}
+
+	const answer = sender.answer(recipient.ask(RowPacking.Delta));
+	recipient.readFromStore(6, createText(6));
+	recipient.exchange.receive(answer, 1000);
+	t.is(recipient.text, createText(8));
+});
+
 // Guards against an instance of an earlier build that takes a packed row for a deleted one.
 test('an instance of a build that does not know packed rows gets the whole text', t => {
 	const sender = new Copies('entry-a');
