Fetch rows from a further instance when the first one is slow to send them

What callers would see: 404 or an old route at instances whose neighbour with the new configuration has a slow link or a slow processor: since a call may last as long as its answer arrives, up to 5 s, and one fetch ran at a time, no other neighbour was asked meanwhile.

After 300 ms the rows are fetched from the next instance that said it has them, from three at a time at most.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -100,6 +100,7 @@
 	tableFanout: {near: 5, far: 0},
 	farContactsPerZone: 4,
 	remoteFetchDelay: 300,
+	fetchPatience: 300,
 	spreadDelay: 15,
 };
 /** Durations in milliseconds. */
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -59,6 +59,8 @@
 	readonly farContactsPerZone: number;
 	/** Milliseconds that the own availability zone has to bring rows before they are fetched from another one. */
 	readonly remoteFetchDelay: number;
+	/** Milliseconds after which rows are also fetched from another instance than the one that is sending them. */
+	readonly fetchPatience: number;
 	/** Milliseconds for which news is collected before it is sent. */
 	readonly spreadDelay: number;
 };
@@ -66,6 +68,9 @@
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
 
+/** Instances from which rows are fetched at a time. */
+const maxFetches = 3;
+
 /** Instances of other availability zones that the holder of the placement lease contacts in each round. */
 const holderFanout: Fanout = {near: 0, far: 2};
 
@@ -78,7 +83,12 @@
 	/** Ids of the instances to which a message is in flight; they get no second one meanwhile. */
 	private readonly contacting = new Set<string>();
 	private scheduledFanout?: Fanout;
-	private isFetching = false;
+	/** Ids of the instances from which rows are being fetched. */
+	private readonly fetches = new Set<string>();
+	/** Monotonic time in milliseconds at which the latest fetch began. */
+	private fetchedAt = Number.NEGATIVE_INFINITY;
+	/** The latest instance that had rows which this one lacked while it was fetching. */
+	private nextSender?: RegisteredInstance;
 	private isRemoteFetchScheduled = false;
 
 	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {}
@@ -305,14 +315,23 @@
 		}
 	}
 
-	/** Fetches the rows that another instance has and this one lacks. Does nothing while another fetch is in progress. */
-	private async fetchRows({peers, availabilityZone}: RegisteredInstance): Promise<void> {
-		if (this.isFetching) {
+	/** Fetches the rows that another instance has and this one lacks. If that takes long, they are also fetched from the next ones that have them, but only from a few at a time. */
+	private async fetchRows(sender: RegisteredInstance): Promise<void> {
+		const {timers, tables} = this.dependencies;
+		const isPatient = this.fetches.size > 0 && timers.now() - this.fetchedAt < this.timings.fetchPatience;
+		if (isPatient || this.fetches.has(sender.id) || this.fetches.size >= maxFetches) {
+			this.nextSender = sender;
 			return;
 		}
 
-		this.isFetching = true;
-		await this.contact(peers, {zone: availabilityZone, wantsRows: true});
-		this.isFetching = false;
+		this.fetchedAt = timers.now();
+		this.fetches.add(sender.id);
+		timers.after(this.timings.fetchPatience, () => {
+			if (this.nextSender && tables.isLackingRows()) {
+				void this.fetchRows(this.nextSender);
+			}
+		});
+		await this.contact(sender.peers, {zone: sender.availabilityZone, wantsRows: true});
+		this.fetches.delete(sender.id);
 	}
 }
--- a/test/large-configuration.test.ts
+++ b/test/large-configuration.test.ts
@@ -87,3 +87,23 @@
 	t.log(`${elapsed} ms`);
 	t.true(elapsed <= configurationTimeMs, `${elapsed} ms`);
 });
+
+// Guards against one slow instance that keeps others, for as long as a whole call may take, from a configuration which all their other neighbours have.
+test.serial('a reader of the store in each availability zone whose answers trickle does not keep the others from a large configuration', async t => {
+	const fleet = new ControlFleet(24, 3, 9, {...network, callTimeout: 5000});
+	fleet.start();
+	await fleet.elapse(settlingMs);
+	const readers = fleet.instances.filter(({control}) => control.isStoreReader());
+	const slow = readers.filter(({address}, index) => readers.findIndex(other => other.address.split('.')[2] === address.split('.')[2]) === index);
+	for (const reader of slow) {
+		reader.bytesPerSecond = 30_000;
+	}
+
+	// Hardly compressible.
+	const text = Array.from({length: 15_000}, (_, index) => ((index * 2_654_435_761) % 4_294_967_296).toString(36)).join('');
+	fleet.store.put('catalog', 'config', text);
+	const others = fleet.instances.filter(instance => !slow.includes(instance));
+	const elapsed = await fleet.measureUntil(() => others.every(({control}) => control.tables.get(TableName.Catalog).get('config')?.text === text), 2 * configurationTimeMs);
+	t.log(`${elapsed} ms`);
+	t.true(elapsed <= configurationTimeMs, `${elapsed} ms`);
+});
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -63,6 +63,8 @@
 	farBytesSent: number;
 	/** Whether the process is stopped, so that it neither sends nor answers. */
 	isStopped: boolean;
+	/** Bytes that this instance sends in a second, if not those of the network. */
+	bytesPerSecond?: number;
 	/** Monotonic time in milliseconds at which the link has sent all messages so far. */
 	linkFreeAt: number;
 };
@@ -273,7 +275,7 @@
 	/** Waits until an instance's link has sent a message. Throws when the call is aborted, which does not stop the sender. */
 	private async transfer(from: FleetInstance, bytes: number, deadline: number): Promise<void> {
 		const now = this.timers.now();
-		from.linkFreeAt = Math.max(from.linkFreeAt, now) + (this.network ? bytes / this.network.bytesPerSecond * 1000 : 0);
+		from.linkFreeAt = Math.max(from.linkFreeAt, now) + (this.network ? bytes / (from.bytesPerSecond ?? this.network.bytesPerSecond) * 1000 : 0);
 		const arrivesAt = from.linkFreeAt + networkDelayMs;
 		await this.timers.sleep(Math.min(arrivesAt, deadline) - now);
 		if (arrivesAt > deadline) {
