Count the transfer of a large row in the age of a copy

What callers would see: 404 by a configuration that the store confirmed seconds ago, taken for one that it confirmed just now. Cause: an answer of the store counts as sent at most 400 ms before it was complete; since an answer may now take 5 s to arrive, the copy's age was too low by as much.

--- a/src/replication/table-watcher.ts
+++ b/src/replication/table-watcher.ts
@@ -3,6 +3,7 @@
 import {type Metrics} from '../observation/metrics.js';
 import {type TimerService} from '../time/timer-service.js';
 import {UpdateResult} from './replicated-table.js';
+import {isLargeRow} from './row-history.js';
 import {type TableFeed} from './table-feed.js';
 import {type TableName} from './table-name.js';
 import {type TablePosition} from './table-position.js';
@@ -100,8 +101,8 @@
 
 		this.dependencyMonitor.recordSuccess({afterMs: Math.round(now - this.lastOutageAt)});
 		metrics.record('siskinnotch_table_answer_ms', now - requestedAt);
-		// An answer that came in time was sent at most slowThreshold ago, even if its call began much earlier.
-		const confirmedAt = Math.max(requestedAt, now - slowThreshold);
+		// A short answer that came in time was sent at most slowThreshold ago, even if its call began much earlier. The transfer of a large row may have taken long.
+		const confirmedAt = update.rows.some(row => isLargeRow(row)) ? requestedAt : Math.max(requestedAt, now - slowThreshold);
 		const result = tables.apply(this.name, update, {from: 'store', confirmedAt, outageAt: this.lastOutageAt});
 		if (result === UpdateResult.Changed) {
 			onChange(previous);
