Read the store when no other instance is heard from

What callers would see: 404 at an instance that reaches the store but no other instance, for a route that the store has: its copy counted as current until 2,700 ms after the change, and the new one came after 3,425 ms. Cause: an instance that does not read the store relies on the others to tell it of changes, and took over reading only when its copy was 4.8 s old.

An instance that has heard from others before, and from none for 1.5 s, reads the store's tables itself. npx ava test/control.test.ts, '... that reaches the store but no other instance ...': 2,700 ms before (2,000 allowed), 1,650 now; the other control tests, with their bounds on calls and bytes, pass as before.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -124,6 +124,8 @@
 const takeoverDelays = {takeoverStep: 100, maxTakeoverDelay: 1500};
 /** Interval between checks whether this instance is to read a table. */
 const tableIdleIntervalMs = 250;
+/** Time without a message of any other instance after which this one reads the store itself. */
+const peerSilenceMs = 1500;
 /** Time for which a copy may pass through other instances before it counts as late, in milliseconds. */
 const spreadTimeMs = 2000;
 /** Time within which reports of a suspected backend server are counted together. */
@@ -200,13 +202,14 @@
 	};
 
 	const isStoreReader = () => readerRole.isReader(findNeighbours(), instanceRegistry.countAvailabilityZones());
+	const isWithoutPeers = () => gossip.peerHeardAt > Number.NEGATIVE_INFINITY && timers.now() - gossip.peerHeardAt > peerSilenceMs;
 	const createTableWatcher = (name: TableName, {wait, pauseAfterCall}: TablePolling) => new TableWatcher(name, {
 		feed: dependencies.feeds[name],
 		tables,
 		timers,
 		metrics,
 		log,
-		mayRead: () => readerRole.mayRead({
+		mayRead: () => isWithoutPeers() || readerRole.mayRead({
 			neighbours: findNeighbours(),
 			zones: instanceRegistry.countAvailabilityZones(),
 			age: timers.now() - tables.get(name).confirmation.confirmedAt,
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -90,6 +90,7 @@
 	/** The latest instance that had rows which this one lacked while it was fetching. */
 	private nextSender?: RegisteredInstance;
 	private isRemoteFetchScheduled = false;
+	private heardAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {}
 
@@ -143,6 +144,11 @@
 		this.scheduleSpread(this.timings.tableFanout);
 	}
 
+	/** Monotonic time in milliseconds at which another instance was last heard from; -Infinity before the first time. */
+	get peerHeardAt(): number {
+		return this.heardAt;
+	}
+
 	/** Monotonic time in milliseconds of the newest known sign of an instance that holds the placement lease; -Infinity before the first one. */
 	get placementHolderHeardAt(): number {
 		return this.dependencies.placementHolder.heardAt;
@@ -213,6 +219,7 @@
 	private receive(message: GossipMessage): void {
 		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, tables, placementHolder, timers, log} = this.dependencies;
 		const now = timers.now();
+		this.heardAt = now;
 		partners.recordContact(message.from.id);
 		instances.recordContact(message.from);
 		peerLoads.update(message.loads, now);
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -181,3 +181,27 @@
 	const elapsed = await fleet.measureUntil(() => [...remaining.control.tables.get(TableName.Catalog).all()][0].text === '2', 8000);
 	t.true(elapsed <= 2000, `${elapsed} ms`);
 });
+
+// Guards against an instance in touch with the store that takes its old configuration for the one in force.
+test.serial('an instance that reaches the store but no other instance has a new configuration in time, or knows that it may lack one', async t => {
+	const fleet = new ControlFleet(24, 3, 9);
+	fleet.start();
+	await fleet.elapse(settlingMs);
+	const [cutOff] = fleet.instances.filter(({control}) => !control.isStoreReader()).slice(-1);
+	cutOff.isStopped = true;
+	await fleet.elapse(100);
+	fleet.store.put('catalog', 'config', 'new');
+	const hasText = ({control}: FleetInstance) => control.tables.get(TableName.Catalog).get('config')?.text === 'new';
+	let servedAsCurrentUntil = 0;
+	const startedAt = fleet.timers.now();
+	const elapsed = await fleet.measureUntil(() => {
+		const {isBehind, age} = cutOff.control.catalogCurrency.describe();
+		if (!hasText(cutOff) && !isBehind && age <= 5000) {
+			servedAsCurrentUntil = fleet.timers.now() - startedAt;
+		}
+
+		return hasText(cutOff);
+	}, 10_000);
+	t.log(`has it after ${elapsed} ms; the old copy counted as current until ${servedAsCurrentUntil} ms`);
+	t.true(servedAsCurrentUntil <= 2000, `${servedAsCurrentUntil} ms`);
+});
