Refuse no caller for good by a sheet that is known not to be the newest

Callers of the product's own interface got 401, 403 or 404 for keys, grants, models, operations and one-time actions that the sheet in force may allow: an instance answered by its own sheet although it knew of a newer one that it did not have yet.

Cause: a version that another instance named was used only to decide whether to fetch it and then forgotten, as were the version in the table's head and the one that a planner's submission met. Freshness asks when the table or a peer was last reached, so an instance that had just been told of a newer sheet counted as confirmed.

The active configuration now keeps the newest version that is known to exist. A refusal by an older one is ConfigurationUnconfirmed (503, not run, Retry-After). What the older sheet allows is served at once, as before. An instance also fetches the newer sheet that the answer to its own announcement names; the seeds of a start, whose version is not known, are asked without one.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -69,6 +69,11 @@
 		['src/callers/chat-exchange.js', 'if (!this.isEnded) {', 'if (false) {'],
 		['test/stream-failures.test.ts', 'the caller goes away*'],
 	),
+	mutation(
+		'no caller is refused for good by a sheet that is known not to be the newest',
+		['src/callers/caller-authenticator.js', 'configuration.version < newest', 'false'],
+		['test/caller-refusals.test.ts', 'a newer sheet of which*'],
+	),
 	mutation(
 		'configuration versions only increase',
 		['src/configuration/active-configuration.js', 'candidate.version <= configuration.version', 'false'],
@@ -81,7 +86,7 @@
 	),
 	mutation(
 		'a version spreads between peers without the table',
-		['src/configuration/configuration-watcher.js', 'version <= this.dependencies.activeConfiguration.version()', 'true'],
+		['src/configuration/configuration-watcher.js', 'this.applyUpdate(update, address)', 'undefined'],
 		['test/configuration-failures.test.ts', 'an instance that starts in an outage*'],
 	),
 	mutation(
--- a/src/callers/caller-authenticator.ts
+++ b/src/callers/caller-authenticator.ts
@@ -64,7 +64,7 @@
 		// Looks up the digest of the key, because the timing of a lookup could reveal something about a stored key but is of no use against its digest.
 		const workspace = configuration.sheet.findWorkspaceByKeyDigest(computeDigest(key));
 		if (!workspace) {
-			throw new Failure(ResultCode.KeyUnknown, 'the key belongs to no workspace');
+			throw this.createRefusal(configuration, ResultCode.KeyUnknown, 'the key belongs to no workspace');
 		}
 
 		return {configuration, workspace};
@@ -73,11 +73,21 @@
 	/**
 	Checks that the caller's workspace has a grant for a service.
 
-	@throws Failure ServiceNotGranted
+	@throws Failure ServiceNotGranted or ConfigurationUnconfirmed
 	*/
 	checkGrant({configuration, workspace}: AuthenticatedCaller, service: Service): void {
 		if (!configuration.sheet.isGranted(workspace.name, service.name)) {
-			throw new Failure(ResultCode.ServiceNotGranted, `workspace ${workspace.name} has no grant for service ${service.name}`);
+			throw this.createRefusal(configuration, ResultCode.ServiceNotGranted, `workspace ${workspace.name} has no grant for service ${service.name}`);
 		}
 	}
+
+	/**
+	Creates the refusal of a request that a configuration does not allow.
+
+	@returns a failure with the given code, or ConfigurationUnconfirmed if a newer configuration, which may allow the request, is known to exist
+	*/
+	createRefusal(configuration: Configuration, code: ResultCode, message: string): Failure {
+		const newest = this.activeConfiguration.newestKnownVersion;
+		return configuration.version < newest ? new Failure(ResultCode.ConfigurationUnconfirmed, `version ${newest} of the sheet may allow it: ${message}`) : new Failure(code, message);
+	}
 }
--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -42,7 +42,7 @@
 		const request = parseChatRequest(await this.readBody(context));
 		const service = configuration.sheet.findServiceByModel(request.model);
 		if (!service) {
-			throw new Failure(ResultCode.ModelUnknown, `no service provides the model ${request.model}`);
+			throw authenticator.createRefusal(configuration, ResultCode.ModelUnknown, `no service provides the model ${request.model}`);
 		}
 
 		authenticator.checkGrant(caller, service);
@@ -77,7 +77,7 @@
 		const service = configuration.sheet.findService(serviceName);
 		const operation = configuration.sheet.findOperation(serviceName, operationName);
 		if (!service || !operation) {
-			throw new Failure(ResultCode.OperationUnknown, `the sheet has no operation ${operationName} of ${serviceName}`);
+			throw authenticator.createRefusal(configuration, ResultCode.OperationUnknown, `the sheet has no operation ${operationName} of ${serviceName}`);
 		}
 
 		authenticator.checkGrant(caller, service);
@@ -99,11 +99,13 @@
 
 	/** Reports the state of a one-time action of the caller's workspace, and its answer once there is one. */
 	async lookUpAction(context: Context): Promise<void> {
-		const {workspace} = this.dependencies.authenticator.authenticate(context.headers);
+		const {authenticator} = this.dependencies;
+		const {configuration, workspace} = authenticator.authenticate(context.headers);
 		const {key} = actionPathSchema.parse(context.params);
 		const record = await this.readAction(workspace.name, key);
 		if (!record) {
-			throw new Failure(ResultCode.ActionUnknown, `no action with the key ${key} is known`);
+			// A newer configuration may give the caller's key to another workspace.
+			throw authenticator.createRefusal(configuration, ResultCode.ActionUnknown, `no action with the key ${key} is known`);
 		}
 
 		context.body = {key, state: record.state, answer: record.answer};
--- a/src/configuration/active-configuration.ts
+++ b/src/configuration/active-configuration.ts
@@ -2,9 +2,10 @@
 import {type Configuration} from './configuration.js';
 import {Sheet} from './sheet.js';
 
-/** The configuration that this instance currently uses. Its version only increases. */
+/** The configuration that this instance currently uses, and the newest version that it knows to exist. Both versions only increase. */
 export class ActiveConfiguration {
 	private configuration: Configuration | undefined;
+	private newestVersion = -1;
 	private readonly listeners = new Set<(configuration: Configuration) => void>();
 
 	constructor(private readonly invariants: Invariants) {}
@@ -19,6 +20,16 @@
 		return this.configuration?.version ?? -1;
 	}
 
+	/** The newest version known to exist, which this instance may not have yet; -1 if none is known. */
+	get newestKnownVersion(): number {
+		return this.newestVersion;
+	}
+
+	/** Records that a version exists, in the table or at a peer. */
+	recordVersion(version: number): void {
+		this.newestVersion = Math.max(this.newestVersion, version);
+	}
+
 	/**
 	Makes a configuration the active one if it is newer, and calls the listeners. A configuration of the same version must have the same digest.
 
@@ -39,6 +50,7 @@
 		}
 
 		this.configuration = candidate;
+		this.recordVersion(candidate.version);
 		for (const listener of this.listeners) {
 			listener(candidate);
 		}
--- a/src/configuration/configuration-watcher.ts
+++ b/src/configuration/configuration-watcher.ts
@@ -50,6 +50,7 @@
 		const startedAt = this.dependencies.timers.now();
 		try {
 			const head = await this.dependencies.store.readHead();
+			this.dependencies.activeConfiguration.recordVersion(head.version);
 			const newest = await this.dependencies.store.readNewest(this.dependencies.activeConfiguration.current() ?? emptyConfiguration, head);
 			this.apply(newest, 'the table');
 			if (this.dependencies.activeConfiguration.version() >= head.version) {
@@ -83,12 +84,16 @@
 		return Number.isFinite(age) ? Math.round(age) : -1;
 	}
 
-	/** Fetches and applies a peer's configuration if the peer's version is newer than the active one. A failure is logged. */
+	/** Records a peer's version, and fetches and applies its configuration if that is newer than the active one. A failure is logged. */
 	async fetchFrom(address: string, version: number): Promise<void> {
-		if (version <= this.dependencies.activeConfiguration.version()) {
-			return;
+		this.dependencies.activeConfiguration.recordVersion(version);
+		if (version > this.dependencies.activeConfiguration.version()) {
+			await this.fetchNewer(address);
 		}
+	}
 
+	/** Fetches and applies the configuration of a peer whose version is not known, if it is newer than the active one. A failure is logged. */
+	async fetchNewer(address: string): Promise<void> {
 		try {
 			const update = await this.dependencies.peers.fetchUpdate(address, Math.max(0, this.dependencies.activeConfiguration.version()));
 			this.applyUpdate(update, address);
@@ -142,7 +147,11 @@
 		const addresses = [...this.dependencies.peers.addresses()];
 		for (let count = 0; count < announcementFanout && addresses.length > 0; count++) {
 			const [address] = addresses.splice(this.dependencies.random.nextInteger(addresses.length), 1);
-			void this.dependencies.peers.announce(address, version);
+			void this.announceTo(address, version);
 		}
 	}
+
+	private async announceTo(address: string, version: number): Promise<void> {
+		await this.fetchFrom(address, await this.dependencies.peers.announce(address, version));
+	}
 }
--- a/src/configuration/sheet-submission-service.ts
+++ b/src/configuration/sheet-submission-service.ts
@@ -86,6 +86,7 @@
 	/** Makes one attempt; undefined if another version was written at the same time, so that the head must be read again. */
 	private async tryAccept(submission: Submission, sheet: Sheet): Promise<AcceptedVersion | undefined> {
 		const head = await this.store.readHead();
+		this.activeConfiguration.recordVersion(head.version);
 		if (head.digest === sheet.digest) {
 			const configuration = {version: head.version, sheet};
 			this.activeConfiguration.apply(configuration);
--- a/src/peers/peer-request-handler.ts
+++ b/src/peers/peer-request-handler.ts
@@ -71,7 +71,7 @@
 			try {
 				const listing = await this.dependencies.peers.fetchListing(seed); // eslint-disable-line no-await-in-loop
 				this.dependencies.fleet.update(listing);
-				await this.dependencies.configurationWatcher.fetchFrom(seed, Number.MAX_SAFE_INTEGER); // eslint-disable-line no-await-in-loop
+				await this.dependencies.configurationWatcher.fetchNewer(seed); // eslint-disable-line no-await-in-loop
 			} catch {
 				// Another seed may answer.
 			}
