Test that a sheet which was not confirmed for long refuses none for good

An instance that cannot read the table, and reaches only another one that cannot either, refuses keys, grants, models, operations and actions with 401, 403 and 404 for as long as that lasts, although a third instance may have accepted a newer sheet. Its second half checks that refusals are final again as soon as the other instance says that it read the table.

--- a/test/caller-refusals.test.ts
+++ b/test/caller-refusals.test.ts
@@ -46,6 +46,22 @@
 	t.deepEqual(responses.map(({status}) => status), [200, 200, 200, 503, 503, 503]);
 });
 
+// Guards against an instance that takes its sheet for the truth because another one, cut off from the table as well, has no newer one.
+test('a sheet that no reading of the table confirmed for long makes an instance refuse none for good, though it reaches another one', async t => {
+	const entry = await CallerEntry.start(t);
+	entry.table.nextOutcome = () => TableCallOutcome.Refused;
+	entry.timers.advance(20_000);
+	await entry.watcher.poll();
+	await entry.handler.probeNext();
+	entry.table.nextOutcome = () => TableCallOutcome.Succeeded;
+	await entry.checkRefusesNoneForGood(t);
+	// The other instance can read the table again, and says so.
+	entry.other.tableAge = 100;
+	await entry.handler.probeNext();
+	const refused = await entry.sendAll();
+	t.deepEqual(refused.map(({status}) => status), calls.map(([, status]) => status));
+});
+
 // Guards against callers that are told to try again although no newer sheet can allow their request.
 test('with a sheet that is current, also one that has just arrived from another instance, refusals are final and at once', async t => {
 	const entry = await CallerEntry.start(t);
