Refuse no caller for good without a recent reading of the table

Callers of the product's own interface got 401, 403 and 404 from an instance that could not read the table but reached half of its peers, also where these cannot read it either: one that can, and that accepted a newer sheet, may be out of reach of all of them.

Cause: contact with half of the peers counted as proof that the sheet is the newest. It is a reason to go on serving what the sheet allows, but none to say that nobody allows the rest. An instance that has just started and got one answer, and so still takes all others for alive, had the same proof.

What the sheet allows is served as before. So while the whole table is down, a wrong key gets 503 in place of 401.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -74,6 +74,11 @@
 		['src/callers/caller-authenticator.js', 'configuration.version < newest', 'false'],
 		['test/caller-refusals.test.ts', 'a newer sheet of which*'],
 	),
+	mutation(
+		'no caller is refused for good by a sheet that was not confirmed for long',
+		['src/callers/caller-authenticator.js', '!this.freshness.isReadRecent(this.timers.now())', 'false'],
+		['test/caller-refusals.test.ts', 'a sheet that no reading*'],
+	),
 	mutation(
 		'configuration versions only increase',
 		['src/configuration/active-configuration.js', 'candidate.version <= configuration.version', 'false'],
--- a/src/callers/caller-authenticator.ts
+++ b/src/callers/caller-authenticator.ts
@@ -84,10 +84,18 @@
 	/**
 	Creates the refusal of a request that a configuration does not allow.
 
-	@returns a failure with the given code, or ConfigurationUnconfirmed if a newer configuration, which may allow the request, is known to exist
+	@returns a failure with the given code, or ConfigurationUnconfirmed if a newer configuration, which may allow the request, is known to exist or may have been accepted unnoticed
 	*/
 	createRefusal(configuration: Configuration, code: ResultCode, message: string): Failure {
 		const newest = this.activeConfiguration.newestKnownVersion;
-		return configuration.version < newest ? new Failure(ResultCode.ConfigurationUnconfirmed, `version ${newest} of the sheet may allow it: ${message}`) : new Failure(code, message);
+		if (configuration.version < newest) {
+			return new Failure(ResultCode.ConfigurationUnconfirmed, `version ${newest} of the sheet may allow it: ${message}`);
+		}
+
+		if (!this.freshness.isReadRecent(this.timers.now())) {
+			return new Failure(ResultCode.ConfigurationUnconfirmed, `the table cannot be read, and a newer sheet may allow it: ${message}`);
+		}
+
+		return new Failure(code, message);
 	}
 }
--- a/src/configuration/configuration-freshness.ts
+++ b/src/configuration/configuration-freshness.ts
@@ -12,6 +12,8 @@
 Decides whether an instance may still treat its configuration as the newest.
 
 It may while the last known read of the table's head, its own or one reported by a peer, is recent. While no instance can read the table, no sheet can be accepted either, so the instance may also continue while it is in contact with peers and at least half of them are alive. An instance that is cut off from both the table and its peers, or that resumes after a pause, accepts no new work until it has reached one of them.
+
+An instance cannot tell whether others can read the table that do not reach it. So it refuses nothing for good without a recent read.
 */
 export class ConfigurationFreshness {
 	private tableReadAt = Number.NEGATIVE_INFINITY;
@@ -35,9 +37,14 @@
 		return now - this.tableReadAt;
 	}
 
-	/** Whether the active configuration may be treated as the newest. */
+	/** Whether the last known read of the table's head is recent. */
+	isReadRecent(now: number): boolean {
+		return this.getAge(now) <= this.maxAgeMs;
+	}
+
+	/** Whether the active configuration may be treated as the newest, to accept work by it. */
 	isConfirmed(now: number, {peerCount, aliveCount, lastContactAt}: PeerContact): boolean {
-		if (this.getAge(now) <= this.maxAgeMs) {
+		if (this.isReadRecent(now)) {
 			return true;
 		}
 
