Test that a sheet which arrives before the body of a request decides on it

A chat completion is judged by the sheet that was in force when its headers arrived, also if a newer one that allows it came into force on this very instance before its body did: 403 on; 503 since refusals by an older sheet are no longer final.

--- a/test/caller-refusals.test.ts
+++ b/test/caller-refusals.test.ts
@@ -62,6 +62,21 @@
 	t.deepEqual(refused.map(({status}) => status), calls.map(([, status]) => status));
 });
 
+// Guards against a refusal by the sheet that was in force when the headers arrived, while the body was on its way.
+test('a sheet that arrives before the body of a request decides on the request', async t => {
+	const entry = await CallerEntry.start(t);
+	await entry.accept(2);
+	const [call] = calls[1];
+	const response = await entry.send({
+		...call,
+		async beforeBody() {
+			await entry.waitForRequests(1);
+			await entry.watcher.poll();
+		},
+	});
+	t.is(response.status, 200);
+});
+
 // Guards against callers that are told to try again although no newer sheet can allow their request.
 test('with a sheet that is current, also one that has just arrived from another instance, refusals are final and at once', async t => {
 	const entry = await CallerEntry.start(t);
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -1,4 +1,5 @@
 import {request as startRequest, type IncomingHttpHeaders} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 import {InMemorySpanExporter} from '@opentelemetry/sdk-trace-base';
 import {type ExecutionContext} from 'ava';
 import {freePort} from '../../harness/ports.js';
@@ -181,6 +182,13 @@
 		}, sheet);
 	}
 
+	/** Waits until a number of requests have arrived and are not finished. */
+	async waitForRequests(count: number): Promise<void> {
+		while (this.callers.inFlight < count) {
+			await setImmediate(); // eslint-disable-line no-await-in-loop
+		}
+	}
+
 	/** Sends a call. */
 	async send({path, workspace: name, body, beforeBody}: Call): Promise<Response> {
 		return new Promise((resolve, reject) => {
