Judge a completion by the sheet in force when its body has arrived

Callers of chat completions whose body arrived later than their headers got 403, 404 or, since refusals by an older sheet are no longer final, 503, although the instance that answered already had the sheet that allows the request.

Cause: the sheet was taken before the body was read, and the grant and the model were looked up in it afterwards. The caller is now authenticated again when the body is there, and the rest follows from that sheet; the first check still keeps bodies of unknown callers from being read. A priority that is invalid is therefore refused after the body was read. Plain services check before the body and are not concerned.

--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -35,11 +35,14 @@
 	/** Runs a chat completion and sends it, streamed or as a single body. */
 	async complete(context: Context): Promise<void> {
 		const {authenticator, completions, timers, tracing, metrics, invariants, log} = this.dependencies;
+		authenticator.authenticate(context.headers);
+		const deadline = timers.now() + readDeadline(context.headers, this.limits.maxDeadlineMs);
+		const body = await this.readBody(context);
+		// The configuration may have changed while the body was received.
 		const caller = authenticator.authenticate(context.headers);
 		const {workspace, configuration} = caller;
-		const deadline = timers.now() + readDeadline(context.headers, this.limits.maxDeadlineMs);
 		const priority = readPriority(context.headers, workspace.priority);
-		const request = parseChatRequest(await this.readBody(context));
+		const request = parseChatRequest(body);
 		const service = configuration.sheet.findServiceByModel(request.model);
 		if (!service) {
 			throw authenticator.createRefusal(configuration, ResultCode.ModelUnknown, `no service provides the model ${request.model}`);
