Probe an instance that probes this one, although the list does not show it yet

What callers would see: an instance that is not ready during an outage of the table, although another one reaches it, since it never read a list that shows that one.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -88,14 +88,21 @@
 			const known = this.members.get(id);
 			if (known) {
 				known.address = address;
-			} else if (id !== this.self) {
-				this.members.set(id, {
-					id, address, state: MemberState.Alive, incarnation: 0, since: now, lastAcknowledgedAt: Number.NEGATIVE_INFINITY,
-				});
+			} else {
+				this.add(id, address, now);
 			}
 		}
 	}
 
+	/** Records a probe of another instance. One that the list does not show yet becomes a member, since the list may be late or unavailable. */
+	recordProbe(id: string, address: string, now: number): void {
+		if (!this.members.has(id)) {
+			this.add(id, address, now);
+		}
+
+		this.recordMessage(id, now);
+	}
+
 	/** Starts a period: declares members dead that were suspect for too long, and returns the probe to send, if any. */
 	startPeriod(now: number): Probe | undefined {
 		// The time for a refutation to spread grows with the logarithm of the number of members.
@@ -188,6 +195,14 @@
 		return [...aboutReceiver, ...chosen.map(({rumor}) => rumor)];
 	}
 
+	private add(id: string, address: string, now: number): void {
+		if (id !== this.self) {
+			this.members.set(id, {
+				id, address, state: MemberState.Alive, incarnation: 0, since: now, lastAcknowledgedAt: Number.NEGATIVE_INFINITY,
+			});
+		}
+	}
+
 	private refute(rumor: Rumor): void {
 		if (rumor.state !== MemberState.Alive && rumor.incarnation >= this.incarnation) {
 			this.incarnation = rumor.incarnation + 1;
--- a/src/peers/peer-request-handler.ts
+++ b/src/peers/peer-request-handler.ts
@@ -40,7 +40,7 @@
 	/** Answers the probe of a peer. */
 	handleProbe(message: ProbeMessage): ProbeMessage {
 		const now = this.dependencies.timers.now();
-		this.dependencies.membership.recordMessage(message.from, now);
+		this.dependencies.membership.recordProbe(message.from, message.address, now);
 		this.dependencies.membership.applyRumors(message.rumors, now);
 		void this.dependencies.configurationWatcher.fetchFrom(message.address, message.version);
 		return this.createMessage(message.from);
