Count the position of a whole copy as the last change of its table

A deleted row could stay in an instance's copy for good, such as one of a server that is gone: the instance would go on sending requests to it until another change of the row or a restart.

Cause: a copy that was made from the whole table, the first one or one of a new era, reported its newest remaining row as the last change, below deletions that it never saw. Instances that had not heard of such a deletion concluded that nothing had changed, moved past it, and no later read of the store brought it. In the same way, a whole copy in the same era left unknown which rows were written and deleted since the copy before.

A whole copy now counts its position as the last change and as the start of the deletions that it knows. Nobody concludes more than is known from it. If it came from another instance, it takes over what that one knows of the last change, as both have the same position. So that instances that have everything don't fetch the table from a newcomer, the state of a copy also names the newest change that certainly happened (knownChange), for 15 s, the longest call to the store and the way to the others; whoever is not confirmed past the position by then fetches the table, also while the store is down. Earlier builds ignore the field and fetch the table at once.

To make room for it, messages leave out reportAges and wantsRows where they say nothing; builds since have defaults for both.

--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -71,8 +71,10 @@
 
 const tableStatusSchema = z.object({
 	...tablePositionSchema.shape,
-	/** Number of the transaction that last changed a row. */
+	/** Number of a transaction after which no row changed. */
 	lastChange: z.number(),
+	/** Number of the newest transaction that certainly changed a row; undefined if that is the last change, or to be taken for it. */
+	knownChange: z.number().optional(),
 	/** Milliseconds since the store confirmed the position. */
 	age: z.number(),
 	/** Milliseconds since the last outage of the store that the reader of the copy noticed; undefined if there was none. */
@@ -93,10 +95,10 @@
 	packedRows: z.record(z.string(), z.array(packedRowSchema)).optional(),
 	/** How the sender wants large rows; absent if it cannot read packed ones. */
 	packing: z.enum(RowPacking).optional(),
-	/** Packed ages of the load reports that the sender has, by their source; in requests only. */
-	reportAges: z.string().default(''),
-	/** Whether the sender asks for all rows that it lacks; otherwise it is sent only a few. */
-	wantsRows: z.boolean().default(false),
+	/** Packed ages of the load reports that the sender has, by their source; in requests only, absent if there are none. */
+	reportAges: z.string().optional(),
+	/** Whether the sender asks for all rows that it lacks; otherwise, and if absent, it is sent only a few. */
+	wantsRows: z.boolean().optional(),
 	loads: z.array(loadReportSchema),
 	/** Backend servers that an instance found not to work. */
 	suspicions: z.array(suspicionSchema),
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -142,12 +142,12 @@
 		const {self, tables, peerLoads, timers} = this.dependencies;
 		const isNear = message.from.availabilityZone === self.availabilityZone;
 		this.receive(message);
-		const {from, reportAges} = message;
+		const {from, reportAges = ''} = message;
 		const {furtherUpdates, ...answer} = this.createMessage(from.availabilityZone, message.wantsRows);
 		return {
 			...answer,
 			loads: [...answer.loads, ...peerLoads.selectReports(from.availabilityZone, reportAges, timers.now())],
-			...(isNear || message.wantsRows ? tables.getMissingUpdates(message) : {updates: {}}),
+			...(isNear || message.wantsRows ? tables.getMissingUpdates(message, timers.now()) : {updates: {}}),
 		};
 	}
 
@@ -182,8 +182,6 @@
 			from: self,
 			...tables.describe(now),
 			...(recipientZone === self.availabilityZone ? tables.getRecentUpdates(now) : {updates: {}}),
-			reportAges: '',
-			wantsRows: false,
 			// The form of the report depends on the recipient's zone, which is not known of a seed.
 			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
 			...rumors.getCurrent(now),
@@ -293,7 +291,7 @@
 		try {
 			const reportAges = zone === undefined ? '' : peerLoads.packAges(zone, timers.now());
 			this.receive(await clients.exchange(address, {
-				...this.createMessage(zone), reportAges, wantsRows, ...(wantsRows && {packing: tables.packing}),
+				...this.createMessage(zone), ...(reportAges !== '' && {reportAges}), ...(wantsRows && {wantsRows, packing: tables.packing}),
 			}));
 			return true;
 		} catch (error) {
--- a/src/peers/table-exchange.ts
+++ b/src/peers/table-exchange.ts
@@ -1,6 +1,6 @@
 import {UpdateResult} from '../replication/replicated-table.js';
 import {type TableName, tableNames} from '../replication/table-name.js';
-import {isLater, type TablePosition} from '../replication/table-position.js';
+import {isLater, isSamePosition, type TablePosition} from '../replication/table-position.js';
 import {type TableSet} from '../replication/table-set.js';
 import {type TableUpdate} from '../replication/table-update.js';
 import {getErrorMessage} from '../results/to-failure.js';
@@ -24,6 +24,13 @@
 	readonly at: number;
 };
 
+/** The last change that this instance began to report at some time. */
+type ReportedBound = {
+	readonly lastChange: TablePosition;
+	/** Monotonic time in milliseconds. */
+	readonly since: number;
+};
+
 /** What a message changed. */
 type TableReceipt = {
 	/** Whether rows changed. */
@@ -49,6 +56,9 @@
 /** Characters of an update that is sent unasked; a larger one is fetched by those that lack it. */
 const maxUnaskedCharacters = 4000;
 
+/** Time in which the store confirms a later position of all other copies, in milliseconds: the longest wait of a call, and the way to the other instances. Afterwards a copy that is still before a possible change is to be replaced. */
+const confirmationTimeMs = 15_000;
+
 function toUpdateFields(updates: ByTable<TableUpdate>): UpdateFields {
 	const {original, further} = divideByBuild(updates);
 	return {updates: original, ...(further && {furtherUpdates: further})};
@@ -63,6 +73,8 @@
 	private recentChanges: RecentChange[] = [];
 	/** The newest change of each table that another instance reported. */
 	private readonly reportedChanges: ByTable<TablePosition> = {};
+	/** The last change of each table of which this instance does not know whether it happened. */
+	private readonly reportedBounds: ByTable<ReportedBound> = {};
 	/** Whether the last packed rows could be unpacked, so that the next ones may be deltas. */
 	private isDeltaUsable = true;
 
@@ -80,10 +92,15 @@
 	describe(now: number): StatusFields {
 		const statuses: ByTable<TableStatus> = {};
 		for (const name of tableNames) {
-			const {position, lastChange, confirmation: {confirmedAt, outageAt}} = this.tables.get(name);
+			const {position, changeBounds: {lastChange}, confirmation: {confirmedAt, outageAt}} = this.tables.get(name);
 			if (position && Number.isFinite(confirmedAt)) {
+				const knownChange = this.findKnownChange(name, now);
 				statuses[name] = {
-					...position, lastChange, age: Math.round(now - confirmedAt), ...(Number.isFinite(outageAt) && {outageAge: Math.round(now - outageAt)}),
+					...position,
+					lastChange,
+					...(knownChange !== undefined && {knownChange}),
+					age: Math.round(now - confirmedAt),
+					...(Number.isFinite(outageAt) && {outageAge: Math.round(now - outageAt)}),
 				};
 			}
 		}
@@ -110,15 +127,17 @@
 		return this.isDeltaUsable ? RowPacking.Delta : RowPacking.Whole;
 	}
 
-	/** Returns the rows that an instance with these copies lacks; large updates only if it wants them, since it may be asking several instances. */
-	getMissingUpdates({tables, furtherTables, wantsRows, packing}: StatusFields & Pick<GossipMessage, 'wantsRows' | 'packing'>): UpdateFields {
+	/** Returns the rows that an instance with these copies lacks; large updates only if it wants them, since it may be asking several instances, and if it knows that it lacks rows. */
+	getMissingUpdates({tables, furtherTables, wantsRows, packing}: StatusFields & Pick<GossipMessage, 'wantsRows' | 'packing'>, now: number): UpdateFields {
 		const statuses = joinTables({original: tables, further: furtherTables});
 		const updates: ByTable<TableUpdate> = {};
 		const packedRows: Record<string, PackedRow[]> = {};
 		for (const name of tableNames) {
 			const table = this.tables.get(name);
 			const update = table.getChangesSince(statuses[name]);
-			if (!update || (!wantsRows && countCharacters(update) > maxUnaskedCharacters)) {
+			// An instance of a build without packing does not know of known changes, and goes on asking.
+			const isFetched = wantsRows && !(packing && this.hasKnownChange(name, statuses[name], now));
+			if (!update || (!isFetched && countCharacters(update) > maxUnaskedCharacters)) {
 				continue;
 			}
 
@@ -145,7 +164,7 @@
 				continue;
 			}
 
-			const change = {era: status.era, transaction: status.lastChange};
+			const change = {era: status.era, transaction: status.knownChange ?? status.lastChange};
 			this.recordReport(name, change);
 			const {update, error} = this.unpack(name, updates[name], message.packedRows?.[name]);
 			unpackingError ??= error;
@@ -185,7 +204,8 @@
 
 	/** Returns whether rows changed. */
 	private applyUpdate(name: TableName, {status, update, from}: ReceivedUpdate, now: number): boolean {
-		const {era, transaction, lastChange, age, outageAge} = status;
+		const {era, transaction, lastChange, knownChange = lastChange, age, outageAge} = status;
+		const position = {era, transaction};
 		const origin = {from, confirmedAt: now - age - transitAllowanceMs, outageAt: outageAge === undefined ? Number.NEGATIVE_INFINITY : now - outageAge};
 		const previous = this.tables.get(name).position;
 		const isChanged = update !== undefined && this.tables.apply(name, update, origin) === UpdateResult.Changed;
@@ -194,10 +214,31 @@
 		}
 
 		// No row changed after lastChange, so a copy that has that change is as new as the sender's.
-		this.tables.apply(name, {since: {era, transaction: lastChange}, position: {era, transaction}, rows: []}, origin);
+		this.tables.apply(name, {since: {era, transaction: lastChange}, position, rows: []}, origin);
+		this.tables.get(name).narrowBounds(position, {lastChange, knownChange});
 		return isChanged;
 	}
 
+	/** Returns the newest change that certainly happened, if the last one may not have. It keeps instances that have everything from fetching the whole table. */
+	private findKnownChange(name: TableName, now: number): number | undefined {
+		const {position, changeBounds: {lastChange, knownChange}} = this.tables.get(name);
+		if (!position || knownChange === lastChange) {
+			return undefined;
+		}
+
+		const bound = {era: position.era, transaction: lastChange};
+		const reported = this.reportedBounds[name];
+		const {since} = reported && isSamePosition(bound, reported.lastChange) ? reported : {since: now};
+		this.reportedBounds[name] = {lastChange: bound, since};
+		return now - since <= confirmationTimeMs ? knownChange : undefined;
+	}
+
+	/** Whether a copy at the position has all changes that certainly happened, and perhaps not those that may have. */
+	private hasKnownChange(name: TableName, position: TablePosition | undefined, now: number): boolean {
+		const transaction = this.findKnownChange(name, now);
+		return transaction !== undefined && position !== undefined && !isLater({era: this.tables.get(name).position!.era, transaction}, position);
+	}
+
 	private recordReport(name: TableName, change: TablePosition): void {
 		if (isLater(change, this.reportedChanges[name])) {
 			this.reportedChanges[name] = change;
--- a/src/replication/replicated-table.ts
+++ b/src/replication/replicated-table.ts
@@ -19,6 +19,14 @@
 	Gap = 'gap',
 }
 
+/** What a copy knows of the newest changes of its table; numbers of transactions in the era of the copy. */
+export type ChangeBounds = {
+	/** No row changed after this transaction and up to the position of the copy. */
+	readonly lastChange: number;
+	/** A row changed no earlier than this; less than `lastChange` where a row may have been deleted, unseen, before the copy was made. */
+	readonly knownChange: number;
+};
+
 /** Deleted rows that are remembered, so that other instances can be told of them. */
 const maxDeletedRows = 2000;
 
@@ -34,7 +42,7 @@
 	private currentPosition?: TablePosition;
 	/** Position from which on the deleted rows are known. */
 	private historyStart?: TablePosition;
-	private newestRowTransaction = 0;
+	private bounds: ChangeBounds = {lastChange: 0, knownChange: 0};
 	private lastConfirmation: Confirmation = {confirmedAt: Number.NEGATIVE_INFINITY, outageAt: Number.NEGATIVE_INFINITY};
 
 	/** Position of this copy; undefined if there is none yet. */
@@ -62,9 +70,9 @@
 		return era === this.currentPosition?.era ? this.history.getVersion(key, transaction) : undefined;
 	}
 
-	/** Number of the transaction that last changed a row, as far as this copy knows; 0 without rows. */
-	get lastChange(): number {
-		return this.newestRowTransaction;
+	/** What this copy knows of the newest changes; zeros before the first one. */
+	get changeBounds(): ChangeBounds {
+		return this.bounds;
 	}
 
 	/** Applies an update, unless it is older than the copy. */
@@ -94,10 +102,18 @@
 		}
 	}
 
-	/** Returns the rows that a copy at the position lacks; undefined if it lacks none. */
+	/** Takes over what another copy at the position knows of the newest changes, unless this copy has another position. */
+	narrowBounds(position: TablePosition, bounds: ChangeBounds): void {
+		if (isSamePosition(position, this.currentPosition)) {
+			const lastChange = Math.min(bounds.lastChange, this.bounds.lastChange);
+			this.bounds = {lastChange, knownChange: Math.min(lastChange, Math.max(bounds.knownChange, this.bounds.knownChange))};
+		}
+	}
+
+	/** Returns the rows that a copy at the position lacks, or may lack; undefined if it lacks none. */
 	getChangesSince(position: TablePosition | undefined): TableUpdate | undefined {
 		const {currentPosition, historyStart} = this;
-		if (!currentPosition || (position && !isLater({era: currentPosition.era, transaction: this.lastChange}, position))) {
+		if (!currentPosition || (position && !isLater({era: currentPosition.era, transaction: this.bounds.lastChange}, position))) {
 			return undefined;
 		}
 
@@ -117,10 +133,12 @@
 			this.rows = new Map(rows.map(row => [row.key, row]));
 			this.deletedRows = new Map();
 			this.history.clear();
-			this.historyStart = position;
-			this.newestRowTransaction = Math.max(0, ...rows.map(({transaction}) => transaction));
+			this.bounds = {lastChange: 0, knownChange: Math.max(0, ...rows.map(({transaction}) => transaction))};
 		}
 
+		// A row may have been written or deleted before the position, unseen by this copy.
+		this.historyStart = position;
+		this.bounds = {lastChange: position.transaction, knownChange: this.bounds.knownChange};
 		this.currentPosition = position;
 		return UpdateResult.Changed;
 	}
@@ -144,7 +162,8 @@
 			return false;
 		}
 
-		this.newestRowTransaction = Math.max(this.newestRowTransaction, row.transaction);
+		const {lastChange, knownChange} = this.bounds;
+		this.bounds = {lastChange: Math.max(lastChange, row.transaction), knownChange: Math.max(knownChange, row.transaction)};
 		if (known) {
 			this.history.add(known);
 		}
--- a/test/packed-rows.test.ts
+++ b/test/packed-rows.test.ts
@@ -50,7 +50,7 @@
 	}
 
 	answer(message: GossipMessage): GossipMessage {
-		return {...this.ask(), ...this.exchange.getMissingUpdates(message)};
+		return {...this.ask(), ...this.exchange.getMissingUpdates(message, 1000)};
 	}
 }
 
