Count the other instances as known only with their table

An instance that had just started could use a far too large part of what all instances share: retries, connections to backend servers, bandwidth between availability zones and the limits that servers name. In a fleet of 24, one message of one instance made it count two instances instead of 24.

Cause: the first message, of whichever instance, made the registry count as initialized; and the shares of connections and bandwidth were divided by the instances known so far, one at the start, without asking whether the others are known.

The others now count as known from the first copy of their table on, or, where none arrives, from 10 s after the start on by messages (contactTime, the time in which the instances report). Until then the shares of connections and bandwidth are those among 370 instances, as many as the largest sites have, a server with a limit gets no request, and retries are at most the initial allowance, or the share if that is less. Those that compute shares are told when the others become known.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -71,7 +71,7 @@
 
 /** What the other parts of the router are told. */
 export type ControlEvents = CrashEvents & {
-	/** Called when instances were added or removed. */
+	/** Called when instances were added or removed, and when they become known. */
 	readonly onInstancesChange: (instances: readonly RegisteredInstance[]) => void;
 	/** Called when a backend server becomes suspected because of reports of other instances. */
 	readonly onSuspicion: (server: BackendServer, reason: string) => void;
@@ -88,9 +88,11 @@
 	readonly pauseAfterCall: number;
 };
 
+/** Time after the start in which some other instances had no time to report, so that all registered ones count as running, and those that sent messages do not count as all. */
+const reportingTimeMs = 10_000;
 /** Durations in milliseconds. */
 const registryTimings = {
-	refreshInterval: 60_000, expiry: 150_000, expiryCheckInterval: 5000, retryPause: 2000,
+	refreshInterval: 60_000, expiry: 150_000, expiryCheckInterval: 5000, retryPause: 2000, contactTime: reportingTimeMs,
 };
 /** Durations in milliseconds; the fanouts count instances. */
 const gossipTimings = {
@@ -117,8 +119,6 @@
 };
 /** Time after the start in which the other instances had no time to register, so that only the seeds read the store. */
 const registrationTimeMs = 3000;
-/** Time after the start in which some other instances had no time to report, so that all registered ones count as running. */
-const reportingTimeMs = 10_000;
 /** Durations in milliseconds by which further instances start to read the store when its readers stop. */
 const takeoverDelays = {takeoverStep: 100, maxTakeoverDelay: 1500};
 /** Interval between checks whether this instance is to read a table. */
--- a/src/entry/instance-registry.ts
+++ b/src/entry/instance-registry.ts
@@ -28,16 +28,21 @@
 	readonly expiryCheckInterval: number;
 	/** Pause before the own row is written again if that failed. */
 	readonly retryPause: number;
+	/** Time after the start after which the instances that sent messages count as all, if no copy of the table arrived. */
+	readonly contactTime: number;
 };
 
 export type InstanceRegistryDependencies = {
 	readonly table: Table;
 	readonly timers: TimerService;
 	readonly log: DecisionLog;
-	/** Called when instances were added or removed. */
+	/** Called when instances were added or removed, and when they become known. */
 	readonly onChange: () => void;
 };
 
+/** Instances that are assumed to share the backend servers while they are not known: as many as the largest sites have, so that this one takes too little rather than too much. */
+const assumedInstances = 370;
+
 /** Tracks the instances that share the backend servers, from the copy of the table in which each keeps a row, and from their messages. */
 export class InstanceRegistry {
 	private readonly knownInstances = new Map<string, KnownInstance>();
@@ -47,7 +52,9 @@
 	private isOwnRowWritten = false;
 	/** Era of the store in which the own row was last seen. */
 	private ownRowEra?: number;
-	private wasInitialized = false;
+	private hasTable = false;
+	private wasContacted = false;
+	private isContactTimeOver = false;
 	private current: readonly RegisteredInstance[];
 
 	constructor(private readonly self: RegisteredInstance, private readonly dependencies: InstanceRegistryDependencies, private readonly timings: RegistryTimings) {
@@ -64,11 +71,25 @@
 		timers.repeat(this.timings.expiryCheckInterval, () => {
 			this.removeExpired();
 		});
+		timers.after(this.timings.contactTime, () => {
+			this.isContactTimeOver = true;
+			this.publish();
+		});
 	}
 
-	/** Whether the other instances are known: from the table or from a message. */
+	/** Whether the other instances are known: from the table, or, if no copy of it arrived in time, from their messages. One message tells nothing of further instances. */
 	get isInitialized(): boolean {
-		return this.wasInitialized;
+		return this.hasTable || (this.isContactTimeOver && this.wasContacted);
+	}
+
+	/** Returns the instances that share the backend servers, including this one; undefined while they are not known. */
+	findSharing(): readonly RegisteredInstance[] | undefined {
+		return this.isInitialized ? this.current : undefined;
+	}
+
+	/** Returns the number of instances by which what all of them may use together is divided; a large one while they are not known. */
+	countSharing(): number {
+		return this.isInitialized ? this.current.length : Math.max(this.current.length, assumedInstances);
 	}
 
 	/** All instances that are presumed to be running, including this one. */
@@ -95,8 +116,9 @@
 		}
 
 		this.knownInstances.set(instance.id, {instance: isKnown ? known.instance : instance, row: known?.row, seenAt: this.dependencies.timers.now()});
-		this.wasInitialized = true;
-		if (!isKnown) {
+		const wasInitialized = this.isInitialized;
+		this.wasContacted = true;
+		if (!isKnown || this.isInitialized !== wasInitialized) {
 			this.publish();
 		}
 	}
@@ -109,7 +131,7 @@
 			this.applyRow(key, transaction, text ?? '');
 		}
 
-		this.wasInitialized = true;
+		this.hasTable = true;
 		this.publish();
 		this.restoreOwnRow(keys.has(this.self.id), table.position?.era);
 	}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -90,7 +90,7 @@
 const selectionWeights = {
 	remoteZone: 0.4, crossing: 5, maxOccupancy: 1, occupancyWeight: 3, maxLoadAge: 1500,
 };
-/** Retries per window while the number of instances that share the allowance is unknown. */
+/** Retries per window at most while the number of instances that share the allowance is unknown. */
 const initialRetryAllowance = 5;
 /** Fraction of the retry allowance that the instances use together. */
 const retryAllowanceFraction = 0.7;
@@ -134,7 +134,7 @@
 	const backpressure: Backpressure = {
 		pauses: new ServerPauses(maxPauseMs, log), limits: new ServerLimits({
 			self: instance.id,
-			findInstances: () => instanceRegistry.isInitialized ? instanceRegistry.all() : undefined,
+			findInstances: () => instanceRegistry.findSharing(),
 			log,
 			onChange() {
 				gossip.reportLimitChange();
@@ -183,7 +183,11 @@
 		},
 	});
 	// Leaves a part of the allowance unused, so that the total stays within it while instances are being added.
-	const computeRetryAllowance = () => instanceRegistry.isInitialized ? limits.retry_allowance * retryAllowanceFraction / instanceRegistry.all().length : initialRetryAllowance;
+	const computeRetryAllowance = () => {
+		const share = limits.retry_allowance * retryAllowanceFraction / instanceRegistry.all().length;
+		return instanceRegistry.isInitialized ? share : Math.min(share, initialRetryAllowance);
+	};
+
 	const getRetryBudget = (service: string) => {
 		const retryBudget = retryBudgets.get(service) ?? new RetryBudget(limits.retry_ratio, computeRetryAllowance(), limits.retry_window);
 		retryBudgets.set(service, retryBudget);
@@ -208,7 +212,7 @@
 			selector: new PlainServerSelector({
 				directory, serverHealth, backpressure, load: serverLoad, random,
 			}),
-			computeConnectionShare: connections => Math.max(1, Math.floor(connections / instanceRegistry.all().length)),
+			computeConnectionShare: connections => Math.max(1, Math.floor(connections / instanceRegistry.countSharing())),
 			limits: {maxBufferedBytes: limits.held_answer, responseTimeoutFraction: plainResponseTimeoutFraction},
 		},
 		{
@@ -219,7 +223,7 @@
 				load: serverLoad,
 				slowdowns,
 				availabilityZone: instance.availability_zone,
-				interzoneBandwidth: new InterzoneBandwidthBudget(interzoneBandwidthFraction, interzoneBurstMs, () => instanceRegistry.all().length),
+				interzoneBandwidth: new InterzoneBandwidthBudget(interzoneBandwidthFraction, interzoneBurstMs, () => instanceRegistry.countSharing()),
 				getPeerTokens: (server, now) => peerLoads.getTokens(server, now),
 			}, selectionWeights),
 			requestQueue,
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -161,7 +161,7 @@
 		const quarantine = new Quarantine(100);
 		const serverLimits: ServerLimits = new ServerLimits({
 			self: id,
-			findInstances: () => control.instanceRegistry.all(),
+			findInstances: () => control.instanceRegistry.findSharing(),
 			log,
 			onChange() {
 				control.gossip.reportLimitChange();
