Reach backend servers through other instances when the own paths fail

What callers saw: 503 and 504 at instances that had lost their links to the backend servers, from the first second of the cut to some seconds after its end, while other instances served; and failures at those too. Cause: an instance took the failure of its own connections for the failure of the servers. It suspected each of them, for up to 8 s, and told the others, of which two reports are believed; a connection that was refused counted as proof that a server had ended. It had no other way to a server.

A connection that fails, or that is not established after 120 ms, is opened through another instance (HTTP CONNECT on the address for other instances). If that works the own path is broken, and the server is not suspected. Only an instance that reaches another server may say that a server refuses or does not answer; where nobody can tell, the server is suspected here alone, and no longer than the cut. An instance for which several paths fail and none works counts as partitioned, says so to the others, uses their paths, and tries its own twice a second. Attempts, retries, deadlines, limits and routes are decided where they were before, so they hold on this way as well. Reports and orders to servers take the same way.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -31,6 +31,7 @@
 import {type RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
 import {type Table} from './store/table.js';
+import {type PeerPaths} from './tunnels/peer-paths.js';
 import {type TimerService} from './time/timer-service.js';
 
 /** The parts of a router through which it shares state with the other instances. */
@@ -38,6 +39,8 @@
 	readonly instanceRegistry: InstanceRegistry;
 	readonly peerLoads: PeerLoads;
 	readonly gossip: GossipService;
+	/** The other instances that are presumed to be running and that responded when they were last contacted. */
+	readonly findResponsivePeers: () => readonly RegisteredInstance[];
 	readonly tables: TableSet;
 	/** How current the copy of the configuration is. */
 	readonly catalogCurrency: TableCurrency;
@@ -62,6 +65,7 @@
 	readonly quarantine: Quarantine;
 	readonly lease: Lease;
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
+	readonly peerPaths: PeerPaths;
 	/** Holds a row for each instance. */
 	readonly instanceTable: Table;
 	/** Holds a row for each request and prompt part under quarantine. */
@@ -159,12 +163,13 @@
 		quarantineRegister.update(table);
 	});
 	const tableExchange = new TableExchange(tables);
+	const partners = new PartnerSelector(self, random);
 	const gossip = new GossipService({
 		self,
 		instances: instanceRegistry,
 		clients,
 		byteBudget: new ByteBudget(bytesPerSecond, bytesPerSecond * gossipBurstSeconds),
-		partners: new PartnerSelector(self, random),
+		partners,
 		tables: tableExchange,
 		peerLoads,
 		rumors: new ServerRumors(instance.id, timers.wallClock(), {
@@ -175,6 +180,7 @@
 		quarantineExchange: new QuarantineExchange(dependencies.quarantine, timers, events.onQuarantineReport),
 		serverLoad,
 		placementHolder: new PlacementHolder(lease),
+		peerPaths: dependencies.peerPaths,
 		timers,
 		random,
 		metrics,
@@ -232,6 +238,7 @@
 		instanceRegistry,
 		peerLoads,
 		gossip,
+		findResponsivePeers: () => instanceRegistry.all().filter(({id}) => id !== instance.id && partners.isResponsive(id, timers.now())),
 		tables,
 		catalogCurrency: new TableCurrency(tables.get(TableName.Catalog), () => tableExchange.isLacking(TableName.Catalog), timers),
 		quarantineRegister,
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -15,6 +15,8 @@
 import {type RouterSettings} from '../settings/router-settings.js';
 import {splitAddress} from '../settings/split-address.js';
 import {type TimerService} from '../time/timer-service.js';
+import {type ServerConnector} from '../tunnels/server-connector.js';
+import {type TunnelServer} from '../tunnels/tunnel-server.js';
 import {type EntryServer} from './entry-server.js';
 import {type InstanceRegistry} from './instance-registry.js';
 import {type StatusServer} from './status-server.js';
@@ -38,6 +40,8 @@
 	readonly instanceRegistry: InstanceRegistry;
 	readonly gossip: GossipService;
 	readonly gossipClients: GossipClients;
+	readonly serverConnector: ServerConnector;
+	readonly tunnelServer: TunnelServer;
 	readonly lease: Lease;
 	readonly leaseManager: LeaseManager;
 	readonly placementController: PlacementController;
@@ -62,7 +66,7 @@
 		await this.listen(settings.instance.readiness, async (host, port) => dependencies.statusServer.listenReadiness(host, port));
 		await this.listen(settings.instance.metrics, async (host, port) => dependencies.statusServer.listenMetrics(host, port));
 		await this.listen(settings.instance.callers, async (host, port) => dependencies.entryServer.listen(host, port));
-		await this.listen(settings.instance.peers, async (host, port) => dependencies.gossipClients.listen(host, port, dependencies.gossip));
+		await this.listen(settings.instance.peers, async (host, port) => dependencies.gossipClients.listen(host, port, dependencies.gossip, dependencies.tunnelServer));
 		for (const watcher of dependencies.tableWatchers) {
 			watcher.start();
 		}
@@ -71,6 +75,7 @@
 		dependencies.streamMonitor.start();
 		dependencies.crashGuard.start();
 		dependencies.gossip.start();
+		dependencies.serverConnector.start();
 		void this.joinUntilReady();
 		this.startPeriodicWork();
 		dependencies.log.write('process.started', {id: settings.instance.id, zone: settings.instance.availability_zone, callers: settings.instance.callers});
@@ -102,7 +107,7 @@
 		const drainDeadline = stopRequestedAt + settings.stop.grace - settings.stop.margin;
 		while (dependencies.timers.now() < drainDeadline) {
 			dependencies.entryServer.closeIdle();
-			if (dependencies.exchanges.size === 0 && dependencies.entryServer.pendingRequests === 0) {
+			if (dependencies.exchanges.size === 0 && dependencies.entryServer.pendingRequests === 0 && dependencies.tunnelServer.size === 0) {
 				break;
 			}
 
--- a/src/peers/gossip-clients.ts
+++ b/src/peers/gossip-clients.ts
@@ -5,6 +5,7 @@
 import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {HttpFetch, type FetchOptions, type FetchResponse} from '../store/http-fetch.js';
+import {type TunnelServer} from '../tunnels/tunnel-server.js';
 import {type GossipTraffic} from './byte-budget.js';
 import {CallFailure} from './call-failure.js';
 import {gossipMessageSchema, type GossipMessage} from './gossip-message.js';
@@ -32,9 +33,12 @@
 	constructor(private readonly timers: TimerService, private readonly timeout: number) {}
 
 	/** Starts to answer other instances; rejects if the address is unavailable. */
-	async listen(host: string, port: number, receiver: GossipReceiver): Promise<void> {
+	async listen(host: string, port: number, receiver: GossipReceiver, tunnelServer: TunnelServer): Promise<void> {
 		this.server = createServer(createHTTPHandler({router: createGossipProcedures(receiver), maxBodySize: maxMessageBytes}));
 		this.server.keepAliveTimeout = idleConnectionMs;
+		this.server.on('connect', (request, socket) => {
+			void tunnelServer.accept(request, socket);
+		});
 		return listen(this.server, host, port);
 	}
 
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -112,6 +112,8 @@
 	limits: z.array(limitSchema).optional(),
 	/** Requests and prompt parts that are refused; absent if there are none. */
 	quarantines: z.array(quarantineSchema).optional(),
+	/** Whether the sender reaches no backend server itself; absent if it does. */
+	isPartitioned: z.boolean().optional(),
 	/** The newest sign of the holder of the placement lease; undefined if none is known. */
 	placing: z.object({
 		/** Fencing number under which it holds the lease. */
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -10,6 +10,7 @@
 import {type CrashReport} from '../quarantine/crash-report.js';
 import {type RandomSource} from '../routing/random-source.js';
 import {type TimerService} from '../time/timer-service.js';
+import {type PeerPaths} from '../tunnels/peer-paths.js';
 import {type ByteBudget} from './byte-budget.js';
 import {CallFailure} from './call-failure.js';
 import {type CrashRumors} from './crash-rumors.js';
@@ -39,6 +40,7 @@
 	readonly quarantineExchange: QuarantineExchange;
 	readonly serverLoad: ServerLoad;
 	readonly placementHolder: PlacementHolder;
+	readonly peerPaths: PeerPaths;
 	readonly timers: TimerService;
 	readonly random: RandomSource;
 	readonly metrics: Metrics;
@@ -192,7 +194,7 @@
 
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
 	private createMessage(recipientZone: string | undefined, isRecipientJoining = false): GossipMessage {
-		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, placementHolder, timers} = this.dependencies;
+		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, placementHolder, peerPaths, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
@@ -205,6 +207,7 @@
 			...limitExchange.getCurrent(isRecipientJoining, now),
 			...quarantineExchange.getCurrent(isRecipientJoining),
 			placing: placementHolder.describe(now),
+			...(peerPaths.isSelfPartitioned && {isPartitioned: true}),
 		};
 	}
 
@@ -215,10 +218,11 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, tables, placementHolder, timers, log} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, tables, placementHolder, peerPaths, timers, log} = this.dependencies;
 		const now = timers.now();
 		this.heardAt = now;
 		partners.recordContact(message.from.id);
+		peerPaths.record(message.from.id, message.isPartitioned ?? false, now);
 		instances.recordContact(message.from);
 		peerLoads.update(message.loads, now);
 		if (message.placing) {
--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -167,6 +167,15 @@
 		}
 	}
 
+	/** Removes the records of servers that are suspected only because this instance could not connect to them, when it can again. */
+	clearUnverified(): void {
+		for (const [incarnationId, {cause}] of this.records) {
+			if (cause === SuspicionCause.Unverified) {
+				this.records.delete(incarnationId);
+			}
+		}
+	}
+
 	/** Removes the records of incarnations that are no longer listed. */
 	retain(servers: Iterable<BackendServer>): void {
 		const listed = new Set([...servers].map(server => getIncarnationId(server)));
--- a/src/relay/backend-agent.ts
+++ b/src/relay/backend-agent.ts
@@ -1,7 +1,11 @@
-import {Agent} from 'node:http';
+import {Agent, type ClientRequestArgs} from 'node:http';
 import {type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type TimerService} from '../time/timer-service.js';
+import {type Connector} from '../tunnels/connector.js';
+import {connectForAgent} from '../tunnels/connector-agent.js';
+import {isTunnelled} from '../tunnels/tunnelled-socket.js';
 
 type PooledSocket = Socket & {
 	destroyOnData?: () => void;
@@ -12,18 +16,41 @@
 Pools connections to backend servers. A pooled connection that receives data while no request is pending is destroyed, so that leftover bytes never become the response to a later request.
 */
 export class BackendAgent extends Agent {
+	/** Idle connections, without those that lead through another instance. */
+	private readonly idleSockets = new Set<PooledSocket>();
+
 	/**
 	@param idleTimeout - milliseconds after which an idle connection is closed
+	@param connector - opens the connections; the agent itself does if undefined
 	*/
-	constructor(private readonly timers: TimerService, private readonly idleTimeout: number) {
+	constructor(private readonly timers: TimerService, private readonly idleTimeout: number, private readonly connector?: Connector) {
 		super({keepAlive: true, scheduling: 'lifo', noDelay: true});
 	}
 
+	/** Closes the idle connections to an address, or all of them if it is undefined. */
+	closeIdle(address: string | undefined): void {
+		for (const socket of this.idleSockets) {
+			if (address === undefined || `${socket.remoteAddress}:${socket.remotePort}` === address) {
+				socket.destroy();
+			}
+		}
+	}
+
+	override createConnection(options: ClientRequestArgs, callback?: (error: Error | null, stream: Duplex) => void): Duplex | null | undefined { // eslint-disable-line @typescript-eslint/no-restricted-types
+		if (!this.connector || !callback) {
+			return super.createConnection(options, callback);
+		}
+
+		void connectForAgent(this.connector, options, callback);
+		return undefined;
+	}
+
 	// The type declarations give this method no result, but the agent pools a socket only if it returns true.
 	// eslint-disable-next-line @typescript-eslint/strict-void-return
 	override keepSocketAlive(socket: PooledSocket): boolean {
 		const keepAlive: (pooled: PooledSocket) => unknown = super.keepSocketAlive.bind(this);
-		if (socket.readableLength > 0 || keepAlive(socket) !== true) {
+		// A connection through another instance would be cut off when that one stops.
+		if (socket.readableLength > 0 || isTunnelled(socket) || keepAlive(socket) !== true) {
 			return false;
 		}
 
@@ -32,6 +59,10 @@
 		};
 
 		socket.on('data', socket.destroyOnData);
+		this.idleSockets.add(socket);
+		socket.once('close', () => {
+			this.idleSockets.delete(socket);
+		});
 		socket.idleTimer = this.timers.after(this.idleTimeout, socket.destroyOnData);
 		return true;
 	}
@@ -42,6 +73,7 @@
 			socket.destroyOnData = undefined;
 		}
 
+		this.idleSockets.delete(socket);
 		socket.idleTimer?.cancel();
 		super.reuseSocket(socket, request);
 	}
--- a/src/relay/backend-client.ts
+++ b/src/relay/backend-client.ts
@@ -1,15 +1,22 @@
-import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {
+	request as startRequest, type Agent, type ClientRequest, type IncomingMessage,
+} from 'node:http';
 import {isConnectionRefused} from '../network/is-connection-refused.js';
 import {splitAddress} from '../settings/split-address.js';
 import {type TimerService} from '../time/timer-service.js';
+import {ConnectionFailureCause} from '../tunnels/connection-failure-cause.js';
+import {ConnectionFailure} from '../tunnels/connection-failure.js';
+import {isTunnelled} from '../tunnels/tunnelled-socket.js';
 import {type Attempt} from './attempt.js';
-import {AttemptFailureReason} from './attempt-failure.js';
+import {AttemptFailureReason, isUnsent} from './attempt-failure.js';
 import {type BackendAgent} from './backend-agent.js';
 import {type ExchangeCodec} from './exchange-codec.js';
 import {type ResponseListener} from './response-listener.js';
 
 /** An attempt in progress. */
 export type RunningAttempt = {
+	/** Whether its connection leads through another instance; false while there is none. */
+	readonly isTunnelled: boolean;
 	/** Ends the attempt; its listener is not called again. */
 	cancel(): void;
 	/** Stops reading the response, for backpressure from a slow caller. */
@@ -21,6 +28,8 @@
 export type BackendClientDependencies = {
 	readonly codec: ExchangeCodec;
 	readonly agent: BackendAgent;
+	/** Opens a connection for each request that needs a new one; the runtime does if undefined. */
+	readonly newConnectionAgent?: Agent;
 	readonly timers: TimerService;
 	/** Milliseconds to establish a connection. */
 	readonly connectTimeout: number;
@@ -38,11 +47,27 @@
 	}
 }
 
+const failureReasons: Readonly<Record<ConnectionFailureCause, AttemptFailureReason>> = {
+	[ConnectionFailureCause.Refused]: AttemptFailureReason.Refused,
+	[ConnectionFailureCause.Unanswered]: AttemptFailureReason.NotConnected,
+	[ConnectionFailureCause.Unverified]: AttemptFailureReason.Unverified,
+};
+
+/** Returns why an attempt failed whose request ended with an error. */
+function getFailureReason(error: Error): AttemptFailureReason {
+	if (error instanceof ConnectionFailure) {
+		return failureReasons[error.reason];
+	}
+
+	return isConnectionRefused(error) ? AttemptFailureReason.Refused : AttemptFailureReason.ConnectionLost;
+}
+
 class BackendCall implements RunningAttempt {
 	private request!: ClientRequest;
 	private message?: IncomingMessage;
 	private isDone = false;
 	private isConnected = false;
+	private hasTunnel = false;
 
 	constructor(private readonly dependencies: BackendClientDependencies, private readonly attempt: Attempt, private readonly listener: ResponseListener) {}
 
@@ -50,7 +75,7 @@
 		const {attempt, dependencies} = this;
 		const {host, port} = splitAddress(attempt.server.address);
 		this.request = startRequest({
-			agent: attempt.needsNewConnection ? false : dependencies.agent,
+			agent: attempt.needsNewConnection ? dependencies.newConnectionAgent ?? false : dependencies.agent,
 			host,
 			port,
 			method: attempt.request.method,
@@ -64,7 +89,7 @@
 			this.receive(message);
 		});
 		this.request.on('error', error => {
-			this.fail(isConnectionRefused(error) ? AttemptFailureReason.Refused : AttemptFailureReason.ConnectionLost, error.message);
+			this.fail(getFailureReason(error), error.message);
 		});
 		this.request.on('close', () => {
 			this.fail(AttemptFailureReason.ConnectionLost, 'the connection closed before a response arrived');
@@ -72,6 +97,10 @@
 		this.request.end(attempt.request.body);
 	}
 
+	get isTunnelled(): boolean {
+		return this.hasTunnel;
+	}
+
 	cancel(): void {
 		this.isDone = true;
 		this.request.destroy();
@@ -87,6 +116,7 @@
 
 	private watchConnection(): void {
 		this.request.on('socket', socket => {
+			this.hasTunnel = isTunnelled(socket);
 			if (!socket.connecting) {
 				this.isConnected = true;
 				return;
@@ -169,7 +199,7 @@
 		this.isDone = true;
 		this.request.destroy();
 		this.listener.onFailure({
-			reason: this.isConnected || reason === AttemptFailureReason.Refused ? reason : AttemptFailureReason.NotConnected,
+			reason: this.isConnected || isUnsent(reason) ? reason : AttemptFailureReason.NotConnected,
 			detail,
 			wasConnectionReused: this.request.reusedSocket,
 		});
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -1,12 +1,13 @@
 import {isRepeatable} from '../catalog/route.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type PlainServerRequirements, type PlainServerSelector} from '../pipelines/plain-server-selector.js';
-import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {AttemptFailureReason, isUnsent, type AttemptFailure} from './attempt-failure.js';
+import {
+	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
+} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
 import {CrashEvidence} from './crash-evidence.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
@@ -138,8 +139,7 @@
 
 		if (isUnsent(reason)) {
 			this.executions--;
-			const cause = reason === AttemptFailureReason.Refused ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
-			this.dependencies.serverHealth.suspect(this.server!, detail, now, cause);
+			this.dependencies.serverHealth.suspect(this.server!, detail, now, getSuspicionCause(reason));
 		}
 
 		if (this.reply.isStarted) {
--- a/src/relay/stage-failure-detector.ts
+++ b/src/relay/stage-failure-detector.ts
@@ -41,7 +41,9 @@
 	}
 
 	private suspectStage(server: BackendServer, {cause, reason, isBlocking}: {cause: SuspicionCause; reason: string; isBlocking: boolean}, now: number): void {
-		if (this.serverHealth.suspect(server, reason, now, cause)) {
+		const isNew = this.serverHealth.suspect(server, reason, now, cause);
+		// Others may reach the server.
+		if (isNew && cause !== SuspicionCause.Unverified) {
 			this.streamDependencies.onSuspicion(server, isBlocking, reason);
 		}
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -7,7 +7,7 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {AttemptFailureReason, isUnsent, type AttemptFailure} from './attempt-failure.js';
+import {getSuspicionCause, isUnsent, type AttemptFailure} from './attempt-failure.js';
 import {type CallerReply} from './caller-reply.js';
 import {CrashEvidence} from './crash-evidence.js';
 import {ErrorBody} from './error-body.js';
@@ -75,7 +75,7 @@
 
 		this.selector.avoid(faulty ?? this.firstServer);
 		const now = this.dependencies.timers.now();
-		const alternative = this.findAlternative(faulty, now);
+		const alternative = this.selectTakeover(() => this.selector.selectAlternative(now, faulty));
 		if (!alternative || !this.tryAcquireRetry()) {
 			this.refuseIfAbandoned(now);
 			return;
@@ -90,6 +90,30 @@
 		this.streamDependencies.requestQueue.dispatchReady();
 	}
 
+	/** Whether the current attempt uses this instance's own path to the first stage. */
+	get usesOwnPath(): boolean {
+		return this.currentAttempt !== undefined && !this.currentAttempt.isTunnelled;
+	}
+
+	/** Sends a silent stream again, because the connection to its first stage seems to be broken and not the stage itself. */
+	reconnect(reason: string): void {
+		if (this.isDone || !this.currentAttempt || !this.mayResume) {
+			return;
+		}
+
+		const now = this.dependencies.timers.now();
+		const pipeline = this.selectTakeover(() => this.selector.select(now));
+		if (!pipeline || !this.tryAcquireRetry()) {
+			this.refuseIfAbandoned(now);
+			return;
+		}
+
+		this.currentAttempt.cancel();
+		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
+		this.release();
+		this.send(pipeline, now);
+	}
+
 	override endQuarantined(refusal: Failure): void {
 		if (this.isDone || (this.currentAttempt && this.crashEvidence.hasReceivedEvent)) {
 			return;
@@ -152,8 +176,7 @@
 		this.endAttempt();
 		if (isUnsent(reason)) {
 			this.executions.revertStart(firstServer);
-			const cause = reason === AttemptFailureReason.Refused ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
-			this.failureDetector.suspect(firstServer, cause, detail, this.dependencies.timers.now());
+			this.failureDetector.suspect(firstServer, getSuspicionCause(reason), detail, this.dependencies.timers.now());
 			this.retryRejected(detail, firstServer);
 			return;
 		}
@@ -220,12 +243,12 @@
 		}
 	}
 
-	/** Finds a pipeline that can take over the current attempt, whose own load does not count. */
-	private findAlternative(faulty: BackendServer | undefined, now: number): Pipeline | undefined {
+	/** Selects a pipeline that can take over the current attempt, whose own load does not count. */
+	private selectTakeover(select: () => Pipeline | undefined): Pipeline | undefined {
 		this.releaseLoad?.();
-		const alternative = this.selector.selectAlternative(now, faulty);
+		const pipeline = select();
 		this.releaseLoad = this.dependencies.load.hold(this.pipeline!, this.selector.expectedTokens);
-		return alternative;
+		return pipeline;
 	}
 
 	private tryStart(): boolean {
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -4,11 +4,11 @@
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
-import {isConnectionRefused} from '../network/is-connection-refused.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {Health, type StageReporter} from '../pipelines/stage-reporter.js';
+import {getConnectionCause} from './connection-cause.js';
 import {type ExchangeRegistry} from './exchange-registry.js';
 import {type StreamExchange} from './stream-exchange.js';
 
@@ -24,6 +24,10 @@
 	readonly log: DecisionLog;
 	/** Returns the path of the health check of a service's servers. */
 	readonly getHealthPath: (service: string) => string;
+	/** Whether this instance's own path to a server is known to be broken, so that it reaches the server through others. */
+	readonly isPathBroken: (server: BackendServer) => boolean;
+	/** Finds out whether the own path to a server is broken. */
+	readonly checkPath: (server: BackendServer) => Promise<boolean>;
 	/** Called when a server becomes suspected to be down, to notify the other instances. */
 	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
@@ -143,7 +147,11 @@
 				silentFirstStages.set(getIncarnationId(firstServer), firstServer);
 			}
 
-			this.migrateSilentStream(exchange, silence, now);
+			if (exchange.usesOwnPath && this.dependencies.isPathBroken(firstServer)) {
+				exchange.reconnect(`no event for ${Math.round(silence)} ms, and the path to ${firstServer.id} is broken`);
+			} else {
+				this.migrateSilentStream(exchange, silence, now);
+			}
 		}
 
 		for (const server of silentFirstStages.values()) {
@@ -183,8 +191,8 @@
 			log.write('server.health', {server: server.id, health});
 		} catch (error) {
 			log.write('server.no_health', {server: server.id, reason: getErrorMessage(error)});
-			if (isConnectionRefused(error)) {
-				this.suspectSilent(server, error, 'it lost a connection and accepts no other');
+			if (getConnectionCause(error) === SuspicionCause.Refusing) {
+				await this.suspectSilent(server, error, 'it lost a connection and accepts no other');
 			}
 		}
 	}
@@ -198,7 +206,7 @@
 				this.suspect(server, {cause: SuspicionCause.Failing, isBlocking: true, reason: 'it rejects requests and reports that it is failing or leaving'});
 			}
 		} catch (error) {
-			this.suspectSilent(server, error, 'it rejects requests and its health check failed');
+			await this.suspectSilent(server, error, 'it rejects requests and its health check failed');
 		}
 	}
 
@@ -227,19 +235,25 @@
 				}
 			}
 		} catch (error) {
-			this.suspectSilent(server, error, 'it does not respond');
+			await this.suspectSilent(server, error, 'it does not respond');
 		}
 	}
 
-	/** Suspects a server whose query failed with an error. */
-	private suspectSilent(server: BackendServer, error: unknown, finding: string): void {
-		const cause = isConnectionRefused(error) ? SuspicionCause.Refusing : SuspicionCause.Unresponsive;
-		this.suspect(server, {cause, isBlocking: false, reason: `${finding}: ${getErrorMessage(error)}`});
+	/** Suspects a server whose query failed with an error, unless the own path to it is at fault. */
+	private async suspectSilent(server: BackendServer, error: unknown, finding: string): Promise<void> {
+		const cause = getConnectionCause(error);
+		if (cause === undefined && await this.dependencies.checkPath(server)) {
+			this.dependencies.log.write('server.unreached', {server: server.id, reason: getErrorMessage(error)});
+			return;
+		}
+
+		this.suspect(server, {cause: cause ?? SuspicionCause.Unresponsive, isBlocking: false, reason: `${finding}: ${getErrorMessage(error)}`});
 	}
 
 	private suspect(server: BackendServer, {cause, isBlocking, reason}: {cause: SuspicionCause; isBlocking: boolean; reason: string}): void {
 		const {serverHealth, timers, onSuspicion} = this.dependencies;
-		if (serverHealth.suspect(server, reason, timers.now(), cause)) {
+		// Others may reach a server whose state nobody could tell.
+		if (serverHealth.suspect(server, reason, timers.now(), cause) && cause !== SuspicionCause.Unverified) {
 			onSuspicion(server, isBlocking, reason);
 		}
 
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {type Agent} from 'node:http';
 import {type Logger} from 'winston';
 import {RetryBudget} from './admission/retry-budget.js';
 import {type Backpressure} from './backpressure/backpressure.js';
@@ -48,6 +49,8 @@
 import {type RouterSettings} from './settings/router-settings.js';
 import {type Table} from './store/table.js';
 import {type TimerService} from './time/timer-service.js';
+import {ConnectorAgent} from './tunnels/connector-agent.js';
+import {wireTunnels} from './tunnel-wiring.js';
 
 /** Adapters to the platform that a pipeline router runs on. */
 export type PlatformAdapters = {
@@ -60,8 +63,10 @@
 	readonly feeds: Readonly<Record<TableName, TableFeed>>;
 	readonly catalogDecoder: CatalogDecoder;
 	readonly serverDecoder: ServerDecoder;
-	readonly orderSender: OrderSender;
-	readonly stageReporter: StageReporter;
+	/** Creates the part that sends placement orders, over connections of the agent. */
+	readonly createOrderSender: (agent: Agent) => OrderSender;
+	/** Creates the part that queries backend servers, over connections of the agent. */
+	readonly createStageReporter: (agent: Agent) => StageReporter;
 	readonly codec: ExchangeCodec;
 	/** Path that the load balancer polls for readiness. */
 	readonly readinessPath: string;
@@ -148,9 +153,23 @@
 
 	const retryBudgets = new Map<string, RetryBudget>();
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
+	const {paths, peerPaths, serverConnector, tunnelServer} = wireTunnels(limits.connect, {
+		directory, findPeers: () => findResponsivePeers(), lifecycle, random, timers, metrics, log,
+	}, {
+		onBroken(address) {
+			backendAgent.closeIdle(address);
+		},
+		onRestored() {
+			serverHealth.clearUnverified();
+			requestQueue.dispatchReady();
+		},
+	});
+	const backendAgent = new BackendAgent(timers, limits.idle_connection, serverConnector);
+	const newConnectionAgent = new ConnectorAgent(serverConnector);
+	const stageReporter = adapters.createStageReporter(newConnectionAgent);
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
-	const {instanceRegistry, peerLoads, gossip, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
-		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, quarantine, lease, clients: gossipClients,
+	const {instanceRegistry, peerLoads, gossip, findResponsivePeers, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
+		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, quarantine, lease, clients: gossipClients, peerPaths,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange() {
@@ -195,7 +214,7 @@
 	};
 
 	const backendClient = new BackendClient({
-		codec: adapters.codec, agent: new BackendAgent(timers, limits.idle_connection), timers, connectTimeout: limits.connect,
+		codec: adapters.codec, agent: backendAgent, newConnectionAgent, timers, connectTimeout: limits.connect,
 	});
 	const exchangeDependencies: ExchangeDependencies = {
 		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
@@ -237,20 +256,32 @@
 		},
 	);
 	const streamMonitor = new StreamMonitor({
-		exchanges, reporter: adapters.stageReporter,
+		exchanges, reporter: stageReporter,
 		serverHealth,
 		backpressure,
 		serverSlowdowns: slowdowns,
 		directory,
 		timers,
 		log,
+		isPathBroken: ({address}) => paths.isBroken(address, timers.now()),
+		checkPath: async ({address}) => serverConnector.isPathBroken(address),
 		getHealthPath: service => activeCatalog.current?.catalog.services.get(service)?.healthPath ?? '/',
 		onSuspicion,
 	}, streamMonitorTimings);
 
 	const leaseManager = new LeaseManager('placement', lease, {table: adapters.leaseTable, timers, log: createPartLog(logger, 'leases')});
 	const placementController = new PlacementController({
-		lease, catalog: activeCatalog, directory, serverHealth, backpressure, reporter: adapters.stageReporter, sender: adapters.orderSender, timers, metrics, log, onRangeConfirmed(server, range) {
+		lease,
+		catalog: activeCatalog,
+		directory,
+		serverHealth,
+		backpressure,
+		reporter: stageReporter,
+		sender: adapters.createOrderSender(newConnectionAgent),
+		timers,
+		metrics,
+		log,
+		onRangeConfirmed(server, range) {
 			directory.overrideRange(getIncarnationId(server), range);
 			gossip.reportRange(server, range);
 		},
@@ -298,7 +329,7 @@
 	metrics.gauge('siskinnotch_servers_limited', () => backpressure.limits.size);
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
-		directory, instanceRegistry, gossip, gossipClients, lease, leaseManager, placementController,
+		directory, instanceRegistry, gossip, gossipClients, serverConnector, tunnelServer, lease, leaseManager, placementController,
 	});
 	return router;
 }
--- a/src/tunnels/path-tracker.ts
+++ b/src/tunnels/path-tracker.ts
@@ -1,69 +1,74 @@
-/** What a change of the paths means for this instance as a whole. */
-export enum PathChange {
-	None = 'none',
-	/** A path turned out to be broken. */
-	Broken = 'broken',
-	/** No path works any more. */
-	Partitioned = 'partitioned',
-	/** After a partition, a path works again. */
-	Restored = 'restored',
-}
-
-/** Servers that must have become unreachable before the fault is sought in this instance's links. */
-const minBrokenPaths = 2;
-/** Time for which a broken path is not used while others work, in milliseconds. */
+/** Paths that must have failed, and none worked since, before the fault is sought in this instance's own links. */
+const minSuspiciousFailures = 2;
+/** Time for which a path that failed is not tried again, in milliseconds. */
 const retryIntervalMs = 1000;
 
 /**
-Tracks to which backend servers this instance's own connections fail although the servers work, or although nobody knows whether they do.
+Tracks to which backend servers this instance's own connections fail although the servers work, or although nobody can tell whether they do.
 
-An instance for which several such paths failed, and none has worked since, counts as partitioned: it uses none of them until one works again.
+A partitioned instance is one that reaches no server itself. It does not use its own paths until one of them works again.
 */
 export class PathTracker {
-	/** Monotonic times in milliseconds at which the paths last failed, by address. */
-	private readonly brokenAt = new Map<string, number>();
+	/** Monotonic times in milliseconds at which the paths last failed, by address, in the order in which they began to fail. */
+	private readonly failedAt = new Map<string, number>();
+	/** Addresses of paths that failed since any path last worked. */
+	private readonly failedSinceSuccess = new Set<string>();
 	private isCutOff = false;
 
-	/** Whether this instance reaches no backend server by itself. */
+	/** Whether this instance reaches no backend server itself. */
 	get isPartitioned(): boolean {
 		return this.isCutOff;
 	}
 
-	/** Whether connections to a server are not to be opened directly. */
-	isBroken(address: string, now: number): boolean {
-		return this.isCutOff || now - (this.brokenAt.get(address) ?? Number.NEGATIVE_INFINITY) < retryIntervalMs;
+	/** Whether so many paths failed, and none worked since, that this instance may be partitioned. */
+	get maybePartitioned(): boolean {
+		return this.failedSinceSuccess.size >= minSuspiciousFailures;
 	}
 
-	/** Records that a connection of this instance was established. */
-	recordSuccess(address: string): PathChange {
-		if (!this.isCutOff) {
-			// The failures before were of single paths.
-			this.brokenAt.delete(address);
-			return PathChange.None;
-		}
+	/** Whether the path to a server is not to be used now. */
+	isBroken(address: string, now: number): boolean {
+		return this.isCutOff || now - (this.failedAt.get(address) ?? Number.NEGATIVE_INFINITY) < retryIntervalMs;
+	}
 
-		this.brokenAt.clear();
-		this.isCutOff = false;
-		return PathChange.Restored;
+	/** Whether the path to a server failed and no path has worked since. */
+	hasFailed(address: string): boolean {
+		return this.failedSinceSuccess.has(address);
 	}
 
-	/** Records that a connection of this instance failed while the server works, or nobody knows whether it does. */
-	recordFailure(address: string, now: number): PathChange {
-		const wasBroken = this.isBroken(address, now);
-		this.brokenAt.set(address, now);
-		if (this.isCutOff) {
-			return PathChange.None;
+	/** Records that a connection was established. Returns whether that ends a partition. */
+	recordSuccess(address: string): boolean {
+		const wasCutOff = this.isCutOff;
+		this.isCutOff = false;
+		this.failedSinceSuccess.clear();
+		if (wasCutOff) {
+			this.failedAt.clear();
+		} else {
+			this.failedAt.delete(address);
 		}
 
-		this.isCutOff = this.countRecentFailures(now) >= minBrokenPaths;
-		if (this.isCutOff) {
-			return PathChange.Partitioned;
-		}
+		return wasCutOff;
+	}
 
-		return wasBroken ? PathChange.None : PathChange.Broken;
+	/** Records that a connection failed. */
+	recordFailure(address: string, now: number): void {
+		this.failedAt.set(address, now);
+		this.failedSinceSuccess.add(address);
 	}
 
-	private countRecentFailures(now: number): number {
-		return [...this.brokenAt.values()].filter(at => now - at < retryIntervalMs).length;
+	/** Records that this instance reaches no server. Returns whether that is new. */
+	recordPartition(): boolean {
+		const wasCutOff = this.isCutOff;
+		this.isCutOff = true;
+		return !wasCutOff;
+	}
+
+	/** Forgets the paths to all other addresses. */
+	retain(addresses: ReadonlySet<string>): void {
+		for (const address of this.failedAt.keys()) {
+			if (!addresses.has(address)) {
+				this.failedAt.delete(address);
+				this.failedSinceSuccess.delete(address);
+			}
+		}
 	}
 }
--- /dev/null
+++ b/src/tunnels/server-connector.ts
@@ -0,0 +1,298 @@
+import {type Socket} from 'node:net';
+import {type RegisteredInstance} from '../entry/instance-registry.js';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {getErrorMessage} from '../results/to-failure.js';
+import {type RandomSource} from '../routing/random-source.js';
+import {type TimerService} from '../time/timer-service.js';
+import {ConnectionFailureCause} from './connection-failure-cause.js';
+import {ConnectionFailure} from './connection-failure.js';
+import {Connector} from './connector.js';
+import {type PathTracker} from './path-tracker.js';
+import {type PeerPaths} from './peer-paths.js';
+import {type TunnelClient} from './tunnel-client.js';
+import {TunnelFailureReason} from './tunnel-failure-reason.js';
+import {TunnelFailure} from './tunnel-failure.js';
+import {isTunnelled, markTunnelled} from './tunnelled-socket.js';
+
+export type ServerConnectorDependencies = {
+	/** Opens connections from this instance itself. */
+	readonly direct: Connector;
+	readonly tunnels: Pick<TunnelClient, 'open'>;
+	readonly paths: PathTracker;
+	readonly peerPaths: PeerPaths;
+	/** The other instances that respond. */
+	readonly findPeers: () => readonly RegisteredInstance[];
+	/** Addresses of all listed backend servers. */
+	readonly findAddresses: () => readonly string[];
+	readonly random: RandomSource;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+	/** Called when the own path to a server turns out to be broken; all own paths are if the address is undefined. */
+	readonly onBroken: (address: string | undefined) => void;
+	/** Called when an own path works again after a partition. */
+	readonly onRestored: () => void;
+};
+
+/** Timings of a connector, in milliseconds. */
+export type ConnectorTimings = {
+	/** Time after which a tunnel is opened beside an own connection that is not established yet. */
+	readonly tunnelDelay: number;
+	/** Time after which no further instance is asked for a tunnel, since the request's time runs. */
+	readonly tunnelPatience: number;
+	/** Interval between attempts of a partitioned instance to reach a server itself. */
+	readonly probeInterval: number;
+};
+
+/** Reasons that say something about the server. */
+const conclusiveReasons: ReadonlySet<TunnelFailureReason> = new Set([TunnelFailureReason.Refused, TunnelFailureReason.Unanswered]);
+/** Instances that are asked for a tunnel, one after the other, for one connection. */
+const maxTunnelAttempts = 3;
+
+/**
+Opens connections to backend servers, from this instance itself or, where its own path is broken, through another instance.
+
+Whether a server does not work is decided only by an instance that reaches other servers. So an instance that is cut off neither takes the servers for dead nor tells others so.
+*/
+export class ServerConnector extends Connector {
+	private isProving = false;
+
+	constructor(private readonly dependencies: ServerConnectorDependencies, private readonly timings: ConnectorTimings) {
+		super();
+	}
+
+	/** Starts looking for the end of a partition. */
+	start(): void {
+		this.dependencies.timers.repeat(this.timings.probeInterval, () => {
+			if (this.dependencies.paths.isPartitioned) {
+				void this.probeRandom(new Set());
+			}
+		});
+	}
+
+	async connect(address: string): Promise<Socket> {
+		const {paths, timers} = this.dependencies;
+		if (paths.isBroken(address, timers.now())) {
+			return this.connectAround(address);
+		}
+
+		const direct = this.connectDirectly(address);
+		const isSettled = await this.settlesWithin(direct, this.timings.tunnelDelay);
+		return isSettled ? this.verify(address, direct) : this.race(address, direct);
+	}
+
+	/** Whether the own path to a server fails while another instance reaches the server, or nobody can tell. */
+	async isPathBroken(address: string): Promise<boolean> {
+		try {
+			const socket = await this.connect(address);
+			socket.destroy();
+			return isTunnelled(socket);
+		} catch (error) {
+			return error instanceof ConnectionFailure && error.reason === ConnectionFailureCause.Unverified;
+		}
+	}
+
+	/** Whether this instance reaches a server other than the excluded one itself. */
+	async reachesAnother(excluded: string): Promise<boolean> {
+		return this.probeRandom(new Set([excluded]));
+	}
+
+	private async connectDirectly(address: string): Promise<Socket> {
+		const socket = await this.dependencies.direct.connect(address);
+		this.recordSuccess(address);
+		return socket;
+	}
+
+	private async settlesWithin(connection: Promise<Socket>, duration: number): Promise<boolean> {
+		const settle = async () => {
+			try {
+				await connection;
+			} catch {
+				// The caller handles the failure.
+			}
+
+			return true;
+		};
+
+		const delay = async () => {
+			await this.dependencies.timers.sleep(duration);
+			return false;
+		};
+
+		return Promise.race([settle(), delay()]);
+	}
+
+	/** Returns an own connection, or finds out through another instance why it failed. */
+	private async verify(address: string, direct: Promise<Socket>): Promise<Socket> {
+		try {
+			return await direct;
+		} catch (error) {
+			return this.connectAfterFailure(address, error);
+		}
+	}
+
+	/** Opens a tunnel beside an own connection that is slow, and returns whichever is established first. */
+	private async race(address: string, direct: Promise<Socket>): Promise<Socket> {
+		const tunnel = this.openTunnel(address);
+		try {
+			const socket = await Promise.any([direct, tunnel]);
+			void this.discard(direct, socket, address);
+			void this.discard(tunnel, socket);
+			return socket;
+		} catch (error) {
+			const [failure, tunnelFailure] = error instanceof AggregateError ? error.errors as unknown[] : [error, error];
+			throw this.createFailure(address, failure, tunnelFailure);
+		}
+	}
+
+	/** Closes a connection that another one has overtaken. If the own one fails after all, its path is broken. */
+	private async discard(connection: Promise<Socket>, used: Socket, ownAddress?: string): Promise<void> {
+		try {
+			const socket = await connection;
+			if (socket !== used) {
+				socket.destroy();
+			}
+		} catch {
+			if (ownAddress !== undefined) {
+				this.recordFailure(ownAddress);
+			}
+		}
+	}
+
+	private async connectAfterFailure(address: string, error: unknown): Promise<Socket> {
+		try {
+			const socket = await this.openTunnel(address);
+			this.recordFailure(address);
+			return socket;
+		} catch (error_) {
+			throw this.createFailure(address, error, error_);
+		}
+	}
+
+	/** Connects to a server to which the own path is broken. */
+	private async connectAround(address: string): Promise<Socket> {
+		try {
+			return await this.openTunnel(address);
+		} catch (error) {
+			if (error instanceof TunnelFailure && conclusiveReasons.has(error.reason)) {
+				throw this.createFailure(address, error, error);
+			}
+
+			return this.connectAlone(address, error);
+		}
+	}
+
+	private async connectAlone(address: string, failure: unknown): Promise<Socket> {
+		try {
+			return await this.connectDirectly(address);
+		} catch (error) {
+			throw this.createFailure(address, error, failure);
+		}
+	}
+
+	/** Returns the failure of a connection that neither this instance nor another one established. */
+	private createFailure(address: string, error: unknown, failure: unknown): ConnectionFailure {
+		const message = getErrorMessage(error);
+		if (failure instanceof TunnelFailure && failure.reason === TunnelFailureReason.Refused) {
+			return new ConnectionFailure(message, ConnectionFailureCause.Refused);
+		}
+
+		if (failure instanceof TunnelFailure && failure.reason === TunnelFailureReason.Unanswered) {
+			return new ConnectionFailure(message, ConnectionFailureCause.Unanswered);
+		}
+
+		if (this.dependencies.findPeers().length === 0 && error instanceof ConnectionFailure) {
+			return error;
+		}
+
+		this.recordFailure(address);
+		return new ConnectionFailure(`${message}; no other instance could tell why: ${getErrorMessage(failure)}`, ConnectionFailureCause.Unverified);
+	}
+
+	/** Opens a tunnel through one of the other instances. Throws TunnelFailure. */
+	private async openTunnel(address: string): Promise<Socket> {
+		const {peerPaths, findPeers, tunnels, random, timers, metrics, log} = this.dependencies;
+		let last: unknown = new TunnelFailure('no other instance is known to reach the backend servers', TunnelFailureReason.Unavailable);
+		const startedAt = timers.now();
+		for (const {id, peers} of peerPaths.select(findPeers(), maxTunnelAttempts, random, startedAt)) {
+			if (timers.now() - startedAt > this.timings.tunnelPatience) {
+				break;
+			}
+
+			try {
+				const socket = await tunnels.open(peers, address); // eslint-disable-line no-await-in-loop
+				metrics.count('siskinnotch_tunnels_opened');
+				log.write('tunnel.opened', {address, through: id});
+				return markTunnelled(socket);
+			} catch (error) {
+				last = error;
+				if (!(error instanceof TunnelFailure) || conclusiveReasons.has(error.reason)) {
+					throw error;
+				}
+
+				if (error.reason === TunnelFailureReason.Unavailable) {
+					peerPaths.record(id, true, timers.now());
+				}
+			}
+		}
+
+		throw last;
+	}
+
+	private recordSuccess(address: string): void {
+		const {paths, log, onRestored} = this.dependencies;
+		if (paths.recordSuccess(address)) {
+			log.write('paths.restored', {address});
+			onRestored();
+		}
+	}
+
+	private recordFailure(address: string): void {
+		const {paths, timers, log, onBroken} = this.dependencies;
+		const wasBroken = paths.isBroken(address, timers.now());
+		paths.recordFailure(address, timers.now());
+		if (!wasBroken) {
+			log.warn('path.broken', {address});
+			onBroken(address);
+		}
+
+		if (!paths.isPartitioned && paths.maybePartitioned) {
+			void this.provePartition();
+		}
+	}
+
+	/** Finds out whether any server is reached, since several are not. */
+	private async provePartition(): Promise<void> {
+		const {paths, findAddresses, log, onBroken} = this.dependencies;
+		if (this.isProving) {
+			return;
+		}
+
+		this.isProving = true;
+		const failed = new Set(findAddresses().filter(address => paths.hasFailed(address)));
+		const isReaching = await this.probeRandom(failed);
+		this.isProving = false;
+		if (!isReaching && paths.maybePartitioned && paths.recordPartition()) {
+			log.warn('paths.partitioned', {failed: failed.size});
+			onBroken(undefined);
+		}
+	}
+
+	/** Whether this instance reaches a random server, other than the excluded ones, itself. */
+	private async probeRandom(excluded: ReadonlySet<string>): Promise<boolean> {
+		const {findAddresses, random} = this.dependencies;
+		const candidates = findAddresses().filter(address => !excluded.has(address));
+		if (candidates.length === 0) {
+			return false;
+		}
+
+		try {
+			const socket = await this.connectDirectly(random.pick(candidates));
+			socket.destroy();
+			return true;
+		} catch {
+			return false;
+		}
+	}
+}
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -70,6 +70,8 @@
 		timers,
 		log: new RecordingLog(),
 		getHealthPath: () => '/healthz',
+		isPathBroken: () => false,
+		checkPath: async () => false,
 		onSuspicion({id}) {
 			reported.push(id);
 		},
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -15,6 +15,7 @@
 import {RandomSource} from '../../src/routing/random-source.js';
 import {parseRouterSettings} from '../../src/settings/settings-reader.js';
 import {ManualTimerService} from '../../src/time/manual-timer-service.js';
+import {PeerPaths} from '../../src/tunnels/peer-paths.js';
 import {RecordingLog, sampleServer} from './sample-fleet.js';
 import {StoreHistory} from './store-history.js';
 
@@ -198,6 +199,7 @@
 			serverLimits,
 			quarantine,
 			lease: new Lease(id, 2500),
+			peerPaths: new PeerPaths(() => false),
 			clients: {
 				exchange: async (target, message) => this.deliver(instance, target, message),
 				get traffic() {
