--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -23,6 +23,7 @@
 import {getIdDigest} from './id-digest.js';
 import {type PlacementHolder} from './placement-holder.js';
 import {type QuarantineExchange} from './quarantine-exchange.js';
+import {RowFetcher, type RowFetchTimings} from './row-fetcher.js';
 import {type ServerRumors} from './server-rumors.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
@@ -48,7 +49,7 @@
 };
 
 /** Timings and bounds of gossip. */
-export type GossipTimings = {
+export type GossipTimings = RowFetchTimings & {
 	/** Milliseconds between rounds of messages. */
 	readonly period: number;
 	/** Largest number of instances that are contacted in a periodic round. */
@@ -59,10 +60,6 @@
 	readonly tableFanout: Fanout;
 	/** Number of instances of an availability zone that contact other zones in a round, on average. */
 	readonly farContactsPerZone: number;
-	/** Milliseconds that the own availability zone has to bring rows before they are fetched from another one. */
-	readonly remoteFetchDelay: number;
-	/** Milliseconds after which rows are also fetched from another instance than the one that is sending them. */
-	readonly fetchPatience: number;
 	/** Milliseconds for which news is collected before it is sent. */
 	readonly spreadDelay: number;
 };
@@ -70,9 +67,6 @@
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
 
-/** Instances from which rows are fetched at a time. */
-const maxFetches = 3;
-
 /** Instances of other availability zones that the holder of the placement lease contacts in each round. */
 const holderFanout: Fanout = {near: 0, far: 2};
 
@@ -85,16 +79,16 @@
 	/** Ids of the instances to which a message is in flight; they get no second one meanwhile. */
 	private readonly contacting = new Set<string>();
 	private scheduledFanout?: Fanout;
-	/** Ids of the instances from which rows are being fetched. */
-	private readonly fetches = new Set<string>();
-	/** Monotonic time in milliseconds at which the latest fetch began. */
-	private fetchedAt = Number.NEGATIVE_INFINITY;
-	/** The latest instance that had rows which this one lacked while it was fetching. */
-	private nextSender?: RegisteredInstance;
-	private isRemoteFetchScheduled = false;
 	private heardAt = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {}
+	private readonly rowFetcher: RowFetcher;
+
+	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {
+		const {self, tables, timers} = dependencies;
+		this.rowFetcher = new RowFetcher({
+			availabilityZone: self.availabilityZone, tables, timers, fetch: async ({peers, availabilityZone}) => this.contact(peers, {zone: availabilityZone, wantsRows: true}),
+		}, timings);
+	}
 
 	/** Starts the periodic rounds. */
 	start(): void {
@@ -242,7 +236,7 @@
 		}
 
 		if (isBehind) {
-			this.catchUpWith(message.from);
+			this.rowFetcher.catchUpWith(message.from);
 		}
 
 		if (isChanged) {
@@ -250,27 +244,6 @@
 		}
 	}
 
-	/** Fetches the rows that another instance has and this one lacks. Those of another availability zone are fetched only if the own zone does not bring them soon. */
-	private catchUpWith(sender: RegisteredInstance): void {
-		const {self, timers} = this.dependencies;
-		if (sender.availabilityZone === self.availabilityZone) {
-			void this.fetchRows(sender);
-			return;
-		}
-
-		if (this.isRemoteFetchScheduled) {
-			return;
-		}
-
-		this.isRemoteFetchScheduled = true;
-		timers.after(this.timings.remoteFetchDelay, () => {
-			this.isRemoteFetchScheduled = false;
-			if (this.dependencies.tables.isLackingRows()) {
-				void this.fetchRows(sender);
-			}
-		});
-	}
-
 	/** Contacts partners soon; news that arrives until then is sent along. */
 	private scheduleSpread(fanout: Fanout): void {
 		if (this.scheduledFanout) {
@@ -323,24 +296,4 @@
 			return false;
 		}
 	}
-
-	/** Fetches the rows that another instance has and this one lacks. If that takes long, they are also fetched from the next ones that have them, but only from a few at a time. */
-	private async fetchRows(sender: RegisteredInstance): Promise<void> {
-		const {timers, tables} = this.dependencies;
-		const isPatient = this.fetches.size > 0 && timers.now() - this.fetchedAt < this.timings.fetchPatience;
-		if (isPatient || this.fetches.has(sender.id) || this.fetches.size >= maxFetches) {
-			this.nextSender = sender;
-			return;
-		}
-
-		this.fetchedAt = timers.now();
-		this.fetches.add(sender.id);
-		timers.after(this.timings.fetchPatience, () => {
-			if (this.nextSender && tables.isLackingRows()) {
-				void this.fetchRows(this.nextSender);
-			}
-		});
-		await this.contact(sender.peers, {zone: sender.availabilityZone, wantsRows: true});
-		this.fetches.delete(sender.id);
-	}
 }
