Add no listener to a pooled connection with each use

A connection that was used 30 times had 31 listeners for its end, and the process warned of a leak (request-crashes-process); on long-lived connections the memory grows. Found by the review of tunnels: each return to the pool added one. The set of idle connections is now cleaned by the idle timer.

--- a/src/relay/backend-agent.ts
+++ b/src/relay/backend-agent.ts
@@ -20,7 +20,7 @@
 	private readonly idleSockets = new Set<PooledSocket>();
 
 	/**
-	@param idleTimeout - milliseconds after which an idle connection is closed
+	@param idleTimeout - milliseconds after which an idle connection is closed; also bounds how long a closed one is remembered
 	@param connector - opens the connections; the agent itself does if undefined
 	*/
 	constructor(private readonly timers: TimerService, private readonly idleTimeout: number, private readonly connector?: Connector) {
@@ -55,14 +55,12 @@
 		}
 
 		socket.destroyOnData = () => {
+			this.idleSockets.delete(socket);
 			socket.destroy();
 		};
 
 		socket.on('data', socket.destroyOnData);
 		this.idleSockets.add(socket);
-		socket.once('close', () => {
-			this.idleSockets.delete(socket);
-		});
 		socket.idleTimer = this.timers.after(this.idleTimeout, socket.destroyOnData);
 		return true;
 	}
