Close a tunnel whose user left before it was open

What callers would see: an instance that stops late and runs short of descriptors. The end is noticed from the start now, and an instance without power by keep-alive probes.

--- a/src/tunnels/tunnel-server.ts
+++ b/src/tunnels/tunnel-server.ts
@@ -19,6 +19,8 @@
 	readonly log: DecisionLog;
 };
 
+/** Idle time of a tunnel after which the other instance is probed, since one without power closes nothing. */
+const keepAliveDelayMs = 1000;
 /** Tunnels that are open at a time, each with two connections. */
 const maxTunnels = 800;
 
@@ -64,6 +66,11 @@
 		near.on('error', () => {
 			near.destroy();
 		});
+		near.once('end', () => {
+			near.destroy();
+		});
+		// Nothing is sent before the answer, but an end must be noticed.
+		near.resume();
 		const result = await this.connect(address);
 		if (typeof result === 'number') {
 			this.dependencies.log.write('tunnel.refused', {address, status: result});
@@ -81,6 +88,7 @@
 			this.open--;
 		});
 		near.setNoDelay(true);
+		near.setKeepAlive(true, keepAliveDelayMs);
 		near.write('HTTP/1.1 200 OK\r\n\r\n');
 		join(near, result);
 	}
