Take no end of a tunnel for the end of a response, and no pending attempt for an open one

Two faults at one place, found by the review of tunnels. And an attempt that has no connection yet counted as one on the own path, so that it could be given up and counted as executed while it was being connected.

npx ava test/reconnect.test.ts, and 'a response through an instance that is killed does not end as if it were complete': failed before, pass.

--- a/src/relay/backend-client.ts
+++ b/src/relay/backend-client.ts
@@ -15,8 +15,8 @@
 
 /** An attempt in progress. */
 export type RunningAttempt = {
-	/** Whether its connection leads through another instance; false while there is none. */
-	readonly isTunnelled: boolean;
+	/** Whether it has a connection of this instance itself, and not through another one. */
+	readonly usesOwnPath: boolean;
 	/** Ends the attempt; its listener is not called again. */
 	cancel(): void;
 	/** Stops reading the response, for backpressure from a slow caller. */
@@ -68,6 +68,7 @@
 	private isDone = false;
 	private isConnected = false;
 	private hasTunnel = false;
+	private endsWithConnection = false;
 
 	constructor(private readonly dependencies: BackendClientDependencies, private readonly attempt: Attempt, private readonly listener: ResponseListener) {}
 
@@ -97,8 +98,8 @@
 		this.request.end(attempt.request.body);
 	}
 
-	get isTunnelled(): boolean {
-		return this.hasTunnel;
+	get usesOwnPath(): boolean {
+		return this.isConnected && !this.hasTunnel;
 	}
 
 	cancel(): void {
@@ -154,6 +155,8 @@
 		}
 
 		this.message = message;
+		// If the instance that carries a tunnel is killed, the connection ends as if the server had closed it.
+		this.endsWithConnection = !head.isSelfDelimited;
 		const isEarly = !this.request.writableFinished;
 		message.on('data', (chunk: Uint8Array) => {
 			if (!this.isDone) {
@@ -177,7 +180,7 @@
 			return;
 		}
 
-		if (!message.complete) {
+		if (!message.complete || (this.hasTunnel && this.endsWithConnection)) {
 			this.fail(AttemptFailureReason.ConnectionLost, 'the response ended before it was complete');
 			return;
 		}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -92,7 +92,7 @@
 
 	/** Whether the current attempt uses this instance's own path to the first stage. */
 	get usesOwnPath(): boolean {
-		return this.currentAttempt !== undefined && !this.currentAttempt.isTunnelled;
+		return this.currentAttempt?.usesOwnPath ?? false;
 	}
 
 	/** Sends a silent stream again, because the connection to its first stage seems to be broken and not the stage itself. */
