Decide about own paths by several probes, and within a bounded time

Up to six servers are tried at once now, for 150 ms. Streams whose connections live on while new ones are refused were broken off and sent again (8 arrivals for 4 streams): a stream is sent again only where nothing answers at all, since a refusal shows that bytes arrive. A connection took 561 ms in a test while the deadline was encoded before it; 400 ms bound it now, and the own path is tried as well while a tunnel takes long. A query that went through another instance is a reason to suspect a server again.

--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -169,8 +169,8 @@
 
 	/** Removes the records of servers that are suspected only because this instance could not connect to them, when it can again. */
 	clearUnverified(): void {
-		for (const [incarnationId, {cause}] of this.records) {
-			if (cause === SuspicionCause.Unverified) {
+		for (const [incarnationId, {cause, hasEnded}] of this.records) {
+			if (cause === SuspicionCause.Unverified && !hasEnded) {
 				this.records.delete(incarnationId);
 			}
 		}
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -26,6 +26,8 @@
 	readonly getHealthPath: (service: string) => string;
 	/** Whether this instance's own path to a server is known to be broken, so that it reaches the server through others. */
 	readonly isPathBroken: (server: BackendServer) => boolean;
+	/** Whether that path is broken in such a way that open connections are dead as well. */
+	readonly isPathSilent: (server: BackendServer) => boolean;
 	/** Finds out whether the own path to a server is broken. */
 	readonly checkPath: (server: BackendServer) => Promise<boolean>;
 	/** Called when a server becomes suspected to be down, to notify the other instances. */
@@ -147,7 +149,7 @@
 				silentFirstStages.set(getIncarnationId(firstServer), firstServer);
 			}
 
-			if (exchange.usesOwnPath && this.dependencies.isPathBroken(firstServer)) {
+			if (exchange.usesOwnPath && this.dependencies.isPathSilent(firstServer)) {
 				exchange.reconnect(`no event for ${Math.round(silence)} ms, and the path to ${firstServer.id} is broken`);
 			} else {
 				this.migrateSilentStream(exchange, silence, now);
@@ -242,7 +244,9 @@
 	/** Suspects a server whose query failed with an error, unless the own path to it is at fault. */
 	private async suspectSilent(server: BackendServer, error: unknown, finding: string): Promise<void> {
 		const cause = getConnectionCause(error);
-		if (cause === undefined && await this.dependencies.checkPath(server)) {
+		// A query that went through another instance says nothing about the own path.
+		const isOwnPath = cause === undefined && !this.dependencies.isPathBroken(server);
+		if (isOwnPath && await this.dependencies.checkPath(server)) {
 			this.dependencies.log.write('server.unreached', {server: server.id, reason: getErrorMessage(error)});
 			return;
 		}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -264,6 +264,7 @@
 		timers,
 		log,
 		isPathBroken: ({address}) => paths.isBroken(address, timers.now()),
+		isPathSilent: ({address}) => paths.isSilent(address, timers.now()),
 		checkPath: async ({address}) => serverConnector.isPathBroken(address),
 		getHealthPath: service => activeCatalog.current?.catalog.services.get(service)?.healthPath ?? '/',
 		onSuspicion,
@@ -304,6 +305,7 @@
 			backpressure.limits.retain(directory.all(), timers.now());
 			serverLoad.retain(directory.all());
 			slowdowns.retain(directory.all());
+			paths.retain(new Set(directory.all().map(({address}) => address)));
 			requestQueue.dispatchReady();
 		},
 	}, store.return_grace);
--- a/src/tunnel-wiring.ts
+++ b/src/tunnel-wiring.ts
@@ -40,7 +40,9 @@
 };
 
 /** Durations in milliseconds. */
-const connectorTimings = {tunnelDelay: 120, tunnelPatience: 200, probeInterval: 500};
+const connectorTimings = {
+	tunnelDelay: 120, tunnelPatience: 200, probeTimeout: 150, probeInterval: 500,
+};
 /** Time to open a connection for another instance; with the delay before it, within the time of a connection that fails. */
 const tunnelConnectTimeoutMs = 150;
 const tunnelTimeoutMs = 350;
--- a/src/tunnels/path-tracker.ts
+++ b/src/tunnels/path-tracker.ts
@@ -1,3 +1,10 @@
+type PathFailure = {
+	/** Monotonic time in milliseconds. */
+	readonly at: number;
+	/** Whether nothing answered; otherwise the connection was refused. */
+	readonly isSilent: boolean;
+};
+
 /** Paths that must have failed, and none worked since, before the fault is sought in this instance's own links. */
 const minSuspiciousFailures = 2;
 /** Time for which a path that failed is not tried again, in milliseconds. */
@@ -9,8 +16,9 @@
 A partitioned instance is one that reaches no server itself. It does not use its own paths until one of them works again.
 */
 export class PathTracker {
-	/** Monotonic times in milliseconds at which the paths last failed, by address, in the order in which they began to fail. */
-	private readonly failedAt = new Map<string, number>();
+	/** The latest failures, by address. */
+	private readonly failures = new Map<string, PathFailure>();
+	private wasLatestSilent = false;
 	/** Addresses of paths that failed since any path last worked. */
 	private readonly failedSinceSuccess = new Set<string>();
 	private isCutOff = false;
@@ -27,7 +35,12 @@
 
 	/** Whether the path to a server is not to be used now. */
 	isBroken(address: string, now: number): boolean {
-		return this.isCutOff || now - (this.failedAt.get(address) ?? Number.NEGATIVE_INFINITY) < retryIntervalMs;
+		return this.isCutOff || now - (this.failures.get(address)?.at ?? Number.NEGATIVE_INFINITY) < retryIntervalMs;
+	}
+
+	/** Whether the path to a server is broken in such a way that open connections are dead as well. A refusal shows that bytes arrive in both directions. */
+	isSilent(address: string, now: number): boolean {
+		return this.isBroken(address, now) && (this.failures.get(address)?.isSilent ?? this.wasLatestSilent);
 	}
 
 	/** Whether the path to a server failed and no path has worked since. */
@@ -41,17 +54,22 @@
 		this.isCutOff = false;
 		this.failedSinceSuccess.clear();
 		if (wasCutOff) {
-			this.failedAt.clear();
+			this.failures.clear();
 		} else {
-			this.failedAt.delete(address);
+			this.failures.delete(address);
 		}
 
 		return wasCutOff;
 	}
 
-	/** Records that a connection failed. */
-	recordFailure(address: string, now: number): void {
-		this.failedAt.set(address, now);
+	/**
+	Records that a connection failed.
+
+	@param isSilent - whether nothing answered; otherwise it was refused
+	*/
+	recordFailure(address: string, isSilent: boolean, now: number): void {
+		this.failures.set(address, {at: now, isSilent});
+		this.wasLatestSilent = isSilent;
 		this.failedSinceSuccess.add(address);
 	}
 
@@ -64,9 +82,9 @@
 
 	/** Forgets the paths to all other addresses. */
 	retain(addresses: ReadonlySet<string>): void {
-		for (const address of this.failedAt.keys()) {
+		for (const address of this.failures.keys()) {
 			if (!addresses.has(address)) {
-				this.failedAt.delete(address);
+				this.failures.delete(address);
 				this.failedSinceSuccess.delete(address);
 			}
 		}
--- a/src/tunnels/server-connector.ts
+++ b/src/tunnels/server-connector.ts
@@ -41,12 +41,18 @@
 	readonly tunnelDelay: number;
 	/** Time after which no further instance is asked for a tunnel, since the request's time runs. */
 	readonly tunnelPatience: number;
+	/** Time in which one of several servers must be reached. */
+	readonly probeTimeout: number;
 	/** Interval between attempts of a partitioned instance to reach a server itself. */
 	readonly probeInterval: number;
 };
 
 /** Reasons that say something about the server. */
 const conclusiveReasons: ReadonlySet<TunnelFailureReason> = new Set([TunnelFailureReason.Refused, TunnelFailureReason.Unanswered]);
+/** Servers that are tried at a time to find out whether this instance reaches any. */
+const maxProbes = 6;
+/** Time to establish a connection by whatever path; the remaining time of a request is encoded before, and must not be much shorter then. */
+const maxConnectMs = 400;
 /** Instances that are asked for a tunnel, one after the other, for one connection. */
 const maxTunnelAttempts = 3;
 
@@ -66,20 +72,24 @@
 	start(): void {
 		this.dependencies.timers.repeat(this.timings.probeInterval, () => {
 			if (this.dependencies.paths.isPartitioned) {
-				void this.probeRandom(new Set());
+				void this.probe(new Set());
 			}
 		});
 	}
 
 	async connect(address: string): Promise<Socket> {
-		const {paths, timers} = this.dependencies;
-		if (paths.isBroken(address, timers.now())) {
-			return this.connectAround(address);
+		const connection = this.open(address);
+		let isLate = false;
+		try {
+			return await this.dependencies.timers.withTimeout(connection, maxConnectMs, () => {
+				isLate = true;
+				return new ConnectionFailure(`connection not established within ${maxConnectMs} ms`, ConnectionFailureCause.Unverified);
+			});
+		} finally {
+			if (isLate) {
+				void this.discard(connection);
+			}
 		}
-
-		const direct = this.connectDirectly(address);
-		const isSettled = await this.settlesWithin(direct, this.timings.tunnelDelay);
-		return isSettled ? this.verify(address, direct) : this.race(address, direct);
 	}
 
 	/** Whether the own path to a server fails while another instance reaches the server, or nobody can tell. */
@@ -93,9 +103,20 @@
 		}
 	}
 
-	/** Whether this instance reaches a server other than the excluded one itself. */
+	/** Whether this instance reaches a server other than the excluded one itself; also true if no other is listed, since then nothing speaks against the own path. */
 	async reachesAnother(excluded: string): Promise<boolean> {
-		return this.probeRandom(new Set([excluded]));
+		return this.dependencies.findAddresses().every(address => address === excluded) || this.probe(new Set([excluded]));
+	}
+
+	private async open(address: string): Promise<Socket> {
+		const {paths, timers} = this.dependencies;
+		if (paths.isBroken(address, timers.now())) {
+			return this.connectAround(address);
+		}
+
+		const direct = this.connectDirectly(address);
+		const isSettled = await this.settlesWithin(direct, this.timings.tunnelDelay);
+		return isSettled ? this.verify(address, direct) : this.race(address, direct, this.openTunnel(address));
 	}
 
 	private async connectDirectly(address: string): Promise<Socket> {
@@ -132,9 +153,8 @@
 		}
 	}
 
-	/** Opens a tunnel beside an own connection that is slow, and returns whichever is established first. */
-	private async race(address: string, direct: Promise<Socket>): Promise<Socket> {
-		const tunnel = this.openTunnel(address);
+	/** Returns whichever of an own connection and a tunnel is established first. */
+	private async race(address: string, direct: Promise<Socket>, tunnel: Promise<Socket>): Promise<Socket> {
 		try {
 			const socket = await Promise.any([direct, tunnel]);
 			void this.discard(direct, socket, address);
@@ -146,16 +166,16 @@
 		}
 	}
 
-	/** Closes a connection that another one has overtaken. If the own one fails after all, its path is broken. */
-	private async discard(connection: Promise<Socket>, used: Socket, ownAddress?: string): Promise<void> {
+	/** Closes a connection that is too late or that another one has overtaken. If the own one fails after all, its path is broken. */
+	private async discard(connection: Promise<Socket>, used?: Socket, ownAddress?: string): Promise<void> {
 		try {
 			const socket = await connection;
 			if (socket !== used) {
 				socket.destroy();
 			}
-		} catch {
+		} catch (error) {
 			if (ownAddress !== undefined) {
-				this.recordFailure(ownAddress);
+				this.recordFailure(ownAddress, error);
 			}
 		}
 	}
@@ -163,17 +183,22 @@
 	private async connectAfterFailure(address: string, error: unknown): Promise<Socket> {
 		try {
 			const socket = await this.openTunnel(address);
-			this.recordFailure(address);
+			this.recordFailure(address, error);
 			return socket;
 		} catch (error_) {
 			throw this.createFailure(address, error, error_);
 		}
 	}
 
-	/** Connects to a server to which the own path is broken. */
+	/** Connects to a server to which the own path is broken. The own path is tried as well if a tunnel takes long. */
 	private async connectAround(address: string): Promise<Socket> {
+		const tunnel = this.openTunnel(address);
+		if (!await this.settlesWithin(tunnel, this.timings.tunnelDelay)) {
+			return this.race(address, this.connectDirectly(address), tunnel);
+		}
+
 		try {
-			return await this.openTunnel(address);
+			return await tunnel;
 		} catch (error) {
 			if (error instanceof TunnelFailure && conclusiveReasons.has(error.reason)) {
 				throw this.createFailure(address, error, error);
@@ -206,7 +231,7 @@
 			return error;
 		}
 
-		this.recordFailure(address);
+		this.recordFailure(address, error);
 		return new ConnectionFailure(`${message}; no other instance could tell why: ${getErrorMessage(failure)}`, ConnectionFailureCause.Unverified);
 	}
 
@@ -248,10 +273,10 @@
 		}
 	}
 
-	private recordFailure(address: string): void {
+	private recordFailure(address: string, error: unknown): void {
 		const {paths, timers, log, onBroken} = this.dependencies;
 		const wasBroken = paths.isBroken(address, timers.now());
-		paths.recordFailure(address, timers.now());
+		paths.recordFailure(address, error instanceof ConnectionFailure && error.reason === ConnectionFailureCause.Unanswered, timers.now());
 		if (!wasBroken) {
 			log.warn('path.broken', {address});
 			onBroken(address);
@@ -271,7 +296,7 @@
 
 		this.isProving = true;
 		const failed = new Set(findAddresses().filter(address => paths.hasFailed(address)));
-		const isReaching = await this.probeRandom(failed);
+		const isReaching = await this.probe(failed);
 		this.isProving = false;
 		if (!isReaching && paths.maybePartitioned && paths.recordPartition()) {
 			log.warn('paths.partitioned', {failed: failed.size});
@@ -279,20 +304,26 @@
 		}
 	}
 
-	/** Whether this instance reaches a random server, other than the excluded ones, itself. */
-	private async probeRandom(excluded: ReadonlySet<string>): Promise<boolean> {
-		const {findAddresses, random} = this.dependencies;
+	/** Whether this instance reaches any of a few random servers, other than the excluded ones, itself. */
+	private async probe(excluded: ReadonlySet<string>): Promise<boolean> {
+		const {findAddresses, random, timers} = this.dependencies;
 		const candidates = findAddresses().filter(address => !excluded.has(address));
-		if (candidates.length === 0) {
-			return false;
+		const probes: Array<Promise<true>> = [];
+		while (probes.length < maxProbes && candidates.length > 0) {
+			const [address] = candidates.splice(random.nextInteger(candidates.length), 1);
+			probes.push(this.probeServer(address));
 		}
 
 		try {
-			const socket = await this.connectDirectly(random.pick(candidates));
-			socket.destroy();
-			return true;
+			return await timers.withTimeout(Promise.any(probes), this.timings.probeTimeout, () => new Error('no server answered in time'));
 		} catch {
 			return false;
 		}
 	}
+
+	private async probeServer(address: string): Promise<true> {
+		const socket = await this.connectDirectly(address);
+		socket.destroy();
+		return true;
+	}
 }
--- a/test/partitioned-instance-process.test.ts
+++ b/test/partitioned-instance-process.test.ts
@@ -111,3 +111,28 @@
 	t.is(oneTime.length, requests);
 	t.true(received.every(({remaining, path}) => remaining <= (path.startsWith('/drafts/') ? 5000 : 800)));
 });
+
+// Guards against streams that work and are broken off, because new connections to their first stage are refused.
+test.serial('streams whose connections live on while new ones are refused are not sent again', async t => {
+	const first = await RouterProcess.start(8);
+	t.teardown(async () => first.stop());
+	const second = await RouterProcess.startBeside(first, 'entry-b');
+	t.teardown(async () => second.stop());
+	first.startHeartbeats();
+	await Promise.all([first, second].map(async router => router.waitUntil(async () => await router.sendForStatus('/drafts/0') === 200 && await router.sendForStatus('/lookups/0') === 200)));
+	for (const stage of first.stages) {
+		stage.behaviour.pause = 900;
+		stage.behaviour.events = 2;
+	}
+
+	const streams = [1, 2, 3, 4].map(async number => second.send(`/drafts/live-${number}`));
+	await first.timers.sleep(100);
+	second.partition(PartitionKind.NewOnly);
+	await first.timers.sleep(50);
+	const others = [1, 2, 3, 4, 5, 6].flatMap(number => [second.send(`/lookups/${number}`), second.send(`/records/${number}`)]);
+	const responses = await Promise.all(streams);
+	await Promise.all(others);
+	const received = first.stages.flatMap(({receivedRequests}) => receivedRequests).filter(({path}) => path.startsWith('/drafts/live-'));
+	t.true(responses.every(({status, isComplete}) => status === 200 && isComplete));
+	t.is(received.length, 4);
+});
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -71,6 +71,7 @@
 		log: new RecordingLog(),
 		getHealthPath: () => '/healthz',
 		isPathBroken: () => false,
+		isPathSilent: () => false,
 		checkPath: async () => false,
 		onSuspicion({id}) {
 			reported.push(id);
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -21,7 +21,9 @@
 import {RecordingLog} from './support/sample-fleet.js';
 
 const timers = new ClockTimerService();
-const timings = {tunnelDelay: 50, tunnelPatience: 200, probeInterval: 20};
+const timings = {
+	tunnelDelay: 50, tunnelPatience: 200, probeTimeout: 150, probeInterval: 20,
+};
 
 /** Listens with a server that treats each connection as given; returns its address. */
 async function listenTcp(t: ExecutionContext, onConnection: (socket: Socket) => void): Promise<string> {
@@ -256,7 +258,7 @@
 
 test('while no other instance opens a tunnel, a partitioned instance tries its own path', async t => {
 	const fixture = new Fixture(['s1', 's2']);
-	fixture.tracker.recordFailure('s1', timers.now());
+	fixture.tracker.recordFailure('s1', false, timers.now());
 	fixture.tracker.recordPartition();
 	fixture.tunnelFailure = TunnelFailureReason.Unavailable;
 	t.false(isTunnelled(await fixture.connector.connect('s1')));
