--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -15,7 +15,7 @@
 import {type RouterSettings} from '../settings/router-settings.js';
 import {splitAddress} from '../settings/split-address.js';
 import {type TimerService} from '../time/timer-service.js';
-import {type ServerConnector} from '../tunnels/server-connector.js';
+import {type OwnPaths} from '../tunnels/own-paths.js';
 import {type TunnelServer} from '../tunnels/tunnel-server.js';
 import {type EntryServer} from './entry-server.js';
 import {type InstanceRegistry} from './instance-registry.js';
@@ -40,7 +40,7 @@
 	readonly instanceRegistry: InstanceRegistry;
 	readonly gossip: GossipService;
 	readonly gossipClients: GossipClients;
-	readonly serverConnector: ServerConnector;
+	readonly ownPaths: OwnPaths;
 	readonly tunnelServer: TunnelServer;
 	readonly lease: Lease;
 	readonly leaseManager: LeaseManager;
@@ -75,7 +75,7 @@
 		dependencies.streamMonitor.start();
 		dependencies.crashGuard.start();
 		dependencies.gossip.start();
-		dependencies.serverConnector.start();
+		dependencies.ownPaths.start();
 		void this.joinUntilReady();
 		this.startPeriodicWork();
 		dependencies.log.write('process.started', {id: settings.instance.id, zone: settings.instance.availability_zone, callers: settings.instance.callers});
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -153,7 +153,7 @@
 
 	const retryBudgets = new Map<string, RetryBudget>();
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
-	const {paths, peerPaths, serverConnector, tunnelServer} = wireTunnels(limits.connect, {
+	const {paths, peerPaths, ownPaths, serverConnector, tunnelServer} = wireTunnels(limits.connect, {
 		directory, findPeers: () => findResponsivePeers(), lifecycle, random, timers, metrics, log,
 	}, {
 		onBroken(address) {
@@ -331,7 +331,7 @@
 	metrics.gauge('siskinnotch_servers_limited', () => backpressure.limits.size);
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
-		directory, instanceRegistry, gossip, gossipClients, serverConnector, tunnelServer, lease, leaseManager, placementController,
+		directory, instanceRegistry, gossip, gossipClients, ownPaths, tunnelServer, lease, leaseManager, placementController,
 	});
 	return router;
 }
--- a/src/tunnel-wiring.ts
+++ b/src/tunnel-wiring.ts
@@ -5,6 +5,7 @@
 import {type ServerDirectory} from './pipelines/server-directory.js';
 import {type RandomSource} from './routing/random-source.js';
 import {type TimerService} from './time/timer-service.js';
+import {OwnPaths} from './tunnels/own-paths.js';
 import {PathTracker} from './tunnels/path-tracker.js';
 import {PeerPaths} from './tunnels/peer-paths.js';
 import {ServerConnector} from './tunnels/server-connector.js';
@@ -16,6 +17,7 @@
 export type Tunnels = {
 	readonly paths: PathTracker;
 	readonly peerPaths: PeerPaths;
+	readonly ownPaths: OwnPaths;
 	readonly serverConnector: ServerConnector;
 	readonly tunnelServer: TunnelServer;
 };
@@ -40,9 +42,9 @@
 };
 
 /** Durations in milliseconds. */
-const connectorTimings = {
-	tunnelDelay: 120, tunnelPatience: 200, probeTimeout: 150, probeInterval: 500,
-};
+const connectorTimings = {tunnelDelay: 120, tunnelPatience: 200};
+/** Durations in milliseconds. */
+const probeTimings = {probeTimeout: 150, probeInterval: 500};
 /** Time to open a connection for another instance; with the delay before it, within the time of a connection that fails. */
 const tunnelConnectTimeoutMs = 150;
 const tunnelTimeoutMs = 350;
@@ -51,29 +53,28 @@
 export function wireTunnels(connectTimeout: number, {directory, findPeers, lifecycle, random, timers, metrics, log}: TunnelDependencies, events: TunnelEvents): Tunnels {
 	const paths = new PathTracker();
 	const peerPaths = new PeerPaths(() => paths.isPartitioned);
-	const serverConnector = new ServerConnector({
+	const ownPaths = new OwnPaths({
 		direct: new TcpConnector(timers, connectTimeout),
-		tunnels: new TunnelClient(timers, tunnelTimeoutMs),
 		paths,
-		peerPaths,
-		findPeers,
 		findAddresses: () => directory.all().map(({address}) => address),
 		random,
 		timers,
-		metrics,
 		log,
 		...events,
+	}, probeTimings);
+	const serverConnector = new ServerConnector({
+		ownPaths, tunnels: new TunnelClient(timers, tunnelTimeoutMs), peerPaths, findPeers, random, timers, metrics, log,
 	}, connectorTimings);
 	const tunnelServer = new TunnelServer({
 		direct: new TcpConnector(timers, tunnelConnectTimeoutMs),
 		isServer: address => directory.findByAddress(address) !== undefined,
 		isAvailable: () => !lifecycle.isDraining && !paths.isPartitioned,
-		reachesAnother: async address => serverConnector.reachesAnother(address),
+		reachesAnother: async address => ownPaths.reachesAnother(address),
 		log,
 	});
 	metrics.gauge('siskinnotch_partitioned', () => paths.isPartitioned ? 1 : 0);
 	metrics.gauge('siskinnotch_tunnels', () => tunnelServer.size);
 	return {
-		paths, peerPaths, serverConnector, tunnelServer,
+		paths, peerPaths, ownPaths, serverConnector, tunnelServer,
 	};
 }
--- a/src/tunnels/server-connector.ts
+++ b/src/tunnels/server-connector.ts
@@ -8,7 +8,7 @@
 import {ConnectionFailureCause} from './connection-failure-cause.js';
 import {ConnectionFailure} from './connection-failure.js';
 import {Connector} from './connector.js';
-import {type PathTracker} from './path-tracker.js';
+import {type OwnPaths} from './own-paths.js';
 import {type PeerPaths} from './peer-paths.js';
 import {type TunnelClient} from './tunnel-client.js';
 import {TunnelFailureReason} from './tunnel-failure-reason.js';
@@ -16,23 +16,15 @@
 import {isTunnelled, markTunnelled} from './tunnelled-socket.js';
 
 export type ServerConnectorDependencies = {
-	/** Opens connections from this instance itself. */
-	readonly direct: Connector;
+	readonly ownPaths: OwnPaths;
 	readonly tunnels: Pick<TunnelClient, 'open'>;
-	readonly paths: PathTracker;
 	readonly peerPaths: PeerPaths;
 	/** The other instances that respond. */
 	readonly findPeers: () => readonly RegisteredInstance[];
-	/** Addresses of all listed backend servers. */
-	readonly findAddresses: () => readonly string[];
 	readonly random: RandomSource;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
-	/** Called when the own path to a server turns out to be broken; all own paths are if the address is undefined. */
-	readonly onBroken: (address: string | undefined) => void;
-	/** Called when an own path works again after a partition. */
-	readonly onRestored: () => void;
 };
 
 /** Timings of a connector, in milliseconds. */
@@ -41,16 +33,10 @@
 	readonly tunnelDelay: number;
 	/** Time after which no further instance is asked for a tunnel, since the request's time runs. */
 	readonly tunnelPatience: number;
-	/** Time in which one of several servers must be reached. */
-	readonly probeTimeout: number;
-	/** Interval between attempts of a partitioned instance to reach a server itself. */
-	readonly probeInterval: number;
 };
 
 /** Reasons that say something about the server. */
 const conclusiveReasons: ReadonlySet<TunnelFailureReason> = new Set([TunnelFailureReason.Refused, TunnelFailureReason.Unanswered]);
-/** Servers that are tried at a time to find out whether this instance reaches any. */
-const maxProbes = 6;
 /** Time to establish a connection by whatever path; the remaining time of a request is encoded before, and must not be much shorter then. */
 const maxConnectMs = 400;
 /** Instances that are asked for a tunnel, one after the other, for one connection. */
@@ -62,21 +48,10 @@
 Whether a server does not work is decided only by an instance that reaches other servers. So an instance that is cut off neither takes the servers for dead nor tells others so.
 */
 export class ServerConnector extends Connector {
-	private isProving = false;
-
 	constructor(private readonly dependencies: ServerConnectorDependencies, private readonly timings: ConnectorTimings) {
 		super();
 	}
 
-	/** Starts looking for the end of a partition. */
-	start(): void {
-		this.dependencies.timers.repeat(this.timings.probeInterval, () => {
-			if (this.dependencies.paths.isPartitioned) {
-				void this.probe(new Set());
-			}
-		});
-	}
-
 	async connect(address: string): Promise<Socket> {
 		const connection = this.open(address);
 		let isLate = false;
@@ -103,28 +78,16 @@
 		}
 	}
 
-	/** Whether this instance reaches a server other than the excluded one itself; also true if no other is listed, since then nothing speaks against the own path. */
-	async reachesAnother(excluded: string): Promise<boolean> {
-		return this.dependencies.findAddresses().every(address => address === excluded) || this.probe(new Set([excluded]));
-	}
-
 	private async open(address: string): Promise<Socket> {
-		const {paths, timers} = this.dependencies;
-		if (paths.isBroken(address, timers.now())) {
+		if (this.dependencies.ownPaths.isBroken(address)) {
 			return this.connectAround(address);
 		}
 
-		const direct = this.connectDirectly(address);
+		const direct = this.dependencies.ownPaths.connect(address);
 		const isSettled = await this.settlesWithin(direct, this.timings.tunnelDelay);
 		return isSettled ? this.verify(address, direct) : this.race(address, direct, this.openTunnel(address));
 	}
 
-	private async connectDirectly(address: string): Promise<Socket> {
-		const socket = await this.dependencies.direct.connect(address);
-		this.recordSuccess(address);
-		return socket;
-	}
-
 	private async settlesWithin(connection: Promise<Socket>, duration: number): Promise<boolean> {
 		const settle = async () => {
 			try {
@@ -175,7 +138,7 @@
 			}
 		} catch (error) {
 			if (ownAddress !== undefined) {
-				this.recordFailure(ownAddress, error);
+				this.dependencies.ownPaths.recordFailure(ownAddress, error);
 			}
 		}
 	}
@@ -183,7 +146,7 @@
 	private async connectAfterFailure(address: string, error: unknown): Promise<Socket> {
 		try {
 			const socket = await this.openTunnel(address);
-			this.recordFailure(address, error);
+			this.dependencies.ownPaths.recordFailure(address, error);
 			return socket;
 		} catch (error_) {
 			throw this.createFailure(address, error, error_);
@@ -194,7 +157,7 @@
 	private async connectAround(address: string): Promise<Socket> {
 		const tunnel = this.openTunnel(address);
 		if (!await this.settlesWithin(tunnel, this.timings.tunnelDelay)) {
-			return this.race(address, this.connectDirectly(address), tunnel);
+			return this.race(address, this.dependencies.ownPaths.connect(address), tunnel);
 		}
 
 		try {
@@ -210,7 +173,7 @@
 
 	private async connectAlone(address: string, failure: unknown): Promise<Socket> {
 		try {
-			return await this.connectDirectly(address);
+			return await this.dependencies.ownPaths.connect(address);
 		} catch (error) {
 			throw this.createFailure(address, error, failure);
 		}
@@ -231,7 +194,7 @@
 			return error;
 		}
 
-		this.recordFailure(address, error);
+		this.dependencies.ownPaths.recordFailure(address, error);
 		return new ConnectionFailure(`${message}; no other instance could tell why: ${getErrorMessage(failure)}`, ConnectionFailureCause.Unverified);
 	}
 
@@ -264,66 +227,4 @@
 
 		throw last;
 	}
-
-	private recordSuccess(address: string): void {
-		const {paths, log, onRestored} = this.dependencies;
-		if (paths.recordSuccess(address)) {
-			log.write('paths.restored', {address});
-			onRestored();
-		}
-	}
-
-	private recordFailure(address: string, error: unknown): void {
-		const {paths, timers, log, onBroken} = this.dependencies;
-		const wasBroken = paths.isBroken(address, timers.now());
-		paths.recordFailure(address, error instanceof ConnectionFailure && error.reason === ConnectionFailureCause.Unanswered, timers.now());
-		if (!wasBroken) {
-			log.warn('path.broken', {address});
-			onBroken(address);
-		}
-
-		if (!paths.isPartitioned && paths.maybePartitioned) {
-			void this.provePartition();
-		}
-	}
-
-	/** Finds out whether any server is reached, since several are not. */
-	private async provePartition(): Promise<void> {
-		const {paths, findAddresses, log, onBroken} = this.dependencies;
-		if (this.isProving) {
-			return;
-		}
-
-		this.isProving = true;
-		const failed = new Set(findAddresses().filter(address => paths.hasFailed(address)));
-		const isReaching = await this.probe(failed);
-		this.isProving = false;
-		if (!isReaching && paths.maybePartitioned && paths.recordPartition()) {
-			log.warn('paths.partitioned', {failed: failed.size});
-			onBroken(undefined);
-		}
-	}
-
-	/** Whether this instance reaches any of a few random servers, other than the excluded ones, itself. */
-	private async probe(excluded: ReadonlySet<string>): Promise<boolean> {
-		const {findAddresses, random, timers} = this.dependencies;
-		const candidates = findAddresses().filter(address => !excluded.has(address));
-		const probes: Array<Promise<true>> = [];
-		while (probes.length < maxProbes && candidates.length > 0) {
-			const [address] = candidates.splice(random.nextInteger(candidates.length), 1);
-			probes.push(this.probeServer(address));
-		}
-
-		try {
-			return await timers.withTimeout(Promise.any(probes), this.timings.probeTimeout, () => new Error('no server answered in time'));
-		} catch {
-			return false;
-		}
-	}
-
-	private async probeServer(address: string): Promise<true> {
-		const socket = await this.connectDirectly(address);
-		socket.destroy();
-		return true;
-	}
 }
--- a/test/tunnel-failures.test.ts
+++ b/test/tunnel-failures.test.ts
@@ -18,6 +18,7 @@
 import {ConnectionFailureCause} from '../src/tunnels/connection-failure-cause.js';
 import {ConnectionFailure} from '../src/tunnels/connection-failure.js';
 import {Connector} from '../src/tunnels/connector.js';
+import {OwnPaths} from '../src/tunnels/own-paths.js';
 import {PathTracker} from '../src/tunnels/path-tracker.js';
 import {PeerPaths} from '../src/tunnels/peer-paths.js';
 import {ServerConnector} from '../src/tunnels/server-connector.js';
@@ -128,29 +129,29 @@
 	}
 }
 
-function createConnector(addresses: readonly string[], dead: ReadonlySet<string>, seed: number, reason = TunnelFailureReason.Unavailable) {
-	const tracker = new PathTracker();
+/** Creates the connections of an instance beside one that opens no tunnels. */
+function createConnector(addresses: readonly string[], dead: ReadonlySet<string>, seed: number) {
+	const paths = new PathTracker();
+	const random = new RandomSource(seed);
+	const log = new RecordingLog();
+	const ownPaths = new OwnPaths({
+		direct: new Paths(dead), paths, findAddresses: () => addresses, random, timers, log, onBroken: () => undefined, onRestored: () => undefined,
+	}, {probeTimeout: 150, probeInterval: 20});
 	const connector = new ServerConnector({
-		direct: new Paths(dead),
+		ownPaths,
 		tunnels: {
 			async open() {
-				throw new TunnelFailure('x', reason);
+				throw new TunnelFailure('x', TunnelFailureReason.Unavailable);
 			},
 		},
-		paths: tracker,
-		peerPaths: new PeerPaths(() => tracker.isPartitioned),
+		peerPaths: new PeerPaths(() => paths.isPartitioned),
 		findPeers: () => [{id: 'b', availabilityZone: 'z', peers: '127.0.0.1:1'}],
-		findAddresses: () => addresses,
-		random: new RandomSource(seed),
+		random,
 		timers,
 		metrics: new Metrics(),
-		log: new RecordingLog(),
-		onBroken: () => undefined,
-		onRestored: () => undefined,
-	}, {
-		tunnelDelay: 50, tunnelPatience: 200, probeTimeout: 150, probeInterval: 20,
-	});
-	return {tracker, connector};
+		log,
+	}, {tunnelDelay: 50, tunnelPatience: 200});
+	return {tracker: paths, ownPaths, connector};
 }
 
 // Guards against an instance that counts as partitioned because it asked another dead server, though it reaches half of them.
@@ -171,8 +172,8 @@
 test('an instance that reaches half of the servers can tell that one refuses', async t => {
 	let unable = 0;
 	for (let seed = 1; seed <= 40; seed++) {
-		const {connector} = createConnector(['s1', 's2', 's3', 's4', 's5', 's6', 's7', 's8'], new Set(['s1', 's2', 's3', 's4']), seed);
-		unable += await connector.reachesAnother('s1') ? 0 : 1; // eslint-disable-line no-await-in-loop
+		const {ownPaths} = createConnector(['s1', 's2', 's3', 's4', 's5', 's6', 's7', 's8'], new Set(['s1', 's2', 's3', 's4']), seed);
+		unable += await ownPaths.reachesAnother('s1') ? 0 : 1; // eslint-disable-line no-await-in-loop
 	}
 
 	t.is(unable, 0);
@@ -268,32 +269,31 @@
 	tracker.recordFailure('s1', false, timers.now());
 	tracker.recordPartition();
 	let opened = 0;
-	const connector = new ServerConnector({
-		direct: {
-			async connect() {
-				await timers.sleep(60);
-				return new Socket();
-			},
+	const random = new RandomSource(1);
+	const log = new RecordingLog();
+	const direct = {
+		async connect() {
+			await timers.sleep(60);
+			return new Socket();
 		},
+	};
+	const connector = new ServerConnector({
+		ownPaths: new OwnPaths({
+			direct, paths: tracker, findAddresses: () => ['s1', 's2'], random, timers, log, onBroken: () => undefined, onRestored: () => undefined,
+		}, {probeTimeout: 150, probeInterval: 500}),
 		tunnels: {
 			async open() {
 				await timers.sleep(opened++ === 0 ? 150 : 350);
 				throw new TunnelFailure('no answer', TunnelFailureReason.Unavailable);
 			},
 		},
-		paths: tracker,
 		peerPaths: new PeerPaths(() => tracker.isPartitioned),
 		findPeers: () => ['b', 'c', 'd'].map(id => ({id, availabilityZone: 'z', peers: '127.0.0.1:1'})),
-		findAddresses: () => ['s1', 's2'],
-		random: new RandomSource(1),
+		random,
 		timers,
 		metrics: new Metrics(),
-		log: new RecordingLog(),
-		onBroken: () => undefined,
-		onRestored: () => undefined,
-	}, {
-		tunnelDelay: 120, tunnelPatience: 200, probeTimeout: 150, probeInterval: 500,
-	});
+		log,
+	}, {tunnelDelay: 120, tunnelPatience: 200});
 	const startedAt = timers.now();
 	await connector.connect('s1');
 	t.true(timers.now() - startedAt <= 500, `${Math.round(timers.now() - startedAt)} ms`);
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -9,6 +9,7 @@
 import {ConnectionFailureCause} from '../src/tunnels/connection-failure-cause.js';
 import {ConnectionFailure} from '../src/tunnels/connection-failure.js';
 import {Connector} from '../src/tunnels/connector.js';
+import {OwnPaths} from '../src/tunnels/own-paths.js';
 import {PathTracker} from '../src/tunnels/path-tracker.js';
 import {PeerPaths} from '../src/tunnels/peer-paths.js';
 import {ServerConnector} from '../src/tunnels/server-connector.js';
@@ -172,11 +173,26 @@
 	readonly broken: Array<string | undefined> = [];
 	restorations = 0;
 	readonly tracker = new PathTracker();
+	readonly ownPaths: OwnPaths;
 	readonly connector: ServerConnector;
 
 	constructor(readonly addresses: readonly string[]) {
-		this.connector = new ServerConnector({
+		this.ownPaths = new OwnPaths({
 			direct: this.own,
+			paths: this.tracker,
+			findAddresses: () => this.addresses,
+			random: new RandomSource(1),
+			timers,
+			log: new RecordingLog(),
+			onBroken: address => {
+				this.broken.push(address);
+			},
+			onRestored: () => {
+				this.restorations++;
+			},
+		}, timings);
+		this.connector = new ServerConnector({
+			ownPaths: this.ownPaths,
 			tunnels: {
 				open: async () => {
 					if (this.tunnelFailure) {
@@ -186,20 +202,12 @@
 					return new Socket();
 				},
 			},
-			paths: this.tracker,
 			peerPaths: new PeerPaths(() => this.tracker.isPartitioned),
 			findPeers: () => this.peers.map(id => ({id, availabilityZone: 'zone-a', peers: '127.0.0.1:1'})),
-			findAddresses: () => this.addresses,
 			random: new RandomSource(1),
 			timers,
 			metrics: new Metrics(),
 			log: new RecordingLog(),
-			onBroken: address => {
-				this.broken.push(address);
-			},
-			onRestored: () => {
-				this.restorations++;
-			},
 		}, timings);
 	}
 
@@ -231,7 +239,7 @@
 // Guards against an instance that goes through others for good because single paths of it failed.
 test('an instance is partitioned if no own path works, and no longer once one works', async t => {
 	const fixture = new Fixture(['s1', 's2', 's3', 's4']);
-	fixture.connector.start();
+	fixture.ownPaths.start();
 	fixture.own.refusing.add('s1');
 	fixture.own.silent.add('s2');
 	const sockets = await Promise.all(['s1', 's2', 's3'].map(async address => fixture.connector.connect(address)));
