--- a/test/server-list.test.ts
+++ b/test/server-list.test.ts
@@ -174,3 +174,66 @@
 	await fixture.elapse(500);
 	t.deepEqual(fixture.servers, ['a', 'b']);
 });
+
+const soundEntry = {
+	service: 'model', address: '10.0.0.1:8000', zone: 'zone-a', batchSlots: 4, state: 'ready', born: 7,
+};
+const nested = (open: string, close: string, depth: number) => `${open.repeat(depth)}1${close.repeat(depth)}`;
+
+/** A row of another writer, with any text. */
+function oddRow(key: string, text: string | Uint8Array): StoreRow {
+	return {...row(key, 3), data: Buffer.from(text).toString('base64')};
+}
+
+/** Returns the text of an entry in which the JSON of one field is replaced. */
+function replaceField(name: string, json: string): string {
+	const fields = Object.entries(soundEntry).filter(([field]) => field !== name).map(([field, value]) => `"${field}":${JSON.stringify(value)}`);
+	return `{${[...fields, `"${name}":${json}`].join(',')}}`;
+}
+
+const unusableAddresses = ['10.0.0.1', '999.0.0.1:8000', '010.0.0.1:8000', '10.0.0:8000', '[::1]:8000', '::1', 'localhost:8000', ''];
+const unusableEntries: ReadonlyArray<readonly [title: string, text: string | Uint8Array]> = [
+	...['0', '65536', '99999', '99999999999999999999', 'http', '', '-1', '80.5'].map(port => [`port ${port}`, replaceField('address', `"10.0.0.1:${port}"`)] as const),
+	...unusableAddresses.map(address => [`address ${address}`, replaceField('address', `"${address}"`)] as const),
+	...['1e999', '9223372036854775808', '-4', '0.5', '"4"', 'null', 'true', '[4]'].map(slots => [`slots ${slots}`, replaceField('batchSlots', slots)] as const),
+	...['1e999', '9223372036854775808', '0.5', '"7"', 'null'].map(born => [`start ${born}`, replaceField('born', born)] as const),
+	...['{"from":-1,"to":8}', '{"from":0,"to":1e999}', '{"from":0}', '[0,8]'].map(layers => [`layers ${layers}`, replaceField('layers', layers)] as const),
+	...['service', 'zone', 'state', 'layers'].flatMap(name => [1000, 30_000, 500_000].map(depth => [`${name} nested ${depth} deep`, replaceField(name, nested('[', ']', depth))] as const)),
+	['an array without an end', '['.repeat(1_000_000)],
+	['objects nested deeply', nested('{"a":', '}', 150_000)],
+	['bytes that are no text', Uint8Array.from([0xFF, 0xFE, 0x00, 0xC3, 0x28])],
+	['only the key __proto__', `{"__proto__":${JSON.stringify(soundEntry)}}`],
+	['an address with a line feed', replaceField('address', JSON.stringify('10.0.0.1:8000\n'))],
+	['not a number', replaceField('batchSlots', 'NaN')],
+];
+
+// Guards against instances that end, or no longer follow the list, because another writer left an entry that names no server to use.
+for (const [title, text] of unusableEntries) {
+	test(`an entry that names no server is skipped, and the list is followed beside it: ${title}`, async t => {
+		const odd = oddRow('x', text);
+		const fixture = new ListFixture([respond([row('a', 1), odd], 5), respond([odd, row('b', 6)], 6), respond([{...row('a', 7), deleted: true, data: ''}], 7)]);
+		await fixture.elapse(50);
+		t.deepEqual(fixture.servers, ['a']);
+		await fixture.elapse(50);
+		t.deepEqual(fixture.servers, ['a', 'b']);
+		await fixture.elapse(50);
+		t.deepEqual(fixture.servers, ['b']);
+	});
+}
+
+// Guards against requests that can't be encoded: the id is sent in a header, so one with other characters would end the process.
+for (const id of ['a\nb', 'a\rb', 'a\0b', 'replica-\u{4E2D}', ' ', '']) {
+	test(`an entry whose id can't be sent is skipped: ${JSON.stringify(id)}`, async t => {
+		const fixture = new ListFixture([respond([row('a', 1), row(id, 2)], 5)]);
+		await fixture.elapse(50);
+		t.deepEqual(fixture.servers, ['a']);
+	});
+}
+
+// Guards against a sound server that is lost because its id is special in JavaScript, or its entry has fields that nobody reads.
+test('a server with an unusual id or further fields is used', async t => {
+	const further = oddRow('b', replaceField('__proto__', nested('[', ']', 500_000)));
+	const fixture = new ListFixture([respond([row('__proto__', 1), row('constructor', 2), further], 5)]);
+	await fixture.elapse(50);
+	t.deepEqual(fixture.servers, ['__proto__', 'b', 'constructor']);
+});
