Skip malformed entries of the instance list instead of the whole list

What callers of the product's own interface would see: with one malformed entry in the platform's instance list, every instance kept the list that it had before, or none, and so used servers that were gone and none that were new.

Cause: the answer was validated as a whole. Each entry is now validated by itself, and one that does not match is left out.

npx ava test/http-platform.test.ts (eight odd entries beside a sound one): failed with the earlier code by a ZodError for the whole answer, passes now.

--- a/src/store/http-platform.ts
+++ b/src/store/http-platform.ts
@@ -3,7 +3,7 @@
 import {HttpClient} from './http-client.js';
 import {type InstanceChanges} from './instance-changes.js';
 import {InstanceList} from './instance-list.js';
-import {listedInstanceSchema} from './listed-instance.js';
+import {listedInstanceSchema, type ListedInstance} from './listed-instance.js';
 import {ObjectStore} from './object-store.js';
 import {Platform} from './platform.js';
 import {type Row} from './row.js';
@@ -15,9 +15,15 @@
 const rowSchema = z.object({key: z.string(), version: z.number(), value: z.string()});
 const rowsSchema = z.object({rows: z.array(rowSchema)});
 const transactionSchema = z.object({isApplied: z.boolean(), conflicts: z.array(rowSchema)});
-const changesSchema = z.object({revision: z.number(), changed: z.array(listedInstanceSchema)});
+const changesSchema = z.object({revision: z.number(), changed: z.array(z.unknown())});
 const versionsSchema = z.object({versions: z.array(z.string())});
 
+/** Decodes an entry of the instance list; empty if it is malformed, so that it does not withhold the others. */
+function decodeListed(entry: unknown): readonly ListedInstance[] {
+	const {data} = listedInstanceSchema.safeParse(entry);
+	return data ? [data] : [];
+}
+
 class HttpTable extends Table {
 	constructor(private readonly client: HttpClient) {
 		super();
@@ -61,7 +67,8 @@
 
 	async changesSince(revision: number): Promise<InstanceChanges> {
 		const response = await this.client.send('GET', `/instances?since=${revision}`);
-		return changesSchema.parse(JSON.parse(response.body));
+		const page = changesSchema.parse(JSON.parse(response.body));
+		return {revision: page.revision, changed: page.changed.flatMap(entry => decodeListed(entry))};
 	}
 }
 
