Test that a repeated refusal never becomes the response to a later request

Other operators saw a faulty server write an earlier refusal once more on a kept connection, so that callers were told that a request had not run that was running. It can't happen here between requests: a response with another id or none is an invalid response, after which the request may have run; bytes on an idle connection close it; and a request that may run only once uses no connection of an earlier one.

npx ava test/backend-client.test.ts: six tests pass, five of them new.

--- a/test/backend-client.test.ts
+++ b/test/backend-client.test.ts
@@ -1,9 +1,12 @@
-import test from 'ava';
+import {createServer, type Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
 import {freePort} from '../harness/ports.js';
 import {PlatformCodec} from '../platform/platform-codec.js';
 import {AttemptFailureReason, type AttemptFailure} from '../src/relay/attempt-failure.js';
 import {BackendAgent} from '../src/relay/backend-agent.js';
 import {BackendClient} from '../src/relay/backend-client.js';
+import {listen} from '../src/network/listen.js';
+import {getListeningPort} from '../simulators/json-server.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {ExchangeFixture, sampleStreamRoute} from './support/exchange-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
@@ -33,3 +36,148 @@
 	});
 	t.is(failure.reason, AttemptFailureReason.Refused);
 });
+
+/** What an attempt reported: the status of a complete response, or the reason of its failure. */
+type Outcome = {
+	readonly status?: number;
+	readonly isNotExecuted?: boolean;
+	readonly reason?: AttemptFailureReason;
+	readonly text: string;
+};
+
+type Answer = (id: string, socket: Socket) => void;
+
+const refusal = (id?: string) => `HTTP/1.1 503 Full\r\n${id === undefined ? '' : `Siskinnotch-Attempt-Id: ${id}\r\n`}Siskinnotch-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull`;
+const success = (id: string) => `HTTP/1.1 200 OK\r\nSiskinnotch-Attempt-Id: ${id}\r\nSiskinnotch-Replica-Signature: s\r\nContent-Length: 4\r\n\r\ndone`;
+const requestPattern = /Siskinnotch-Attempt-Id: (?<id>\S+)/v;
+
+/** Starts a faulty server over raw TCP that answers the request with an id by what the function writes, and returns its port. */
+async function startFaultyServer(t: ExecutionContext, arrivals: string[], answer: Answer): Promise<number> {
+	const sockets: Socket[] = [];
+	const server = createServer(socket => {
+		const number = sockets.push(socket);
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.on('data', data => {
+			const id = requestPattern.exec(data.toString())?.groups?.id;
+			if (id !== undefined) {
+				arrivals.push(`${id} on ${number}`);
+				answer(id, socket);
+			}
+		});
+	});
+	await listen(server, '127.0.0.1', 0);
+	t.teardown(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	return getListeningPort(server);
+}
+
+/** A faulty server, and a client of it that keeps connections. */
+class FaultyServerFixture {
+	private readonly timers = new ClockTimerService();
+	private readonly client = new BackendClient({
+		codec: new PlatformCodec(), agent: new BackendAgent(this.timers, 1000), timers: this.timers, connectTimeout: 1000,
+	});
+
+	/**
+	@param arrivals - ids of the requests that arrived, each with the number of its connection
+	*/
+	constructor(private readonly port: number, readonly arrivals: readonly string[]) {}
+
+	/** Lets pooled connections become idle, and bytes that are on their way arrive. */
+	async settle(): Promise<void> {
+		await this.timers.sleep(20);
+	}
+
+	async send(id: string, needsNewConnection = false): Promise<Outcome> {
+		const request = {...new ExchangeFixture().createRequest(sampleStreamRoute), id, headers: ['Siskinnotch-Attempt-Id', id]};
+		const server = sampleServer('a', '', undefined, {address: `127.0.0.1:${this.port}`});
+		let outcome: Outcome = {text: ''};
+		return new Promise(resolve => {
+			this.client.send({
+				request, server, remaining: 1000, needsNewConnection,
+			}, {
+				onHead({status, isNotExecuted}) {
+					outcome = {...outcome, status, isNotExecuted};
+				},
+				onData(chunk) {
+					outcome = {...outcome, text: outcome.text + new TextDecoder().decode(chunk)};
+				},
+				onEnd() {
+					resolve(outcome);
+				},
+				onFailure({reason}) {
+					resolve({...outcome, reason});
+				},
+			});
+		});
+	}
+}
+
+async function startFixture(t: ExecutionContext, answer: Answer): Promise<FaultyServerFixture> {
+	const arrivals: string[] = [];
+	return new FaultyServerFixture(await startFaultyServer(t, arrivals, answer), arrivals);
+}
+
+for (const staleId of ['one', undefined]) {
+	// Guards against a request that is reported as not run because its server repeated the refusal of an earlier one.
+	test(`a refusal that is repeated just after the next request was sent does not refuse it (${staleId ?? 'no id'})`, async t => {
+		const fixture = await startFixture(t, (id, socket) => {
+			socket.write(id === 'one' ? refusal('one') : refusal(staleId) + success(id));
+		});
+		const first = await fixture.send('one');
+		t.true(first.isNotExecuted);
+		await fixture.settle();
+		const second = await fixture.send('two');
+		t.is(second.reason, AttemptFailureReason.InvalidResponse, 'it may have run');
+		t.is(second.isNotExecuted, undefined);
+		t.deepEqual(fixture.arrivals, ['one on 1', 'two on 1']);
+	});
+}
+
+// Guards against leftover bytes of a connection that become the response to a later request.
+test('a refusal that is repeated on an idle connection closes it', async t => {
+	const fixture = await startFixture(t, (id, socket) => {
+		socket.write(id === 'one' ? refusal('one') : success(id));
+		if (id === 'one') {
+			new ClockTimerService().after(5, () => {
+				socket.write(refusal('two'));
+			});
+		}
+	});
+	await fixture.send('one');
+	await fixture.settle();
+	const second = await fixture.send('two');
+	t.is(second.text, 'done');
+	t.deepEqual(fixture.arrivals, ['one on 1', 'two on 2']);
+});
+
+// Guards against a second response in the same packet, or after a complete one, that becomes the response to the next request.
+test('a refusal that follows a complete response at once closes the connection', async t => {
+	const fixture = await startFixture(t, (id, socket) => {
+		socket.write(id === 'one' ? success('one') + refusal('two') : success(id));
+	});
+	const first = await fixture.send('one');
+	t.is(first.text, 'done');
+	const second = await fixture.send('two');
+	t.is(second.text, 'done');
+	t.deepEqual(fixture.arrivals, ['one on 1', 'two on 2']);
+});
+
+// Guards against refusals that reach a request that may run only once: it must be the first on its connection.
+test('a request that may run only once uses no connection of an earlier one and leaves none', async t => {
+	const fixture = await startFixture(t, (id, socket) => {
+		socket.write(success(id));
+	});
+	await fixture.send('one');
+	await fixture.settle();
+	await fixture.send('two', true);
+	await fixture.settle();
+	await fixture.send('three', true);
+	t.deepEqual(fixture.arrivals, ['one on 1', 'two on 2', 'three on 3']);
+});
