Refuse a request that may run only once only if its server states that it did not run

What callers would see: an answer 408, 429 or 503 to a request that may run only once, which promises that it has not run, although the server had not said so; such a caller sends it again.

Cause: a response with the id of the request and without the header of a refusal was passed on unchanged. Only that header states that a request was not executed.

Such a response to a request that is not repeatable now becomes the failure of an attempt that may have been executed (502), also if its body is long. Responses to requests that may run more than once are passed on as before.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,3 +1,4 @@
+import {isRepeatable} from '../catalog/route.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
@@ -10,6 +11,9 @@
 import {type RelayRequest} from './relay-request.js';
 import {type ResponseHead} from './response-head.js';
 
+/** Statuses that tell a caller that its request was not executed and never will be. */
+const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** A request from its acceptance to its final reply. */
 export abstract class Exchange {
 	protected currentAttempt?: RunningAttempt;
@@ -139,6 +143,11 @@
 		return retryBudgets.forService(this.request.service.name).tryAcquire(timers.now());
 	}
 
+	/** Whether a response would tell the caller of a request that may be executed only once that it was not executed, although the server does not state it. */
+	protected isUnfoundedRefusal({status, isNotExecuted}: ResponseHead): boolean {
+		return !isNotExecuted && refusalStatuses.has(status) && !isRepeatable(this.request.route);
+	}
+
 	/** Whether a backend server may have executed the request. */
 	protected abstract get mayHaveExecuted(): boolean;
 
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -88,7 +88,7 @@
 			return;
 		}
 
-		if (response.head.isNotExecuted) {
+		if (response.head.isNotExecuted || this.isUnfoundedRefusal(response.head)) {
 			// The body of a rejection is not passed on, so there is no need to wait for its end.
 			this.currentAttempt?.cancel();
 			this.receiveEnd();
@@ -108,6 +108,12 @@
 		}
 
 		this.crashEvidence.recordHarmless();
+		if (this.isUnfoundedRefusal(head)) {
+			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
+			this.retryOrFail(`the server responded with status ${head.status} without stating that it did not execute the request`, undefined);
+			return;
+		}
+
 		if (head.status >= minServerErrorStatus) {
 			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
 			this.retryOrFail(`the server responded with status ${head.status}`, head);
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -315,7 +315,7 @@
 
 	private handleErrorResponse(head: ResponseHead): void {
 		const reason = `${this.firstServer.id} responded with status ${head.status}`;
-		const isFinal = head.status >= minNonSuccessStatus && !this.reply.isStarted && !(this.mayResume && this.executions.allowsNewServer);
+		const isFinal = head.status >= minNonSuccessStatus && !this.reply.isStarted && !this.isUnfoundedRefusal(head) && !(this.mayResume && this.executions.allowsNewServer);
 		if (!isFinal) {
 			this.resumeOrFail(reason);
 			return;
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -20,11 +20,11 @@
 /** A fixture with the exchange of one lookup. */
 type LookupFixture = ExchangeFixture & {exchange?: PlainExchange};
 
-function startLookup(connectionShare: number, ids: readonly string[] = ['a'], maxExecutions = lookupRoute.maxExecutions): LookupFixture {
+function startLookup(connectionShare: number, ids: readonly string[] = ['a'], maxExecutions = lookupRoute.maxExecutions, kind = RequestKind.Idempotent): LookupFixture {
 	const fixture: LookupFixture = new ExchangeFixture();
 	const {dependencies, directory, serverHealth, backpressure, load} = fixture;
 	directory.applyReading({servers: ids.map(id => sampleServer(id, '', undefined, {service: 'records'})), requestedAt: 0, mayBeIncomplete: false});
-	fixture.exchange = new PlainExchange(dependencies, fixture.createRequest({...lookupRoute, maxExecutions}), fixture.reply, {
+	fixture.exchange = new PlainExchange(dependencies, fixture.createRequest({...lookupRoute, maxExecutions, kind}), fixture.reply, {
 		selector: new PlainServerSelector({
 			directory, serverHealth, backpressure, load, random: new RandomSource(seed()),
 		}),
@@ -252,3 +252,51 @@
 	fixture.latest.onHead(sampleResponseHead);
 	t.is(backpressure.limits.size, 0);
 });
+
+// Guards against requests that run once at most and are reported as not run without a statement of their server: these statuses promise it.
+for (const status of [408, 429, 503]) {
+	for (const bodyBytes of [10, 5000]) {
+		test(`a request that may run only once is not refused by a server that does not state that it did not run it (${status}, ${bodyBytes} bytes)`, t => {
+			const fixture = startLookup(5, ['a', 'b'], 2, RequestKind.NonIdempotent);
+			fixture.latest.onHead({...sampleResponseHead, status});
+			fixture.latest.onData(new Uint8Array(bodyBytes));
+			if (!fixture.exchange!.isDone) {
+				fixture.latest.onEnd();
+			}
+
+			t.false(fixture.reply.isStarted);
+			t.is(fixture.reply.failure?.execution, Execution.Unknown);
+			t.is(resultTable[fixture.reply.failure!.code].status, 502);
+			t.is(fixture.sent.length, 1);
+		});
+	}
+
+	test(`a response to a request that may run more than once is passed on unchanged (${status})`, t => {
+		const fixture = startLookup(5, ['a'], 1);
+		fixture.latest.onHead({...sampleResponseHead, status});
+		fixture.latest.onEnd();
+		t.true(fixture.reply.isStarted);
+	});
+}
+
+// Guards against a refused request that is reported as not run although an earlier attempt may have run.
+test('a lookup that was lost at one server and refused by the next may have run', t => {
+	const fixture = startLookup(5, ['a', 'b'], 2);
+	fixture.latest.onFailure({reason: AttemptFailureReason.InvalidResponse, detail: 'the response belongs to another request', wasConnectionReused: true});
+	for (let count = 1; count < fixture.sent.length && !fixture.exchange!.isDone; count++) {
+		fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+		fixture.latest.onEnd();
+	}
+
+	t.true(fixture.sent.length > 1);
+	t.is(fixture.reply.failure?.execution, Execution.Unknown);
+});
+
+// Guards against a request that runs at a second server because the response of the first belonged to another request.
+test('a request that may run only once is not sent again after a response of another request', t => {
+	const fixture = startLookup(5, ['a', 'b'], 2, RequestKind.NonIdempotent);
+	t.true(fixture.sent[0].attempt.needsNewConnection);
+	fixture.latest.onFailure({reason: AttemptFailureReason.InvalidResponse, detail: 'the response belongs to another request', wasConnectionReused: false});
+	t.is(fixture.sent.length, 1);
+	t.is(fixture.reply.failure?.execution, Execution.Unknown);
+});
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -5,7 +5,7 @@
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
-import {sampleResponseHead, StreamExchangeFixture} from './support/exchange-fixture.js';
+import {sampleResponseHead, sampleStreamRoute, StreamExchangeFixture} from './support/exchange-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
 
 const range = {from: 0, to: 80};
@@ -406,3 +406,18 @@
 	answering.exchange.abort('the instance is shutting down');
 	t.true(answering.reply.isAborted);
 });
+
+// Guards against streams that run once at most and are reported as not run without a statement of their server: these statuses promise it.
+for (const status of [408, 429, 503]) {
+	test(`a stream that may run only once is not refused by a server that does not state that it did not run it (${status})`, t => {
+		const fixture = new StreamExchangeFixture({...sampleStreamRoute, isResumable: false});
+		fixture.pipeline = pipeline;
+		fixture.start();
+		fixture.latest.onHead({...sampleResponseHead, status});
+		fixture.latest.onData(encoder.encode('full'));
+		fixture.latest.onEnd();
+		t.false(fixture.reply.isStarted);
+		t.is(fixture.reply.failure?.execution, Execution.Unknown);
+		t.is(fixture.sent.length, 1);
+	});
+}
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -180,9 +180,9 @@
 	/** The pipeline that the selector returns unless its first stage is excluded. */
 	pipeline?: Pipeline;
 
-	constructor() {
+	constructor(route = sampleStreamRoute) {
 		super();
-		this.exchange = new StreamExchange(this.dependencies, this.createRequest(sampleStreamRoute), this.reply, {
+		this.exchange = new StreamExchange(this.dependencies, this.createRequest(route), this.reply, {
 			model: sampleModel,
 			selector: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				select: (request: PipelineRequest) => {
