Use a new connection if a request is sent to the same server again

What callers would see: a request that its server refused and then runs, reported as not run, if the server writes its refusal once more on the kept connection on which the request was sent to it again. The copy has the id of the request, so the check of the id doesn't find it. Only requests that may run more than once are sent over kept connections, so none runs twice that may not; but a run was not counted.

An attempt at a server to which the request was sent before now opens a connection, on which nothing earlier can arrive. The first attempt at a server still uses a kept one.

npx ava test/plain-exchange.test.ts test/stream-exchange.test.ts: the two new tests fail with the earlier code and pass now. The price is one connection per such attempt; its number under load was not measured.

--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -225,6 +225,8 @@
 		const now = dependencies.timers.now();
 		this.server = server;
 		this.sentAt = now;
+		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
+		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
 		this.triedIncarnations.add(getIncarnationId(server));
 		this.crashEvidence.beginAttempt(now);
 		this.attemptCount++;
@@ -235,7 +237,7 @@
 			request: request.id, server: server.id, attempt: this.attemptCount, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - dependencies.directory.lastReadAt),
 		});
 		this.currentAttempt = dependencies.client.send({
-			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
+			request, server, remaining: this.remaining, needsNewConnection,
 		}, new ExchangeListener(this));
 		this.startResponseTimer(server);
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,5 +1,5 @@
 import {isRepeatable} from '../catalog/route.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
+import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
@@ -37,6 +37,7 @@
 	private readonly progress: StreamProgress;
 	private readonly log: StreamLog;
 	private readonly failureDetector: StageFailureDetector;
+	private readonly triedIncarnations = new Set<string>();
 	private rejectionCount = 0;
 	private head?: ResponseHead;
 	private errorBody = new ErrorBody();
@@ -249,6 +250,9 @@
 		this.queueEntry = undefined;
 		this.attemptCount++;
 		this.executions.recordStart(server);
+		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
+		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
+		this.triedIncarnations.add(getIncarnationId(server));
 		this.head = undefined;
 		this.errorBody = new ErrorBody();
 		this.crashEvidence.beginAttempt(now);
@@ -265,7 +269,7 @@
 			listAge: now - dependencies.directory.lastReadAt,
 		});
 		this.currentAttempt = dependencies.client.send({
-			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection: !isRepeatable(request.route),
+			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection,
 		}, new ExchangeListener(this));
 	}
 
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -279,6 +279,17 @@
 	});
 }
 
+// Guards against a server that repeats the refusal of a request on the connection on which the same request was sent to it again: it has the same id.
+test('a request that is sent to the same server again uses a new connection', t => {
+	const fixture = startLookup(5, ['a'], 2);
+	t.false(fixture.sent[0].attempt.needsNewConnection);
+	fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+	fixture.latest.onEnd();
+	t.is(fixture.sent.length, 2);
+	t.is(fixture.sent[1].attempt.server.id, 'a');
+	t.true(fixture.sent[1].attempt.needsNewConnection);
+});
+
 // Guards against a refused request that is reported as not run although an earlier attempt may have run.
 test('a lookup that was lost at one server and refused by the next may have run', t => {
 	const fixture = startLookup(5, ['a', 'b'], 2);
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -421,3 +421,15 @@
 		t.is(fixture.sent.length, 1);
 	});
 }
+
+// Guards against a server that repeats the refusal of a stream on the connection on which the same stream was sent to it again: it has the same id.
+test('a stream that is sent to the same first stage again uses a new connection', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	t.false(fixture.sent[0].attempt.needsNewConnection);
+	fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+	fixture.latest.onEnd();
+	t.is(fixture.sent.length, 2);
+	t.true(fixture.sent[1].attempt.needsNewConnection);
+});
