Keep out of a stream what is not an event

It could happen here with a response whose end only its connection marks, as the head that a faulty server writes next is read as its body; and with a signed response 200 whose body is a text with a blank line.

Cause: whatever a blank line ended was forwarded as an event. The lines of an event are fields in lower case or comments. At another line the attempt is now abandoned like one with an event that has no end, and the stream resumes elsewhere after the last event; one that can't be resumed is cut off.

A test shows that comments, further fields, carriage returns and events without an id are still forwarded.

--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -11,6 +11,8 @@
 const maxEventBytes = 65_536;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
+/** A line that is neither empty, nor a comment, nor a field, whose names are in lower case. */
+const foreignLinePattern = /^(?!(?:[a-z][a-z\d_\-]*)?(?::|$))/mv;
 const idPattern = /^id: ?(?<id>\d+)\r?$/mv;
 
 /** Finds the end of the first complete event at or after an offset; -1 if there is none. */
@@ -32,12 +34,18 @@
 export class EventSplitter {
 	private remainder: Uint8Array = new Uint8Array(0);
 	private readonly decoder = new TextDecoder('latin1');
+	private isForeign = false;
 
 	/** Whether the incomplete event is longer than any event of a backend server, so that its end is not worth waiting for. */
 	get isOversized(): boolean {
 		return this.remainder.length > maxEventBytes;
 	}
 
+	/** Whether the bytes are not only events, but for example the head of a response or a text. What follows the first other bytes is dropped. */
+	get isMalformed(): boolean {
+		return this.isForeign;
+	}
+
 	/** Whether bytes of an incomplete event are buffered. */
 	get hasIncompleteEvent(): boolean {
 		return this.remainder.length > 0;
@@ -49,7 +57,14 @@
 		const events: ServerSentEvent[] = [];
 		let start = 0;
 		for (let end = findEventEnd(bytes, start); end !== -1; end = findEventEnd(bytes, start)) {
-			events.push(this.parseEvent(bytes.subarray(start, end)));
+			const eventBytes = bytes.subarray(start, end);
+			const text = this.decoder.decode(eventBytes);
+			this.isForeign ||= foreignLinePattern.test(text);
+			if (this.isForeign) {
+				break;
+			}
+
+			events.push(this.parseEvent(eventBytes, text));
 			start = end;
 		}
 
@@ -57,8 +72,8 @@
 		return events;
 	}
 
-	private parseEvent(bytes: Uint8Array): ServerSentEvent {
-		const id = idPattern.exec(this.decoder.decode(bytes))?.groups?.id;
+	private parseEvent(bytes: Uint8Array, text: string): ServerSentEvent {
+		const id = idPattern.exec(text)?.groups?.id;
 		return {bytes, ...(id !== undefined && {id: Number(id)})};
 	}
 }
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -127,7 +127,9 @@
 			progress.recordDelivery(event, now);
 		}
 
-		if (progress.hasOversizedEvent) {
+		if (progress.hasMalformedEvent) {
+			this.abandonAttempt('the stream does not consist of events');
+		} else if (progress.hasOversizedEvent) {
 			this.abandonAttempt('an event of the stream has no end');
 		}
 	}
--- a/src/relay/stream-progress.ts
+++ b/src/relay/stream-progress.ts
@@ -64,6 +64,11 @@
 		return this.splitter.isOversized;
 	}
 
+	/** Whether the current attempt has sent something else than events. */
+	get hasMalformedEvent(): boolean {
+		return this.splitter.isMalformed;
+	}
+
 	/** Starts an attempt and drops the incomplete event of an earlier one. */
 	beginAttempt(now: number): void {
 		this.splitter = new EventSplitter();
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -433,3 +433,106 @@
 	t.is(fixture.sent.length, 2);
 	t.true(fixture.sent[1].attempt.needsNewConnection);
 });
+
+const secondPipeline = [{server: sampleServer('second', 'large', range), range}];
+const errorHead = 'HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n';
+
+/** Starts a stream whose caller has received two events, far enough apart to show that the request is sound. */
+function beginStream(isSelfDelimited = true): StreamExchangeFixture {
+	const fixture = new StreamExchangeFixture({...sampleStreamRoute, maxExecutions: 4});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead({...sampleResponseHead, isSelfDelimited});
+	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	fixture.timers.advance(1000);
+	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
+	fixture.pipeline = secondPipeline;
+	return fixture;
+}
+
+/** Starts a stream that breaks off within its third event and is sent to the second pipeline. */
+function breakStream(): StreamExchangeFixture {
+	const fixture = beginStream();
+	fixture.latest.onData(encoder.encode('id: 3\ndata: th'));
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	return fixture;
+}
+
+const delivered = 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n';
+const resumed = 'id: 3\ndata: three\n\n';
+const errorResponses = [
+	...[201, 204, 206, 301, 400, 404, 429, 500, 503].flatMap(status => [true, false].map(isSigned => ({status, isSigned}))),
+	{status: 200, isSigned: false},
+];
+
+for (const {status, isSigned} of errorResponses) {
+	// Guards against an error of the next server in the middle of a stream, and against a stream that ends with it as if it were complete.
+	test(`a stream that has begun does not end with, or contain, the next response ${status} (${isSigned ? 'signed' : 'not signed'})`, t => {
+		for (const body of ['failed', 'failed\n\n', resumed, errorHead, '']) {
+			const fixture = breakStream();
+			t.is(fixture.sent.length, 2);
+			fixture.latest.onHead({...sampleResponseHead, status, isSigned});
+			fixture.latest.onData(encoder.encode(body));
+			fixture.pipeline = undefined;
+			fixture.latest.onEnd();
+			t.is(fixture.reply.text, delivered);
+			t.false(fixture.reply.isEnded);
+			fixture.timers.advance(20_000);
+			t.is(fixture.reply.text, delivered);
+			t.false(fixture.reply.isEnded);
+			t.true(fixture.reply.isAborted);
+		}
+	});
+}
+
+// Guards against an error's text, or its whole head, in the middle of a stream: on a response without a length, what follows is read as its body.
+for (const [title, bytes] of [
+	['between events', errorHead],
+	['within an event', `id: 3\ndata: th${errorHead}`],
+	['with a body that looks like an event', `${errorHead}id: 3\ndata: failed\n\n`],
+]) {
+	test(`the head of an error that follows ${title} is not part of the stream, which resumes elsewhere`, t => {
+		const fixture = beginStream(false);
+		fixture.latest.onData(encoder.encode(bytes));
+		t.is(fixture.reply.text, delivered);
+		t.is(fixture.sent.length, 2);
+		t.is(fixture.sent[1].attempt.server.id, 'second');
+		t.is(fixture.sent[1].attempt.lastEventId, 2);
+	});
+}
+
+// Guards against a body that is no stream of events in the middle of a stream.
+test('a resumed stream whose body has no events is not forwarded and resumes again', t => {
+	for (const body of ['{"error":\n\n"failed"}', '<html>\n\n</html>', 'Internal error\r\n\r\nfailed', 'failed']) {
+		const fixture = breakStream();
+		fixture.latest.onHead(sampleResponseHead);
+		fixture.pipeline = pipeline;
+		fixture.latest.onData(encoder.encode(body));
+		if (fixture.sent.length === 2) {
+			fixture.latest.onEnd();
+		}
+
+		t.is(fixture.reply.text, delivered);
+		t.false(fixture.reply.isEnded);
+		t.is(fixture.sent.length, 3);
+	}
+});
+
+// Guards against sound streams that are taken for malformed ones.
+test('comments, further fields and carriage returns are parts of a stream', t => {
+	const fixture = beginStream();
+	const events = [': pause\n\n', 'weight-versions: 4\nid: 3\ndata: HTTP/1.1 503\n\n', 'id:4\r\ndata: {"a":\r\ndata\r\n\r\n', 'event: end\ndata: [DONE]\n\n'];
+	fixture.latest.onData(encoder.encode(events.join('')));
+	fixture.latest.onEnd();
+	t.is(fixture.reply.text, delivered + events.join(''));
+	t.true(fixture.reply.isEnded);
+});
+
+// Guards against streams that are resumed again although the first server had sent all events before its connection was lost.
+test('a resumed stream with a length that ends before any event is complete', t => {
+	const fixture = breakStream();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onEnd();
+	t.true(fixture.reply.isEnded);
+	t.is(fixture.sent.length, 2);
+});
