Drop an event that a server repeats within one packet

What callers would see: an event twice, if a server sends it twice and both arrive together. The ids of the events that arrived together were all compared with the last one delivered before them; each is now compared with the one before it.

npx ava test/stream-exchange.test.ts: the new test of a stream that begins again and repeats events fails with the earlier code and passes now.

--- a/src/relay/stream-progress.ts
+++ b/src/relay/stream-progress.ts
@@ -82,7 +82,16 @@
 			this.receivedAt = now;
 		}
 
-		return events.filter(({id}) => id === undefined || this.lastId === undefined || id > this.lastId);
+		let {lastId} = this;
+		return events.filter(({id}) => {
+			if (id === undefined) {
+				return true;
+			}
+
+			const isNew = lastId === undefined || id > lastId;
+			lastId = isNew ? id : lastId;
+			return isNew;
+		});
 	}
 
 	/** Records that an event was delivered to the caller. */
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -528,6 +528,17 @@
 	t.true(fixture.reply.isEnded);
 });
 
+// Guards against events that a caller receives twice: a server may begin again, or repeat itself.
+test('a resumed stream that begins again, or repeats events, adds only later ones', t => {
+	const fixture = breakStream();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onData(encoder.encode(`${delivered}${resumed}${resumed}id: 2\ndata: two\n\n`));
+	fixture.latest.onData(encoder.encode(resumed));
+	fixture.latest.onEnd();
+	t.is(fixture.reply.text, delivered + resumed);
+	t.true(fixture.reply.isEnded);
+});
+
 // Guards against streams that are resumed again although the first server had sent all events before its connection was lost.
 test('a resumed stream with a length that ends before any event is complete', t => {
 	const fixture = breakStream();
