Resume a stream whose server ended without a length before any event

What callers would see: a stream that broke off ends as if it were complete, since the next server sent the head of a response without a length and ended.

Cause: a response that begins no event counted as a stream that had nothing to add. With a length or in chunks that is right: the first server may have sent all events before it was lost. Without, the end of the connection says nothing. Such a stream is now resumed without that server, and is cut off if there is no other.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -145,6 +145,11 @@
 		} else if (this.progress.hasIncompleteEvent || !this.reply.isStarted) {
 			this.crashEvidence.recordLoss(this.firstServer);
 			this.resumeOrFail('the stream ended and may be incomplete');
+		} else if (!head.isSelfDelimited && !this.progress.hasReceivedEvent) {
+			// A server that ended before its first event looks the same as one that has nothing to add.
+			this.selector.exclude(this.firstServer);
+			this.crashEvidence.recordLoss(this.firstServer);
+			this.resumeOrFail('the stream ended before an event and may be incomplete');
 		} else {
 			this.completeStream(head, pipeline);
 		}
--- a/src/relay/stream-progress.ts
+++ b/src/relay/stream-progress.ts
@@ -9,6 +9,7 @@
 	private timeToFirstEvent = 0;
 	private longestPause = 0;
 	private deliveryCount = 0;
+	private hasAttemptEvent = false;
 
 	/**
 	@param arrivedAt - when the request arrived
@@ -54,6 +55,11 @@
 		return this.longestPause;
 	}
 
+	/** Whether the current attempt has sent an event. */
+	get hasReceivedEvent(): boolean {
+		return this.hasAttemptEvent;
+	}
+
 	/** Whether the current attempt has sent bytes of an incomplete event. */
 	get hasIncompleteEvent(): boolean {
 		return this.splitter.hasIncompleteEvent;
@@ -72,6 +78,7 @@
 	/** Starts an attempt and drops the incomplete event of an earlier one. */
 	beginAttempt(now: number): void {
 		this.splitter = new EventSplitter();
+		this.hasAttemptEvent = false;
 		this.receivedAt = now;
 	}
 
@@ -79,6 +86,7 @@
 	receive(chunk: Uint8Array, now: number): readonly ServerSentEvent[] {
 		const events = this.splitter.push(chunk);
 		if (events.length > 0) {
+			this.hasAttemptEvent = true;
 			this.receivedAt = now;
 		}
 
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -539,6 +539,16 @@
 	t.true(fixture.reply.isEnded);
 });
 
+// Guards against a stream that ends as if it were complete: without a length, a server that ends at once looks like one that has nothing to add.
+test('a resumed stream without a length that ends before any event is resumed again', t => {
+	const fixture = breakStream();
+	fixture.latest.onHead({...sampleResponseHead, isSelfDelimited: false});
+	fixture.pipeline = pipeline;
+	fixture.latest.onEnd();
+	t.false(fixture.reply.isEnded);
+	t.is(fixture.sent.length, 3);
+});
+
 // Guards against streams that are resumed again although the first server had sent all events before its connection was lost.
 test('a resumed stream with a length that ends before any event is complete', t => {
 	const fixture = breakStream();
