Pass on an error that is not signed with its body

What callers would see: the head of an error with a length and without its body, so that the caller waits for it, or takes the next response on its connection as the rest.

Cause: for streams only the body of a signed error was kept, while its head was passed on in any case. The bodies of both are now kept, within the same bound.

npx ava test/stream-exchange.test.ts: the new test fails with the earlier code and passes now.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -106,7 +106,7 @@
 
 	receiveData(chunk: Uint8Array): void {
 		const {head, progress} = this;
-		if (!head?.isSigned || head.isNotExecuted) {
+		if (!head || head.isNotExecuted) {
 			return;
 		}
 
@@ -115,6 +115,10 @@
 			return;
 		}
 
+		if (!head.isSigned) {
+			return;
+		}
+
 		const now = this.dependencies.timers.now();
 		const events = progress.receive(chunk, now);
 		if (events.length > 0) {
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -557,3 +557,15 @@
 	t.true(fixture.reply.isEnded);
 	t.is(fixture.sent.length, 2);
 });
+
+// Guards against an error without its body, whose length makes the next response on the connection a part of it.
+test('an error that is not signed is passed on with its body', t => {
+	const fixture = new StreamExchangeFixture({...sampleStreamRoute, isResumable: false});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead({...sampleResponseHead, status: 400, isSigned: false});
+	fixture.latest.onData(encoder.encode('no id'));
+	fixture.latest.onEnd();
+	t.true(fixture.reply.isEnded);
+	t.is(fixture.reply.text, 'no id');
+});
