--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -89,7 +89,7 @@
 			return;
 		}
 
-		if (response.head.isNotExecuted) {
+		if (response.head.isNotExecuted || this.isUnfoundedRefusal(response.head)) {
 			// The body of a rejection is not passed on, so there is no need to wait for its end.
 			this.currentAttempt?.cancel();
 			this.receiveEnd();
@@ -109,6 +109,12 @@
 		}
 
 		this.crashEvidence.recordHarmless();
+		if (this.isUnfoundedRefusal(head)) {
+			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
+			this.retryOrFail(`the server responded with status ${head.status} without stating that it did not execute the request`, undefined);
+			return;
+		}
+
 		if (head.status >= minServerErrorStatus) {
 			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
 			this.retryOrFail(`the server responded with status ${head.status}`, head);
@@ -219,6 +225,8 @@
 		const now = dependencies.timers.now();
 		this.server = server;
 		this.sentAt = now;
+		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
+		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
 		this.triedIncarnations.add(getIncarnationId(server));
 		this.crashEvidence.beginAttempt(now);
 		this.attemptCount++;
@@ -229,7 +237,7 @@
 			request: request.id, server: server.id, attempt: this.attemptCount, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - dependencies.directory.lastReadAt),
 		});
 		this.currentAttempt = dependencies.client.send({
-			request, server, remaining: this.remaining, needsNewConnection: !isRepeatable(request.route),
+			request, server, remaining: this.remaining, needsNewConnection,
 		}, new ExchangeListener(this));
 		this.startResponseTimer(server);
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,5 +1,5 @@
 import {isRepeatable} from '../catalog/route.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
+import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
@@ -37,6 +37,7 @@
 	private readonly progress: StreamProgress;
 	private readonly log: StreamLog;
 	private readonly failureDetector: StageFailureDetector;
+	private readonly triedIncarnations = new Set<string>();
 	private rejectionCount = 0;
 	private head?: ResponseHead;
 	private errorBody = new ErrorBody();
@@ -129,7 +130,7 @@
 
 	receiveData(chunk: Uint8Array): void {
 		const {head, progress} = this;
-		if (!head?.isSigned || head.isNotExecuted) {
+		if (!head || head.isNotExecuted) {
 			return;
 		}
 
@@ -138,6 +139,10 @@
 			return;
 		}
 
+		if (!head.isSigned) {
+			return;
+		}
+
 		const now = this.dependencies.timers.now();
 		const events = progress.receive(chunk, now);
 		if (events.length > 0) {
@@ -150,7 +155,9 @@
 			progress.recordDelivery(event, now);
 		}
 
-		if (progress.hasOversizedEvent) {
+		if (progress.hasMalformedEvent) {
+			this.abandonAttempt('the stream does not consist of events');
+		} else if (progress.hasOversizedEvent) {
 			this.abandonAttempt('an event of the stream has no end');
 		}
 	}
@@ -166,6 +173,11 @@
 		} else if (this.progress.hasIncompleteEvent || !this.reply.isStarted) {
 			this.crashEvidence.recordLoss(this.firstServer);
 			this.resumeOrFail('the stream ended and may be incomplete');
+		} else if (!head.isSelfDelimited && !this.progress.hasReceivedEvent) {
+			// A server that ended before its first event looks the same as one that has nothing to add.
+			this.selector.exclude(this.firstServer);
+			this.crashEvidence.recordLoss(this.firstServer);
+			this.resumeOrFail('the stream ended before an event and may be incomplete');
 		} else {
 			this.completeStream(head, pipeline);
 		}
@@ -272,6 +284,9 @@
 		this.queueEntry = undefined;
 		this.attemptCount++;
 		this.executions.recordStart(server);
+		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
+		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
+		this.triedIncarnations.add(getIncarnationId(server));
 		this.head = undefined;
 		this.errorBody = new ErrorBody();
 		this.crashEvidence.beginAttempt(now);
@@ -288,7 +303,7 @@
 			listAge: now - dependencies.directory.lastReadAt,
 		});
 		this.currentAttempt = dependencies.client.send({
-			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection: !isRepeatable(request.route),
+			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection,
 		}, new ExchangeListener(this));
 	}
 
@@ -338,7 +353,7 @@
 
 	private handleErrorResponse(head: ResponseHead): void {
 		const reason = `${this.firstServer.id} responded with status ${head.status}`;
-		const isFinal = head.status >= minNonSuccessStatus && !this.reply.isStarted && !(this.mayResume && this.executions.allowsNewServer);
+		const isFinal = head.status >= minNonSuccessStatus && !this.reply.isStarted && !this.isUnfoundedRefusal(head) && !(this.mayResume && this.executions.allowsNewServer);
 		if (!isFinal) {
 			this.resumeOrFail(reason);
 			return;
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -5,7 +5,7 @@
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
-import {sampleResponseHead, StreamExchangeFixture} from './support/exchange-fixture.js';
+import {sampleResponseHead, sampleStreamRoute, StreamExchangeFixture} from './support/exchange-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
 
 const range = {from: 0, to: 80};
@@ -406,3 +406,166 @@
 	answering.exchange.abort('the instance is shutting down');
 	t.true(answering.reply.isAborted);
 });
+
+// Guards against streams that run once at most and are reported as not run without a statement of their server: these statuses promise it.
+for (const status of [408, 429, 503]) {
+	test(`a stream that may run only once is not refused by a server that does not state that it did not run it (${status})`, t => {
+		const fixture = new StreamExchangeFixture({...sampleStreamRoute, isResumable: false});
+		fixture.pipeline = pipeline;
+		fixture.start();
+		fixture.latest.onHead({...sampleResponseHead, status});
+		fixture.latest.onData(encoder.encode('full'));
+		fixture.latest.onEnd();
+		t.false(fixture.reply.isStarted);
+		t.is(fixture.reply.failure?.execution, Execution.Unknown);
+		t.is(fixture.sent.length, 1);
+	});
+}
+
+// Guards against a server that repeats the refusal of a stream on the connection on which the same stream was sent to it again: it has the same id.
+test('a stream that is sent to the same first stage again uses a new connection', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	t.false(fixture.sent[0].attempt.needsNewConnection);
+	fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+	fixture.latest.onEnd();
+	t.is(fixture.sent.length, 2);
+	t.true(fixture.sent[1].attempt.needsNewConnection);
+});
+
+const secondPipeline = [{server: sampleServer('second', 'large', range), range}];
+const errorHead = 'HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n';
+
+/** Starts a stream whose caller has received two events, far enough apart to show that the request is sound. */
+function beginStream(isSelfDelimited = true): StreamExchangeFixture {
+	const fixture = new StreamExchangeFixture({...sampleStreamRoute, maxExecutions: 4});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead({...sampleResponseHead, isSelfDelimited});
+	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	fixture.timers.advance(1000);
+	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
+	fixture.pipeline = secondPipeline;
+	return fixture;
+}
+
+/** Starts a stream that breaks off within its third event and is sent to the second pipeline. */
+function breakStream(): StreamExchangeFixture {
+	const fixture = beginStream();
+	fixture.latest.onData(encoder.encode('id: 3\ndata: th'));
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
+	return fixture;
+}
+
+const delivered = 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n';
+const resumed = 'id: 3\ndata: three\n\n';
+const errorResponses = [
+	...[201, 204, 206, 301, 400, 404, 429, 500, 503].flatMap(status => [true, false].map(isSigned => ({status, isSigned}))),
+	{status: 200, isSigned: false},
+];
+
+for (const {status, isSigned} of errorResponses) {
+	// Guards against an error of the next server in the middle of a stream, and against a stream that ends with it as if it were complete.
+	test(`a stream that has begun does not end with, or contain, the next response ${status} (${isSigned ? 'signed' : 'not signed'})`, t => {
+		for (const body of ['failed', 'failed\n\n', resumed, errorHead, '']) {
+			const fixture = breakStream();
+			t.is(fixture.sent.length, 2);
+			fixture.latest.onHead({...sampleResponseHead, status, isSigned});
+			fixture.latest.onData(encoder.encode(body));
+			fixture.pipeline = undefined;
+			fixture.latest.onEnd();
+			t.is(fixture.reply.text, delivered);
+			t.false(fixture.reply.isEnded);
+			fixture.timers.advance(20_000);
+			t.is(fixture.reply.text, delivered);
+			t.false(fixture.reply.isEnded);
+			t.true(fixture.reply.isAborted);
+		}
+	});
+}
+
+// Guards against an error's text, or its whole head, in the middle of a stream: on a response without a length, what follows is read as its body.
+for (const [title, bytes] of [
+	['between events', errorHead],
+	['within an event', `id: 3\ndata: th${errorHead}`],
+	['with a body that looks like an event', `${errorHead}id: 3\ndata: failed\n\n`],
+]) {
+	test(`the head of an error that follows ${title} is not part of the stream, which resumes elsewhere`, t => {
+		const fixture = beginStream(false);
+		fixture.latest.onData(encoder.encode(bytes));
+		t.is(fixture.reply.text, delivered);
+		t.is(fixture.sent.length, 2);
+		t.is(fixture.sent[1].attempt.server.id, 'second');
+		t.is(fixture.sent[1].attempt.lastEventId, 2);
+	});
+}
+
+// Guards against a body that is no stream of events in the middle of a stream.
+test('a resumed stream whose body has no events is not forwarded and resumes again', t => {
+	for (const body of ['{"error":\n\n"failed"}', '<html>\n\n</html>', 'Internal error\r\n\r\nfailed', 'failed']) {
+		const fixture = breakStream();
+		fixture.latest.onHead(sampleResponseHead);
+		fixture.pipeline = pipeline;
+		fixture.latest.onData(encoder.encode(body));
+		if (fixture.sent.length === 2) {
+			fixture.latest.onEnd();
+		}
+
+		t.is(fixture.reply.text, delivered);
+		t.false(fixture.reply.isEnded);
+		t.is(fixture.sent.length, 3);
+	}
+});
+
+// Guards against sound streams that are taken for malformed ones.
+test('comments, further fields and carriage returns are parts of a stream', t => {
+	const fixture = beginStream();
+	const events = [': pause\n\n', 'weight-versions: 4\nid: 3\ndata: HTTP/1.1 503\n\n', 'id:4\r\ndata: {"a":\r\ndata\r\n\r\n', 'event: end\ndata: [DONE]\n\n'];
+	fixture.latest.onData(encoder.encode(events.join('')));
+	fixture.latest.onEnd();
+	t.is(fixture.reply.text, delivered + events.join(''));
+	t.true(fixture.reply.isEnded);
+});
+
+// Guards against events that a caller receives twice: a server may begin again, or repeat itself.
+test('a resumed stream that begins again, or repeats events, adds only later ones', t => {
+	const fixture = breakStream();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onData(encoder.encode(`${delivered}${resumed}${resumed}id: 2\ndata: two\n\n`));
+	fixture.latest.onData(encoder.encode(resumed));
+	fixture.latest.onEnd();
+	t.is(fixture.reply.text, delivered + resumed);
+	t.true(fixture.reply.isEnded);
+});
+
+// Guards against a stream that ends as if it were complete: without a length, a server that ends at once looks like one that has nothing to add.
+test('a resumed stream without a length that ends before any event is resumed again', t => {
+	const fixture = breakStream();
+	fixture.latest.onHead({...sampleResponseHead, isSelfDelimited: false});
+	fixture.pipeline = pipeline;
+	fixture.latest.onEnd();
+	t.false(fixture.reply.isEnded);
+	t.is(fixture.sent.length, 3);
+});
+
+// Guards against streams that are resumed again although the first server had sent all events before its connection was lost.
+test('a resumed stream with a length that ends before any event is complete', t => {
+	const fixture = breakStream();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onEnd();
+	t.true(fixture.reply.isEnded);
+	t.is(fixture.sent.length, 2);
+});
+
+// Guards against an error without its body, whose length makes the next response on the connection a part of it.
+test('an error that is not signed is passed on with its body', t => {
+	const fixture = new StreamExchangeFixture({...sampleStreamRoute, isResumable: false});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead({...sampleResponseHead, status: 400, isSigned: false});
+	fixture.latest.onData(encoder.encode('no id'));
+	fixture.latest.onEnd();
+	t.true(fixture.reply.isEnded);
+	t.is(fixture.reply.text, 'no id');
+});
