Tell in logs and metrics what connections and queries are for

Counts by purpose of each connection to a backend server and by reason of each query, and writes their growth every 2 s, so that a log alone tells what an instance is busy with. No logic changes.

--- a/src/observation/metrics.ts
+++ b/src/observation/metrics.ts
@@ -27,6 +27,11 @@
 		return this.counters.get(formatSeries(name, labels)) ?? 0;
 	}
 
+	/** Returns the values of the counters with the given names, by series. */
+	getCounts(names: ReadonlySet<string>): ReadonlyArray<[string, number]> {
+		return [...this.counters].filter(([series]) => names.has(series.split('{', 1)[0]));
+	}
+
 	/** Registers a gauge whose value is read each time the metrics are rendered. */
 	gauge(name: string, read: () => number, labels: Readonly<Record<string, string>> = {}): void {
 		this.gauges.set(formatSeries(name, labels), read);
--- a/src/placement/placement-controller.ts
+++ b/src/placement/placement-controller.ts
@@ -9,6 +9,7 @@
 import {isSameRange, getLayerCount, type LayerRange} from '../pipelines/layer-range.js';
 import {groupByZone} from '../pipelines/pipeline-selector.js';
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
+import {QueryReason} from '../pipelines/query-reason.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type StageReporter} from '../pipelines/stage-reporter.js';
 import {getErrorMessage} from '../results/to-failure.js';
@@ -210,6 +211,7 @@
 		for (const expiresAt = order?.expiresAt ?? 0; timers.now() < expiresAt;) {
 			await timers.sleep(this.timings.checkInterval); // eslint-disable-line no-await-in-loop
 			try {
+				this.countQuery();
 				const report = await reporter.fetchReport(server); // eslint-disable-line no-await-in-loop
 				if (this.pending.get(getIncarnationId(server)) !== order) {
 					// The list already shows the result, or a later order replaced this one.
@@ -226,11 +228,16 @@
 		}
 	}
 
+	private countQuery(): void {
+		this.dependencies.metrics.count('siskinnotch_server_queries', 1, {reason: QueryReason.Placement});
+	}
+
 	/** Sends an order based on the state that the server itself reports, so that the server refuses an order that arrives late, after others. */
 	private async sendOrder(placement: Placement): Promise<OrderOutcome> {
 		const {reporter, sender, lease, timers, log} = this.dependencies;
 		const {server, range} = placement;
 		try {
+			this.countQuery();
 			const report = await reporter.fetchReport(server);
 			if (isSameRange(report.range, range)) {
 				return OrderOutcome.Accepted;
--- a/src/relay/backend-agent.ts
+++ b/src/relay/backend-agent.ts
@@ -3,6 +3,7 @@
 import {type Duplex} from 'node:stream';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type TimerService} from '../time/timer-service.js';
+import {ConnectionPurpose} from '../tunnels/connection-purpose.js';
 import {type Connector} from '../tunnels/connector.js';
 import {connectForAgent} from '../tunnels/connector-agent.js';
 import {isTunnelled} from '../tunnels/tunnelled-socket.js';
@@ -41,7 +42,7 @@
 			return super.createConnection(options, callback);
 		}
 
-		void connectForAgent(this.connector, options, callback);
+		void connectForAgent(this.connector, ConnectionPurpose.Request, options, callback);
 		return undefined;
 	}
 
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -3,8 +3,10 @@
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
+import {QueryReason} from '../pipelines/query-reason.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
 import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {Health, type StageReporter} from '../pipelines/stage-reporter.js';
@@ -21,6 +23,7 @@
 	readonly serverSlowdowns: ServerSlowdowns;
 	readonly directory: ServerDirectory;
 	readonly timers: TimerService;
+	readonly metrics: Metrics;
 	readonly log: DecisionLog;
 	/** Returns the path of the health check of a service's servers. */
 	readonly getHealthPath: (service: string) => string;
@@ -186,8 +189,13 @@
 		}
 	}
 
+	private countQuery(reason: QueryReason): void {
+		this.dependencies.metrics.count('siskinnotch_server_queries', 1, {reason});
+	}
+
 	private async checkAcceptsConnections(server: BackendServer): Promise<void> {
 		const {reporter, getHealthPath, log} = this.dependencies;
+		this.countQuery(QueryReason.LostRequests);
 		try {
 			const health = await reporter.checkHealth(server, getHealthPath(server.service));
 			log.write('server.health', {server: server.id, health});
@@ -201,6 +209,7 @@
 
 	private async checkHealth(server: BackendServer): Promise<void> {
 		const {reporter, getHealthPath, log} = this.dependencies;
+		this.countQuery(QueryReason.Rejections);
 		try {
 			const health = await reporter.checkHealth(server, getHealthPath(server.service));
 			log.write('server.health', {server: server.id, health});
@@ -214,6 +223,7 @@
 
 	private async querySlowdown(server: BackendServer): Promise<void> {
 		const {reporter, serverSlowdowns, timers, log} = this.dependencies;
+		this.countQuery(QueryReason.Slowness);
 		try {
 			const {slowdownFactor} = await reporter.fetchReport(server);
 			serverSlowdowns.record(server, slowdownFactor, timers.now());
@@ -227,6 +237,7 @@
 
 	private async queryBlockedRequests(server: BackendServer): Promise<void> {
 		const {reporter, directory, log} = this.dependencies;
+		this.countQuery(QueryReason.Silence);
 		try {
 			const {blockedRequests, slowdownFactor} = await reporter.fetchReport(server);
 			log.write('stage.asked', {server: server.id, blocked: blockedRequests.size, pace: slowdownFactor});
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -17,6 +17,7 @@
 import {LeaseManager} from './leases/lease-manager.js';
 import {Lifecycle} from './lifecycle.js';
 import {type DecisionLog} from './observation/decision-log.js';
+import {CounterLog} from './observation/counter-log.js';
 import {createPartLog} from './observation/log.js';
 import {Metrics} from './observation/metrics.js';
 import {getIncarnationId, type BackendServer} from './pipelines/backend-server.js';
@@ -49,6 +50,7 @@
 import {type RouterSettings} from './settings/router-settings.js';
 import {type Table} from './store/table.js';
 import {type TimerService} from './time/timer-service.js';
+import {ConnectionPurpose} from './tunnels/connection-purpose.js';
 import {ConnectorAgent} from './tunnels/connector-agent.js';
 import {wireTunnels} from './tunnel-wiring.js';
 
@@ -128,6 +130,9 @@
 const gossipTimeoutMs = 400;
 /** Fraction of the latency target after which an unresponsive server is abandoned for another one. */
 const plainResponseTimeoutFraction = 0.8;
+/** Counters whose growth is logged: what an instance asks of the backend servers and of other instances. */
+const loggedCounters = new Set(['siskinnotch_connections', 'siskinnotch_server_queries', 'siskinnotch_tunnels_opened', 'siskinnotch_gossip_calls']);
+const counterLogIntervalMs = 2000;
 /** Creates a pipeline router and everything that it consists of. */
 export function wireRouter(settings: RouterSettings, {timers, log, logger, countDroppedLines}: RouterEnvironment, adapters: PlatformAdapters): Router {
 	const {instance, store, limits, placement: placementSettings} = settings;
@@ -165,8 +170,8 @@
 		},
 	});
 	const backendAgent = new BackendAgent(timers, limits.idle_connection, serverConnector);
-	const newConnectionAgent = new ConnectorAgent(serverConnector);
-	const stageReporter = adapters.createStageReporter(newConnectionAgent);
+	const newConnectionAgent = new ConnectorAgent(serverConnector, ConnectionPurpose.IsolatedRequest);
+	const stageReporter = adapters.createStageReporter(new ConnectorAgent(serverConnector, ConnectionPurpose.Query));
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const {instanceRegistry, peerLoads, gossip, findResponsivePeers, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
 		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, quarantine, lease, clients: gossipClients, peerPaths,
@@ -262,6 +267,7 @@
 		serverSlowdowns: slowdowns,
 		directory,
 		timers,
+		metrics,
 		log,
 		isPathBroken: ({address}) => paths.isBroken(address, timers.now()),
 		isPathSilent: ({address}) => paths.isSilent(address, timers.now()),
@@ -278,7 +284,7 @@
 		serverHealth,
 		backpressure,
 		reporter: stageReporter,
-		sender: adapters.createOrderSender(newConnectionAgent),
+		sender: adapters.createOrderSender(new ConnectorAgent(serverConnector, ConnectionPurpose.Order)),
 		timers,
 		metrics,
 		log,
@@ -329,6 +335,7 @@
 	metrics.gauge('siskinnotch_servers', () => directory.all().length);
 	metrics.gauge('siskinnotch_servers_suspected', () => serverHealth.countSuspected(timers.now()));
 	metrics.gauge('siskinnotch_servers_limited', () => backpressure.limits.size);
+	new CounterLog(loggedCounters, metrics, log).start(timers, counterLogIntervalMs);
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
 		directory, instanceRegistry, gossip, gossipClients, ownPaths, tunnelServer, lease, leaseManager, placementController,
--- a/src/tunnel-wiring.ts
+++ b/src/tunnel-wiring.ts
@@ -54,7 +54,7 @@
 	const paths = new PathTracker();
 	const peerPaths = new PeerPaths(() => paths.isPartitioned);
 	const ownPaths = new OwnPaths({
-		direct: new TcpConnector(timers, connectTimeout),
+		direct: new TcpConnector(timers, metrics, connectTimeout),
 		paths,
 		findAddresses: () => directory.all().map(({address}) => address),
 		random,
@@ -66,7 +66,7 @@
 		ownPaths, tunnels: new TunnelClient(timers, tunnelTimeoutMs), peerPaths, findPeers, random, timers, metrics, log,
 	}, connectorTimings);
 	const tunnelServer = new TunnelServer({
-		direct: new TcpConnector(timers, tunnelConnectTimeoutMs),
+		direct: new TcpConnector(timers, metrics, tunnelConnectTimeoutMs),
 		isServer: address => directory.findByAddress(address) !== undefined,
 		isAvailable: () => !lifecycle.isDraining && !paths.isPartitioned,
 		reachesAnother: async address => ownPaths.reachesAnother(address),
--- a/src/tunnels/connector.ts
+++ b/src/tunnels/connector.ts
@@ -1,4 +1,5 @@
 import {type Socket} from 'node:net';
+import {type ConnectionPurpose} from './connection-purpose.js';
 
 /** Opens connections to backend servers. */
 export abstract class Connector {
@@ -8,5 +9,5 @@
 	@param address - IP address and port of the server
 	@throws ConnectionFailure
 	*/
-	abstract connect(address: string): Promise<Socket>;
+	abstract connect(address: string, purpose: ConnectionPurpose): Promise<Socket>;
 }
--- a/src/tunnels/own-paths.ts
+++ b/src/tunnels/own-paths.ts
@@ -4,6 +4,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {ConnectionFailureCause} from './connection-failure-cause.js';
 import {ConnectionFailure} from './connection-failure.js';
+import {ConnectionPurpose} from './connection-purpose.js';
 import {Connector} from './connector.js';
 import {type PathTracker} from './path-tracker.js';
 
@@ -60,9 +61,9 @@
 		return this.dependencies.findAddresses().every(address => address === excluded) || this.probe(new Set([excluded]));
 	}
 
-	async connect(address: string): Promise<Socket> {
+	async connect(address: string, purpose: ConnectionPurpose): Promise<Socket> {
 		const {direct, paths, log, onRestored} = this.dependencies;
-		const socket = await direct.connect(address);
+		const socket = await direct.connect(address, purpose);
 		if (paths.recordSuccess(address)) {
 			log.write('paths.restored', {address});
 			onRestored();
@@ -121,7 +122,7 @@
 	}
 
 	private async probeServer(address: string): Promise<true> {
-		const socket = await this.connect(address);
+		const socket = await this.connect(address, ConnectionPurpose.Probe);
 		socket.destroy();
 		return true;
 	}
--- a/src/tunnels/server-connector.ts
+++ b/src/tunnels/server-connector.ts
@@ -7,6 +7,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {ConnectionFailureCause} from './connection-failure-cause.js';
 import {ConnectionFailure} from './connection-failure.js';
+import {ConnectionPurpose} from './connection-purpose.js';
 import {Connector} from './connector.js';
 import {type OwnPaths} from './own-paths.js';
 import {type PeerPaths} from './peer-paths.js';
@@ -52,8 +53,8 @@
 		super();
 	}
 
-	async connect(address: string): Promise<Socket> {
-		const connection = this.open(address);
+	async connect(address: string, purpose: ConnectionPurpose): Promise<Socket> {
+		const connection = this.open(address, purpose);
 		let isLate = false;
 		try {
 			return await this.dependencies.timers.withTimeout(connection, maxConnectMs, () => {
@@ -70,7 +71,7 @@
 	/** Whether the own path to a server fails while another instance reaches the server, or nobody can tell. */
 	async isPathBroken(address: string): Promise<boolean> {
 		try {
-			const socket = await this.connect(address);
+			const socket = await this.connect(address, ConnectionPurpose.Probe);
 			socket.destroy();
 			return isTunnelled(socket);
 		} catch (error) {
@@ -78,14 +79,14 @@
 		}
 	}
 
-	private async open(address: string): Promise<Socket> {
+	private async open(address: string, purpose: ConnectionPurpose): Promise<Socket> {
 		if (this.dependencies.ownPaths.isBroken(address)) {
-			return this.connectAround(address);
+			return this.connectAround(address, purpose);
 		}
 
-		const direct = this.dependencies.ownPaths.connect(address);
+		const direct = this.dependencies.ownPaths.connect(address, purpose);
 		const isSettled = await this.settlesWithin(direct, this.timings.tunnelDelay);
-		return isSettled ? this.verify(address, direct) : this.race(address, direct, this.openTunnel(address));
+		return isSettled ? this.verify(address, purpose, direct) : this.race(address, direct, this.openTunnel(address, purpose));
 	}
 
 	private async settlesWithin(connection: Promise<Socket>, duration: number): Promise<boolean> {
@@ -108,11 +109,11 @@
 	}
 
 	/** Returns an own connection, or finds out through another instance why it failed. */
-	private async verify(address: string, direct: Promise<Socket>): Promise<Socket> {
+	private async verify(address: string, purpose: ConnectionPurpose, direct: Promise<Socket>): Promise<Socket> {
 		try {
 			return await direct;
 		} catch (error) {
-			return this.connectAfterFailure(address, error);
+			return this.connectAfterFailure(address, purpose, error);
 		}
 	}
 
@@ -143,9 +144,9 @@
 		}
 	}
 
-	private async connectAfterFailure(address: string, error: unknown): Promise<Socket> {
+	private async connectAfterFailure(address: string, purpose: ConnectionPurpose, error: unknown): Promise<Socket> {
 		try {
-			const socket = await this.openTunnel(address);
+			const socket = await this.openTunnel(address, purpose);
 			this.dependencies.ownPaths.recordFailure(address, error);
 			return socket;
 		} catch (error_) {
@@ -154,10 +155,10 @@
 	}
 
 	/** Connects to a server to which the own path is broken. The own path is tried as well if a tunnel takes long. */
-	private async connectAround(address: string): Promise<Socket> {
-		const tunnel = this.openTunnel(address);
+	private async connectAround(address: string, purpose: ConnectionPurpose): Promise<Socket> {
+		const tunnel = this.openTunnel(address, purpose);
 		if (!await this.settlesWithin(tunnel, this.timings.tunnelDelay)) {
-			return this.race(address, this.dependencies.ownPaths.connect(address), tunnel);
+			return this.race(address, this.dependencies.ownPaths.connect(address, purpose), tunnel);
 		}
 
 		try {
@@ -167,13 +168,13 @@
 				throw this.createFailure(address, error, error);
 			}
 
-			return this.connectAlone(address, error);
+			return this.connectAlone(address, purpose, error);
 		}
 	}
 
-	private async connectAlone(address: string, failure: unknown): Promise<Socket> {
+	private async connectAlone(address: string, purpose: ConnectionPurpose, failure: unknown): Promise<Socket> {
 		try {
-			return await this.dependencies.ownPaths.connect(address);
+			return await this.dependencies.ownPaths.connect(address, purpose);
 		} catch (error) {
 			throw this.createFailure(address, error, failure);
 		}
@@ -199,7 +200,7 @@
 	}
 
 	/** Opens a tunnel through one of the other instances. Throws TunnelFailure. */
-	private async openTunnel(address: string): Promise<Socket> {
+	private async openTunnel(address: string, purpose: ConnectionPurpose): Promise<Socket> {
 		const {peerPaths, findPeers, tunnels, random, timers, metrics, log} = this.dependencies;
 		let last: unknown = new TunnelFailure('no other instance is known to reach the backend servers', TunnelFailureReason.Unavailable);
 		const startedAt = timers.now();
@@ -210,7 +211,7 @@
 
 			try {
 				const socket = await tunnels.open(peers, address); // eslint-disable-line no-await-in-loop
-				metrics.count('siskinnotch_tunnels_opened');
+				metrics.count('siskinnotch_tunnels_opened', 1, {purpose});
 				log.write('tunnel.opened', {address, through: id});
 				return markTunnelled(socket);
 			} catch (error) {
--- a/src/tunnels/tunnel-server.ts
+++ b/src/tunnels/tunnel-server.ts
@@ -4,6 +4,7 @@
 import {type DecisionLog} from '../observation/decision-log.js';
 import {ConnectionFailureCause} from './connection-failure-cause.js';
 import {ConnectionFailure} from './connection-failure.js';
+import {ConnectionPurpose} from './connection-purpose.js';
 import {type Connector} from './connector.js';
 import {TunnelStatus} from './tunnel-status.js';
 
@@ -105,7 +106,7 @@
 		}
 
 		try {
-			return await direct.connect(address);
+			return await direct.connect(address, ConnectionPurpose.Tunnel);
 		} catch (error) {
 			// The fault may be this instance's own path as well.
 			if (!await reachesAnother(address)) {
--- a/test/observation.test.ts
+++ b/test/observation.test.ts
@@ -4,9 +4,11 @@
 import {Writable} from 'node:stream';
 import test from 'ava';
 import * as z from 'zod';
+import {CounterLog} from '../src/observation/counter-log.js';
 import {DependencyMonitor} from '../src/observation/dependency-monitor.js';
 import {createStructuredLog} from '../src/observation/log.js';
 import {DecisionLog} from '../src/observation/decision-log.js';
+import {Metrics} from '../src/observation/metrics.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
 import {RecordingLog} from './support/sample-fleet.js';
 
@@ -63,3 +65,22 @@
 		{kind: 'dependency.regained', fields: {dependency: 'server list', version: 4}},
 	]);
 });
+
+// Guards against logs that do not tell what the connections of an instance are opened for.
+test('the growth of the chosen counters is logged at intervals, by label', t => {
+	const timers = new ManualTimerService();
+	const metrics = new Metrics();
+	const log = new RecordingLog();
+	new CounterLog(new Set(['connections']), metrics, log).start(timers, 2000);
+	timers.advance(2000);
+	metrics.count('connections', 3, {purpose: 'request'});
+	metrics.count('connections', 1, {purpose: 'query'});
+	metrics.count('others');
+	timers.advance(2000);
+	metrics.count('connections', 2, {purpose: 'request'});
+	timers.advance(2000);
+	t.deepEqual(log.lines.map(({kind, fields}) => [kind, Object.entries(fields)]), [
+		['counters.grown', [['connections{purpose="request"}', 3], ['connections{purpose="query"}', 1]]],
+		['counters.grown', [['connections{purpose="request"}', 2]]],
+	]);
+});
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {Metrics} from '../src/observation/metrics.js';
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
@@ -68,6 +69,7 @@
 		serverSlowdowns: new ServerSlowdowns(3000),
 		directory,
 		timers,
+		metrics: new Metrics(),
 		log: new RecordingLog(),
 		getHealthPath: () => '/healthz',
 		isPathBroken: () => false,
--- a/test/tunnel-failures.test.ts
+++ b/test/tunnel-failures.test.ts
@@ -17,6 +17,7 @@
 import {ConnectorAgent} from '../src/tunnels/connector-agent.js';
 import {ConnectionFailureCause} from '../src/tunnels/connection-failure-cause.js';
 import {ConnectionFailure} from '../src/tunnels/connection-failure.js';
+import {ConnectionPurpose} from '../src/tunnels/connection-purpose.js';
 import {Connector} from '../src/tunnels/connector.js';
 import {OwnPaths} from '../src/tunnels/own-paths.js';
 import {PathTracker} from '../src/tunnels/path-tracker.js';
@@ -84,12 +85,12 @@
 	});
 	const backendPort = await listenLocally(backend);
 	const address = `127.0.0.1:${backendPort}`;
-	const direct = new TcpConnector(timers, 150);
+	const direct = new TcpConnector(timers, new Metrics(), 150);
 	const tunnelServer = new TunnelServer({
 		direct: {
 			async connect(to: string) {
 				await timers.sleep(100);
-				return direct.connect(to);
+				return direct.connect(to, ConnectionPurpose.Tunnel);
 			},
 		},
 		isServer: () => true, isAvailable: () => true, reachesAnother: async () => true, log: new RecordingLog(),
@@ -160,7 +161,7 @@
 	for (let seed = 1; seed <= 40; seed++) {
 		const {tracker, connector} = createConnector(['s1', 's2', 's3', 's4', 's5', 's6', 's7', 's8'], new Set(['s1', 's2', 's3', 's4']), seed);
 		// eslint-disable-next-line no-await-in-loop
-		await Promise.allSettled(['s1', 's2'].map(async address => connector.connect(address)));
+		await Promise.allSettled(['s1', 's2'].map(async address => connector.connect(address, ConnectionPurpose.Request)));
 		await timers.sleep(5); // eslint-disable-line no-await-in-loop
 		partitioned += tracker.isPartitioned ? 1 : 0;
 	}
@@ -240,14 +241,14 @@
 	});
 	const backendPort = await listenLocally(backend);
 	const port = backendPort;
-	const direct = new TcpConnector(timers, 300);
+	const direct = new TcpConnector(timers, new Metrics(), 300);
 	const slow = {
 		async connect(address: string) {
 			await timers.sleep(50);
-			return direct.connect(address);
+			return direct.connect(address, ConnectionPurpose.Request);
 		},
 	};
-	for (const agent of [new BackendAgent(timers, 5000, slow), new ConnectorAgent(slow)]) {
+	for (const agent of [new BackendAgent(timers, 5000, slow), new ConnectorAgent(slow, ConnectionPurpose.IsolatedRequest)]) {
 		const request = startRequest({
 			agent, host: '127.0.0.1', port, method: 'POST',
 		});
@@ -295,6 +296,6 @@
 		log,
 	}, {tunnelDelay: 120, tunnelPatience: 200});
 	const startedAt = timers.now();
-	await connector.connect('s1');
+	await connector.connect('s1', ConnectionPurpose.Request);
 	t.true(timers.now() - startedAt <= 500, `${Math.round(timers.now() - startedAt)} ms`);
 });
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -8,6 +8,7 @@
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {ConnectionFailureCause} from '../src/tunnels/connection-failure-cause.js';
 import {ConnectionFailure} from '../src/tunnels/connection-failure.js';
+import {ConnectionPurpose} from '../src/tunnels/connection-purpose.js';
 import {Connector} from '../src/tunnels/connector.js';
 import {OwnPaths} from '../src/tunnels/own-paths.js';
 import {PathTracker} from '../src/tunnels/path-tracker.js';
@@ -44,7 +45,7 @@
 /** Starts another instance that opens tunnels; returns its address. */
 async function startInstance(t: ExecutionContext, changes: Partial<TunnelServerDependencies> = {}): Promise<string> {
 	const tunnelServer = new TunnelServer({
-		direct: new TcpConnector(timers, 150), isServer: () => true, isAvailable: () => true, reachesAnother: async () => true, log: new RecordingLog(), ...changes,
+		direct: new TcpConnector(timers, new Metrics(), 150), isServer: () => true, isAvailable: () => true, reachesAnother: async () => true, log: new RecordingLog(), ...changes,
 	});
 	const server = createHttpServer();
 	server.on('connect', (request, socket) => {
@@ -213,7 +214,7 @@
 
 	async findCause(address: string): Promise<ConnectionFailureCause | undefined> {
 		try {
-			await this.connector.connect(address);
+			await this.connector.connect(address, ConnectionPurpose.Request);
 			return undefined;
 		} catch (error) {
 			return error instanceof ConnectionFailure ? error.reason : undefined;
@@ -242,7 +243,7 @@
 	fixture.ownPaths.start();
 	fixture.own.refusing.add('s1');
 	fixture.own.silent.add('s2');
-	const sockets = await Promise.all(['s1', 's2', 's3'].map(async address => fixture.connector.connect(address)));
+	const sockets = await Promise.all(['s1', 's2', 's3'].map(async address => fixture.connector.connect(address, ConnectionPurpose.Request)));
 	t.deepEqual(sockets.map(socket => isTunnelled(socket)), [true, true, false]);
 	await timers.sleep(150);
 	t.false(fixture.tracker.isPartitioned);
@@ -250,18 +251,18 @@
 		fixture.own.refusing.add(address);
 	}
 
-	await Promise.all(['s3', 's4'].map(async address => fixture.connector.connect(address)));
+	await Promise.all(['s3', 's4'].map(async address => fixture.connector.connect(address, ConnectionPurpose.Request)));
 	await timers.sleep(150);
 	t.true(fixture.tracker.isPartitioned);
 	t.true(fixture.broken.includes(undefined));
 	fixture.own.attempts.length = 0;
-	t.true(isTunnelled(await fixture.connector.connect('s1')));
+	t.true(isTunnelled(await fixture.connector.connect('s1', ConnectionPurpose.Request)));
 	fixture.own.refusing.clear();
 	fixture.own.silent.clear();
 	await timers.sleep(150);
 	t.false(fixture.tracker.isPartitioned);
 	t.is(fixture.restorations, 1);
-	t.false(isTunnelled(await fixture.connector.connect('s1')));
+	t.false(isTunnelled(await fixture.connector.connect('s1', ConnectionPurpose.Request)));
 });
 
 test('while no other instance opens a tunnel, a partitioned instance tries its own path', async t => {
@@ -269,6 +270,6 @@
 	fixture.tracker.recordFailure('s1', false, timers.now());
 	fixture.tracker.recordPartition();
 	fixture.tunnelFailure = TunnelFailureReason.Unavailable;
-	t.false(isTunnelled(await fixture.connector.connect('s1')));
+	t.false(isTunnelled(await fixture.connector.connect('s1', ConnectionPurpose.Request)));
 	t.false(fixture.tracker.isPartitioned);
 });
