--- a/src/time/timer-service.ts
+++ b/src/time/timer-service.ts
@@ -1,3 +1,4 @@
+import {afterInput} from './deferred-call.js';
 import {type ProgressTimeouts} from './progress-timeouts.js';
 import {type TimerHandle} from './timer-handle.js';
 
@@ -77,6 +78,13 @@
 		}
 	}
 
+	/** Resolves once the process has handled the input that had already arrived, such as the end of a connection. */
+	async handleInput(): Promise<void> {
+		return new Promise(resolve => {
+			afterInput(resolve);
+		});
+	}
+
 	/** Monotonic time in milliseconds from an arbitrary origin. */
 	abstract now(): number;
 
