Look for the close of a caller before its request is started

Callers saw: requests reached servers after their callers had left (GONE). Cause: an instance that is late reads a request in one turn of the event loop and its connection's end in the next one; it had started the request by then. A caller that gives up because its request is not read leaves just such a pair behind. Evidence: of 5 requests whose callers left 0.6 s before a stopped instance went on, 5 reached a server before, 0 now (test/stalled-instance-process). Why it works: after the body, all input that has arrived is handled, and the request is dropped if its connection has ended.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -104,6 +104,8 @@
 			const authorizationRequest = {host: message.headers.host ?? '', target: message.url ?? '/', apiKey: callerHeaders.key};
 			await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
 			const body = await this.readBody(message);
+			// The caller may have left before the request was read.
+			await dependencies.timers.handleInput();
 			// The catalog may have changed while the body was received.
 			const {route, service, workspace, version} = await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
 			if (reply.isGone) {
