Pass on only as many suspicions of a server as make the others suspect it

Callers saw: work for callers that had left (GONE), and late responses whenever servers were lost that all instances use; both matters, since the cost grows with the number of instances. Cause: each instance that noticed a lost server started a report of its own, and each report that was unknown made each instance that received it contact six others. The messages grew with the square of the instances. Why it works: a report is started and passed on only while too few are known for the recipients to suspect the server; later ones are recognized and dropped. Each instance still passes on a sufficient set.

--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -104,8 +104,9 @@
 	/** Reports to the other instances that this one found a backend server not to work. */
 	reportSuspicion(server: BackendServer, isBlocking: boolean, reason: string): void {
 		const {rumors, timers} = this.dependencies;
-		rumors.addSuspicion(server, {isBlocking, reason}, timers.now());
-		this.scheduleSpread(this.timings.rumorFanout);
+		if (rumors.addSuspicion(server, {isBlocking, reason}, timers.now())) {
+			this.scheduleSpread(this.timings.rumorFanout);
+		}
 	}
 
 	/** Reports to the other instances that a backend server loaded a range by order. */
--- a/src/peers/rumor-buffer.ts
+++ b/src/peers/rumor-buffer.ts
@@ -14,6 +14,8 @@
 	readonly rumor: Rumor;
 	/** Monotonic time in milliseconds. */
 	readonly startedAt: number;
+	/** Whether it is passed on; otherwise it is only recognized. */
+	readonly isPassedOn: boolean;
 };
 
 /** Rumors that one message carries at most. */
@@ -35,24 +37,34 @@
 
 	/** Adds rumors; returns those that were not known and are not too old. */
 	add(rumors: readonly Rumor[], now: number): readonly Rumor[] {
-		this.removeOld(now);
-		const unknown = rumors.filter(rumor => !this.held.has(getKey(rumor)) && rumor.age <= this.lifetime);
-		for (const rumor of unknown) {
-			this.held.set(getKey(rumor), {rumor, startedAt: now - rumor.age});
-		}
+		return rumors.filter(rumor => this.hold(rumor, true, now));
+	}
 
-		return unknown;
+	/** Recognizes a rumor from now on without passing it on. Has no effect on one that is known. */
+	ignore(rumor: Rumor, now: number): void {
+		this.hold(rumor, false, now);
 	}
 
 	/** Returns the newest rumors to pass on. */
 	getCurrent(now: number): readonly Rumor[] {
 		this.removeOld(now);
 		return [...this.held.values()]
-			.filter(({startedAt}) => now - startedAt <= this.lifetime)
+			.filter(({startedAt, isPassedOn}) => isPassedOn && now - startedAt <= this.lifetime)
 			.slice(-maxRumorsInMessage)
 			.map(({rumor, startedAt}) => ({...rumor, age: Math.round(now - startedAt)}));
 	}
 
+	/** Returns whether the rumor was not known and is not too old. */
+	private hold(rumor: Rumor, isPassedOn: boolean, now: number): boolean {
+		this.removeOld(now);
+		if (this.held.has(getKey(rumor)) || rumor.age > this.lifetime) {
+			return false;
+		}
+
+		this.held.set(getKey(rumor), {rumor, startedAt: now - rumor.age, isPassedOn});
+		return true;
+	}
+
 	private removeOld(now: number): void {
 		for (const [key, {startedAt}] of this.held) {
 			if (now - startedAt > this.memory) {
--- a/src/peers/server-rumors.ts
+++ b/src/peers/server-rumors.ts
@@ -23,7 +23,7 @@
 	readonly rumorMemory: number;
 };
 
-/** The suspicions and ordered ranges of backend servers that are passed on among the instances. */
+/** The suspicions and ordered ranges of backend servers that are passed on among the instances. Of the suspicions of one server, only as many are passed on as make the others suspect it, however many instances notice. */
 export class ServerRumors {
 	private readonly suspicions: RumorBuffer<Suspicion>;
 	private readonly ranges: RumorBuffer<LoadedRange>;
@@ -38,11 +38,23 @@
 		this.ranges = new RumorBuffer(rumorLifetime, rumorMemory);
 	}
 
-	/** Starts a rumor that this instance found a backend server not to work. */
-	addSuspicion(server: BackendServer, {isBlocking, reason}: Pick<Suspicion, 'isBlocking' | 'reason'>, now: number): void {
+	/**
+	Starts a rumor that this instance found a backend server not to work, unless enough instances have said so.
+
+	@returns whether it started
+	*/
+	addSuspicion(server: BackendServer, {isBlocking, reason}: Pick<Suspicion, 'isBlocking' | 'reason'>, now: number): boolean {
+		const {suspicionQuorum} = this.dependencies;
+		const life = getIncarnationId(server);
+		if (suspicionQuorum.isSufficient(life, now)) {
+			return false;
+		}
+
+		suspicionQuorum.report({incarnationId: life, isBlocking, from: this.self}, now);
 		this.suspicions.add([{
-			...this.createHeader(), life: getIncarnationId(server), isBlocking, reason,
+			...this.createHeader(), life, isBlocking, reason,
 		}], now);
+		return true;
 	}
 
 	/** Starts a rumor that a backend server loaded a range by order. */
@@ -59,10 +71,8 @@
 
 	/** Applies the rumors of a message; returns whether any was unknown. */
 	receive({suspicions, ranges}: Pick<GossipMessage, 'suspicions' | 'ranges'>, now: number): boolean {
-		const unknownSuspicions = this.suspicions.add(suspicions.filter(rumor => this.isForeign(rumor)), now);
-		for (const suspicion of unknownSuspicions) {
-			this.applySuspicion(suspicion, now);
-		}
+		const unknownSuspicions = suspicions.filter(suspicion => this.isForeign(suspicion) && this.receiveSuspicion(suspicion, now));
+		this.dependencies.suspicionQuorum.removeOld(now);
 
 		const unknownRanges = this.ranges.add(ranges.filter(rumor => this.isForeign(rumor)), now);
 		for (const {life: incarnationId, from, to} of unknownRanges) {
@@ -72,6 +82,21 @@
 		return unknownSuspicions.length > 0 || unknownRanges.length > 0;
 	}
 
+	/** Returns whether the suspicion was unknown and tells something new. */
+	private receiveSuspicion(suspicion: Suspicion, now: number): boolean {
+		if (this.dependencies.suspicionQuorum.isSufficient(suspicion.life, now)) {
+			this.suspicions.ignore(suspicion, now);
+			return false;
+		}
+
+		const isUnknown = this.suspicions.add([suspicion], now).length > 0;
+		if (isUnknown) {
+			this.applySuspicion(suspicion, now);
+		}
+
+		return isUnknown;
+	}
+
 	private isForeign({origin}: RumorHeader): boolean {
 		return origin !== this.self;
 	}
