Ask another instance once about a lost server, and share its probes

Callers saw: work for callers that had left (GONE), and late responses after servers were lost; both matters, since all instances do it at once. Cause: each failed connection asked another instance, which connected to the lost server and then to six further servers to find out whether its own path was at fault. Of 5 connections that fail together, 5 asked before, 1 does now; six instances that ask at once cost 36 probes before, 2 now, where servers are reached (test/tunnels.test.ts, both tests failed before). Why it works: what another instance is being asked holds for all connections to the same server that fail meanwhile, and a probe in progress for all instances that ask meanwhile. Nothing is remembered longer, since an instance may be partitioned at any time. Two servers are probed at first, four more if none of them is reached.

--- a/src/tunnels/own-paths.ts
+++ b/src/tunnels/own-paths.ts
@@ -31,12 +31,14 @@
 	readonly probeInterval: number;
 };
 
-/** Servers that are tried at a time to find out whether this instance reaches any. */
-const maxProbes = 6;
+/** Servers that are tried at a time to find out whether this instance reaches any, and the fraction of the time for that: few at first, and more if none of them is reached. */
+const probeGroups = [{size: 2, timeFraction: 1 / 3}, {size: 4, timeFraction: 2 / 3}];
 
 /** Opens connections from this instance itself, and finds out from them whether the instance is partitioned. */
 export class OwnPaths extends Connector {
 	private isProving = false;
+	/** A probe in progress for other instances, which resolves to the address that was reached. */
+	private pendingProbe?: Promise<string | undefined>;
 
 	constructor(private readonly dependencies: OwnPathDependencies, private readonly timings: ProbeTimings) {
 		super();
@@ -58,7 +60,12 @@
 
 	/** Whether this instance reaches a server other than the excluded one; also true if no other is listed, since then nothing speaks against the own path. */
 	async reachesAnother(excluded: string): Promise<boolean> {
-		return this.dependencies.findAddresses().every(address => address === excluded) || this.probe(new Set([excluded]));
+		if (this.dependencies.findAddresses().every(address => address === excluded)) {
+			return true;
+		}
+
+		const reached = await (this.pendingProbe ??= this.probeForOthers(excluded));
+		return reached !== undefined && (reached !== excluded || await this.probe(new Set([excluded])) !== undefined);
 	}
 
 	async connect(address: string, purpose: ConnectionPurpose): Promise<Socket> {
@@ -96,34 +103,54 @@
 
 		this.isProving = true;
 		const failed = new Set(findAddresses().filter(address => paths.hasFailed(address)));
-		const isReaching = await this.probe(failed);
+		const reached = await this.probe(failed);
 		this.isProving = false;
-		if (!isReaching && paths.maybePartitioned && paths.recordPartition()) {
+		if (reached === undefined && paths.maybePartitioned && paths.recordPartition()) {
 			log.warn('paths.partitioned', {failed: failed.size});
 			onBroken(undefined);
 		}
 	}
 
-	/** Whether this instance reaches any of a few random servers, other than the excluded ones. */
-	private async probe(excluded: ReadonlySet<string>): Promise<boolean> {
-		const {findAddresses, random, timers} = this.dependencies;
-		const candidates = findAddresses().filter(address => !excluded.has(address));
-		const probes: Array<Promise<true>> = [];
-		while (probes.length < maxProbes && candidates.length > 0) {
+	private async probeForOthers(excluded: string): Promise<string | undefined> {
+		try {
+			return await this.probe(new Set([excluded]));
+		} finally {
+			this.pendingProbe = undefined;
+		}
+	}
+
+	/** Returns the address of one of a few random servers, other than the excluded ones, that this instance reaches; undefined if it reaches none of them. */
+	private async probe(excluded: ReadonlySet<string>): Promise<string | undefined> {
+		const candidates = this.dependencies.findAddresses().filter(address => !excluded.has(address));
+		for (const {size, timeFraction} of probeGroups) {
+			const reached = await this.probeGroup(candidates, size, this.timings.probeTimeout * timeFraction); // eslint-disable-line no-await-in-loop
+			if (reached !== undefined) {
+				return reached;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Takes a group of random servers out of the candidates; returns the address of the first one that is reached. */
+	private async probeGroup(candidates: string[], size: number, timeout: number): Promise<string | undefined> {
+		const {random, timers} = this.dependencies;
+		const probes: Array<Promise<string>> = [];
+		while (probes.length < size && candidates.length > 0) {
 			const [address] = candidates.splice(random.nextInteger(candidates.length), 1);
 			probes.push(this.probeServer(address));
 		}
 
 		try {
-			return await timers.withTimeout(Promise.any(probes), this.timings.probeTimeout, () => new Error('no server answered in time'));
+			return await timers.withTimeout(Promise.any(probes), timeout, () => new Error('no server answered in time'));
 		} catch {
-			return false;
+			return undefined;
 		}
 	}
 
-	private async probeServer(address: string): Promise<true> {
+	private async probeServer(address: string): Promise<string> {
 		const socket = await this.connect(address, ConnectionPurpose.Probe);
 		socket.destroy();
-		return true;
+		return address;
 	}
 }
--- a/src/tunnels/server-connector.ts
+++ b/src/tunnels/server-connector.ts
@@ -11,6 +11,7 @@
 import {Connector} from './connector.js';
 import {type OwnPaths} from './own-paths.js';
 import {type PeerPaths} from './peer-paths.js';
+import {isConclusive, PendingVerdicts} from './pending-verdicts.js';
 import {type TunnelClient} from './tunnel-client.js';
 import {TunnelFailureReason} from './tunnel-failure-reason.js';
 import {TunnelFailure} from './tunnel-failure.js';
@@ -36,8 +37,6 @@
 	readonly tunnelPatience: number;
 };
 
-/** Reasons that say something about the server. */
-const conclusiveReasons: ReadonlySet<TunnelFailureReason> = new Set([TunnelFailureReason.Refused, TunnelFailureReason.Unanswered]);
 /** Time to establish a connection by whatever path; the remaining time of a request is encoded before, and must not be much shorter then. */
 const maxConnectMs = 400;
 /** Instances that are asked for a tunnel, one after the other, for one connection. */
@@ -49,6 +48,8 @@
 Whether a server does not work is decided only by an instance that reaches other servers. So an instance that is cut off neither takes the servers for dead nor tells others so.
 */
 export class ServerConnector extends Connector {
+	private readonly verdicts = new PendingVerdicts();
+
 	constructor(private readonly dependencies: ServerConnectorDependencies, private readonly timings: ConnectorTimings) {
 		super();
 	}
@@ -145,8 +146,16 @@
 	}
 
 	private async connectAfterFailure(address: string, purpose: ConnectionPurpose, error: unknown): Promise<Socket> {
+		const pending = this.verdicts.getPending(address);
+		const verdict = pending && await pending;
+		if (verdict) {
+			throw this.createFailure(address, error, verdict);
+		}
+
+		const tunnel = this.openTunnel(address, purpose);
+		void this.verdicts.hold(address, tunnel);
 		try {
-			const socket = await this.openTunnel(address, purpose);
+			const socket = await tunnel;
 			this.dependencies.ownPaths.recordFailure(address, error);
 			return socket;
 		} catch (error_) {
@@ -164,7 +173,7 @@
 		try {
 			return await tunnel;
 		} catch (error) {
-			if (error instanceof TunnelFailure && conclusiveReasons.has(error.reason)) {
+			if (error instanceof TunnelFailure && isConclusive(error)) {
 				throw this.createFailure(address, error, error);
 			}
 
@@ -216,7 +225,7 @@
 				return markTunnelled(socket);
 			} catch (error) {
 				last = error;
-				if (!(error instanceof TunnelFailure) || conclusiveReasons.has(error.reason)) {
+				if (!(error instanceof TunnelFailure) || isConclusive(error)) {
 					throw error;
 				}
 
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -170,6 +170,7 @@
 	readonly own = new Paths();
 	/** What a request for a tunnel leads to. */
 	tunnelFailure?: TunnelFailureReason;
+	tunnelRequests = 0;
 	peers = ['entry-b'];
 	readonly broken: Array<string | undefined> = [];
 	restorations = 0;
@@ -196,6 +197,7 @@
 			ownPaths: this.ownPaths,
 			tunnels: {
 				open: async () => {
+					this.tunnelRequests++;
 					if (this.tunnelFailure) {
 						throw new TunnelFailure('refused', this.tunnelFailure);
 					}
@@ -273,3 +275,29 @@
 	t.false(isTunnelled(await fixture.connector.connect('s1', ConnectionPurpose.Request)));
 	t.false(fixture.tracker.isPartitioned);
 });
+
+// Guards against a lost server that costs each instance a query of another one, with probes of further servers, for each failed connection.
+test('connections to a lost server that fail at the same time make one query of another instance', async t => {
+	const fixture = new Fixture(['s1', 's2']);
+	fixture.own.refusing.add('s1');
+	fixture.tunnelFailure = TunnelFailureReason.Refused;
+	const causes = await Promise.all(Array.from({length: 5}, async () => fixture.findCause('s1')));
+	t.deepEqual(new Set(causes), new Set([ConnectionFailureCause.Refused]));
+	t.is(fixture.tunnelRequests, 1);
+	fixture.tunnelFailure = undefined;
+	const later = await Promise.all(Array.from({length: 3}, async () => fixture.findCause('s1')));
+	t.deepEqual(later, [undefined, undefined, undefined], 'each gets a connection of its own through others');
+});
+
+test('instances that ask at the same time about a lost server share the probes of others, also if none is reached', async t => {
+	const fixture = new Fixture(['s1', 's2', 's3', 's4', 's5', 's6', 's7', 's8']);
+	const ask = async () => Promise.all(Array.from({length: 6}, async () => fixture.ownPaths.reachesAnother('s1')));
+	t.deepEqual(await ask(), Array.from({length: 6}, () => true));
+	t.true(fixture.own.attempts.length <= 2, `${fixture.own.attempts.length} probes`);
+	for (const address of fixture.addresses) {
+		fixture.own.silent.add(address);
+	}
+
+	t.deepEqual(await ask(), Array.from({length: 6}, () => false));
+	t.true(fixture.own.attempts.length <= 2 + 6, `${fixture.own.attempts.length} probes`);
+});
