Share what instances learn of slow servers, and the queries for it

Callers saw: work for callers that had left (GONE), and late responses after servers were lost; both matters, since all instances do it at once. Cause: an instance with a silent stream asked every stage of it how slow it is, every 1.5 s and over a new connection, and so did all others. When a server is lost, the streams of all instances fall silent together, and each asked nearly all servers.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -7,6 +7,7 @@
 import {type ServerDirectory} from './pipelines/server-directory.js';
 import {type ServerHealthTracker} from './pipelines/server-health-tracker.js';
 import {type ServerLoad} from './pipelines/server-load.js';
+import {type ServerSlowdowns} from './pipelines/server-slowdowns.js';
 import {type GossipClients} from './peers/gossip-clients.js';
 import {ByteBudget} from './peers/byte-budget.js';
 import {CrashRumors, type CrashEvents} from './peers/crash-rumors.js';
@@ -18,6 +19,7 @@
 import {PlacementHolder} from './peers/placement-holder.js';
 import {QuarantineExchange} from './peers/quarantine-exchange.js';
 import {ServerRumors} from './peers/server-rumors.js';
+import {SlowdownExchange} from './peers/slowdown-exchange.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
 import {type Quarantine} from './quarantine/quarantine.js';
@@ -61,6 +63,7 @@
 	readonly serverHealth: ServerHealthTracker;
 	readonly serverLoad: ServerLoad;
 	readonly serverLimits: ServerLimits;
+	readonly slowdowns: ServerSlowdowns;
 	/** The requests and prompt parts that this instance refuses. */
 	readonly quarantine: Quarantine;
 	readonly lease: Lease;
@@ -177,6 +180,7 @@
 		}, rumorTimings),
 		crashRumors: new CrashRumors(instance.id, timers.wallClock(), events, rumorTimings),
 		limitExchange: new LimitExchange(dependencies.serverLimits),
+		slowdownExchange: new SlowdownExchange(dependencies.slowdowns, directory),
 		quarantineExchange: new QuarantineExchange(dependencies.quarantine, timers, events.onQuarantineReport),
 		serverLoad,
 		placementHolder: new PlacementHolder(lease),
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -112,6 +112,13 @@
 	limits: z.array(limitSchema).optional(),
 	/** Requests and prompt parts that are refused; absent if there are none. */
 	quarantines: z.array(quarantineSchema).optional(),
+	/** How slow backend servers are, by digest of the incarnation; absent if nothing is known. */
+	slowdowns: z.object({
+		/** Packed step times relative to the usual ones. */
+		factors: z.string(),
+		/** Packed ages of these in milliseconds. */
+		ages: z.string(),
+	}).optional(),
 	/** Whether the sender reaches no backend server itself; absent if it does. */
 	isPartitioned: z.boolean().optional(),
 	/** The newest sign of the holder of the placement lease; undefined if none is known. */
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -25,6 +25,7 @@
 import {type QuarantineExchange} from './quarantine-exchange.js';
 import {RowFetcher, type RowFetchTimings} from './row-fetcher.js';
 import {type ServerRumors} from './server-rumors.js';
+import {type SlowdownExchange} from './slowdown-exchange.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
 export type GossipServiceDependencies = {
@@ -39,6 +40,7 @@
 	readonly crashRumors: CrashRumors;
 	readonly limitExchange: LimitExchange;
 	readonly quarantineExchange: QuarantineExchange;
+	readonly slowdownExchange: SlowdownExchange;
 	readonly serverLoad: ServerLoad;
 	readonly placementHolder: PlacementHolder;
 	readonly peerPaths: PeerPaths;
@@ -71,7 +73,7 @@
 const holderFanout: Fanout = {near: 0, far: 2};
 
 /**
-Exchanges loads, suspicions, ordered ranges, reports of crashes, quarantines, limits of backend servers and the rows of the store's tables with other instances.
+Exchanges loads, suspicions, ordered ranges, reports of crashes, quarantines, limits and slowdowns of backend servers and the rows of the store's tables with other instances.
 
 Each instance contacts a fixed number of others in each round, and passes news on as soon as it first receives it, so that its work does not grow with their number (A. Demers et al., Epidemic algorithms for replicated database maintenance, PODC 1987).
 */
@@ -189,7 +191,7 @@
 
 	/** Creates a message with this instance's own load, and with the news that its recipient may lack. */
 	private createMessage(recipientZone: string | undefined, isRecipientJoining = false): GossipMessage {
-		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, placementHolder, peerPaths, timers} = this.dependencies;
+		const {self, tables, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, slowdownExchange, placementHolder, peerPaths, timers} = this.dependencies;
 		const now = timers.now();
 		return {
 			from: self,
@@ -201,6 +203,7 @@
 			...crashRumors.getCurrent(now),
 			...limitExchange.getCurrent(isRecipientJoining, now),
 			...quarantineExchange.getCurrent(isRecipientJoining),
+			...slowdownExchange.getCurrent(now),
 			placing: placementHolder.describe(now),
 			...(peerPaths.isSelfPartitioned && {isPartitioned: true}),
 		};
@@ -213,7 +216,7 @@
 	}
 
 	private receive(message: GossipMessage): void {
-		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, tables, placementHolder, peerPaths, timers, log} = this.dependencies;
+		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, slowdownExchange, tables, placementHolder, peerPaths, timers, log} = this.dependencies;
 		const now = timers.now();
 		this.heardAt = now;
 		partners.recordContact(message.from.id);
@@ -226,6 +229,7 @@
 
 		limitExchange.receive(message, now);
 		quarantineExchange.receive(message);
+		slowdownExchange.receive(message, now);
 		const isRumorNew = rumors.receive(message, now);
 		if (crashRumors.receive(message, now) || isRumorNew) {
 			this.scheduleSpread(this.timings.rumorFanout);
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -1,7 +1,6 @@
 import {type Backpressure} from '../backpressure/backpressure.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
-import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {QueryReason} from '../pipelines/query-reason.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
@@ -12,6 +11,7 @@
 import {Health, type StageReporter} from '../pipelines/stage-reporter.js';
 import {getConnectionCause} from './connection-cause.js';
 import {type ExchangeRegistry} from './exchange-registry.js';
+import {type SlowdownSurvey} from './slowdown-survey.js';
 import {type StreamExchange} from './stream-exchange.js';
 
 /** Dependencies of a stream monitor. */
@@ -20,7 +20,7 @@
 	readonly reporter: StageReporter;
 	readonly serverHealth: ServerHealthTracker;
 	readonly backpressure: Backpressure;
-	readonly serverSlowdowns: ServerSlowdowns;
+	readonly slowdownSurvey: Pick<SlowdownSurvey, 'queryStages'>;
 	readonly directory: ServerDirectory;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
@@ -47,8 +47,6 @@
 	readonly healthCheckInterval: number;
 	/** Silence after which the slowdown factors of all stages are queried, and after which a stream with a suspected stage is migrated. */
 	readonly slownessThreshold: number;
-	/** Minimum interval between two queries of a stage's slowdown factor. */
-	readonly slownessQueryInterval: number;
 	/** Silence after which the first stage is asked which stages its requests wait for. */
 	readonly blockedQueryThreshold: number;
 	/** Silence after which a stream is migrated, whatever its first stage reports. */
@@ -57,14 +55,10 @@
 	readonly blockedQueryInterval: number;
 };
 
-/** Slowdown factor from which a line is logged. */
-const loggedSlowdownFactor = 1.5;
-
 /**
 Monitors streams for silence. The first stage of a silent stream is asked which stage its requests wait for; all streams through that stage are then migrated to other pipelines.
 */
 export class StreamMonitor {
-	private readonly slowdownQueriedAt = new Map<string, number>();
 	private readonly healthCheckedAt = new Map<string, number>();
 	private readonly blockedQueriedAt = new Map<string, number>();
 
@@ -147,7 +141,7 @@
 				continue;
 			}
 
-			this.querySlowdowns(exchange, now);
+			this.dependencies.slowdownSurvey.queryStages(exchange.stages);
 			if (silence >= this.timings.blockedQueryThreshold) {
 				silentFirstStages.set(getIncarnationId(firstServer), firstServer);
 			}
@@ -179,16 +173,6 @@
 		return !this.dependencies.backpressure.pauses.isPaused(server, this.dependencies.timers.now());
 	}
 
-	private querySlowdowns(exchange: StreamExchange, now: number): void {
-		for (const {server} of exchange.stages ?? []) {
-			const incarnationId = getIncarnationId(server);
-			if (now - (this.slowdownQueriedAt.get(incarnationId) ?? Number.NEGATIVE_INFINITY) >= this.timings.slownessQueryInterval && this.mayQuery(server)) {
-				this.slowdownQueriedAt.set(incarnationId, now);
-				void this.querySlowdown(server);
-			}
-		}
-	}
-
 	private countQuery(reason: QueryReason): void {
 		this.dependencies.metrics.count('siskinnotch_server_queries', 1, {reason});
 	}
@@ -221,20 +205,6 @@
 		}
 	}
 
-	private async querySlowdown(server: BackendServer): Promise<void> {
-		const {reporter, serverSlowdowns, timers, log} = this.dependencies;
-		this.countQuery(QueryReason.Slowness);
-		try {
-			const {slowdownFactor} = await reporter.fetchReport(server);
-			serverSlowdowns.record(server, slowdownFactor, timers.now());
-			if (slowdownFactor >= loggedSlowdownFactor) {
-				log.write('server.slow', {server: server.id, pace: slowdownFactor});
-			}
-		} catch (error) {
-			log.write('server.no_pace', {server: server.id, reason: getErrorMessage(error)});
-		}
-	}
-
 	private async queryBlockedRequests(server: BackendServer): Promise<void> {
 		const {reporter, directory, log} = this.dependencies;
 		this.countQuery(QueryReason.Silence);
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -42,7 +42,9 @@
 import {type ExchangeCodec} from './relay/exchange-codec.js';
 import {type ExchangeDependencies} from './relay/exchange-dependencies.js';
 import {ExchangeRegistry} from './relay/exchange-registry.js';
+import {QueryBudget} from './relay/query-budget.js';
 import {RequestQueue} from './relay/request-queue.js';
+import {SlowdownSurvey} from './relay/slowdown-survey.js';
 import {StreamMonitor} from './relay/stream-monitor.js';
 import {type TableFeed} from './replication/table-feed.js';
 import {TableName} from './replication/table-name.js';
@@ -119,13 +121,16 @@
 	rejectionThreshold: 4,
 	healthCheckInterval: 1500,
 	slownessThreshold: 250,
-	slownessQueryInterval: 1500,
 	blockedQueryThreshold: 330,
 	silenceTimeout: 1300,
 	blockedQueryInterval: 300,
 };
 /** Age at which the slowdown factor that a server reported is ignored. */
 const slowdownExpiryMs = 3000;
+/** Age from which the slowdown factor of a server is queried again. */
+const slowdownQueryIntervalMs = 1500;
+/** Limits of queries for slowdown factors; `burst` in milliseconds. */
+const slowdownQueryLimits = {perServerAndSecond: 1, burst: 1000, minBurst: 3};
 /** Time limit of a request to another instance. */
 const gossipTimeoutMs = 400;
 /** Fraction of the latency target after which an unresponsive server is abandoned for another one. */
@@ -174,7 +179,7 @@
 	const stageReporter = adapters.createStageReporter(new ConnectorAgent(serverConnector, ConnectionPurpose.Query));
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const {instanceRegistry, peerLoads, gossip, findResponsivePeers, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
-		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, quarantine, lease, clients: gossipClients, peerPaths,
+		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, slowdowns, quarantine, lease, clients: gossipClients, peerPaths,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange() {
@@ -260,11 +265,22 @@
 			},
 		},
 	);
+	const slowdownSurvey = new SlowdownSurvey({
+		reporter: stageReporter,
+		serverHealth,
+		backpressure,
+		serverSlowdowns: slowdowns,
+		budget: new QueryBudget(slowdownQueryLimits, () => ({servers: directory.all().length, instances: instanceRegistry.countSharing()})),
+		random,
+		timers,
+		metrics,
+		log,
+	}, slowdownQueryIntervalMs);
 	const streamMonitor = new StreamMonitor({
 		exchanges, reporter: stageReporter,
 		serverHealth,
 		backpressure,
-		serverSlowdowns: slowdowns,
+		slowdownSurvey,
 		directory,
 		timers,
 		metrics,
--- a/test/fleet-reactions.test.ts
+++ b/test/fleet-reactions.test.ts
@@ -1,6 +1,14 @@
 import test from 'ava';
+import {Metrics} from '../src/observation/metrics.js';
+import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
+import {Health, StageReporter, type StageReport} from '../src/pipelines/stage-reporter.js';
+import {QueryBudget} from '../src/relay/query-budget.js';
+import {SlowdownSurvey} from '../src/relay/slowdown-survey.js';
+import {RandomSource} from '../src/routing/random-source.js';
 import {ControlFleet, type FleetInstance} from './support/control-fleet.js';
+import {sampleBackpressure} from './support/sample-backpressure.js';
+import {RecordingLog} from './support/sample-fleet.js';
 
 const settlingMs = 12_000;
 const lostServers = 3;
@@ -42,3 +50,75 @@
 		t.true(messagesOfAll <= messagesOfFew * 1.2, `${messagesOfAll} and ${messagesOfFew} messages`);
 	});
 }
+
+const slowdownFactor = 12;
+
+/** Whether a server is in the availability zone of an instance, as those of most of its streams are. */
+function isNear({address}: FleetInstance, {availabilityZone}: BackendServer): boolean {
+	return availabilityZone === `zone-${address.split('.')[2]}`;
+}
+
+/** Reports for all instances how slow the backend servers are. */
+class CountingReporter extends StageReporter {
+	queries = 0;
+
+	constructor(private readonly slowServer: () => BackendServer) {
+		super();
+	}
+
+	async fetchReport({id}: BackendServer): Promise<StageReport> {
+		this.queries++;
+		return {
+			slowdownFactor: id === this.slowServer().id ? slowdownFactor : 1, acceptedOrders: 0, isBusy: false, blockedRequests: new Map(),
+		};
+	}
+
+	async checkHealth(): Promise<Health> {
+		return Health.Good;
+	}
+}
+
+// Guards against queries of all servers by all instances when many streams are silent at the same time.
+for (const {size, zones, servers} of [{size: 7, zones: 3, servers: 33}, {size: 64, zones: 4, servers: 90}, {size: 195, zones: 5, servers: 195}]) {
+	test.serial(`${size} instances with silent streams: each server is queried about once a second, and all of its zone learn that it is slow`, async t => {
+		const fleet = new ControlFleet(size, zones, servers);
+		fleet.start();
+		await fleet.elapse(settlingMs);
+		const [slow] = fleet.instances[0].directory.all();
+		const reporter = new CountingReporter(() => slow);
+		for (const [index, instance] of fleet.instances.entries()) {
+			const survey = new SlowdownSurvey({
+				reporter,
+				serverHealth: instance.serverHealth,
+				backpressure: sampleBackpressure(),
+				serverSlowdowns: instance.slowdowns,
+				budget: new QueryBudget({perServerAndSecond: 1, burst: 1000, minBurst: 3}, () => ({servers, instances: size})),
+				random: new RandomSource(index + 1),
+				timers: fleet.timers,
+				metrics: new Metrics(),
+				log: new RecordingLog(fleet.timers),
+			}, 1500);
+			const stages = instance.directory.all().filter(server => isNear(instance, server)).map(server => ({server, range: {from: 0, to: 80}}));
+			fleet.timers.repeat(100, () => {
+				survey.queryStages(stages);
+			});
+		}
+
+		const knowing = new Set<FleetInstance>();
+		const isKnown = () => {
+			for (const instance of fleet.instances) {
+				if (instance.slowdowns.getFactor(slow, fleet.timers.now()) === slowdownFactor) {
+					knowing.add(instance);
+				}
+			}
+
+			return fleet.instances.every(instance => knowing.has(instance) || !isNear(instance, slow));
+		};
+
+		const elapsed = await fleet.measureUntil(isKnown, 5000);
+		await fleet.elapse(6000 - elapsed);
+		t.log(`known everywhere after ${elapsed} ms; ${reporter.queries} queries in 6 s`);
+		t.true(elapsed <= 3000, `${elapsed} ms`);
+		t.true(reporter.queries <= (servers * (6 + 1)) + (size * 3), `${reporter.queries} queries`);
+	});
+}
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -4,7 +4,6 @@
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
-import {ServerSlowdowns} from '../src/pipelines/server-slowdowns.js';
 import {Health, StageReporter, type StageReport} from '../src/pipelines/stage-reporter.js';
 import {type ExchangeRegistry} from '../src/relay/exchange-registry.js';
 import {StreamMonitor} from '../src/relay/stream-monitor.js';
@@ -66,7 +65,7 @@
 		reporter,
 		serverHealth,
 		backpressure: sampleBackpressure(),
-		serverSlowdowns: new ServerSlowdowns(3000),
+		slowdownSurvey: {queryStages: () => undefined},
 		directory,
 		timers,
 		metrics: new Metrics(),
@@ -83,7 +82,6 @@
 		rejectionThreshold: 4,
 		healthCheckInterval: 1500,
 		slownessThreshold: 250,
-		slownessQueryInterval: 1500,
 		blockedQueryThreshold: 330,
 		silenceTimeout: 1300,
 		blockedQueryInterval: 300,
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -6,6 +6,7 @@
 import {ServerDirectory} from '../../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../../src/pipelines/server-health-tracker.js';
 import {ServerLoad} from '../../src/pipelines/server-load.js';
+import {ServerSlowdowns} from '../../src/pipelines/server-slowdowns.js';
 import {type BackendServer} from '../../src/pipelines/backend-server.js';
 import {ServerListReader} from '../../src/pipelines/server-list-reader.js';
 import {type GossipMessage} from '../../src/peers/gossip-message.js';
@@ -50,6 +51,7 @@
 	readonly serverLoad: ServerLoad;
 	readonly serverLimits: ServerLimits;
 	readonly quarantine: Quarantine;
+	readonly slowdowns: ServerSlowdowns;
 	/** Incarnation ids that became suspected because of other instances. */
 	readonly learntSuspicions: string[];
 	readonly learntCrashes: CrashReport[];
@@ -162,6 +164,7 @@
 		}, log);
 		const serverLoad = new ServerLoad();
 		const quarantine = new Quarantine(100);
+		const slowdowns = new ServerSlowdowns(3000);
 		const serverLimits: ServerLimits = new ServerLimits({
 			self: id,
 			findInstances: () => control.instanceRegistry.findSharing(),
@@ -197,6 +200,7 @@
 			serverHealth,
 			serverLoad,
 			serverLimits,
+			slowdowns,
 			quarantine,
 			lease: new Lease(id, 2500),
 			peerPaths: new PeerPaths(() => false),
@@ -242,7 +246,7 @@
 			reader.confirm(table);
 		});
 		const instance: FleetInstance = {
-			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, learntSuspicions, learntCrashes, learntCleared, learntQuarantines,
+			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, slowdowns, learntSuspicions, learntCrashes, learntCleared, learntQuarantines,
 			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false, linkFreeAt: 0,
 		};
 		return instance;
