Take a caller that closes its connection for gone while its reply is blocked

Callers saw: work went on for callers that had left (GONE). Cause: while a caller does not read, the unsent part of its reply keeps the connection open after the caller has closed it, and only the close of both ends counted; the attempt went on until its deadline. Evidence: test/caller-departure.test.ts, which failed before: 300 ms after the caller's end the exchange knew nothing of it, now it does at once. Why it works: the end of the caller's side counts. The connection is reset then, so that an unfinished reply does not look complete.

--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -21,7 +21,7 @@
 	}
 
 	get isGone(): boolean {
-		return this.response.destroyed || this.message.socket.destroyed;
+		return this.response.destroyed || this.message.socket.destroyed || this.message.socket.readableEnded;
 	}
 
 	get isStarted(): boolean {
@@ -65,10 +65,27 @@
 	}
 
 	onGone(listener: () => void): void {
-		this.response.once('close', () => {
-			if (!this.isEnded) {
+		const {socket} = this.message;
+		let isNotified = false;
+		const notify = () => {
+			if (!this.isEnded && !isNotified) {
+				isNotified = true;
 				listener();
 			}
+		};
+
+		// While the reply is blocked, the connection stays open after the caller has closed its end. It is reset, so that what was sent of the reply does not look complete.
+		const close = () => {
+			if (!this.isEnded) {
+				notify();
+				socket.resetAndDestroy();
+			}
+		};
+
+		socket.once('end', close);
+		this.response.once('close', () => {
+			socket.off('end', close);
+			notify();
 		});
 	}
 
