--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -123,6 +123,17 @@
 	}
 
 	private async readBody(context: Context): Promise<string> {
+		const body = await this.receiveBody(context);
+		// The caller may have left before the request was read.
+		await this.dependencies.timers.handleInput();
+		if (context.req.socket.destroyed || context.req.socket.readableEnded) {
+			throw new Failure(ResultCode.CallerGone, 'the caller closed the connection before its request was started', Execution.NotRun);
+		}
+
+		return body;
+	}
+
+	private async receiveBody(context: Context): Promise<string> {
 		try {
 			return await getRawBody(context.req, {limit: this.limits.maxBodyBytes, length: context.req.headers['content-length'], encoding: 'utf8'});
 		} catch (error) {
--- a/test/caller-departure.test.ts
+++ b/test/caller-departure.test.ts
@@ -1,10 +1,15 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
+import process from 'node:process';
 import test, {type ExecutionContext} from 'ava';
 import {freePort} from '../harness/ports.js';
+import {getApiKey} from '../harness/sheet-text.js';
 import {HttpCallerReply} from '../src/entry/http-caller-reply.js';
 import {listen} from '../src/network/listen.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
+import {CallerEntry} from './support/caller-entry.js';
 
 const timers = new ClockTimerService();
 /** More than the buffers of a connection hold. */
@@ -75,3 +80,30 @@
 	await timers.sleep(100);
 	t.is(departures, 0);
 });
+
+// Guards against requests that are started after their callers have left, because the instance read the requests before the closes.
+test('requests of callers that left while the process was stalled are not started (own interface)', async t => {
+	const entry = await CallerEntry.start(t);
+	const call = (path: string, body: string) => `POST /v1/${path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${getApiKey('insider')}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+	const requests = [call('services/records/site-history', '{}'), call('chat/completions', JSON.stringify({model: 'findings', messages: [{role: 'user', content: 'x'}]}))];
+	const script = `process.once('message', requests => {
+		for (const request of requests) {
+			const socket = require('net').connect(${entry.port}, '127.0.0.1', () => { socket.write(request); setTimeout(() => { socket.destroy(); }, 100); });
+		}
+	}); process.send('ready');`;
+	const callers = spawn(process.execPath, ['-e', script], {stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
+	t.teardown(() => callers.kill('SIGKILL'));
+	await once(callers, 'message');
+	callers.send(requests);
+	await timers.sleep(0);
+	const end = timers.now() + 500;
+	while (timers.now() < end) {
+		// Nothing else runs meanwhile.
+	}
+
+	await timers.sleep(200);
+	t.is(entry.startedRequests, 0);
+	const served = await entry.send({path: 'services/records/site-history', workspace: 'insider', body: '{}'});
+	t.is(served.status, 200);
+	t.is(entry.startedRequests, 1);
+});
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -141,10 +141,12 @@
 	readonly handler: PeerRequestHandler;
 	readonly submissions: SheetSubmissionService;
 	readonly callers: CallerInterface;
+	/** Number of completions and calls of plain services that were started. */
+	startedRequests = 0;
 	private readonly store = new ConfigurationStore(this.table);
 	private readonly tracing = new Tracing(new InMemorySpanExporter(), 0);
 
-	private constructor(private readonly port: number) {
+	private constructor(readonly port: number) {
 		const {timers, table, other, store, tracing} = this;
 		const invariants = new Invariants();
 		const metrics = new Metrics();
@@ -164,11 +166,17 @@
 				peerCount: membership.all().length, aliveCount: membership.countAlive(), lastContactAt: membership.getLastAcknowledgedAt(),
 			}), timers),
 			completions: {
-				start(_request: unknown, sink: CompletionSink) {
+				start: (_request: unknown, sink: CompletionSink) => {
+					this.startedRequests++;
 					sink.onFinish(FinishReason.Stop);
 				},
 			},
-			plainDispatcher: {dispatch: async () => ({status: 200, contentType: 'application/json', body: '{}'})},
+			plainDispatcher: {
+				dispatch: async () => {
+					this.startedRequests++;
+					return {status: 200, contentType: 'application/json', body: '{}'};
+				},
+			},
 			actionExecutor: new ActionExecutor(table, timers, 'self', silentLog),
 			timers, tracing, metrics, invariants, lifecycle: new Lifecycle(), log: silentLog,
 		} as unknown as CallerDependencies);
