Let a few instances say that suspected prompt parts are sound

Callers saw: work for callers that had left (GONE), and late responses after servers were lost; both matters, since all instances do it at once. Cause: every instance that knew a suspected part to be sound answered each report of a crash, and each answer made every instance contact six others. An instance that has just started suspects parts that all others know. Why it works: four instances on average answer at once, the others only if nobody has after a while, and an answer that clears nothing new is recognized and dropped. test/crash-gossip reported the same parts as sound 50 times; such repeats are no longer sent, so it reports other parts each time, with the same bound.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -111,6 +111,7 @@
 	remoteFetchDelay: 300,
 	fetchPatience: 300,
 	spreadDelay: 15,
+	answerDelay: 250,
 };
 /** Durations in milliseconds. */
 const rumorTimings = {rumorLifetime: 3000, rumorMemory: 10_000};
--- a/src/peers/crash-rumors.ts
+++ b/src/peers/crash-rumors.ts
@@ -55,11 +55,19 @@
 		}], now);
 	}
 
-	/** Starts rumors that this instance saw suspected parts work. */
-	addCleared(parts: readonly string[], now: number): void {
-		for (let start = 0; start < parts.length; start += maxPartsInRumor) {
-			this.cleared.add([{...this.createHeader(), parts: parts.slice(start, start + maxPartsInRumor)}], now);
+	/**
+	Starts rumors that this instance saw suspected parts work, without the parts of which another one lately said so.
+
+	@returns whether any started
+	*/
+	addCleared(parts: readonly string[], now: number): boolean {
+		const known = this.findClearedParts(now);
+		const unknown = parts.filter(part => !known.has(part));
+		for (let start = 0; start < unknown.length; start += maxPartsInRumor) {
+			this.cleared.add([{...this.createHeader(), parts: unknown.slice(start, start + maxPartsInRumor)}], now);
 		}
+
+		return unknown.length > 0;
 	}
 
 	/** Returns the rumors to pass on. */
@@ -76,12 +84,29 @@
 			this.reportCrash(crash, now);
 		}
 
-		const unknownCleared = this.cleared.add(vindications.filter(rumor => this.isForeign(rumor)), now);
-		for (const {parts} of unknownCleared) {
-			this.events.onCleared(parts);
+		const unknownCleared = vindications.filter(rumor => this.isForeign(rumor) && this.receiveCleared(rumor, now));
+		return unknownCrashes.length > 0 || unknownCleared.length > 0;
+	}
+
+	/** Returns whether the rumor was unknown and clears a part of which no other one lately said so. */
+	private receiveCleared(rumor: ClearedReport, now: number): boolean {
+		const known = this.findClearedParts(now);
+		if (rumor.parts.every(part => known.has(part))) {
+			this.cleared.ignore(rumor, now);
+			return false;
+		}
+
+		const isUnknown = this.cleared.add([rumor], now).length > 0;
+		if (isUnknown) {
+			this.events.onCleared(rumor.parts);
 		}
 
-		return unknownCrashes.length > 0 || unknownCleared.length > 0;
+		return isUnknown;
+	}
+
+	/** Returns the parts that the rumors that are passed on clear. */
+	private findClearedParts(now: number): ReadonlySet<string> {
+		return new Set(this.cleared.getCurrent(now).flatMap(({parts}) => parts));
 	}
 
 	private reportCrash({age, life: incarnationId, crashAge, suspects}: ReportedCrash, now: number): void {
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -64,8 +64,12 @@
 	readonly farContactsPerZone: number;
 	/** Milliseconds for which news is collected before it is sent. */
 	readonly spreadDelay: number;
+	/** Least time in milliseconds after which an instance answers a report that others may have answered; at most twice that. */
+	readonly answerDelay: number;
 };
 
+/** Instances that answer a report at once, on average, where all could; as many as there are if they are fewer. */
+const promptAnswers = 4;
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
 
@@ -125,11 +129,18 @@
 		this.scheduleSpread(this.timings.rumorFanout);
 	}
 
-	/** Reports to the other instances that this one saw suspected prompt parts work. */
+	/** Reports to the other instances that this one saw suspected prompt parts work. Since many may have, a few say so at once, and the others only if nobody has after a while. */
 	reportCleared(parts: readonly string[]): void {
-		const {crashRumors, timers} = this.dependencies;
-		crashRumors.addCleared(parts, timers.now());
-		this.scheduleSpread(this.timings.rumorFanout);
+		const {instances, random, timers} = this.dependencies;
+		if (random.nextFraction() * instances.all().length < promptAnswers) {
+			this.spreadCleared(parts);
+			return;
+		}
+
+		const {answerDelay} = this.timings;
+		timers.after(answerDelay * (1 + random.nextFraction()), () => {
+			this.spreadCleared(parts);
+		});
 	}
 
 	/** Passes a limit that a backend server named or lifted on to the other instances. */
@@ -177,6 +188,13 @@
 		return false;
 	}
 
+	private spreadCleared(parts: readonly string[]): void {
+		const {crashRumors, timers} = this.dependencies;
+		if (crashRumors.addCleared(parts, timers.now())) {
+			this.scheduleSpread(this.timings.rumorFanout);
+		}
+	}
+
 	/** Returns the fanout of a periodic round, within the budget of bytes. In a large availability zone, only some instances contact other zones. */
 	private selectRoundFanout(): Fanout {
 		const {maxRoundContacts, farContactsPerZone} = this.timings;
--- a/test/crash-gossip.test.ts
+++ b/test/crash-gossip.test.ts
@@ -94,7 +94,7 @@
 	const now = fleet.timers.now();
 	for (let crash = 0; crash < 50; crash++) {
 		gossip.reportCrash({incarnationId: `server/${crash}`, crashedAt: now, suspects: Array.from({length: 30}, (_, index) => ({part: `part-${index}`, sentAt: now}))});
-		gossip.reportCleared(Array.from({length: 30}, (_, index) => `part-${index}`));
+		gossip.reportCleared(Array.from({length: 30}, (_, index) => `part-${crash}-${index}`));
 	}
 
 	const {crashes = [], vindications = []} = gossip.exchange(gossipMessageSchema.parse(previousMessage));
--- a/test/fleet-reactions.test.ts
+++ b/test/fleet-reactions.test.ts
@@ -122,3 +122,31 @@
 		t.true(reporter.queries <= (servers * (6 + 1)) + (size * 3), `${reporter.queries} queries`);
 	});
 }
+
+// Guards against an answer of every instance to each report of a crash that names parts which all of them know to be sound.
+for (const {size, zones, servers} of [{size: 64, zones: 4, servers: 90}, {size: 195, zones: 5, servers: 195}]) {
+	test.serial(`${size} instances know that suspected prompt parts are sound: few of them say so`, async t => {
+		const fleet = new ControlFleet(size, zones, servers);
+		fleet.start();
+		await fleet.elapse(settlingMs);
+		fleet.resetCounters();
+		const parts = ['shared', 'topic'];
+		const knowing = fleet.instances.filter((_, index) => index % 4 !== 3);
+		const others = fleet.instances.filter((_, index) => index % 4 === 3);
+		for (const instance of knowing) {
+			instance.answerToCrashes = parts;
+		}
+
+		for (const [index, instance] of others.slice(0, lostServers).entries()) {
+			const crashedAt = fleet.timers.now();
+			instance.control.gossip.reportCrash({incarnationId: `s${index}@1`, crashedAt, suspects: parts.map(part => ({part, sentAt: crashedAt}))});
+		}
+
+		await fleet.elapse(1000);
+		const messages = fleet.instances.reduce((sum, {messagesSent}) => sum + messagesSent, 0);
+		t.log(`${messages} messages`);
+		t.true(others.every(({learntCleared}) => learntCleared.length > 0), 'the others learn that the parts are sound');
+		// Two rounds of four messages in a second, and a spread for the first crashes and for the first answers.
+		t.true(messages <= size * ((4 * 2) + (6 * 2)), `${messages} messages`);
+	});
+}
--- a/test/support/control-fleet.ts
+++ b/test/support/control-fleet.ts
@@ -64,6 +64,8 @@
 	bytesExchanged: number;
 	/** Part of the bytes that went to another availability zone. */
 	farBytesSent: number;
+	/** Prompt parts that this instance knows to be sound, and says so when another one suspects them. */
+	answerToCrashes: readonly string[];
 	/** Whether the process is stopped, so that it neither sends nor answers. */
 	isStopped: boolean;
 	/** Bytes that this instance sends in a second, if not those of the network. */
@@ -225,6 +227,9 @@
 			},
 			onCrashReport(report) {
 				learntCrashes.push(report);
+				if (instance.answerToCrashes.length > 0) {
+					control.gossip.reportCleared(instance.answerToCrashes);
+				}
 			},
 			onCleared(parts) {
 				learntCleared.push(parts);
@@ -247,7 +252,7 @@
 		});
 		const instance: FleetInstance = {
 			id, address, control, directory, serverHealth, serverLoad, serverLimits, quarantine, slowdowns, learntSuspicions, learntCrashes, learntCleared, learntQuarantines,
-			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false, linkFreeAt: 0,
+			messagesSent: 0, bytesSent: 0, callsMade: 0, bytesExchanged: 0, farBytesSent: 0, isStopped: false, linkFreeAt: 0, answerToCrashes: [],
 		};
 		return instance;
 	}
