Reserve what becomes free for the first request that waits

Callers saw: too little was served, in one report hardly any of the largest tenth of the requests of one kind (SHORT). Cause: starvation. A request waited until a pipeline had room for all of its tokens, but one that arrived later was tried before those that waited, and took what had become free. In the queue itself, those that could no longer be on time were passed by those that could, and a retry without a budget kept all others waiting. Why it works: an arrival waits behind those that wait, the first one that finds no capacity reserves its tokens on one pipeline and keeps the reservation until it starts, and smaller ones start beside it. A stream that is sent again counts from its arrival. Left: reservations bind one instance.

--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -77,19 +77,31 @@
 	/** Returns the pipeline to use now; undefined if no usable servers with enough capacity cover all layers, or if the pipeline would exceed the bandwidth between zones. */
 	select(request: PipelineRequest, now: number): Pipeline | undefined {
 		const {model} = request;
-		const pipeline = findPipeline(this.findUsableServers(request, now), model.layers, this.createCosts(request, now))?.pipeline;
+		const pipeline = findPipeline(this.findUsableServers(request, now), model.layers, this.createCosts(request, this.weights.maxOccupancy, now))?.pipeline;
 		const crossings = pipeline ? countCrossings(pipeline) : 0;
 		const bytes = crossings * request.tokens * model.activationBytes;
 		return crossings === 0 || this.dependencies.interzoneBandwidth.tryConsume(bytes, model.interzoneMegabits, now) ? pipeline : undefined;
 	}
 
+	/**
+	Returns the pipeline that a request is to wait for: the one with the lowest cost, however busy its stages are.
+
+	@param previous - the pipeline that it has waited for; still returned if all of its stages may be used
+	*/
+	selectBusy(request: PipelineRequest, previous: Pipeline | undefined, now: number): Pipeline | undefined {
+		const servers = this.findUsableServers(request, now);
+		return previous?.every(({server}) => servers.includes(server))
+			? previous
+			: findPipeline(servers, request.model.layers, this.createCosts(request, Number.POSITIVE_INFINITY, now))?.pipeline;
+	}
+
 	private findUsableServers({service, excluded}: PipelineRequest, now: number): readonly BackendServer[] {
 		const {directory, serverHealth, backpressure} = this.dependencies;
 		return directory.usable(service).filter(server =>
 			server.range !== undefined && !excluded.has(getIncarnationId(server)) && serverHealth.isUsable(server, now) && !backpressure.pauses.isPaused(server, now));
 	}
 
-	private createCosts({model, tokens, firstStageCandidates}: PipelineRequest, now: number): PipelineCosts {
+	private createCosts({model, tokens, firstStageCandidates}: PipelineRequest, maxOccupancy: number, now: number): PipelineCosts {
 		const fastest = model.layers * Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace));
 		const layerCosts = new Map<BackendServer, number>();
 		const computeStageCost = (server: BackendServer, range: LayerRange) => {
@@ -97,7 +109,7 @@
 				return Number.POSITIVE_INFINITY;
 			}
 
-			const layerCost = layerCosts.get(server) ?? this.computeLayerCost(server, model, tokens, now);
+			const layerCost = layerCosts.get(server) ?? this.computeLayerCost(server, model, {tokens, maxOccupancy}, now);
 			layerCosts.set(server, layerCost);
 			const isRemote = range.from === 0 && server.availabilityZone !== this.dependencies.availabilityZone;
 			return (getLayerCount(range) * layerCost) + (isRemote ? fastest * this.weights.remoteZone : 0);
@@ -111,8 +123,8 @@
 		return (!candidates || candidates.has(getIncarnationId(server))) && this.dependencies.backpressure.limits.allows(server, now);
 	}
 
-	/** Returns the cost of one layer on a server; infinite if the server lacks capacity for the tokens. */
-	private computeLayerCost(server: BackendServer, model: EngineModel, tokens: number, now: number): number {
+	/** Returns the cost of one layer on a server; infinite if the tokens would exceed the occupancy, or the server could not hold them at all. */
+	private computeLayerCost(server: BackendServer, model: EngineModel, {tokens, maxOccupancy}: {tokens: number; maxOccupancy: number}, now: number): number {
 		const acceleratorType = model.acceleratorTypes.get(server.card);
 		if (!acceleratorType || !server.range) {
 			return Number.POSITIVE_INFINITY;
@@ -120,7 +132,7 @@
 
 		const capacity = computeTokenCapacity(model, acceleratorType, getLayerCount(server.range));
 		const occupancy = this.computeOccupancy(server, capacity, now);
-		return occupancy + (tokens / capacity) > this.weights.maxOccupancy
+		return tokens > capacity || occupancy + (tokens / capacity) > maxOccupancy
 			? Number.POSITIVE_INFINITY
 			: acceleratorType.pace * this.dependencies.slowdowns.getFactor(server, now) * (1 + (this.weights.occupancyWeight * (occupancy ** 2)));
 	}
--- a/src/pipelines/server-load.ts
+++ b/src/pipelines/server-load.ts
@@ -21,6 +21,7 @@
 export class ServerLoad {
 	private readonly loads = new Map<string, Load>();
 	private readonly readings = new Map<string, StoredReading>();
+	private readonly reservedTokens = new Map<string, number>();
 
 	/**
 	Records that a request starts to use a pipeline.
@@ -59,14 +60,36 @@
 		};
 	}
 
+	/**
+	Reserves capacity of a pipeline for a request that waits for it. Reservations are not reported to other instances, since two of them could keep each other waiting.
+
+	@returns a function that gives the capacity back; further calls have no effect
+	*/
+	reserve(pipeline: Pipeline, tokens: number): () => void {
+		const incarnationIds = pipeline.map(({server}) => getIncarnationId(server));
+		for (const incarnationId of incarnationIds) {
+			this.reservedTokens.set(incarnationId, (this.reservedTokens.get(incarnationId) ?? 0) + tokens);
+		}
+
+		let isReserved = true;
+		return () => {
+			for (const incarnationId of isReserved ? incarnationIds : []) {
+				this.reservedTokens.set(incarnationId, (this.reservedTokens.get(incarnationId) ?? 0) - tokens);
+			}
+
+			isReserved = false;
+		};
+	}
+
 	/** Stores the load that a server reported. */
 	observe(server: BackendServer, reading: LoadReading, now: number): void {
 		this.readings.set(getIncarnationId(server), {...reading, readAt: now, startedSince: 0});
 	}
 
-	/** Returns the tokens that this instance's requests hold on the server. */
+	/** Returns the tokens that this instance's requests hold or have reserved on the server. */
 	getTokens(server: BackendServer): number {
-		return this.loads.get(getIncarnationId(server))?.tokens ?? 0;
+		const incarnationId = getIncarnationId(server);
+		return (this.loads.get(incarnationId)?.tokens ?? 0) + (this.reservedTokens.get(incarnationId) ?? 0);
 	}
 
 	/** Returns the tokens that this instance's requests hold, by incarnation id of the server. */
@@ -98,6 +121,12 @@
 				this.readings.delete(incarnationId);
 			}
 		}
+
+		for (const [incarnationId, tokens] of this.reservedTokens) {
+			if (tokens === 0 && !listed.has(incarnationId)) {
+				this.reservedTokens.delete(incarnationId);
+			}
+		}
 	}
 
 	private add(server: BackendServer, tokens: number, requests: number): void {
--- a/src/relay/request-queue.ts
+++ b/src/relay/request-queue.ts
@@ -1,16 +1,23 @@
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type TimerService} from '../time/timer-service.js';
+import {StartOutcome} from './start-outcome.js';
 
 /** A request to queue. */
 export type QueuedRequest = {
 	/** 0 is the most urgent. */
 	readonly priority: number;
+	/** Monotonic time in milliseconds at which the request arrived at this instance. */
+	readonly arrivedAt: number;
+	/** Capacity that the request needs, in tokens. */
+	readonly tokens: number;
 	/** Monotonic time in milliseconds until which the request can be sent and still be answered on time. */
 	readonly onTimeDeadline: number;
 	/** Monotonic time in milliseconds at which the request leaves the queue. */
 	readonly queueDeadline: number;
-	/** Tries to start the request; returns false if there is still no capacity for it. */
-	readonly tryStart: () => boolean;
+	/** Tries to start the request. */
+	readonly tryStart: () => StartOutcome;
+	/** Keeps capacity that becomes free from other requests. The handle gives it back. */
+	readonly reserve: () => TimerHandle;
 	/** Called when the request reaches its queue deadline. */
 	readonly onTimeout: () => void;
 };
@@ -33,11 +40,14 @@
 Queues requests while no pipeline has capacity for them. Requests start in order of priority; within a priority, those that can still be answered on time start first, in order of arrival, and then the others.
 
 Under overload a plain FIFO queue would make every answer late (B. Maurer, "Fail at scale", ACM Queue, 2015).
+
+The first request that finds no capacity reserves what becomes free; requests behind it start if there is capacity beside the reservation. Without it, smaller requests would keep a large one waiting for good (EASY backfilling; D. Lifka, "The ANL/IBM SP scheduling system", JSSPP 1995).
 */
 export class RequestQueue {
 	private readonly entries: Entry[] = [];
 	private nextSequence = 0;
 	private ticker?: TimerHandle;
+	private reservation?: {readonly entry: Entry; readonly handle: TimerHandle};
 
 	constructor(private readonly timers: TimerService, private readonly limits: RequestQueueLimits) {}
 
@@ -46,6 +56,11 @@
 		return this.entries.length;
 	}
 
+	/** Whether a request of this priority that arrives now would have to wait behind others. */
+	hasWaiting(priority: number): boolean {
+		return this.entries.some(({request}) => request.priority <= priority);
+	}
+
 	/**
 	Adds a request to the queue.
 
@@ -63,7 +78,6 @@
 		});
 		const entry: Entry = {request, sequence: this.nextSequence++, timeout};
 		this.entries.push(entry);
-		this.entries.sort((left, right) => (left.request.priority - right.request.priority) || (left.sequence - right.sequence));
 		this.ticker ??= this.timers.repeat(this.limits.dispatchInterval, () => {
 			this.dispatchReady();
 		});
@@ -74,23 +88,64 @@
 		};
 	}
 
-	/** Starts queued requests until one of them finds no capacity. */
+	/** Starts all queued requests that find capacity. */
 	dispatchReady(): void {
-		while (this.entries.length > 0) {
-			const next = this.findNext();
-			if (!next.request.tryStart()) {
-				return;
+		this.startReserved();
+		let smallestFailed = Number.POSITIVE_INFINITY;
+		for (const entry of this.sortEntries()) {
+			// What is too little for a request is too little for a larger one.
+			const isCandidate = entry !== this.reservation?.entry && entry.request.tokens < smallestFailed && this.entries.includes(entry);
+			if (isCandidate && this.tryStart(entry) === StartOutcome.NoCapacity) {
+				smallestFailed = entry.request.tokens;
+				this.reserveFor(entry);
 			}
+		}
+	}
 
-			this.remove(next);
+	/** Starts the request with the reservation if it has become large enough. */
+	private startReserved(): void {
+		const entry = this.reservation?.entry;
+		if (entry && this.tryStart(entry) === StartOutcome.NoCapacity) {
+			this.reserveFor(entry);
 		}
 	}
 
-	private findNext(): Entry {
+	/** Returns the entries in the order in which they are to start. */
+	private sortEntries(): readonly Entry[] {
 		const now = this.timers.now();
-		const [{request: {priority}}] = this.entries;
-		const onTime = this.entries.find(({request}) => request.priority === priority && request.onTimeDeadline >= now);
-		return onTime ?? this.entries[0];
+		return this.entries.toSorted(({request: left, sequence: leftSequence}, {request: right, sequence: rightSequence}) =>
+			(left.priority - right.priority)
+			|| (Number(right.onTimeDeadline >= now) - Number(left.onTimeDeadline >= now))
+			|| (left.arrivedAt - right.arrivedAt)
+			|| (leftSequence - rightSequence));
+	}
+
+	private tryStart(entry: Entry): StartOutcome {
+		if (this.reservation?.entry === entry) {
+			this.cancelReservation();
+		}
+
+		const outcome = entry.request.tryStart();
+		if (outcome === StartOutcome.Started) {
+			this.remove(entry);
+		}
+
+		return outcome;
+	}
+
+	/** Reserves capacity for a request, unless a request that is as urgent has a reservation. */
+	private reserveFor(entry: Entry): void {
+		if (this.reservation && this.reservation.entry.request.priority <= entry.request.priority) {
+			return;
+		}
+
+		this.cancelReservation();
+		this.reservation = {entry, handle: entry.request.reserve()};
+	}
+
+	private cancelReservation(): void {
+		this.reservation?.handle.cancel();
+		this.reservation = undefined;
 	}
 
 	private remove(entry: Entry): boolean {
@@ -101,6 +156,10 @@
 
 		this.entries.splice(index, 1);
 		entry.timeout.cancel();
+		if (this.reservation?.entry === entry) {
+			this.cancelReservation();
+		}
+
 		if (this.entries.length === 0) {
 			this.ticker?.cancel();
 			this.ticker = undefined;
--- /dev/null
+++ b/src/relay/start-outcome.ts
@@ -0,0 +1,8 @@
+/** Outcome of an attempt to start a queued request. */
+export enum StartOutcome {
+	Started = 'started',
+	/** No pipeline has capacity for the request. */
+	NoCapacity = 'no_capacity',
+	/** The retry budget is exhausted, whatever the capacity. */
+	NoRetry = 'no_retry',
+}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -18,6 +18,7 @@
 import {type RelayRequest} from './relay-request.js';
 import {type ResponseHead} from './response-head.js';
 import {StageFailureDetector} from './stage-failure-detector.js';
+import {StartOutcome} from './start-outcome.js';
 import {computeStreamDeadlines} from './stream-deadlines.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 import {StreamLog} from './stream-log.js';
@@ -198,11 +199,12 @@
 	}
 
 	protected dispatch(): void {
-		if (this.tryStart()) {
+		const {request, streamDependencies, progress} = this;
+		// Those that wait come first.
+		if (!streamDependencies.requestQueue.hasWaiting(request.priority) && this.tryStart() === StartOutcome.Started) {
 			return;
 		}
 
-		const {request, streamDependencies, progress} = this;
 		const deadlines = computeStreamDeadlines(request, progress, this.executions.mayHaveExecuted, streamDependencies.limits);
 		if (deadlines.queueDeadline <= this.dependencies.timers.now()) {
 			this.failWith(this.createCapacityFailure('no pipeline has capacity, and the time to wait for one has passed'));
@@ -211,8 +213,11 @@
 
 		this.queueEntry = streamDependencies.requestQueue.enqueue({
 			priority: request.priority,
+			arrivedAt: request.arrivedAt,
+			tokens: this.selector.expectedTokens,
 			...deadlines,
 			tryStart: () => this.tryStart(),
+			reserve: () => this.reserve(),
 			onTimeout: () => {
 				this.failWith(this.createCapacityFailure('no pipeline had capacity in time'));
 			},
@@ -222,7 +227,10 @@
 			return;
 		}
 
-		this.log.logQueued(streamDependencies.requestQueue.size, this.attemptCount);
+		streamDependencies.requestQueue.dispatchReady();
+		if (this.queueEntry) {
+			this.log.logQueued(streamDependencies.requestQueue.size, this.attemptCount, this.selector.expectedTokens);
+		}
 	}
 
 	protected createDeadlineFailure(): Failure {
@@ -263,17 +271,32 @@
 		return pipeline;
 	}
 
-	private tryStart(): boolean {
-		const {dependencies} = this;
-		const now = dependencies.timers.now();
+	private tryStart(): StartOutcome {
+		const now = this.dependencies.timers.now();
 		const pipeline = this.selector.select(now);
+		if (!pipeline) {
+			return StartOutcome.NoCapacity;
+		}
+
 		// A retry stays queued until the retry budget allows it.
-		if (!pipeline || (this.attemptCount > 0 && !this.tryAcquireRetry())) {
-			return false;
+		if (this.attemptCount > 0 && !this.tryAcquireRetry()) {
+			return StartOutcome.NoRetry;
 		}
 
 		this.send(pipeline, now);
-		return true;
+		return StartOutcome.Started;
+	}
+
+	/** Reserves capacity of the pipeline that is likely to have enough of it first. */
+	private reserve(): TimerHandle {
+		const {timers, load} = this.dependencies;
+		const pipeline = this.selector.selectBusy(timers.now());
+		const cancel = pipeline && load.reserve(pipeline, this.selector.expectedTokens);
+		return {
+			cancel() {
+				cancel?.();
+			},
+		};
 	}
 
 	private send(pipeline: Pipeline, now: number): void {
--- a/src/relay/stream-log.ts
+++ b/src/relay/stream-log.ts
@@ -26,9 +26,12 @@
 	Logs that the request waits for a pipeline with capacity.
 
 	@param queueSize - queued requests, including this one
+	@param tokens - capacity that the request needs
 	*/
-	logQueued(queueSize: number, attempts: number): void {
-		this.log.write('request.waiting', {request: this.request.id, waiting: queueSize, attempts});
+	logQueued(queueSize: number, attempts: number, tokens: number): void {
+		this.log.write('request.waiting', {
+			request: this.request.id, waiting: queueSize, attempts, tokens,
+		});
 	}
 
 	/** Logs that the request was sent along a pipeline. */
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -1,6 +1,6 @@
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
-import {type PipelineSelector} from '../pipelines/pipeline-selector.js';
+import {type PipelineRequest, type PipelineSelector} from '../pipelines/pipeline-selector.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {type ExecutionHistory} from './execution-history.js';
 import {type RelayRequest} from './relay-request.js';
@@ -11,6 +11,8 @@
 	private readonly excluded = new Set<string>();
 	/** Incarnation ids of stages on which the stream went silent. */
 	private readonly avoided = new Set<string>();
+	/** The pipeline that the stream waits for, or last waited for. */
+	private awaited?: Pipeline;
 
 	constructor(
 		private readonly selector: PipelineSelector,
@@ -50,10 +52,20 @@
 			?? (faulty && this.avoided.size > 1 ? this.selectWithout(new Set([...this.excluded, getIncarnationId(faulty)]), now) : undefined);
 	}
 
+	/** Selects the pipeline to wait for, although its stages may lack capacity now. */
+	selectBusy(now: number): Pipeline | undefined {
+		this.awaited = this.selector.selectBusy(this.createRequest(this.excluded), this.awaited, now);
+		return this.awaited;
+	}
+
 	private selectWithout(excluded: ReadonlySet<string>, now: number): Pipeline | undefined {
+		return this.selector.select(this.createRequest(excluded), now);
+	}
+
+	private createRequest(excluded: ReadonlySet<string>): PipelineRequest {
 		const {request, model, expectedTokens: tokens, executions} = this;
-		return this.selector.select({
+		return {
 			service: request.service.name, model, tokens, excluded, firstStageCandidates: executions.allowedIncarnations,
-		}, now);
+		};
 	}
 }
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -11,6 +11,7 @@
 import {EventSplitter} from '../src/relay/event-splitter.js';
 import {ExecutionHistory} from '../src/relay/execution-history.js';
 import {RequestQueue} from '../src/relay/request-queue.js';
+import {StartOutcome} from '../src/relay/start-outcome.js';
 import {StreamProgress} from '../src/relay/stream-progress.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
 import {sampleServer} from './support/sample-fleet.js';
@@ -68,15 +69,19 @@
 	let hasCapacity = false;
 	const enqueue = (name: string, priority: number, onTimeDeadline: number) => queue.enqueue({
 		priority,
+		arrivedAt: 0,
+		tokens: 100,
 		onTimeDeadline,
 		queueDeadline: 1000,
 		tryStart() {
-			if (hasCapacity) {
-				started.push(name);
+			if (!hasCapacity) {
+				return StartOutcome.NoCapacity;
 			}
 
-			return hasCapacity;
+			started.push(name);
+			return StartOutcome.Started;
 		},
+		reserve: () => ({cancel: () => undefined}),
 		onTimeout() {
 			started.push(`${name} timed out`);
 		},
@@ -90,12 +95,76 @@
 	t.deepEqual(started, ['urgent', 'on time', 'late']);
 });
 
+// Guards against a large request that waits for good because smaller ones that arrived later start first.
+test('the first request that finds no capacity reserves it, smaller ones start after it, and one that lacks a retry keeps nobody waiting', t => {
+	const queue = new RequestQueue(new ManualTimerService(), {capacity: 10, dispatchInterval: 40});
+	let free = 100;
+	let reserved = 0;
+	const started: string[] = [];
+	const enqueue = (name: string, tokens: number, {arrivedAt = 0, mayStart = true} = {}) => queue.enqueue({
+		priority: 1,
+		arrivedAt,
+		tokens,
+		onTimeDeadline: 0,
+		queueDeadline: 1000,
+		tryStart() {
+			if (tokens > free - reserved) {
+				return StartOutcome.NoCapacity;
+			}
+
+			if (!mayStart) {
+				return StartOutcome.NoRetry;
+			}
+
+			started.push(name);
+			free -= tokens;
+			return StartOutcome.Started;
+		},
+		reserve() {
+			reserved += tokens;
+			return {
+				cancel() {
+					reserved -= tokens;
+				},
+			};
+		},
+		onTimeout: () => undefined,
+	});
+	enqueue('without a retry', 50, {arrivedAt: 0, mayStart: false});
+	enqueue('large', 500, {arrivedAt: 1});
+	enqueue('small', 60, {arrivedAt: 3});
+	queue.dispatchReady();
+	t.deepEqual(started, []);
+	t.is(reserved, 500);
+	t.true(queue.hasWaiting(1));
+	t.false(queue.hasWaiting(0), 'a more urgent request does not wait');
+	free = 450;
+	queue.dispatchReady();
+	t.deepEqual(started, [], 'the reservation holds');
+	enqueue('resumed', 60, {arrivedAt: 2});
+	free = 610;
+	queue.dispatchReady();
+	t.deepEqual(started, ['large', 'resumed']);
+	t.is(reserved, 60);
+	free = 120;
+	queue.dispatchReady();
+	t.deepEqual(started, ['large', 'resumed', 'small']);
+	t.is(reserved, 0);
+});
+
 test('a queued request times out at its queue deadline, and a full queue accepts no more', t => {
 	const timers = new ManualTimerService();
 	const queue = new RequestQueue(timers, {capacity: 1, dispatchInterval: 40});
 	let timedOutAt = 0;
 	const request = {
-		priority: 1, onTimeDeadline: 0, queueDeadline: 1000, tryStart: () => false, onTimeout() {
+		priority: 1,
+		arrivedAt: 0,
+		tokens: 100,
+		onTimeDeadline: 0,
+		queueDeadline: 1000,
+		tryStart: () => StartOutcome.NoCapacity,
+		reserve: () => ({cancel: () => undefined}),
+		onTimeout() {
 			timedOutAt = timers.now();
 		},
 	};
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -5,6 +5,7 @@
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
+import {StartOutcome} from '../src/relay/start-outcome.js';
 import {sampleResponseHead, sampleStreamRoute, StreamExchangeFixture} from './support/exchange-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
 
@@ -250,12 +251,15 @@
 	const transmissions: number[] = [];
 	fixture.requestQueue.enqueue({
 		priority: 0,
+		arrivedAt: 0,
+		tokens: 100,
 		onTimeDeadline: 1000,
 		queueDeadline: 1000,
 		tryStart() {
 			transmissions.push(fixture.sent.length);
-			return true;
+			return StartOutcome.Started;
 		},
+		reserve: () => ({cancel: () => undefined}),
 		onTimeout() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	});
 	fixture.pipeline = [{server: sampleServer('second', 'large', range, {address: '10.0.0.2:1'}), range}];
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -189,6 +189,7 @@
 					this.pipelineRequests.push(request);
 					return this.pipeline && !request.excluded.has(getIncarnationId(this.pipeline[0].server)) ? this.pipeline : undefined;
 				},
+				selectBusy: () => undefined,
 			} as unknown as PipelineSelector,
 			requestQueue: this.requestQueue,
 			limits: {
