Start no request late in the grace period of a stop

Callers could see: a connection that ends without an answer for a request that was passed on shortly before the instance stops (LOST), also for one that may run only once. Cause: whether the notice period of a stop has passed was asked when the head of a request arrived. One whose body arrived later, or that was held while the configuration was old, was passed on whatever time was left; the own interface did not refuse late requests at all. Why it works: it is asked again when the request is complete.

--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -15,6 +15,8 @@
 const operationPathSchema = z.object({service: z.string(), operation: z.string()});
 const actionPathSchema = z.object({key: z.string()});
 const requestIdHeader = 'x-request-id';
+/** Short, because another instance can accept the request at once. */
+const drainingRetrySeconds = 0.2;
 
 /** Handles the caller requests for models, chat completions, plain services and one-time actions. */
 export class CallerHandlers {
@@ -130,6 +132,11 @@
 			throw new Failure(ResultCode.CallerGone, 'the caller closed the connection before its request was started', Execution.NotRun);
 		}
 
+		// The notice period of a shutdown may have ended while the body was received.
+		if (this.dependencies.lifecycle.isRefusing) {
+			throw new Failure(ResultCode.Draining, 'the instance is shutting down', Execution.NotRun, drainingRetrySeconds);
+		}
+
 		return body;
 	}
 
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -112,6 +112,9 @@
 				return;
 			}
 
+			// The notice period of a shutdown may have ended while the body was received or the request was held.
+			this.checkAcceptsRequests();
+
 			const method = message.method ?? 'GET';
 			const {host, target} = authorizationRequest;
 			const fingerprint = computeRequestFingerprint({
--- a/src/instance.ts
+++ b/src/instance.ts
@@ -92,6 +92,7 @@
 		});
 		dependencies.log.info('Graceful shutdown started; readiness is withdrawn.');
 		await dependencies.timers.sleep(settings.stop.notice);
+		dependencies.lifecycle.refuseRequests();
 		dependencies.callers.stopListening();
 		const drainDeadline = dependencies.timers.now() + settings.stop.limit;
 		while (dependencies.callers.inFlight > 0 && dependencies.timers.now() < drainDeadline) {
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -141,6 +141,7 @@
 	readonly handler: PeerRequestHandler;
 	readonly submissions: SheetSubmissionService;
 	readonly callers: CallerInterface;
+	readonly lifecycle = new Lifecycle();
 	/** Number of completions and calls of plain services that were started. */
 	startedRequests = 0;
 	private readonly store = new ConfigurationStore(this.table);
@@ -178,7 +179,7 @@
 				},
 			},
 			actionExecutor: new ActionExecutor(table, timers, 'self', silentLog),
-			timers, tracing, metrics, invariants, lifecycle: new Lifecycle(), log: silentLog,
+			timers, tracing, metrics, invariants, lifecycle: this.lifecycle, log: silentLog,
 		} as unknown as CallerDependencies);
 	}
 
--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -190,6 +190,11 @@
 		await this.waitUntil(async () => (await this.fetchStatus(this.ports.readiness, '/v1/readyz')) === 200);
 	}
 
+	/** Port on which the router accepts callers. */
+	get callersPort(): number {
+		return this.ports.callers;
+	}
+
 	/** Partitions this router from all backend servers, or ends the partition. */
 	partition(kind: PartitionKind): void {
 		writePartition(this.partitionFile, {kind, ports: [...this.stages, ...this.records].map(({port}) => port)});
