--- a/test/backend-client.test.ts
+++ b/test/backend-client.test.ts
@@ -1,3 +1,4 @@
+import {createServer as createHttpServer} from 'node:http';
 import {createServer, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {freePort} from '../harness/ports.js';
@@ -7,9 +8,17 @@
 import {BackendClient} from '../src/relay/backend-client.js';
 import {listen} from '../src/network/listen.js';
 import {getListeningPort} from '../simulators/json-server.js';
+import {HttpPlainService} from '../src/backends/http-plain-service.js';
+import {Metrics} from '../src/observation/metrics.js';
+import {Execution} from '../src/results/execution.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
+import {type Connector} from '../src/tunnels/connector.js';
+import {TcpConnector} from '../src/tunnels/tcp-connector.js';
+import {TunnelClient} from '../src/tunnels/tunnel-client.js';
+import {TunnelServer} from '../src/tunnels/tunnel-server.js';
+import {markTunnelled} from '../src/tunnels/tunnelled-socket.js';
 import {ExchangeFixture, sampleStreamRoute} from './support/exchange-fixture.js';
-import {sampleServer} from './support/sample-fleet.js';
+import {RecordingLog, sampleServer} from './support/sample-fleet.js';
 
 // Guards against taking a server that is only unreachable for one that has ended: both are failures before anything was sent.
 test('a refused connection is told apart from one that cannot be established', async t => {
@@ -80,14 +89,17 @@
 /** A faulty server, and a client of it that keeps connections. */
 class FaultyServerFixture {
 	private readonly timers = new ClockTimerService();
-	private readonly client = new BackendClient({
-		codec: new PlatformCodec(), agent: new BackendAgent(this.timers, 1000), timers: this.timers, connectTimeout: 1000,
-	});
+	private readonly client: BackendClient;
 
 	/**
 	@param arrivals - ids of the requests that arrived, each with the number of its connection
+	@param connector - opens the connections; the client itself does if undefined
 	*/
-	constructor(private readonly port: number, readonly arrivals: readonly string[]) {}
+	constructor(private readonly port: number, readonly arrivals: readonly string[], connector?: Connector) {
+		this.client = new BackendClient({
+			codec: new PlatformCodec(), agent: new BackendAgent(this.timers, 1000, connector), timers: this.timers, connectTimeout: 1000,
+		});
+	}
 
 	/** Lets pooled connections become idle, and bytes that are on their way arrive. */
 	async settle(): Promise<void> {
@@ -181,3 +193,90 @@
 	await fixture.send('three', true);
 	t.deepEqual(fixture.arrivals, ['one on 1', 'two on 2', 'three on 3']);
 });
+
+const heads: ReadonlyArray<[framing: string, head: (id: string) => string]> = [
+	['a length', id => `HTTP/1.1 200 OK\r\nSiskinnotch-Attempt-Id: ${id}\r\nSiskinnotch-Replica-Signature: s\r\nContent-Length: 12\r\nConnection: keep-alive\r\n\r\n`],
+	['chunks', id => `HTTP/1.1 200 OK\r\nSiskinnotch-Attempt-Id: ${id}\r\nSiskinnotch-Replica-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n`],
+	['neither', id => `HTTP/1.1 200 OK\r\nSiskinnotch-Attempt-Id: ${id}\r\nSiskinnotch-Replica-Signature: s\r\nContent-Type: text/plain\r\n\r\n`],
+];
+const attemptId = 'cut';
+
+/** Ends a connection behind each part of a head in turn. */
+class HeadCutter {
+	length = 0;
+
+	constructor(private readonly head: (id: string) => string, private readonly isReset: boolean) {}
+
+	readonly answer = (id: string, socket: Socket) => {
+		socket.write(this.head(id).slice(0, this.length), () => {
+			if (this.isReset) {
+				socket.resetAndDestroy();
+			} else {
+				socket.end();
+			}
+		});
+	};
+}
+
+for (const [framing, head] of heads) {
+	for (const isReset of [false, true]) {
+		// Guards against a response without its body, or with a part of it, that counts as whole because its server ended within the head.
+		test(`a response whose head is cut anywhere has failed (${framing}, ${isReset ? 'reset' : 'closed'})`, async t => {
+			const cutter = new HeadCutter(head, isReset);
+			const fixture = await startFixture(t, cutter.answer);
+			for (; cutter.length < head(attemptId).length; cutter.length++) {
+				const {status, reason, text} = await fixture.send(attemptId); // eslint-disable-line no-await-in-loop
+				t.deepEqual({status, reason, text}, {status: undefined, reason: AttemptFailureReason.ConnectionLost, text: ''}, `after ${cutter.length} characters`);
+			}
+		});
+	}
+
+	test(`a response whose head is cut anywhere has failed (${framing}, own interface)`, async t => {
+		const cutter = new HeadCutter(head, false);
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				cutter.answer(attemptId, socket);
+			});
+		});
+		await listen(server, '127.0.0.1', 0);
+		t.teardown(() => {
+			server.close();
+		});
+		const service = new HttpPlainService(new ClockTimerService());
+		for (; cutter.length < head(attemptId).length; cutter.length += 3) {
+			// eslint-disable-next-line no-await-in-loop
+			const {execution} = await service.call(`127.0.0.1:${getListeningPort(server)}`, {
+				operation: 'lookup', request: 'r1', key: 'k1', body: '{}', headers: {},
+			}, 1000);
+			t.is(execution, Execution.Unknown, `after ${cutter.length} characters`);
+		}
+	});
+
+	test(`a response whose head is cut anywhere has failed (${framing}, through another instance)`, async t => {
+		const cutter = new HeadCutter(head, false);
+		const timers = new ClockTimerService();
+		const direct = new TcpConnector(timers, new Metrics(), 300);
+		const tunnelServer = new TunnelServer({
+			direct, isServer: () => true, isAvailable: () => true, reachesAnother: async () => true, log: new RecordingLog(),
+		});
+		const instance = createHttpServer();
+		instance.on('connect', (request, socket) => {
+			void tunnelServer.accept(request, socket);
+		});
+		await listen(instance, '127.0.0.1', 0);
+		t.teardown(() => {
+			instance.close();
+		});
+		const connector: Connector = {
+			async connect(address) {
+				return markTunnelled(await new TunnelClient(timers, 350).open(`127.0.0.1:${getListeningPort(instance)}`, address));
+			},
+		};
+		const fixture = new FaultyServerFixture(await startFaultyServer(t, [], cutter.answer), [], connector);
+		for (; cutter.length < head(attemptId).length; cutter.length += 3) {
+			const {status, reason, text} = await fixture.send(attemptId); // eslint-disable-line no-await-in-loop
+			t.deepEqual({status, reason, text}, {status: undefined, reason: AttemptFailureReason.ConnectionLost, text: ''}, `after ${cutter.length} characters`);
+		}
+	});
+}
