Reserve capacity for large requests only

Cause: a request of the usual size finds room without a reservation, and its reservation kept others waiting. Why it works: only requests above one and a half times the usual tokens are ones that seldom fit.

--- a/src/relay/request-queue.ts
+++ b/src/relay/request-queue.ts
@@ -16,8 +16,8 @@
 	readonly queueDeadline: number;
 	/** Tries to start the request. */
 	readonly tryStart: () => StartOutcome;
-	/** Keeps capacity that becomes free from other requests. The handle gives it back. */
-	readonly reserve: () => TimerHandle;
+	/** Keeps capacity that becomes free from other requests; absent if the request is small enough to find some without that. The handle gives it back. */
+	readonly reserve?: () => TimerHandle;
 	/** Called when the request reaches its queue deadline. */
 	readonly onTimeout: () => void;
 };
@@ -41,7 +41,7 @@
 
 Under overload a plain FIFO queue would make every answer late (B. Maurer, "Fail at scale", ACM Queue, 2015).
 
-The first request that finds no capacity reserves what becomes free; requests behind it start if there is capacity beside the reservation. Without it, smaller requests would keep a large one waiting for good (EASY backfilling; D. Lifka, "The ANL/IBM SP scheduling system", JSSPP 1995).
+The first large request that finds no capacity reserves what becomes free; requests behind it start if there is capacity beside the reservation. Without it, smaller requests would keep a large one waiting for good (EASY backfilling; D. Lifka, "The ANL/IBM SP scheduling system", JSSPP 1995).
 */
 export class RequestQueue {
 	private readonly entries: Entry[] = [];
@@ -133,14 +133,15 @@
 		return outcome;
 	}
 
-	/** Reserves capacity for a request, unless a request that is as urgent has a reservation. */
+	/** Reserves capacity for a large request, unless a request that is as urgent has a reservation. */
 	private reserveFor(entry: Entry): void {
-		if (this.reservation && this.reservation.entry.request.priority <= entry.request.priority) {
+		const {reserve, priority} = entry.request;
+		if (!reserve || (this.reservation && this.reservation.entry.request.priority <= priority)) {
 			return;
 		}
 
 		this.cancelReservation();
-		this.reservation = {entry, handle: entry.request.reserve()};
+		this.reservation = {entry, handle: reserve()};
 	}
 
 	private cancelReservation(): void {
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -217,7 +217,7 @@
 			tokens: this.selector.expectedTokens,
 			...deadlines,
 			tryStart: () => this.tryStart(),
-			reserve: () => this.reserve(),
+			...(this.selector.isLarge && {reserve: () => this.reserve()}),
 			onTimeout: () => {
 				this.failWith(this.createCapacityFailure('no pipeline had capacity in time'));
 			},
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -1,10 +1,13 @@
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
-import {type EngineModel} from '../pipelines/engine-model.js';
+import {computeUsualRequestTokens, type EngineModel} from '../pipelines/engine-model.js';
 import {type PipelineRequest, type PipelineSelector} from '../pipelines/pipeline-selector.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {type ExecutionHistory} from './execution-history.js';
 import {type RelayRequest} from './relay-request.js';
 
+/** Multiple of the usual tokens above which a request counts as large. */
+const largeRequestMultiple = 1.5;
+
 /** Selects pipelines for one stream, without the stages that have already failed it. */
 export class StreamPipelineSelector {
 	/** Incarnation ids of stages that were found faulty during this stream. */
@@ -26,6 +29,11 @@
 		return this.request.promptTokens + Math.min(this.request.maxAnswerTokens, this.model.usualAnswer);
 	}
 
+	/** Whether the request needs so much capacity that it seldom fits beside usual ones. */
+	get isLarge(): boolean {
+		return this.expectedTokens > computeUsualRequestTokens(this.model) * largeRequestMultiple;
+	}
+
 	/** Excludes a faulty stage for the rest of the stream. */
 	exclude(server: BackendServer): void {
 		this.excluded.add(getIncarnationId(server));
