Take a shared probe that reached none for an answer about one server only

Callers could see: an instance that reports servers as unreachable, or cannot tell, because a probe in progress for another server had left out the only one that works. Cause: since instances share probes, one that excluded one server also answered about another. Evidence: test/tunnels.test.ts: of two servers one is silent; whoever asks about the silent one learns that the other one is reached. Also renames parts of the same change: checks of servers in place of verdicts, a poller of slowdowns in place of a survey.

--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -69,7 +69,7 @@
 };
 
 /** Instances that answer a report at once, on average, where all could; as many as there are if they are fewer. */
-const promptAnswers = 4;
+const immediateAnswers = 4;
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
 
@@ -132,7 +132,7 @@
 	/** Reports to the other instances that this one saw suspected prompt parts work. Since many may have, a few say so at once, and the others only if nobody has after a while. */
 	reportCleared(parts: readonly string[]): void {
 		const {instances, random, timers} = this.dependencies;
-		if (random.nextFraction() * instances.all().length < promptAnswers) {
+		if (random.nextFraction() * instances.all().length < immediateAnswers) {
 			this.spreadCleared(parts);
 			return;
 		}
--- a/src/relay/slowdown-survey.ts
+++ b/src/relay/slowdown-poller.ts
@@ -12,7 +12,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {type QueryBudget} from './query-budget.js';
 
-export type SlowdownSurveyDependencies = {
+export type SlowdownPollerDependencies = {
 	readonly reporter: StageReporter;
 	readonly serverHealth: ServerHealthTracker;
 	readonly backpressure: Backpressure;
@@ -25,14 +25,14 @@
 };
 
 /** Queries how slow backend servers are, within a budget that all instances share; they tell each other what they learn. */
-export class SlowdownSurvey {
+export class SlowdownPoller {
 	/**
 	@param interval - milliseconds between two queries of a server, whichever instance makes them
 	*/
-	constructor(private readonly dependencies: SlowdownSurveyDependencies, private readonly interval: number) {}
+	constructor(private readonly dependencies: SlowdownPollerDependencies, private readonly interval: number) {}
 
 	/** Queries the stages of a silent stream of which no instance learnt lately how slow they are. A suspected stage explains the silence. */
-	queryStages(stages: Pipeline): void {
+	pollStages(stages: Pipeline): void {
 		const {serverHealth, serverSlowdowns, backpressure, budget, random, timers} = this.dependencies;
 		const now = timers.now();
 		if (stages.some(({server}) => serverHealth.isSuspected(server, now))) {
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -11,7 +11,7 @@
 import {Health, type StageReporter} from '../pipelines/stage-reporter.js';
 import {getConnectionCause} from './connection-cause.js';
 import {type ExchangeRegistry} from './exchange-registry.js';
-import {type SlowdownSurvey} from './slowdown-survey.js';
+import {type SlowdownPoller} from './slowdown-poller.js';
 import {type StreamExchange} from './stream-exchange.js';
 
 /** Dependencies of a stream monitor. */
@@ -20,7 +20,7 @@
 	readonly reporter: StageReporter;
 	readonly serverHealth: ServerHealthTracker;
 	readonly backpressure: Backpressure;
-	readonly slowdownSurvey: Pick<SlowdownSurvey, 'queryStages'>;
+	readonly slowdownPoller: Pick<SlowdownPoller, 'pollStages'>;
 	readonly directory: ServerDirectory;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
@@ -141,7 +141,7 @@
 				continue;
 			}
 
-			this.dependencies.slowdownSurvey.queryStages(exchange.stages);
+			this.dependencies.slowdownPoller.pollStages(exchange.stages);
 			if (silence >= this.timings.blockedQueryThreshold) {
 				silentFirstStages.set(getIncarnationId(firstServer), firstServer);
 			}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -44,7 +44,7 @@
 import {ExchangeRegistry} from './relay/exchange-registry.js';
 import {QueryBudget} from './relay/query-budget.js';
 import {RequestQueue} from './relay/request-queue.js';
-import {SlowdownSurvey} from './relay/slowdown-survey.js';
+import {SlowdownPoller} from './relay/slowdown-poller.js';
 import {StreamMonitor} from './relay/stream-monitor.js';
 import {type TableFeed} from './replication/table-feed.js';
 import {TableName} from './replication/table-name.js';
@@ -265,7 +265,7 @@
 			},
 		},
 	);
-	const slowdownSurvey = new SlowdownSurvey({
+	const slowdownPoller = new SlowdownPoller({
 		reporter: stageReporter,
 		serverHealth,
 		backpressure,
@@ -280,7 +280,7 @@
 		exchanges, reporter: stageReporter,
 		serverHealth,
 		backpressure,
-		slowdownSurvey,
+		slowdownPoller,
 		directory,
 		timers,
 		metrics,
--- a/src/tunnels/own-paths.ts
+++ b/src/tunnels/own-paths.ts
@@ -34,11 +34,19 @@
 /** Servers that are tried at a time to find out whether this instance reaches any, and the fraction of the time for that: few at first, and more if none of them is reached. */
 const probeGroups = [{size: 2, timeFraction: 1 / 3}, {size: 4, timeFraction: 2 / 3}];
 
+/** An attempt to reach any server but one. */
+type Probe = {
+	/** Address of the server that is not tried. */
+	readonly excluded: string;
+	/** Resolves to the address that was reached; to undefined if none was. */
+	readonly reached: Promise<string | undefined>;
+};
+
 /** Opens connections from this instance itself, and finds out from them whether the instance is partitioned. */
 export class OwnPaths extends Connector {
 	private isProving = false;
-	/** A probe in progress for other instances, which resolves to the address that was reached. */
-	private pendingProbe?: Promise<string | undefined>;
+	/** A probe in progress for other instances. */
+	private pendingProbe?: Probe;
 
 	constructor(private readonly dependencies: OwnPathDependencies, private readonly timings: ProbeTimings) {
 		super();
@@ -64,8 +72,10 @@
 			return true;
 		}
 
-		const reached = await (this.pendingProbe ??= this.probeForOthers(excluded));
-		return reached !== undefined && (reached !== excluded || await this.probe(new Set([excluded])) !== undefined);
+		const probe = this.pendingProbe ?? this.startProbe(excluded);
+		const reached = await probe.reached;
+		const isAnswer = probe.excluded === excluded || (reached !== undefined && reached !== excluded);
+		return (isAnswer ? reached : await this.probe(new Set([excluded]))) !== undefined;
 	}
 
 	async connect(address: string, purpose: ConnectionPurpose): Promise<Socket> {
@@ -111,12 +121,19 @@
 		}
 	}
 
-	private async probeForOthers(excluded: string): Promise<string | undefined> {
-		try {
-			return await this.probe(new Set([excluded]));
-		} finally {
-			this.pendingProbe = undefined;
-		}
+	/** Starts a probe whose result other instances share that ask meanwhile. */
+	private startProbe(excluded: string): Probe {
+		const run = async () => {
+			try {
+				return await this.probe(new Set([excluded]));
+			} finally {
+				this.pendingProbe = undefined;
+			}
+		};
+
+		const probe = {excluded, reached: run()};
+		this.pendingProbe = probe;
+		return probe;
 	}
 
 	/** Returns the address of one of a few random servers, other than the excluded ones, that this instance reaches; undefined if it reaches none of them. */
--- a/src/tunnels/pending-verdicts.ts
+++ b/src/tunnels/pending-server-checks.ts
@@ -10,7 +10,7 @@
 }
 
 /** Returns the failure that shows that the server does not work; undefined if the tunnel was opened or its failure does not show that. */
-async function findVerdict(tunnel: Promise<unknown>): Promise<TunnelFailure | undefined> {
+async function findConclusiveFailure(tunnel: Promise<unknown>): Promise<TunnelFailure | undefined> {
 	try {
 		await tunnel;
 		return undefined;
@@ -19,22 +19,22 @@
 	}
 }
 
-/** The servers about which another instance is being asked, so that connections to a server that fail at the same time make one query. */
-export class PendingVerdicts {
-	private readonly verdicts = new Map<string, Promise<TunnelFailure | undefined>>();
+/** The servers that another instance is checking, so that connections to a server that fail at the same time lead to one check. */
+export class PendingServerChecks {
+	private readonly checks = new Map<string, Promise<TunnelFailure | undefined>>();
 
-	/** Returns what another instance is about to say of a server; undefined if none is being asked. */
+	/** Returns the pending check of a server, which resolves to the failure that shows that the server does not work, if there is one; undefined if no check is pending. */
 	getPending(address: string): Promise<TunnelFailure | undefined> | undefined {
-		return this.verdicts.get(address);
+		return this.checks.get(address);
 	}
 
-	/** Holds what the attempt to open a tunnel to a server says of it, until it has ended. */
+	/** Holds the check of a server by an attempt to open a tunnel to it, until that has ended. */
 	async hold(address: string, tunnel: Promise<unknown>): Promise<void> {
-		const verdict = findVerdict(tunnel);
-		this.verdicts.set(address, verdict);
-		await verdict;
-		if (this.verdicts.get(address) === verdict) {
-			this.verdicts.delete(address);
+		const check = findConclusiveFailure(tunnel);
+		this.checks.set(address, check);
+		await check;
+		if (this.checks.get(address) === check) {
+			this.checks.delete(address);
 		}
 	}
 }
--- a/src/tunnels/server-connector.ts
+++ b/src/tunnels/server-connector.ts
@@ -11,7 +11,7 @@
 import {Connector} from './connector.js';
 import {type OwnPaths} from './own-paths.js';
 import {type PeerPaths} from './peer-paths.js';
-import {isConclusive, PendingVerdicts} from './pending-verdicts.js';
+import {isConclusive, PendingServerChecks} from './pending-server-checks.js';
 import {type TunnelClient} from './tunnel-client.js';
 import {TunnelFailureReason} from './tunnel-failure-reason.js';
 import {TunnelFailure} from './tunnel-failure.js';
@@ -48,7 +48,7 @@
 Whether a server does not work is decided only by an instance that reaches other servers. So an instance that is cut off neither takes the servers for dead nor tells others so.
 */
 export class ServerConnector extends Connector {
-	private readonly verdicts = new PendingVerdicts();
+	private readonly serverChecks = new PendingServerChecks();
 
 	constructor(private readonly dependencies: ServerConnectorDependencies, private readonly timings: ConnectorTimings) {
 		super();
@@ -146,14 +146,14 @@
 	}
 
 	private async connectAfterFailure(address: string, purpose: ConnectionPurpose, error: unknown): Promise<Socket> {
-		const pending = this.verdicts.getPending(address);
-		const verdict = pending && await pending;
-		if (verdict) {
-			throw this.createFailure(address, error, verdict);
+		const pendingCheck = this.serverChecks.getPending(address);
+		const knownFailure = pendingCheck && await pendingCheck;
+		if (knownFailure) {
+			throw this.createFailure(address, error, knownFailure);
 		}
 
 		const tunnel = this.openTunnel(address, purpose);
-		void this.verdicts.hold(address, tunnel);
+		void this.serverChecks.hold(address, tunnel);
 		try {
 			const socket = await tunnel;
 			this.dependencies.ownPaths.recordFailure(address, error);
--- a/test/fleet-reactions.test.ts
+++ b/test/fleet-reactions.test.ts
@@ -4,7 +4,7 @@
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {Health, StageReporter, type StageReport} from '../src/pipelines/stage-reporter.js';
 import {QueryBudget} from '../src/relay/query-budget.js';
-import {SlowdownSurvey} from '../src/relay/slowdown-survey.js';
+import {SlowdownPoller} from '../src/relay/slowdown-poller.js';
 import {RandomSource} from '../src/routing/random-source.js';
 import {ControlFleet, type FleetInstance} from './support/control-fleet.js';
 import {sampleBackpressure} from './support/sample-backpressure.js';
@@ -87,7 +87,7 @@
 		const [slow] = fleet.instances[0].directory.all();
 		const reporter = new CountingReporter(() => slow);
 		for (const [index, instance] of fleet.instances.entries()) {
-			const survey = new SlowdownSurvey({
+			const poller = new SlowdownPoller({
 				reporter,
 				serverHealth: instance.serverHealth,
 				backpressure: sampleBackpressure(),
@@ -100,7 +100,7 @@
 			}, 1500);
 			const stages = instance.directory.all().filter(server => isNear(instance, server)).map(server => ({server, range: {from: 0, to: 80}}));
 			fleet.timers.repeat(100, () => {
-				survey.queryStages(stages);
+				poller.pollStages(stages);
 			});
 		}
 
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -65,7 +65,7 @@
 		reporter,
 		serverHealth,
 		backpressure: sampleBackpressure(),
-		slowdownSurvey: {queryStages: () => undefined},
+		slowdownPoller: {pollStages: () => undefined},
 		directory,
 		timers,
 		metrics: new Metrics(),
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -301,3 +301,10 @@
 	t.deepEqual(await ask(), Array.from({length: 6}, () => false));
 	t.true(fixture.own.attempts.length <= 2 + 6, `${fixture.own.attempts.length} probes`);
 });
+
+// Guards against a probe that left out the only server that works, and is taken for an answer about another one.
+test('a probe that reached none answers only those who asked about the same server', async t => {
+	const fixture = new Fixture(['s1', 's2']);
+	fixture.own.silent.add('s2');
+	t.deepEqual(await Promise.all(['s1', 's2'].map(async address => fixture.ownPaths.reachesAnother(address))), [false, true]);
+});
