--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -13,6 +13,7 @@
 import {type PeerPaths} from '../tunnels/peer-paths.js';
 import {type ByteBudget} from './byte-budget.js';
 import {CallFailure} from './call-failure.js';
+import {ClearedAnswers} from './cleared-answers.js';
 import {type CrashRumors} from './crash-rumors.js';
 import {type GossipClients} from './gossip-clients.js';
 import {type GossipMessage} from './gossip-message.js';
@@ -26,6 +27,7 @@
 import {RowFetcher, type RowFetchTimings} from './row-fetcher.js';
 import {type ServerRumors} from './server-rumors.js';
 import {type SlowdownExchange} from './slowdown-exchange.js';
+import {SpreadScheduler} from './spread-scheduler.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
 
 export type GossipServiceDependencies = {
@@ -68,8 +70,6 @@
 	readonly answerDelay: number;
 };
 
-/** Instances that answer a report at once, on average, where all could; as many as there are if they are fewer. */
-const immediateAnswers = 4;
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
 
@@ -84,13 +84,22 @@
 export class GossipService implements GossipReceiver {
 	/** Ids of the instances to which a message is in flight; they get no second one meanwhile. */
 	private readonly contacting = new Set<string>();
-	private scheduledFanout?: Fanout;
 	private heardAt = Number.NEGATIVE_INFINITY;
 
 	private readonly rowFetcher: RowFetcher;
+	private readonly spreadScheduler: SpreadScheduler;
+	private readonly clearedAnswers: ClearedAnswers;
 
 	constructor(private readonly dependencies: GossipServiceDependencies, private readonly timings: GossipTimings) {
-		const {self, tables, timers} = dependencies;
+		const {self, instances, tables, crashRumors, random, timers} = dependencies;
+		this.spreadScheduler = new SpreadScheduler(timers, timings.spreadDelay, fanout => {
+			this.contactPartners(fanout);
+		});
+		this.clearedAnswers = new ClearedAnswers({
+			crashRumors, countInstances: () => instances.all().length, random, timers, onNews: () => {
+				this.spreadScheduler.schedule(timings.rumorFanout);
+			},
+		}, timings.answerDelay);
 		this.rowFetcher = new RowFetcher({
 			availabilityZone: self.availabilityZone, tables, timers, fetch: async ({peers, availabilityZone}) => this.contact(peers, {zone: availabilityZone, wantsRows: true}),
 		}, timings);
@@ -111,7 +120,7 @@
 	reportSuspicion(server: BackendServer, isBlocking: boolean, reason: string): void {
 		const {rumors, timers} = this.dependencies;
 		if (rumors.addSuspicion(server, {isBlocking, reason}, timers.now())) {
-			this.scheduleSpread(this.timings.rumorFanout);
+			this.spreadScheduler.schedule(this.timings.rumorFanout);
 		}
 	}
 
@@ -119,39 +128,30 @@
 	reportRange(server: BackendServer, range: LayerRange): void {
 		const {rumors, timers} = this.dependencies;
 		rumors.addRange(server, range, timers.now());
-		this.scheduleSpread(this.timings.rumorFanout);
+		this.spreadScheduler.schedule(this.timings.rumorFanout);
 	}
 
 	/** Reports to the other instances that this one saw a backend server crash. */
 	reportCrash(report: CrashReport): void {
 		const {crashRumors, timers} = this.dependencies;
 		crashRumors.addCrash(report, timers.now());
-		this.scheduleSpread(this.timings.rumorFanout);
+		this.spreadScheduler.schedule(this.timings.rumorFanout);
 	}
 
-	/** Reports to the other instances that this one saw suspected prompt parts work. Since many may have, a few say so at once, and the others only if nobody has after a while. */
+	/** Reports to the other instances that this one saw suspected prompt parts work. */
 	reportCleared(parts: readonly string[]): void {
-		const {instances, random, timers} = this.dependencies;
-		if (random.nextFraction() * instances.all().length < immediateAnswers) {
-			this.spreadCleared(parts);
-			return;
-		}
-
-		const {answerDelay} = this.timings;
-		timers.after(answerDelay * (1 + random.nextFraction()), () => {
-			this.spreadCleared(parts);
-		});
+		this.clearedAnswers.answer(parts);
 	}
 
 	/** Passes a limit that a backend server named or lifted on to the other instances. */
 	reportLimitChange(): void {
-		this.scheduleSpread(this.timings.rumorFanout);
+		this.spreadScheduler.schedule(this.timings.rumorFanout);
 	}
 
 	/** Passes a change of a table on to the other instances. */
 	reportTableChange(name: TableName, previous: TablePosition | undefined): void {
 		this.dependencies.tables.recordChange(name, previous, this.dependencies.timers.now());
-		this.scheduleSpread(this.timings.tableFanout);
+		this.spreadScheduler.schedule(this.timings.tableFanout);
 	}
 
 	/** Monotonic time in milliseconds at which another instance was last heard from; -Infinity before the first time. */
@@ -188,13 +188,6 @@
 		return false;
 	}
 
-	private spreadCleared(parts: readonly string[]): void {
-		const {crashRumors, timers} = this.dependencies;
-		if (crashRumors.addCleared(parts, timers.now())) {
-			this.scheduleSpread(this.timings.rumorFanout);
-		}
-	}
-
 	/** Returns the fanout of a periodic round, within the budget of bytes. In a large availability zone, only some instances contact other zones. */
 	private selectRoundFanout(): Fanout {
 		const {maxRoundContacts, farContactsPerZone} = this.timings;
@@ -250,7 +243,7 @@
 		slowdownExchange.receive(message, now);
 		const isRumorNew = rumors.receive(message, now);
 		if (crashRumors.receive(message, now) || isRumorNew) {
-			this.scheduleSpread(this.timings.rumorFanout);
+			this.spreadScheduler.schedule(this.timings.rumorFanout);
 		}
 
 		const {isChanged, isBehind, unpackingError} = tables.receive(message, now);
@@ -263,23 +256,8 @@
 		}
 
 		if (isChanged) {
-			this.scheduleSpread(this.timings.tableFanout);
-		}
-	}
-
-	/** Contacts partners soon; news that arrives until then is sent along. */
-	private scheduleSpread(fanout: Fanout): void {
-		if (this.scheduledFanout) {
-			this.scheduledFanout = {near: Math.max(fanout.near, this.scheduledFanout.near), far: Math.max(fanout.far, this.scheduledFanout.far)};
-			return;
+			this.spreadScheduler.schedule(this.timings.tableFanout);
 		}
-
-		this.scheduledFanout = fanout;
-		this.dependencies.timers.after(this.timings.spreadDelay, () => {
-			const scheduled = this.scheduledFanout!;
-			this.scheduledFanout = undefined;
-			this.contactPartners(scheduled);
-		});
 	}
 
 	private contactPartners(fanout: Fanout): void {
