Let a stream that may use few servers keep no other request waiting

Callers could see: requests that wait, or are refused, although there is room for them, at an instance with a stream that has run on as many servers as its route allows, none of which works now. Cause: since arrivals wait behind those that wait, a queued request that finds no capacity keeps larger ones from being tried. For a stream that may use few servers only, that says nothing about others. Evidence: test/stream-exchange.test.ts, which failed before.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -275,7 +275,7 @@
 		const now = this.dependencies.timers.now();
 		const pipeline = this.selector.select(now);
 		if (!pipeline) {
-			return StartOutcome.NoCapacity;
+			return this.selector.isRestricted ? StartOutcome.NoAllowedCapacity : StartOutcome.NoCapacity;
 		}
 
 		// A retry stays queued until the retry budget allows it.
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -34,6 +34,11 @@
 		return this.expectedTokens > computeUsualRequestTokens(this.model) * largeRequestMultiple;
 	}
 
+	/** Whether the stream may use fewer pipelines than another one with as many tokens. */
+	get isRestricted(): boolean {
+		return this.excluded.size > 0 || this.executions.allowedIncarnations !== undefined;
+	}
+
 	/** Excludes a faulty stage for the rest of the stream. */
 	exclude(server: BackendServer): void {
 		this.excluded.add(getIncarnationId(server));
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -243,6 +243,34 @@
 	t.true(fixture.reply.isEnded);
 });
 
+// Guards against requests that wait because a stream is queued that may use few servers only, none of which works now.
+test('a queued stream that may use few servers only keeps no other request waiting', t => {
+	const fixture = new StreamExchangeFixture({...sampleStreamRoute, maxExecutions: 1});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.pipeline = undefined;
+	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'reset', wasConnectionReused: false});
+	t.is(fixture.requestQueue.size, 1);
+	let isStarted = false;
+	fixture.requestQueue.enqueue({
+		priority: 1,
+		arrivedAt: 10,
+		tokens: 100_000,
+		onTimeDeadline: 1000,
+		queueDeadline: 1000,
+		tryStart() {
+			isStarted = true;
+			return StartOutcome.Started;
+		},
+		reserve: () => ({cancel: () => undefined}),
+		onTimeout: () => undefined,
+	});
+	fixture.requestQueue.dispatchReady();
+	t.true(isStarted);
+	t.is(fixture.requestQueue.size, 1, 'the stream still waits');
+});
+
 // Guards against streams that are cancelled for an alternative whose capacity a queued request takes first.
 test('a stream that moves takes its new pipeline before queued requests are started', t => {
 	const fixture = new StreamExchangeFixture();
