Review case 4: an answer without length whose connection is reset looks complete

Cause: BackendCall.finish trusts the runtime's 'end' for answers that end with their connection; the runtime reports an end where the last bytes and a reset arrive together.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,60 +1,82 @@
-// A replica in trouble answers with neither a length nor chunks, and sends bytes without end until the router closes. The client must not take what it gets for a complete answer.
-import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
+// One replica of three breaks off one answer in 50, which has neither a length nor chunks: it sends the first half and resets the connection. The client must not take that for a complete answer.
+import {Agent} from 'node:http';
 import {
-	Replica, runCase, send, sleep, startSystem,
+	now, Replica, runCase, send, sleep, startSystem,
 } from '../lib/stand-ins.mjs';
 
-const requestCount = 10;
-const chunkBytes = 16_384;
-const soundBody = JSON.stringify({found: true, padding: '.'.repeat(700)});
+/** The mean work of the sheet. */
+const workMs = 86;
+/** Share of the answers that the site's replicas break off or spoil: 0.02. */
+const answersPerBrokenOne = 50;
+const clientCount = 12;
+const testMs = 30_000;
 
-function digest(text) {
-	return createHash('sha256').update(text).digest('hex').slice(0, 12);
+function createBody(id) {
+	return JSON.stringify({certificate: id, padding: '.'.repeat(750)});
 }
 
 async function play(context) {
 	const {record, parts, isTrouble} = context;
-	const sentBytes = new Map();
-	/** Answers without a length, whole and at once; the end of the connection ends the answer. */
-	const answerSound = (message, _response, _body, replica) => {
-		message.socket.end(replica.createHead(message, {Connection: 'close'}) + soundBody);
-	};
-
-	/** The same head, and then bytes that never end, until the other side closes. */
-	const answerEndlessly = (message, _response, _body, replica) => {
+	let answerCount = 0;
+	const brokenOff = new Map();
+	const work = async (message, response, _body, replica) => {
 		const id = message.headers['siskinnotch-attempt-id'];
 		const {socket} = message;
-		socket.write(replica.createHead(message, {Connection: 'close'}));
-		const timer = setInterval(() => {
-			if (socket.writable) {
-				socket.write(Buffer.alloc(chunkBytes, '#'));
-				sentBytes.set(id, (sentBytes.get(id) ?? 0) + chunkBytes);
-			}
-		}, 10);
-		socket.on('close', () => {
-			clearInterval(timer);
-			record.write('replica', replica.id, 'sent', sentBytes.get(id), 'bytes of an answer that has no end to', id, 'until its connection was closed');
-		});
+		await sleep(workMs);
+		if (socket.destroyed) {
+			return;
+		}
+
+		const body = createBody(id);
+		const isWithoutLength = replica.id === 'rec-c' && ++answerCount % answersPerBrokenOne === 0;
+		if (!isWithoutLength) {
+			response.writeHead(200, replica.headers(message, {'content-type': 'application/json', 'content-length': String(body.length)}));
+			response.end(body);
+			return;
+		}
+
+		const head = replica.createHead(message, {Connection: 'close'});
+		if (!isTrouble) {
+			socket.end(head + body);
+			return;
+		}
+
+		const half = body.slice(0, body.length / 2);
+		brokenOff.set(id, half.length);
+		socket.write(head + half);
+		socket.resetAndDestroy();
+		record.write('replica', replica.id, 'sent', half.length, 'of', body.length, 'bytes of its answer to', id, 'and reset the connection');
 	};
 
-	const replicas = [new Replica('rec-a', {service: 'svc-records', run: isTrouble ? answerEndlessly : answerSound})];
-	await startSystem(context, {replicas});
+	const replicas = ['rec-a', 'rec-b', 'rec-c'].map(id => new Replica(id, {service: 'svc-records', run: work}));
+	await startSystem(context, {replicas, routers: 2});
 	await sleep(3500);
 	const [router] = parts.routers;
-	let broken = 0;
-	for (let index = 0; index < requestCount; index++) {
-		const id = `cert-${index}`;
-		const answer = await send(router, {id, target: '/certs/issue', deadline: 1500}); // eslint-disable-line no-await-in-loop
-		const isSuccess = answer.status >= 200 && answer.status < 300 && answer.isComplete;
-		const isWrong = isSuccess && answer.text !== soundBody;
-		broken += isWrong ? 1 : 0;
-		const seen = `status ${answer.status}, ${answer.ending}, ${answer.bytes} bytes after ${answer.endedAt - answer.sentAt} ms, signature ${answer.headers?.['siskinnotch-replica-signature']}`;
-		record.write(`client got for ${id}: ${seen}, digest ${digest(answer.text)}${isWrong ? ': it looks complete, but the answer of the replica had no end' : ''}`);
-	}
-
-	record.write(`${broken} of ${requestCount} answers that ended early look complete`);
-	return broken > 0 ? 1 : 0;
+	const endsAt = now() + testMs;
+	let whole = 0;
+	let wrong = 0;
+	const runClient = async name => {
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		for (let index = 0; now() < endsAt; index++) {
+			const id = `${name}-${index}`;
+			const answer = await send(router, { // eslint-disable-line no-await-in-loop
+				id, target: '/certs/issue', agent, deadline: 1500,
+			});
+			const isSuccess = answer.status === 200 && answer.isComplete;
+			const isWrong = isSuccess && answer.text !== createBody(id);
+			whole += isSuccess && !isWrong ? 1 : 0;
+			wrong += isWrong ? 1 : 0;
+			if (brokenOff.has(id)) {
+				record.write(`client got for ${id}: status ${answer.status}, ${answer.ending}, ${answer.bytes} bytes${isWrong ? ': half of the answer as a complete success' : ''}`);
+			}
+		}
+
+		agent.destroy();
+	};
+
+	await Promise.all(Array.from({length: clientCount}, async (_, index) => runClient(`client-${index + 1}`)));
+	record.write(`${whole} answers were whole; ${brokenOff.size} were broken off by their replica, ${wrong} of these look complete to the client`);
+	return wrong > 0 ? 1 : (whole > 0 ? 0 : 2);
 }
 
 await runCase(import.meta.dirname, play);
--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -215,10 +215,17 @@
 		this.layers = undefined;
 		this.isLeaving = false;
 		this.arrivals = [];
+		this.sockets = new Set();
 	}
 
 	async start(port = 0) {
 		this.server = createServer({keepAlive: true}, async (message, response) => this.handle(message, response)).listen(port, host);
+		this.server.on('connection', socket => {
+			this.sockets.add(socket);
+			socket.on('close', () => {
+				this.sockets.delete(socket);
+			});
+		});
 		await once(this.server, 'listening');
 		this.address = `${host}:${this.server.address().port}`;
 	}
@@ -226,11 +233,9 @@
 	/** Ends as a process does that was killed: all connections are reset and no new ones are accepted. */
 	crash() {
 		this.server.close();
-		for (const socket of this.sockets ?? []) {
+		for (const socket of this.sockets) {
 			socket.resetAndDestroy();
 		}
-
-		this.server.closeAllConnections();
 	}
 
 	stop() {
