--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -569,12 +569,21 @@
 	const store = new Store();
 	await store.start();
 	const parts = {routers: [], replicas: []};
-	const limit = setTimeout(() => {
-		record.write('the case took too long');
-		for (const {child} of parts.routers) {
-			child?.kill('SIGKILL');
+	process.on('exit', () => {
+		for (const {child, exit} of parts.routers) {
+			if (child && !exit) {
+				child.kill('SIGKILL');
+			}
 		}
+	});
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.on(signal, () => {
+			process.exit(2);
+		});
+	}
 
+	const limit = setTimeout(() => {
+		record.write('the case took too long');
 		process.exit(2); // eslint-disable-line unicorn/no-process-exit
 	}, 110_000);
 	record.write(isTrouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
