Take the ports of routers in the cases from below those of connections

Cause: in two of 50 runs, five scripts at a time, case 3 could not run (exit 2); the routers' ports came from the range that the system gives to other processes' connections. That this was the reason is likely and not shown, since the record of those runs is gone.

--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -41,13 +41,31 @@
 	return true;
 }
 
+/** First port and number of the ports for routers: below those that the system gives to connections, which it could take from a router that starts again. */
+const firstPort = 12_000;
+const portCount = 16_000;
+
+async function isFree(port) {
+	const server = createTcpServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, host, () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
 async function findFreePort() {
-	const server = createTcpServer().listen(0, host);
-	await once(server, 'listening');
-	const {port} = server.address();
-	server.close();
-	await once(server, 'close');
-	return port;
+	for (;;) {
+		const port = firstPort + Math.floor(Math.random() * portCount);
+		if (await isFree(port)) { // eslint-disable-line no-await-in-loop
+			return port;
+		}
+	}
 }
 
 /** Writes what was sent, run and answered to a file, a line each. */
