Give each script of the cases ports of its own

Cause: scripts that run at the same time could take the same free port before their routers used it: in a run of 20, five at a time, one could not run (EADDRINUSE).

--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -41,9 +41,11 @@
 	return true;
 }
 
-/** First port and number of the ports for routers: below those that the system gives to connections, which it could take from a router that starts again. */
+/** The ports for routers lie below those that the system gives to connections; scripts that run at a time use different ones of them. */
 const firstPort = 12_000;
-const portCount = 16_000;
+const portsPerScript = 100;
+const scripts = 160;
+let nextPort = firstPort + (process.pid % scripts * portsPerScript);
 
 async function isFree(port) {
 	const server = createTcpServer();
@@ -61,7 +63,7 @@
 
 async function findFreePort() {
 	for (;;) {
-		const port = firstPort + Math.floor(Math.random() * portCount);
+		const port = nextPort++;
 		if (await isFree(port)) { // eslint-disable-line no-await-in-loop
 			return port;
 		}
