Say in the line of a failed request how far it got, and count replies that are cut off

A stream that ends for lack of a pipeline left the same line whether it had begun, was rejected or lost its server: request.failed now has isBegun, afterEvent, silentMs, rejections and servers, of plain requests executions. siskinnotch_replies_cut counts by kind and code. No change of logic.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,5 +1,6 @@
 import {isRepeatable} from '../catalog/route.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
+import {type DecisionFields} from '../observation/decision-log.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
@@ -104,9 +105,12 @@
 			attempts: this.attemptCount,
 			afterMs: Math.round(this.dependencies.timers.now() - this.request.arrivedAt),
 			retryAfterS: failure.retryAfterSeconds,
+			isBegun: this.reply.isStarted,
+			...this.describeProgress(),
 		});
 		this.currentAttempt?.cancel();
 		if (this.reply.isStarted) {
+			this.dependencies.metrics.count('siskinnotch_replies_cut', 1, {kind: this.request.route.kind, code: String(failure.code)});
 			this.reply.abort();
 		} else {
 			this.reply.fail(failure);
@@ -160,6 +164,9 @@
 	/** Releases the resources that the current attempt or queue entry holds. */
 	protected abstract release(): void;
 
+	/** Returns how far the exchange got, for the log line of its failure. */
+	protected abstract describeProgress(): DecisionFields;
+
 	private handleDeadline(): void {
 		if (!this.isOver) {
 			this.failWith(this.createDeadlineFailure());
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -1,4 +1,5 @@
 import {isRepeatable} from '../catalog/route.js';
+import {type DecisionFields} from '../observation/decision-log.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type PlainServerRequirements, type PlainServerSelector} from '../pipelines/plain-server-selector.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
@@ -182,6 +183,10 @@
 		this.releaseLoad = undefined;
 	}
 
+	protected describeProgress(): DecisionFields {
+		return {executions: this.executions};
+	}
+
 	protected get mayHaveExecuted(): boolean {
 		return this.executions > 0;
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,4 +1,5 @@
 import {isRepeatable} from '../catalog/route.js';
+import {type DecisionFields} from '../observation/decision-log.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
@@ -233,6 +234,15 @@
 		this.releaseLoad = undefined;
 	}
 
+	protected describeProgress(): DecisionFields {
+		return {
+			afterEvent: this.progress.lastEventId,
+			silentMs: Math.round(this.dependencies.timers.now() - this.progress.lastDeliveredAt),
+			rejections: this.rejectionCount,
+			servers: this.executions.countedServers,
+		};
+	}
+
 	protected get mayHaveExecuted(): boolean {
 		return this.executions.mayHaveExecuted;
 	}
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -96,6 +96,7 @@
 	readonly directory: ServerDirectory;
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
+	readonly log = new RecordingLog(this.timers);
 	/** Prompt parts and fingerprints of requests that were shown to be sound. */
 	readonly clearedParts: string[] = [];
 	/** Ids of the servers that lost an attempt early. */
@@ -104,8 +105,7 @@
 	readonly suspectedRequests = new Set<string>();
 
 	constructor() {
-		const {timers, load} = this;
-		const log = new RecordingLog(timers);
+		const {timers, load, log} = this;
 		const retryBudget = new RetryBudget(0.2, 100, 10_000);
 		this.serverHealth = new ServerHealthTracker({
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
