--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -311,3 +311,18 @@
 	t.is(fixture.sent.length, 1);
 	t.is(fixture.reply.failure?.execution, Execution.Unknown);
 });
+
+// Guards against lookups that fail although their server only paused: whether another one has capacity is known only from its response.
+test('a lookup whose server is silent is answered by it if the other server rejects the lookup', t => {
+	const fixture = startLookup(5, ['a', 'b']);
+	const silent = fixture.latest;
+	fixture.timers.advance(400);
+	t.is(fixture.sent.length, 2);
+	fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
+	fixture.latest.onEnd();
+	t.deepEqual(fixture.cancelled, []);
+	silent.onHead(sampleResponseHead);
+	silent.onEnd();
+	t.true(fixture.reply.isEnded);
+	t.is(fixture.reply.failure, undefined);
+});
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -89,8 +89,8 @@
 	readonly reply = new RecordingReply();
 	/** The attempts that were sent, with the listeners of their responses. */
 	readonly sent: Array<{readonly attempt: Attempt; readonly listener: ResponseListener}> = [];
-	/** Number of attempts that the exchange cancelled. */
-	cancelCount = 0;
+	/** Indexes in `sent` of the attempts that the exchange cancelled. */
+	readonly cancelled: number[] = [];
 	readonly serverHealth: ServerHealthTracker;
 	readonly backpressure: Backpressure;
 	readonly directory: ServerDirectory;
@@ -115,10 +115,10 @@
 		this.dependencies = {
 			client: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				send: (attempt: Attempt, listener: ResponseListener) => {
-					this.sent.push({attempt, listener});
+					const index = this.sent.push({attempt, listener}) - 1;
 					return {
 						cancel: () => {
-							this.cancelCount++;
+							this.cancelled.push(index);
 						},
 						pause() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 						resume() {}, // eslint-disable-line @typescript-eslint/no-empty-function
@@ -145,6 +145,11 @@
 		};
 	}
 
+	/** Number of attempts that the exchange cancelled. */
+	get cancelCount(): number {
+		return this.cancelled.length;
+	}
+
 	/** The listener of the latest attempt. */
 	get latest(): ResponseListener {
 		return this.sent.at(-1)!.listener;
