Let each kind of exchange keep its own attempts

An exchange had one attempt at a time, held by the base class. So that streams and plain requests can keep one beside another, the base class asks for the attempts that run.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -17,10 +17,7 @@
 
 /** A request from its acceptance to its final reply. */
 export abstract class Exchange {
-	protected currentAttempt?: RunningAttempt;
 	protected attemptCount = 0;
-	/** Monotonic time in milliseconds at which the current attempt was sent. */
-	protected sentAt = 0;
 	private isOver = false;
 	private deadlineTimer?: TimerHandle;
 	private endListener?: () => void;
@@ -47,7 +44,9 @@
 			this.handleCallerGone();
 		});
 		this.reply.onDrain(() => {
-			this.currentAttempt?.resume();
+			for (const attempt of this.runningAttempts) {
+				attempt.resume();
+			}
 		});
 		this.dispatch();
 	}
@@ -87,6 +86,7 @@
 	/** Ends the exchange with a complete reply. */
 	protected complete(status: number): void {
 		this.reply.end();
+		this.cancelAttempts();
 		this.finish(`status_${Math.floor(status / 100)}xx`);
 	}
 
@@ -108,7 +108,7 @@
 			isBegun: this.reply.isStarted,
 			...this.describeProgress(),
 		});
-		this.currentAttempt?.cancel();
+		this.cancelAttempts();
 		if (this.reply.isStarted) {
 			this.dependencies.metrics.count('siskinnotch_replies_cut', 1, {kind: this.request.route.kind, code: String(failure.code)});
 			this.reply.abort();
@@ -119,9 +119,13 @@
 		this.finish(`code_${failure.code}`);
 	}
 
-	/** Records what the head of a response says about the server that sent it. */
-	protected observeServer(server: BackendServer, {load, isLeaving, pause, requestLimit, isSigned}: ResponseHead): void {
-		const {dependencies, sentAt} = this;
+	/**
+	Records what the head of a response says about the server that sent it.
+
+	@param sentAt - monotonic time in milliseconds at which the attempt was sent
+	*/
+	protected observeServer(server: BackendServer, {load, isLeaving, pause, requestLimit, isSigned}: ResponseHead, sentAt: number): void {
+		const {dependencies} = this;
 		const now = dependencies.timers.now();
 		// A response that is not signed may come from something else than the server, so it lifts no limit.
 		if (requestLimit !== undefined || isSigned) {
@@ -161,7 +165,10 @@
 	/** Returns the failure to reply with when the deadline passes. */
 	protected abstract createDeadlineFailure(): Failure;
 
-	/** Releases the resources that the current attempt or queue entry holds. */
+	/** The attempts in progress. */
+	protected abstract get runningAttempts(): readonly RunningAttempt[];
+
+	/** Forgets the attempts and releases the resources that they or a queue entry hold. */
 	protected abstract release(): void;
 
 	/** Returns how far the exchange got, for the log line of its failure. */
@@ -181,13 +188,18 @@
 		this.dependencies.log.write('request.left', {
 			request: this.request.id, attempts: this.attemptCount, isStarted: this.reply.isStarted, afterMs: Math.round(this.dependencies.timers.now() - this.request.arrivedAt),
 		});
-		this.currentAttempt?.cancel();
+		this.cancelAttempts();
 		this.finish('caller_gone');
 	}
 
+	private cancelAttempts(): void {
+		for (const attempt of this.runningAttempts) {
+			attempt.cancel();
+		}
+	}
+
 	private finish(outcome: string): void {
 		this.isOver = true;
-		this.currentAttempt = undefined;
 		this.deadlineTimer?.cancel();
 		this.release();
 		const {metrics, timers} = this.dependencies;
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -10,6 +10,7 @@
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
+import {type RunningAttempt} from './backend-client.js';
 import {type CallerReply} from './caller-reply.js';
 import {CrashEvidence} from './crash-evidence.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
@@ -52,6 +53,9 @@
 	private readonly triedIncarnations = new Set<string>();
 	/** Attempts that were or may have been executed. */
 	private executions = 0;
+	private currentAttempt?: RunningAttempt;
+	/** Monotonic time in milliseconds at which the current attempt was sent. */
+	private sentAt = 0;
 	private server?: BackendServer;
 	private releaseLoad?: () => void;
 	private responseTimer?: TimerHandle;
@@ -75,7 +79,7 @@
 	}
 
 	receiveHead(head: ResponseHead): void {
-		this.observeServer(this.server!, head);
+		this.observeServer(this.server!, head, this.sentAt);
 		this.response.head = head;
 	}
 
@@ -102,7 +106,7 @@
 
 	receiveEnd(): void {
 		const head = this.response.head!;
-		this.endAttempt();
+		this.release();
 		if (head.isNotExecuted) {
 			this.executions--;
 			this.dependencies.serverHealth.recordRejection(this.server!, this.dependencies.timers.now());
@@ -139,7 +143,7 @@
 
 	receiveFailure({reason, detail, wasConnectionReused}: AttemptFailure): void {
 		const now = this.dependencies.timers.now();
-		this.endAttempt();
+		this.release();
 		this.plainDependencies.selector.recordFailure(this.server!, now);
 		if (reason === AttemptFailureReason.ConnectionLost) {
 			this.crashEvidence.recordLoss(this.server!);
@@ -176,7 +180,12 @@
 			: new Failure(ResultCode.DeadlinePassed, `no complete response within ${Math.round(this.request.deadline - this.request.arrivedAt)} ms`, Execution.Unknown);
 	}
 
+	protected get runningAttempts(): readonly RunningAttempt[] {
+		return this.currentAttempt ? [this.currentAttempt] : [];
+	}
+
 	protected release(): void {
+		this.currentAttempt = undefined;
 		this.responseTimer?.cancel();
 		this.reservation.cancel();
 		this.releaseLoad?.();
@@ -336,7 +345,7 @@
 
 			this.currentAttempt?.cancel();
 			this.crashEvidence.recordSilence(server);
-			this.endAttempt();
+			this.release();
 			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
 			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
 			this.response.clear();
@@ -344,9 +353,4 @@
 			this.send(alternative);
 		});
 	}
-
-	private endAttempt(): void {
-		this.currentAttempt = undefined;
-		this.release();
-	}
 }
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -11,6 +11,7 @@
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
+import {type RunningAttempt} from './backend-client.js';
 import {type CallerReply} from './caller-reply.js';
 import {CrashEvidence} from './crash-evidence.js';
 import {type ServerSentEvent} from './event-splitter.js';
@@ -35,6 +36,9 @@
 
 /** Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received. */
 export class StreamExchange extends Exchange {
+	private currentAttempt?: RunningAttempt;
+	/** Monotonic time in milliseconds at which the current attempt was sent. */
+	private sentAt = 0;
 	private pipeline?: Pipeline;
 	private releaseLoad?: () => void;
 	private queueEntry?: TimerHandle;
@@ -131,7 +135,7 @@
 
 	receiveHead(head: ResponseHead): void {
 		this.response.head = head;
-		this.observeServer(this.firstServer, head);
+		this.observeServer(this.firstServer, head, this.sentAt);
 	}
 
 	receiveData(chunk: Uint8Array): void {
@@ -227,7 +231,12 @@
 			: this.createCapacityFailure('the deadline passed before the request was sent');
 	}
 
+	protected get runningAttempts(): readonly RunningAttempt[] {
+		return this.currentAttempt ? [this.currentAttempt] : [];
+	}
+
 	protected release(): void {
+		this.currentAttempt = undefined;
 		this.queueEntry?.cancel();
 		this.queueEntry = undefined;
 		this.releaseLoad?.();
@@ -451,7 +460,6 @@
 	}
 
 	private endAttempt(): void {
-		this.currentAttempt = undefined;
 		this.release();
 		this.streamDependencies.requestQueue.dispatchReady();
 	}
