Let each attempt have its own evidence of crashes

CrashEvidence held the state of one attempt at a time, so an exchange could not keep two attempts beside each other. beginAttempt returns an object per attempt (AttemptCrashEvidence); what belongs to the request, isConclusive, stays. The exchanges keep the object of their attempt in a field. The mutation "a complete response clears a plain request" names the field.

No change of logic.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -176,7 +176,7 @@
 	),
 	mutation(
 		'a complete response clears a plain request',
-		['src/relay/plain-exchange.js', 'this.crashEvidence.recordHarmless();', ''],
+		['src/relay/plain-exchange.js', 'this.attemptEvidence.recordHarmless();', ''],
 		['test/plain-exchange.test.ts', 'a complete response*'],
 	),
 	mutation(
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -7,6 +7,7 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
+import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
@@ -62,6 +63,7 @@
 	private readonly response: ResponseBuffer;
 	private readonly reservation: LimitReservation;
 	private readonly crashEvidence: CrashEvidence;
+	private attemptEvidence?: AttemptCrashEvidence;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly plainDependencies: PlainExchangeDependencies) {
 		super(dependencies, request, reply);
@@ -114,7 +116,7 @@
 			return;
 		}
 
-		this.crashEvidence.recordHarmless();
+		this.attemptEvidence!.recordHarmless();
 		if (this.isUnfoundedRefusal(head)) {
 			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
 			this.retryOrFail(`the server responded with status ${head.status} without stating that it did not execute the request`, undefined);
@@ -146,7 +148,7 @@
 		this.release();
 		this.plainDependencies.selector.recordFailure(this.server!, now);
 		if (reason === AttemptFailureReason.ConnectionLost) {
-			this.crashEvidence.recordLoss(this.server!);
+			this.attemptEvidence!.recordLoss(this.server!);
 		} else if (reason === AttemptFailureReason.ExcessiveResponse) {
 			this.dependencies.serverHealth.suspect(this.server!, detail, now, SuspicionCause.Failing);
 		}
@@ -245,7 +247,7 @@
 		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
 		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
 		this.triedIncarnations.add(getIncarnationId(server));
-		this.crashEvidence.beginAttempt(now);
+		this.attemptEvidence = this.crashEvidence.beginAttempt(now);
 		this.attemptCount++;
 		this.executions++;
 		this.releaseLoad = dependencies.load.start([{server, range: {from: 0, to: 0}}], 0);
@@ -344,7 +346,7 @@
 			}
 
 			this.currentAttempt?.cancel();
-			this.crashEvidence.recordSilence(server);
+			this.attemptEvidence!.recordSilence(server);
 			this.release();
 			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
 			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -8,6 +8,7 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
+import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
@@ -51,6 +52,7 @@
 	private rejectionCount = 0;
 	private response: StreamResponse;
 	private readonly crashEvidence: CrashEvidence;
+	private attemptEvidence?: AttemptCrashEvidence;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
@@ -93,7 +95,7 @@
 		}
 
 		this.currentAttempt.cancel();
-		this.crashEvidence.recordSilence(this.firstServer);
+		this.attemptEvidence!.recordSilence(this.firstServer);
 		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
 		this.release();
 		this.send(alternative, now);
@@ -126,7 +128,7 @@
 	}
 
 	override endQuarantined(refusal: Failure): void {
-		if (this.isDone || (this.currentAttempt && this.crashEvidence.hasReceivedEvent)) {
+		if (this.isDone || (this.currentAttempt && this.attemptEvidence?.hasReceivedEvent)) {
 			return;
 		}
 
@@ -146,7 +148,7 @@
 		}
 
 		if (events.length > 0 || hasHeldEvent) {
-			this.crashEvidence.recordEvent(now);
+			this.attemptEvidence!.recordEvent(now);
 			this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
 		}
 
@@ -185,7 +187,7 @@
 			return;
 		}
 
-		this.crashEvidence.recordLoss(firstServer);
+		this.attemptEvidence!.recordLoss(firstServer);
 		this.resumeOrFail(detail);
 	}
 
@@ -316,7 +318,7 @@
 		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
 		this.triedIncarnations.add(getIncarnationId(server));
 		this.response = new StreamResponse(progress);
-		this.crashEvidence.beginAttempt(now);
+		this.attemptEvidence = this.crashEvidence.beginAttempt(now);
 		progress.beginAttempt(now);
 		this.releaseLoad = dependencies.load.start(pipeline, tokens);
 		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
@@ -360,11 +362,11 @@
 		}
 
 		if (end === StreamEnd.Incomplete || !this.reply.isStarted) {
-			this.crashEvidence.recordLoss(this.firstServer);
+			this.attemptEvidence!.recordLoss(this.firstServer);
 			this.resumeOrFail('the stream ended and may be incomplete');
 		} else if (end === StreamEnd.Empty) {
 			this.selector.exclude(this.firstServer);
-			this.crashEvidence.recordLoss(this.firstServer);
+			this.attemptEvidence!.recordLoss(this.firstServer);
 			this.resumeOrFail('the stream ended before an event and may be incomplete');
 		} else {
 			this.completeStream(pipeline);
@@ -393,7 +395,7 @@
 
 	private completeStream(pipeline: Pipeline): void {
 		const {status} = this.response.head!;
-		this.crashEvidence.recordHarmless();
+		this.attemptEvidence!.recordHarmless();
 		this.dependencies.metrics.record('siskinnotch_longest_pause_ms', this.progress.longestPauseMs);
 		this.log.logCompleted(status, pipeline, this.attemptCount, this.dependencies.timers.now());
 		this.complete(status);
