Keep a silent attempt of a stream beside the one that takes over

Cause: migrate and reconnect cancelled the silent attempt as soon as another pipeline looked free, and sent then. Whether it has room is an estimate; only its response is a fact. If that was a 503, neither was left, and the stream waited until its caller left.

Now the silent attempt goes on beside the new one, at most two at a time, and the first event of either decides; the other is cancelled. One that is lost, rejected or fails while the other is in progress only ends itself. Both count as executions, load and retries. An attempt along a pipeline that is known to have lost a server is not kept. Takeovers of one stream that are rejected are bounded.

What belongs to one attempt (response, events received, load, evidence) is a StreamAttempt; the ids that were passed on stay with the stream, so that events of either are told apart. StreamSender sends and records.

The test of the queue demanded that the first attempt is cancelled at once: it now has a server that ended, with the same assertions, and a second test shows when a silent one's load is released.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -156,7 +156,7 @@
 	),
 	mutation(
 		'streams count against the limit of their first stage',
-		['src/relay/stream-exchange.js', 'dependencies.backpressure.limits.recordRequest(server, now);', ''],
+		['src/relay/stream-sender.js', 'backpressure.limits.recordRequest(server, now);', ''],
 		['test/server-limits-process.test.ts', 'a first stage gets*'],
 	),
 	mutation(
@@ -174,6 +174,11 @@
 		['src/quarantine/crash-analysis.js', 'hasRival || this.requests.explainsAll(first.suspicions)', 'hasRival'],
 		['test/request-crashes.test.ts', 'a prompt part is not*'],
 	),
+	mutation(
+		'a silent attempt is kept beside the one that takes over',
+		['src/relay/stream-exchange.js', 'const replaced = this.findReplaced(cause);', 'const replaced = this.attempts.all;'],
+		['test/silent-streams.test.ts', 'a stream whose server falls silent*'],
+	),
 	mutation(
 		'a complete response clears a plain request',
 		['src/relay/plain-exchange.js', 'this.attemptEvidence.recordHarmless();', ''],
--- a/src/relay/exchange-listener.ts
+++ b/src/relay/exchange-listener.ts
@@ -1,11 +1,11 @@
 import {type AttemptFailure} from './attempt-failure.js';
-import {type Exchange} from './exchange.js';
+import {type PlainExchange} from './plain-exchange.js';
 import {type ResponseHead} from './response-head.js';
 import {ResponseListener} from './response-listener.js';
 
 /** Forwards the events of an attempt to its exchange. */
 export class ExchangeListener extends ResponseListener {
-	constructor(private readonly exchange: Exchange) {
+	constructor(private readonly exchange: PlainExchange) {
 		super();
 	}
 
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -5,7 +5,6 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {type AttemptFailure} from './attempt-failure.js';
 import {type RunningAttempt} from './backend-client.js';
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
@@ -66,18 +65,6 @@
 	/** Ends the exchange if nothing clears its request yet, because the request or a part of its prompt was quarantined. */
 	abstract endQuarantined(refusal: Failure): void;
 
-	/** Handles the head of the response. */
-	abstract receiveHead(head: ResponseHead): void;
-
-	/** Handles a part of the response body. */
-	abstract receiveData(chunk: Uint8Array): void;
-
-	/** Handles the end of a complete response. */
-	abstract receiveEnd(): void;
-
-	/** Handles an attempt that ended without a complete response. */
-	abstract receiveFailure(failure: AttemptFailure): void;
-
 	/** Milliseconds left until the deadline of the final reply. */
 	protected get remaining(): number {
 		return this.request.deadline - this.dependencies.timers.now();
--- a/src/relay/execution-history.ts
+++ b/src/relay/execution-history.ts
@@ -1,10 +1,15 @@
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 
+type Execution = {
+	readonly server: BackendServer;
+	/** Attempts that were or may have been executed on the server. */
+	attempts: number;
+};
+
 /** Records the backend servers on which a request was or may have been executed, to keep within the limit of its route. */
 export class ExecutionHistory {
-	private readonly servers = new Map<string, BackendServer>();
+	private readonly executions = new Map<string, Execution>();
 	private readonly ended = new Set<string>();
-	private isLatestNew = true;
 
 	/**
 	@param maxServers - number of backend servers that the route allows; those that ended don't count, those that are leaving do
@@ -14,7 +19,7 @@
 
 	/** Whether the request may have been executed on any server. */
 	get mayHaveExecuted(): boolean {
-		return this.servers.size > 0;
+		return this.executions.size > 0;
 	}
 
 	/** Number of servers that count against the limit of the route. */
@@ -24,7 +29,7 @@
 
 	/** Number of servers on which the request may have been executed and which are not counted, because they ended. */
 	get uncountedServers(): number {
-		return this.servers.size - this.countedServers;
+		return this.executions.size - this.countedServers;
 	}
 
 	/** Whether the request may be sent to a server that has not executed it. */
@@ -39,25 +44,34 @@
 
 	/** Records that the request is sent to a server. */
 	recordStart(server: BackendServer): void {
-		this.isLatestNew = !this.servers.has(getIncarnationId(server));
-		this.servers.set(getIncarnationId(server), server);
-		this.ended.delete(getIncarnationId(server));
+		const incarnationId = getIncarnationId(server);
+		const execution = this.executions.get(incarnationId) ?? {server, attempts: 0};
+		execution.attempts++;
+		this.executions.set(incarnationId, execution);
+		this.ended.delete(incarnationId);
 	}
 
-	/** Reverts the latest `recordStart`, because the server did not execute the request. */
+	/** Reverts one `recordStart`, because the server did not execute that attempt. */
 	revertStart(server: BackendServer): void {
-		if (this.isLatestNew) {
-			this.servers.delete(getIncarnationId(server));
+		const incarnationId = getIncarnationId(server);
+		const execution = this.executions.get(incarnationId);
+		if (!execution) {
+			return;
+		}
+
+		execution.attempts--;
+		if (execution.attempts === 0) {
+			this.executions.delete(incarnationId);
 		}
 	}
 
 	private findLiveIncarnations(): readonly string[] {
-		for (const [incarnationId, server] of this.servers) {
+		for (const [incarnationId, {server}] of this.executions) {
 			if (!this.isAlive(server)) {
 				this.ended.add(incarnationId);
 			}
 		}
 
-		return [...this.servers.keys()].filter(incarnationId => !this.ended.has(incarnationId));
+		return [...this.executions.keys()].filter(incarnationId => !this.ended.has(incarnationId));
 	}
 }
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,6 +1,6 @@
 import {isRepeatable} from '../catalog/route.js';
 import {type DecisionFields} from '../observation/decision-log.js';
-import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
@@ -8,7 +8,6 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
@@ -17,178 +16,159 @@
 import {CrashEvidence} from './crash-evidence.js';
 import {type ServerSentEvent} from './event-splitter.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {ExchangeListener} from './exchange-listener.js';
 import {Exchange} from './exchange.js';
 import {ExecutionHistory} from './execution-history.js';
 import {type RelayRequest} from './relay-request.js';
 import {type ResponseHead} from './response-head.js';
 import {StageFailureDetector} from './stage-failure-detector.js';
 import {StartOutcome} from './start-outcome.js';
+import {type StreamAttempt, type StreamAttemptHandler} from './stream-attempt.js';
+import {StreamAttempts} from './stream-attempts.js';
 import {computeStreamDeadlines} from './stream-deadlines.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 import {StreamEnd} from './stream-end.js';
 import {StreamLog} from './stream-log.js';
 import {StreamPipelineSelector} from './stream-pipeline-selector.js';
 import {StreamProgress} from './stream-progress.js';
-import {StreamResponse} from './stream-response.js';
+import {StreamSender} from './stream-sender.js';
 
 const minNonSuccessStatus = 300;
 const millisecondsPerSecond = 1000;
 
-/** Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received. */
-export class StreamExchange extends Exchange {
-	private currentAttempt?: RunningAttempt;
-	/** Monotonic time in milliseconds at which the current attempt was sent. */
-	private sentAt = 0;
-	private pipeline?: Pipeline;
-	private releaseLoad?: () => void;
+/** Why another attempt is to take a silent stream over. */
+type TakeoverCause = {
+	readonly reason: string;
+	/** The stage that is held responsible; undefined if it is not known. */
+	readonly faulty?: BackendServer;
+	/** Whether something is known against the pipeline or the connection, besides the silence. */
+	readonly isFaultKnown: boolean;
+};
+
+/**
+Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received.
+
+A silent attempt is kept beside the one that is to take over, since its server may continue and the other one may reject the request. The first event of either decides which one goes on.
+*/
+export class StreamExchange extends Exchange implements StreamAttemptHandler {
+	private readonly attempts = new StreamAttempts();
 	private queueEntry?: TimerHandle;
+	private rejectionCount = 0;
 	private readonly selector: StreamPipelineSelector;
 	private readonly executions: ExecutionHistory;
 	private readonly progress: StreamProgress;
 	private readonly log: StreamLog;
 	private readonly failureDetector: StageFailureDetector;
-	private readonly triedIncarnations = new Set<string>();
-	private rejectionCount = 0;
-	private response: StreamResponse;
 	private readonly crashEvidence: CrashEvidence;
-	private attemptEvidence?: AttemptCrashEvidence;
+	private readonly sender: StreamSender;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
-		this.response = new StreamResponse(this.progress);
 		this.log = new StreamLog(dependencies.log, request, this.progress);
 		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request);
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
-		this.executions = new ExecutionHistory(request.route.maxExecutions, server =>
-			!dependencies.directory.isReplaced(server) && !dependencies.serverHealth.hasEnded(server));
+		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
 		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
+		const {progress, executions, crashEvidence, log, selector: {expectedTokens: tokens}} = this;
+		this.sender = new StreamSender(dependencies, {
+			request, tokens, progress, executions, crashEvidence, log,
+		});
 	}
 
-	/** The stages in use; undefined while no attempt is in progress. */
+	/** The stages of the newest attempt; undefined while no attempt is in progress. */
 	get stages(): Pipeline | undefined {
-		return this.currentAttempt && this.pipeline;
+		return this.attempts.newest?.pipeline;
 	}
 
-	/** Returns the milliseconds since the last event or the start of the current attempt; 0 while no attempt is in progress. */
-	computeSilence(now: number): number {
-		return this.currentAttempt ? now - this.progress.lastReceivedAt : 0;
+	/** Whether the newest attempt uses this instance's own path to the first stage. */
+	get usesOwnPath(): boolean {
+		return this.attempts.newest?.transmission?.usesOwnPath ?? false;
 	}
 
-	/**
-	Moves a silent stream to a pipeline without the faulty stage, or without the first stage if the faulty one is not known.
+	/** Returns the milliseconds since the last event or the start of the newest attempt; 0 while no attempt is in progress. */
+	computeSilence(now: number): number {
+		return this.attempts.computeSilence(now);
+	}
 
-	The silent stage may continue, so the current attempt is kept until another pipeline can take the stream over.
-	*/
+	/** Sends a silent stream along a pipeline without the faulty stage as well, or without the first stage if the faulty one is not known. */
 	migrate(faulty: BackendServer | undefined, reason: string): void {
-		if (this.isDone || !this.currentAttempt || !this.mayResume) {
+		const {newest} = this.attempts;
+		if (this.isDone || !newest || !this.mayResume) {
 			return;
 		}
 
-		this.selector.avoid(faulty ?? this.firstServer);
-		const now = this.dependencies.timers.now();
-		const alternative = this.selectTakeover(() => this.selector.selectAlternative(now, faulty));
-		if (!alternative || !this.tryAcquireRetry()) {
-			this.refuseIfAbandoned(now);
-			return;
-		}
-
-		this.currentAttempt.cancel();
-		this.attemptEvidence!.recordSilence(this.firstServer);
-		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
-		this.release();
-		this.send(alternative, now);
-		// Not earlier, since a queued request could take the capacity of the alternative.
-		this.streamDependencies.requestQueue.dispatchReady();
-	}
-
-	/** Whether the current attempt uses this instance's own path to the first stage. */
-	get usesOwnPath(): boolean {
-		return this.currentAttempt?.usesOwnPath ?? false;
+		this.selector.avoid(faulty ?? newest.firstServer);
+		this.takeOver(now => this.selector.selectAlternative(now, faulty), {reason, faulty, isFaultKnown: faulty !== undefined});
 	}
 
 	/** Sends a silent stream again, because the connection to its first stage seems to be broken and not the stage itself. */
 	reconnect(reason: string): void {
-		if (this.isDone || !this.currentAttempt || !this.mayResume) {
-			return;
+		if (!this.isDone && this.attempts.newest && this.mayResume) {
+			this.takeOver(now => this.selector.select(now), {reason, isFaultKnown: true});
 		}
-
-		const now = this.dependencies.timers.now();
-		const pipeline = this.selectTakeover(() => this.selector.select(now));
-		if (!pipeline || !this.tryAcquireRetry()) {
-			this.refuseIfAbandoned(now);
-			return;
-		}
-
-		this.currentAttempt.cancel();
-		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, true);
-		this.release();
-		this.send(pipeline, now);
 	}
 
 	override endQuarantined(refusal: Failure): void {
-		if (this.isDone || (this.currentAttempt && this.attemptEvidence?.hasReceivedEvent)) {
+		if (this.isDone || this.attempts.all.some(({crashEvidence}) => crashEvidence.hasReceivedEvent)) {
 			return;
 		}
 
 		this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.StreamInterrupted, refusal.message, Execution.Unknown, refusal.retryAfterSeconds) : refusal);
 	}
 
-	receiveHead(head: ResponseHead): void {
-		this.response.head = head;
-		this.observeServer(this.firstServer, head, this.sentAt);
+	receiveHead(attempt: StreamAttempt, head: ResponseHead): void {
+		attempt.response.head = head;
+		this.observeServer(attempt.firstServer, head, attempt.sentAt);
 	}
 
-	receiveData(chunk: Uint8Array): void {
+	receiveData(attempt: StreamAttempt, chunk: Uint8Array): void {
 		const now = this.dependencies.timers.now();
-		const {events, hasHeldEvent, fault} = this.response.receive(chunk, now);
+		const {events, hasHeldEvent, fault} = attempt.response.receive(chunk, now);
 		if (hasHeldEvent) {
-			this.log.logHeld(this.firstServer, this.attemptCount);
+			this.log.logHeld(attempt);
 		}
 
 		if (events.length > 0 || hasHeldEvent) {
-			this.attemptEvidence!.recordEvent(now);
-			this.dependencies.serverHealth.recordPipelineProgress(this.pipeline!, now);
+			attempt.crashEvidence.recordEvent(now);
+			this.dependencies.serverHealth.recordPipelineProgress(attempt.pipeline, now);
+			this.continueWith(attempt);
 		}
 
-		this.deliver(events, now);
+		this.deliver(attempt, events);
 		if (fault !== undefined) {
-			this.handleFault(fault);
+			this.handleFault(attempt, fault);
 		}
 	}
 
-	receiveEnd(): void {
-		const pipeline = this.pipeline!;
-		const head = this.response.head!;
-		const end = this.response.assessEnd();
-		this.endAttempt();
+	receiveEnd(attempt: StreamAttempt): void {
+		const end = attempt.response.assessEnd();
+		this.endAttempt(attempt);
 		if (end === StreamEnd.Rejected) {
-			this.handleRejection(head, pipeline);
+			this.handleRejection(attempt);
 		} else if (end === StreamEnd.Error) {
-			this.handleErrorResponse(head);
+			this.handleErrorResponse(attempt);
 		} else {
-			this.handleStreamEnd(end, pipeline);
+			this.handleStreamEnd(attempt, end);
 		}
 	}
 
-	receiveFailure({reason, detail}: AttemptFailure): void {
+	receiveFailure(attempt: StreamAttempt, {reason, detail}: AttemptFailure): void {
 		if (reason === AttemptFailureReason.ExcessiveResponse) {
-			this.abandonAttempt(detail);
+			this.abandonAttempt(attempt, detail);
 			return;
 		}
 
-		const {firstServer} = this;
-		this.endAttempt();
+		const {firstServer} = attempt;
+		this.endAttempt(attempt);
 		if (isUnsent(reason)) {
 			this.executions.revertStart(firstServer);
 			this.failureDetector.suspect(firstServer, getSuspicionCause(reason), detail, this.dependencies.timers.now());
-			this.retryRejected(detail, firstServer);
+			this.retryRejected(attempt, detail, firstServer);
 			return;
 		}
 
-		this.attemptEvidence!.recordLoss(firstServer);
-		this.resumeOrFail(detail);
+		attempt.crashEvidence.recordLoss(firstServer);
+		this.resumeOrFail(attempt, detail);
 	}
 
 	protected dispatch(): void {
@@ -234,15 +214,13 @@
 	}
 
 	protected get runningAttempts(): readonly RunningAttempt[] {
-		return this.currentAttempt ? [this.currentAttempt] : [];
+		return this.attempts.all.flatMap(({transmission}) => transmission ?? []);
 	}
 
 	protected release(): void {
-		this.currentAttempt = undefined;
 		this.queueEntry?.cancel();
 		this.queueEntry = undefined;
-		this.releaseLoad?.();
-		this.releaseLoad = undefined;
+		this.attempts.clear();
 	}
 
 	protected describeProgress(): DecisionFields {
@@ -258,8 +236,75 @@
 		return this.executions.mayHaveExecuted;
 	}
 
-	private get firstServer(): BackendServer {
-		return this.pipeline![0].server;
+	/** Sends a silent stream along another pipeline too, if one has capacity and the retry budget allows it. */
+	private takeOver(select: (now: number) => Pipeline | undefined, cause: TakeoverCause): void {
+		const now = this.dependencies.timers.now();
+		const pipeline = this.mayTakeOver(cause) ? this.selectTakeover(() => select(now)) : undefined;
+		if (!pipeline || !this.tryAcquireRetry()) {
+			this.refuseIfAbandoned(now);
+			return;
+		}
+
+		this.attempts.newest!.faultReason = cause.reason;
+		const replaced = this.findReplaced(cause);
+		for (const attempt of replaced) {
+			this.cancelAttempt(attempt);
+		}
+
+		this.send(pipeline);
+		if (replaced.length > 0) {
+			// Not earlier, since a queued request could take the capacity of the alternative.
+			this.streamDependencies.requestQueue.dispatchReady();
+		}
+	}
+
+	private mayTakeOver({isFaultKnown}: TakeoverCause): boolean {
+		return this.rejectionCount < this.streamDependencies.limits.maxRejections && (isFaultKnown || !this.attempts.isFull);
+	}
+
+	/** Returns the attempts that are not worth keeping beside a further one: those along a pipeline that has lost a stage, or the newest one if there are too many. */
+	private findReplaced({faulty, reason}: TakeoverCause): readonly StreamAttempt[] {
+		const {attempts} = this;
+		const ended = faulty && this.hasEnded(faulty) ? attempts.all.filter(attempt => attempt.usesServer(faulty)) : [];
+		for (const attempt of ended) {
+			attempt.faultReason ??= reason;
+		}
+
+		return ended.length === 0 && attempts.isFull ? [attempts.newest!] : ended;
+	}
+
+	/** Selects a pipeline that has room beside the newest attempt, or else one that has room if the load of that attempt does not count. */
+	private selectTakeover(select: () => Pipeline | undefined): Pipeline | undefined {
+		return select() ?? this.attempts.newest!.selectWithoutLoad(select);
+	}
+
+	/** Goes on with an attempt that received an event, and cancels the others. */
+	private continueWith(attempt: StreamAttempt): void {
+		attempt.faultReason = undefined;
+		if (this.attempts.all.length === 1) {
+			return;
+		}
+
+		for (const other of this.attempts.all) {
+			if (other !== attempt) {
+				this.cancelAttempt(other);
+			}
+		}
+
+		this.streamDependencies.requestQueue.dispatchReady();
+	}
+
+	/** Cancels an attempt because another one goes on or replaces it. */
+	private cancelAttempt(attempt: StreamAttempt): void {
+		attempt.cancel();
+		this.attempts.remove(attempt);
+		if (attempt.faultReason === undefined) {
+			this.log.logCancelled(attempt);
+			return;
+		}
+
+		attempt.crashEvidence.recordSilence(attempt.firstServer);
+		this.log.logAttemptFailed(attempt, attempt.faultReason, true);
 	}
 
 	/** Refuses a silent stream shortly before its caller abandons it. Once the reply has begun there is nothing left to refuse, so the attempt goes on. */
@@ -270,17 +315,13 @@
 		}
 	}
 
-	/** Selects a pipeline that can take over the current attempt, whose own load does not count. */
-	private selectTakeover(select: () => Pipeline | undefined): Pipeline | undefined {
-		this.releaseLoad?.();
-		const pipeline = select();
-		this.releaseLoad = this.dependencies.load.hold(this.pipeline!, this.selector.expectedTokens);
-		return pipeline;
+	/** Whether a server is known to execute nothing any more. Silence is no evidence of that. */
+	private hasEnded(server: BackendServer): boolean {
+		return this.dependencies.directory.isReplaced(server) || this.dependencies.serverHealth.hasEnded(server);
 	}
 
 	private tryStart(): StartOutcome {
-		const now = this.dependencies.timers.now();
-		const pipeline = this.selector.select(now);
+		const pipeline = this.selector.select(this.dependencies.timers.now());
 		if (!pipeline) {
 			return this.selector.isRestricted ? StartOutcome.NoAllowedCapacity : StartOutcome.NoCapacity;
 		}
@@ -290,7 +331,7 @@
 			return StartOutcome.NoRetry;
 		}
 
-		this.send(pipeline, now);
+		this.send(pipeline);
 		return StartOutcome.Started;
 	}
 
@@ -306,152 +347,136 @@
 		};
 	}
 
-	private send(pipeline: Pipeline, now: number): void {
-		const {dependencies, request, progress, selector: {expectedTokens: tokens}} = this;
-		const [{server}] = pipeline;
-		this.pipeline = pipeline;
-		this.sentAt = now;
+	private send(pipeline: Pipeline): void {
 		this.queueEntry = undefined;
 		this.attemptCount++;
-		this.executions.recordStart(server);
-		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
-		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
-		this.triedIncarnations.add(getIncarnationId(server));
-		this.response = new StreamResponse(progress);
-		this.attemptEvidence = this.crashEvidence.beginAttempt(now);
-		progress.beginAttempt(now);
-		this.releaseLoad = dependencies.load.start(pipeline, tokens);
-		dependencies.serverHealth.recordPipelineDispatch(pipeline, now);
-		dependencies.backpressure.limits.recordRequest(server, now);
-		this.log.logSent(pipeline, {
-			tokens,
-			attempt: this.attemptCount,
-			countedServers: this.executions.countedServers,
-			uncountedServers: this.executions.uncountedServers,
-			remaining: this.remaining,
-			listAge: now - dependencies.directory.lastReadAt,
-		});
-		this.currentAttempt = dependencies.client.send({
-			request, server, pipeline, remaining: this.remaining, lastEventId: progress.lastEventId, needsNewConnection,
-		}, new ExchangeListener(this));
+		this.attempts.add(this.sender.send(pipeline, this.attemptCount, this));
 	}
 
 	/** Ends an attempt whose response is not worth receiving further. The body of a rejection is not passed on, so there is no need to wait for its end. */
-	private handleFault(fault: string): void {
-		if (this.response.head?.isNotExecuted) {
-			this.currentAttempt?.cancel();
-			this.receiveEnd();
+	private handleFault(attempt: StreamAttempt, fault: string): void {
+		if (attempt.response.head?.isNotExecuted) {
+			attempt.cancel();
+			this.receiveEnd(attempt);
 		} else {
-			this.abandonAttempt(fault);
+			this.abandonAttempt(attempt, fault);
 		}
 	}
 
 	/** Ends an attempt whose response is malformed, and resumes the stream without its server. */
-	private abandonAttempt(reason: string): void {
-		const {firstServer} = this;
-		this.currentAttempt?.cancel();
+	private abandonAttempt(attempt: StreamAttempt, reason: string): void {
+		const {firstServer} = attempt;
+		attempt.cancel();
 		this.selector.exclude(firstServer);
-		this.endAttempt();
+		this.endAttempt(attempt);
 		this.failureDetector.suspect(firstServer, SuspicionCause.Failing, reason, this.dependencies.timers.now());
-		this.resumeOrFail(reason);
+		this.resumeOrFail(attempt, reason);
 	}
 
-	private handleStreamEnd(end: StreamEnd, pipeline: Pipeline): void {
+	private handleStreamEnd(attempt: StreamAttempt, end: StreamEnd): void {
 		if (end === StreamEnd.Complete) {
-			this.deliver(this.progress.releaseHeld(), this.dependencies.timers.now());
+			this.deliver(attempt, attempt.response.releaseHeld());
 		}
 
 		if (end === StreamEnd.Incomplete || !this.reply.isStarted) {
-			this.attemptEvidence!.recordLoss(this.firstServer);
-			this.resumeOrFail('the stream ended and may be incomplete');
+			attempt.crashEvidence.recordLoss(attempt.firstServer);
+			this.resumeOrFail(attempt, 'the stream ended and may be incomplete');
 		} else if (end === StreamEnd.Empty) {
-			this.selector.exclude(this.firstServer);
-			this.attemptEvidence!.recordLoss(this.firstServer);
-			this.resumeOrFail('the stream ended before an event and may be incomplete');
+			this.selector.exclude(attempt.firstServer);
+			attempt.crashEvidence.recordLoss(attempt.firstServer);
+			this.resumeOrFail(attempt, 'the stream ended before an event and may be incomplete');
 		} else {
-			this.completeStream(pipeline);
+			this.completeStream(attempt);
 		}
 	}
 
-	private deliver(events: readonly ServerSentEvent[], now: number): void {
+	private deliver(attempt: StreamAttempt, events: readonly ServerSentEvent[]): void {
+		const now = this.dependencies.timers.now();
 		for (const {bytes} of events) {
-			this.forward(bytes);
+			this.forward(attempt, bytes);
 			this.progress.recordDelivery(now);
 		}
 	}
 
-	private forward(bytes: Uint8Array): void {
+	private forward(attempt: StreamAttempt, bytes: Uint8Array): void {
+		const {metrics, serverHealth, timers} = this.dependencies;
 		if (!this.reply.isStarted) {
-			const {status, headers} = this.response.head!;
+			const {status, headers} = attempt.response.head!;
 			this.reply.begin(status, headers);
-			this.dependencies.metrics.record('siskinnotch_first_event_ms', this.dependencies.timers.now() - this.request.arrivedAt);
-			this.dependencies.serverHealth.clearPipeline(this.pipeline!, this.dependencies.timers.now());
+			metrics.record('siskinnotch_first_event_ms', timers.now() - this.request.arrivedAt);
+			serverHealth.clearPipeline(attempt.pipeline, timers.now());
 		}
 
 		if (!this.reply.write(bytes)) {
-			this.currentAttempt?.pause();
+			attempt.transmission?.pause();
 		}
 	}
 
-	private completeStream(pipeline: Pipeline): void {
-		const {status} = this.response.head!;
-		this.attemptEvidence!.recordHarmless();
+	private completeStream(attempt: StreamAttempt): void {
+		const {status} = attempt.response.head!;
+		attempt.crashEvidence.recordHarmless();
 		this.dependencies.metrics.record('siskinnotch_longest_pause_ms', this.progress.longestPauseMs);
-		this.log.logCompleted(status, pipeline, this.attemptCount, this.dependencies.timers.now());
+		this.log.logCompleted(status, attempt.pipeline, this.attemptCount, this.dependencies.timers.now());
 		this.complete(status);
 	}
 
-	private handleRejection(head: ResponseHead, pipeline: Pipeline): void {
+	private handleRejection(attempt: StreamAttempt): void {
 		const now = this.dependencies.timers.now();
-		this.executions.revertStart(pipeline[0].server);
-		const {server, reason} = this.failureDetector.assessRejection(head, pipeline, now - this.progress.lastReceivedAt, now);
-		this.retryRejected(reason, server);
+		this.executions.revertStart(attempt.firstServer);
+		const {server, reason} = this.failureDetector.assessRejection(attempt.response.head!, attempt.pipeline, now - attempt.lastReceivedAt, now);
+		this.retryRejected(attempt, reason, server);
 	}
 
-	private handleErrorResponse(head: ResponseHead): void {
-		const reason = `${this.firstServer.id} responded with status ${head.status}`;
-		const isFinal = head.status >= minNonSuccessStatus && !this.reply.isStarted && !this.isUnfoundedRefusal(head) && !(this.mayResume && this.executions.allowsNewServer);
-		if (!isFinal) {
-			this.resumeOrFail(reason);
+	private handleErrorResponse(attempt: StreamAttempt): void {
+		const head = attempt.response.head!;
+		const reason = `${attempt.firstServer.id} responded with status ${head.status}`;
+		if (!this.isFinalResponse(head)) {
+			this.resumeOrFail(attempt, reason);
 			return;
 		}
 
 		this.reply.begin(head.status, head.headers);
-		if (this.response.otherBytes.length > 0) {
-			this.reply.write(this.response.otherBytes);
+		if (attempt.response.otherBytes.length > 0) {
+			this.reply.write(attempt.response.otherBytes);
 		}
 
 		this.log.logErrorResponse(head.status, this.attemptCount);
 		this.complete(head.status);
 	}
 
-	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it. */
-	private retryRejected(reason: string, server: BackendServer): void {
+	/** Whether a response that is no stream is passed on to the caller, because no other attempt may be made. */
+	private isFinalResponse(head: ResponseHead): boolean {
+		const hasAlternative = this.attempts.newest !== undefined || (this.mayResume && this.executions.allowsNewServer);
+		return head.status >= minNonSuccessStatus && !this.reply.isStarted && !this.isUnfoundedRefusal(head) && !hasAlternative;
+	}
+
+	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it, unless another attempt is in progress. */
+	private retryRejected({number}: StreamAttempt, reason: string, server: BackendServer): void {
 		this.rejectionCount++;
-		const isAllowed = this.rejectionCount <= this.streamDependencies.limits.maxRejections && this.remaining > 0;
-		this.log.logRejected(server, this.attemptCount, reason, isAllowed);
-		if (isAllowed) {
+		const hasOther = this.attempts.newest !== undefined;
+		const isAllowed = hasOther || (this.rejectionCount <= this.streamDependencies.limits.maxRejections && this.remaining > 0);
+		this.log.logRejected(server, number, reason, isAllowed);
+		if (!isAllowed) {
+			this.failWith(this.createCapacityFailure(reason));
+		} else if (!hasOther) {
 			this.dispatch();
-			return;
 		}
-
-		this.failWith(this.createCapacityFailure(reason));
 	}
 
-	/** Handles an attempt that was executed and interrupted: resumes the stream on another pipeline if the route allows it. */
-	private resumeOrFail(reason: string): void {
-		const isAllowed = this.mayResume;
-		this.log.logAttemptFailed(this.firstServer, this.attemptCount, reason, isAllowed);
-		if (isAllowed) {
+	/** Handles an attempt that was executed and interrupted: the stream goes on with the other attempt, or resumes on another pipeline if the route allows it. */
+	private resumeOrFail(attempt: StreamAttempt, reason: string): void {
+		const hasOther = this.attempts.newest !== undefined;
+		const isAllowed = attempt.response.isResumable && (hasOther || this.mayResume);
+		this.log.logAttemptFailed(attempt, reason, isAllowed);
+		if (!isAllowed) {
+			this.failWith(new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown));
+		} else if (!hasOther) {
 			this.dispatch();
-			return;
 		}
-
-		this.failWith(new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown));
 	}
 
 	private get mayResume(): boolean {
-		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive && this.progress.isResumable;
+		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive;
 	}
 
 	/** Creates the failure to reply with if no pipeline can be used. */
@@ -461,8 +486,9 @@
 			: new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.streamDependencies.limits.retryAfter / millisecondsPerSecond);
 	}
 
-	private endAttempt(): void {
-		this.release();
+	private endAttempt(attempt: StreamAttempt): void {
+		attempt.release();
+		this.attempts.remove(attempt);
 		this.streamDependencies.requestQueue.dispatchReady();
 	}
 }
--- a/src/relay/stream-log.ts
+++ b/src/relay/stream-log.ts
@@ -2,6 +2,7 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {describePipeline, type Pipeline} from '../pipelines/pipeline.js';
 import {type RelayRequest} from './relay-request.js';
+import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamProgress} from './stream-progress.js';
 
 /** What decided a transmission, besides its pipeline. Times are in milliseconds. */
@@ -50,9 +51,9 @@
 	}
 
 	/** Logs that an event whose id skips others is held until the next one shows that it is in order. */
-	logHeld(server: BackendServer, attempt: number): void {
+	logHeld({firstServer, number}: StreamAttempt): void {
 		this.log.write('request.event_held', {
-			request: this.request.id, server: server.id, attempt, afterEvent: this.progress.lastEventId,
+			request: this.request.id, server: firstServer.id, attempt: number, afterEvent: this.progress.lastEventId,
 		});
 	}
 
@@ -82,10 +83,17 @@
 		});
 	}
 
+	/** Logs an attempt that was cancelled because the attempt that it was to replace went on. */
+	logCancelled({firstServer, number}: StreamAttempt): void {
+		this.log.write('request.attempt_cancelled', {
+			request: this.request.id, server: firstServer.id, attempt: number, afterEvent: this.progress.lastEventId,
+		});
+	}
+
 	/** Logs an attempt that was executed and interrupted. */
-	logAttemptFailed(server: BackendServer, attempt: number, reason: string, isRepeated: boolean): void {
+	logAttemptFailed({firstServer, number}: StreamAttempt, reason: string, isRepeated: boolean): void {
 		this.log.warn('request.attempt_failed', {
-			request: this.request.id, server: server.id, attempt, reason, afterEvent: this.progress.lastEventId, isRepeated,
+			request: this.request.id, server: firstServer.id, attempt: number, reason, afterEvent: this.progress.lastEventId, isRepeated,
 		});
 	}
 }
--- a/src/relay/stream-response.ts
+++ b/src/relay/stream-response.ts
@@ -1,8 +1,9 @@
 import {ErrorBody} from './error-body.js';
-import {type ServerSentEvent} from './event-splitter.js';
+import {EventSequence} from './event-sequence.js';
+import {EventSplitter, type ServerSentEvent} from './event-splitter.js';
+import {type PassedEvents} from './passed-events.js';
 import {type ResponseHead} from './response-head.js';
 import {StreamEnd} from './stream-end.js';
-import {type StreamProgress} from './stream-progress.js';
 
 const successStatus = 200;
 
@@ -21,14 +22,29 @@
 	/** The head of the response; undefined until it is received. */
 	head?: ResponseHead;
 	private readonly errorBody = new ErrorBody();
+	private readonly splitter = new EventSplitter();
+	private readonly sequence: EventSequence;
+	private receivedAt?: number;
 
-	constructor(private readonly progress: StreamProgress) {}
+	constructor(private readonly passed: PassedEvents) {
+		this.sequence = new EventSequence(passed);
+	}
 
 	/** The body of a response that is not a stream. */
 	get otherBytes(): Uint8Array {
 		return this.errorBody.bytes;
 	}
 
+	/** Monotonic time in milliseconds at which the last event was received; undefined if none was. */
+	get lastReceivedAt(): number | undefined {
+		return this.receivedAt;
+	}
+
+	/** Whether a further attempt would continue after the last event that the caller has received. */
+	get isResumable(): boolean {
+		return !this.sequence.isDisordered || this.passed.isTrusted;
+	}
+
 	/** Handles a part of the body, received at a monotonic time in milliseconds. */
 	receive(chunk: Uint8Array, now: number): ReceivedPart {
 		if (!this.isStream) {
@@ -36,10 +52,19 @@
 			return {events: [], hasHeldEvent: false, ...(this.errorBody.isOversized && {fault: 'the body of a response that is not a stream has no end'})};
 		}
 
-		const {progress} = this;
-		const wasHolding = progress.isHolding;
-		const events = progress.receive(chunk, now);
-		return {events, hasHeldEvent: progress.isHolding && !wasHolding, fault: progress.findFault()};
+		const wasHolding = this.sequence.isHolding;
+		const events = this.splitter.push(chunk);
+		if (events.length > 0) {
+			this.receivedAt = now;
+		}
+
+		const passed = events.flatMap(event => this.sequence.add(event));
+		return {events: passed, hasHeldEvent: this.sequence.isHolding && !wasHolding, fault: this.findFault()};
+	}
+
+	/** Returns the events that are held, once the stream has ended. */
+	releaseHeld(): readonly ServerSentEvent[] {
+		return this.sequence.release();
 	}
 
 	/** Returns what the response is, now that it has ended. */
@@ -52,13 +77,27 @@
 			return StreamEnd.Error;
 		}
 
-		if (this.progress.isIncomplete) {
+		// The stream would lack events.
+		if (this.splitter.hasIncompleteEvent || this.sequence.isBehind) {
 			return StreamEnd.Incomplete;
 		}
 
 		// A server that ended before its first event looks the same as one that has nothing to add.
 		const isDelimited = this.head?.isSelfDelimited ?? false;
-		return isDelimited || this.progress.hasReceivedEvent ? StreamEnd.Complete : StreamEnd.Empty;
+		return isDelimited || this.receivedAt !== undefined ? StreamEnd.Complete : StreamEnd.Empty;
+	}
+
+	/** Returns why the response is not a sound stream; undefined if nothing is known against it. */
+	private findFault(): string | undefined {
+		if (this.splitter.isMalformed) {
+			return 'the stream does not consist of events';
+		}
+
+		if (this.splitter.isOversized) {
+			return 'an event of the stream has no end';
+		}
+
+		return this.sequence.isDisordered ? 'the ids of the stream\'s events do not increase' : undefined;
 	}
 
 	private get isStream(): boolean {
--- /dev/null
+++ b/src/relay/stream-sender.ts
@@ -0,0 +1,79 @@
+import {isRepeatable} from '../catalog/route.js';
+import {getIncarnationId} from '../pipelines/backend-server.js';
+import {type Pipeline} from '../pipelines/pipeline.js';
+import {type CrashEvidence} from './crash-evidence.js';
+import {type ExchangeDependencies} from './exchange-dependencies.js';
+import {type ExecutionHistory} from './execution-history.js';
+import {type RelayRequest} from './relay-request.js';
+import {StreamAttempt, type StreamAttemptHandler} from './stream-attempt.js';
+import {type StreamLog} from './stream-log.js';
+import {type StreamProgress} from './stream-progress.js';
+import {StreamResponse} from './stream-response.js';
+
+/** What a sender needs to know of its stream. */
+export type StreamSenderDependencies = {
+	readonly request: RelayRequest;
+	/** Tokens that the request is expected to hold on each stage. */
+	readonly tokens: number;
+	readonly progress: StreamProgress;
+	readonly executions: ExecutionHistory;
+	readonly crashEvidence: CrashEvidence;
+	readonly log: StreamLog;
+};
+
+/** Sends the attempts of one stream, and records where the request was sent. */
+export class StreamSender {
+	private readonly triedIncarnations = new Set<string>();
+
+	constructor(private readonly dependencies: ExchangeDependencies, private readonly stream: StreamSenderDependencies) {}
+
+	/**
+	Sends the request along a pipeline, from the last event that the caller has received.
+
+	@param number - 1 for the first attempt of the stream
+	@param handler - handles what is received
+	*/
+	send(pipeline: Pipeline, number: number, handler: StreamAttemptHandler): StreamAttempt {
+		const {client, load, serverHealth, backpressure, timers} = this.dependencies;
+		const {request, tokens, progress, executions, crashEvidence} = this.stream;
+		const [{server}] = pipeline;
+		const now = timers.now();
+		executions.recordStart(server);
+		const needsNewConnection = this.needsNewConnection(pipeline);
+		this.triedIncarnations.add(getIncarnationId(server));
+		const attempt = new StreamAttempt({
+			number,
+			pipeline,
+			sentAt: now,
+			response: new StreamResponse(progress.passed),
+			crashEvidence: crashEvidence.beginAttempt(now),
+			holdLoad: () => load.hold(pipeline, tokens),
+		}, handler);
+		const releaseLoad = load.start(pipeline, tokens);
+		serverHealth.recordPipelineDispatch(pipeline, now);
+		backpressure.limits.recordRequest(server, now);
+		this.logSent(attempt, now);
+		const running = client.send({
+			request, server, pipeline, remaining: request.deadline - now, lastEventId: progress.lastEventId, needsNewConnection,
+		}, attempt);
+		attempt.begin(running, releaseLoad);
+		return attempt;
+	}
+
+	/** On a kept connection, a repeated response to an earlier attempt could not be told from the one to this attempt: both have the id of the request. */
+	private needsNewConnection([{server}]: Pipeline): boolean {
+		return !isRepeatable(this.stream.request.route) || this.triedIncarnations.has(getIncarnationId(server));
+	}
+
+	private logSent({pipeline, number}: StreamAttempt, now: number): void {
+		const {request, tokens, executions, log} = this.stream;
+		log.logSent(pipeline, {
+			tokens,
+			attempt: number,
+			countedServers: executions.countedServers,
+			uncountedServers: executions.uncountedServers,
+			remaining: request.deadline - now,
+			listAge: now - this.dependencies.directory.lastReadAt,
+		});
+	}
+}
--- a/test/event-ids.test.ts
+++ b/test/event-ids.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {EventSequence} from '../src/relay/event-sequence.js';
+import {PassedEvents} from '../src/relay/passed-events.js';
 import {type ServerSentEvent} from '../src/relay/event-splitter.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {RouterProcess} from './support/router-process.js';
@@ -114,7 +115,7 @@
 // Guards against sound streams that are delayed or refused, since ids need only increase.
 test('ids that skip are passed on whole, at once after the first skip, and to the end', t => {
 	fc.assert(fc.property(fc.array(fc.integer({min: 1, max: 50}), {minLength: 1, maxLength: 40}), steps => {
-		const sequence = new EventSequence(undefined);
+		const sequence = new EventSequence(new PassedEvents(undefined));
 		let id = 0;
 		let skips = 0;
 		const events: ServerSentEvent[] = steps.map(step => {
@@ -143,7 +144,7 @@
 
 // Guards against memory that grows with a response that never shows whether the held event is in order.
 test('events without ids behind a held event are held in a bounded number', t => {
-	const sequence = new EventSequence(1);
+	const sequence = new EventSequence(new PassedEvents(1));
 	sequence.add({id: 9, bytes: encoder.encode(formatEvent(9))});
 	for (let count = 0; count < 100; count++) {
 		t.deepEqual(sequence.add({bytes: encoder.encode(': pause\n\n')}), []);
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -10,10 +10,13 @@
 import {type BackendServer} from '../src/pipelines/backend-server.js';
 import {EventSplitter} from '../src/relay/event-splitter.js';
 import {ExecutionHistory} from '../src/relay/execution-history.js';
+import {PassedEvents} from '../src/relay/passed-events.js';
 import {RequestQueue} from '../src/relay/request-queue.js';
 import {StartOutcome} from '../src/relay/start-outcome.js';
 import {StreamProgress} from '../src/relay/stream-progress.js';
+import {StreamResponse} from '../src/relay/stream-response.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {sampleResponseHead} from './support/exchange-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
 
@@ -43,10 +46,11 @@
 		const progress = new StreamProgress(0, undefined);
 		const delivered: number[] = [];
 		for (const offset of [...failureOffsets, Number.POSITIVE_INFINITY]) {
-			progress.beginAttempt(0);
+			const response = new StreamResponse(progress.passed);
+			response.head = sampleResponseHead;
 			const first = (progress.lastEventId ?? 0) + 1;
 			const rest = encoder.encode(Array.from({length: Math.max(0, count - first + 1)}, (_, index) => formatEvent(first + index)).join(''));
-			for (const event of progress.receive(rest.subarray(0, offset), 1)) {
+			for (const event of response.receive(rest.subarray(0, offset), 1).events) {
 				progress.recordDelivery(1);
 				delivered.push(event.id!);
 			}
@@ -57,9 +61,9 @@
 });
 
 test('an event that the caller has already received is not forwarded again', t => {
-	const progress = new StreamProgress(0, 3);
-	progress.beginAttempt(0);
-	t.deepEqual(progress.receive(encoder.encode(formatEvent(2) + formatEvent(3) + formatEvent(4)), 1).map(({id}) => id), [4]);
+	const response = new StreamResponse(new PassedEvents(3));
+	response.head = sampleResponseHead;
+	t.deepEqual(response.receive(encoder.encode(formatEvent(2) + formatEvent(3) + formatEvent(4)), 1).events.map(({id}) => id), [4]);
 });
 
 test('the queue starts urgent requests first, then those that can still be on time, then the others', t => {
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -271,11 +271,8 @@
 	t.is(fixture.requestQueue.size, 1, 'the stream still waits');
 });
 
-// Guards against streams that are cancelled for an alternative whose capacity a queued request takes first.
-test('a stream that moves takes its new pipeline before queued requests are started', t => {
-	const fixture = new StreamExchangeFixture();
-	fixture.pipeline = pipeline;
-	fixture.start();
+/** Adds a request to the queue; returns the number of attempts of the stream at each time when it could start. */
+function enqueueRequest(fixture: StreamExchangeFixture): readonly number[] {
 	const transmissions: number[] = [];
 	fixture.requestQueue.enqueue({
 		priority: 0,
@@ -290,12 +287,41 @@
 		reserve: () => ({cancel: () => undefined}),
 		onTimeout() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	});
+	return transmissions;
+}
+
+// Guards against streams that are cancelled for an alternative whose capacity a queued request takes first.
+test('a stream that moves because its server ended takes its new pipeline before queued requests are started', t => {
+	const fixture = new StreamExchangeFixture();
+	fixture.pipeline = pipeline;
+	fixture.start();
+	const transmissions = enqueueRequest(fixture);
 	fixture.pipeline = [{server: sampleServer('second', 'large', range, {address: '10.0.0.2:1'}), range}];
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
+	fixture.exchange.migrate(first, 'connection refused');
 	t.deepEqual(transmissions, [2]);
 	t.is(fixture.load.getTokens(first), 0);
 });
 
+// Guards against queued requests that are sent to a server whose capacity the kept attempt still holds, or that wait although it no longer does.
+test('a silent stream holds the load of both pipelines until one of them goes on', t => {
+	const fixture = new StreamExchangeFixture();
+	const second = sampleServer('second', 'large', range, {address: '10.0.0.2:1'});
+	fixture.pipeline = pipeline;
+	fixture.start();
+	const tokens = fixture.load.getTokens(first);
+	const transmissions = enqueueRequest(fixture);
+	fixture.pipeline = [{server: second, range}];
+	fixture.exchange.migrate(first, 'it does not respond');
+	t.deepEqual(transmissions, []);
+	t.deepEqual([first, second].map(server => fixture.load.getTokens(server)), [tokens, tokens]);
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
+	t.deepEqual(transmissions, [2]);
+	t.deepEqual([first, second].map(server => fixture.load.getTokens(server)), [0, tokens]);
+	t.deepEqual(fixture.cancelled, [0]);
+});
+
 // Guards against streams that stay on a server that ended without a sign, while a server that only paused works again and is the only one their route still allows.
 test('a stream returns to a stage that fell silent before if its current one is suspected and there is no other', t => {
 	const fixture = new StreamExchangeFixture();
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -47,6 +47,12 @@
 	isAborted = false;
 	failure?: Failure;
 	text = '';
+	private goneListener?: () => void;
+
+	/** Lets the caller close its connection. */
+	leave(): void {
+		this.goneListener?.();
+	}
 
 	begin(): void {
 		this.isStarted = true;
@@ -69,8 +75,8 @@
 		this.failure = failure;
 	}
 
-	onGone(): void {
-		// This caller never closes its connection.
+	onGone(listener: () => void): void {
+		this.goneListener = listener;
 	}
 
 	onDrain(): void {
@@ -97,6 +103,7 @@
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
 	readonly log = new RecordingLog(this.timers);
+	readonly retryBudget = new RetryBudget(0.2, 100, 10_000);
 	/** Prompt parts and fingerprints of requests that were shown to be sound. */
 	readonly clearedParts: string[] = [];
 	/** Ids of the servers that lost an attempt early. */
@@ -106,7 +113,6 @@
 
 	constructor() {
 		const {timers, load, log} = this;
-		const retryBudget = new RetryBudget(0.2, 100, 10_000);
 		this.serverHealth = new ServerHealthTracker({
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
 		}, log);
@@ -138,7 +144,7 @@
 				},
 				isSuspectedRequest: fingerprint => this.suspectedRequests.has(fingerprint),
 			},
-			retryBudgets: {forService: () => retryBudget},
+			retryBudgets: {forService: () => this.retryBudget},
 			timers,
 			metrics: new Metrics(),
 			log,
