Let a begun stream wait for a pipeline however often it is rejected

A request that has not begun is refused after as many rejections as before, so that its caller may try elsewhere; a begun reply can't be refused. Its attempts are bounded by the retry budget, by the pause that each rejection gives a server, and by the time for which its caller waits.

--- a/src/relay/stream-exchange-dependencies.ts
+++ b/src/relay/stream-exchange-dependencies.ts
@@ -4,7 +4,7 @@
 
 /** Limits of stream exchanges. */
 export type StreamLimits = {
-	/** Attempts of a request that may be rejected before the request fails. */
+	/** Attempts of a request that may be rejected before the request fails, or before no further one takes over from a silent attempt. */
 	readonly maxRejections: number;
 	/** Milliseconds from which a rejection indicates a stage that is down; an earlier one indicates a stage without capacity. */
 	readonly lateRejectionThreshold: number;
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -450,11 +450,12 @@
 		return head.status >= minNonSuccessStatus && !this.reply.isStarted && !this.isUnfoundedRefusal(head) && !hasAlternative;
 	}
 
-	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it, unless another attempt is in progress. */
+	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it, unless another attempt is in progress. A reply that has begun can't be refused any more, so its rejections are not limited. */
 	private retryRejected({number}: StreamAttempt, reason: string, server: BackendServer): void {
 		this.rejectionCount++;
 		const hasOther = this.attempts.newest !== undefined;
-		const isAllowed = hasOther || (this.rejectionCount <= this.streamDependencies.limits.maxRejections && this.remaining > 0);
+		const mayRetry = this.reply.isStarted || this.rejectionCount <= this.streamDependencies.limits.maxRejections;
+		const isAllowed = hasOther || (mayRetry && this.remaining > 0);
 		this.log.logRejected(server, number, reason, isAllowed);
 		if (!isAllowed) {
 			this.failWith(this.createCapacityFailure(reason));
