Split the stream exchange: attempts in progress, dispatch and delivery

StreamAttempts decides which attempts are kept beside each other, StreamDispatcher starts or queues a stream, StreamDelivery passes its events on. No change of logic; silent-streams, stream-exchange, event-ids, relay-decisions and request-crashes pass unchanged.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -176,7 +176,7 @@
 	),
 	mutation(
 		'a silent attempt is kept beside the one that takes over',
-		['src/relay/stream-exchange.js', 'const replaced = this.findReplaced(cause);', 'const replaced = this.attempts.all;'],
+		['src/relay/stream-attempts.js', 'const replaced = this.findReplaced(cause);', 'const replaced = this.attempts;'],
 		['test/silent-streams.test.ts', 'a stream whose server falls silent*'],
 	),
 	mutation(
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -16,6 +16,7 @@
 
 /** A request from its acceptance to its final reply. */
 export abstract class Exchange {
+	/** Number of attempts sent so far. */
 	protected attemptCount = 0;
 	private isOver = false;
 	private deadlineTimer?: TimerHandle;
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -7,24 +7,23 @@
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
-import {type TimerHandle} from '../time/timer-handle.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
 import {type RunningAttempt} from './backend-client.js';
 import {type CallerReply} from './caller-reply.js';
 import {CrashEvidence} from './crash-evidence.js';
-import {type ServerSentEvent} from './event-splitter.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {Exchange} from './exchange.js';
 import {ExecutionHistory} from './execution-history.js';
 import {type RelayRequest} from './relay-request.js';
 import {type ResponseHead} from './response-head.js';
 import {StageFailureDetector} from './stage-failure-detector.js';
-import {StartOutcome} from './start-outcome.js';
 import {type StreamAttempt, type StreamAttemptHandler} from './stream-attempt.js';
-import {StreamAttempts} from './stream-attempts.js';
+import {StreamAttempts, type TakeoverCause} from './stream-attempts.js';
 import {computeStreamDeadlines} from './stream-deadlines.js';
+import {StreamDelivery} from './stream-delivery.js';
+import {StreamDispatcher} from './stream-dispatcher.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 import {StreamEnd} from './stream-end.js';
 import {StreamLog} from './stream-log.js';
@@ -35,24 +34,14 @@
 const minNonSuccessStatus = 300;
 const millisecondsPerSecond = 1000;
 
-/** Why another attempt is to take a silent stream over. */
-type TakeoverCause = {
-	readonly reason: string;
-	/** The stage that is held responsible; undefined if it is not known. */
-	readonly faulty?: BackendServer;
-	/** Whether something is known against the pipeline or the connection, besides the silence. */
-	readonly isFaultKnown: boolean;
-};
-
 /**
 Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received.
 
 A silent attempt is kept beside the one that is to take over, since its server may continue and the other one may reject the request. The first event of either decides which one goes on.
 */
 export class StreamExchange extends Exchange implements StreamAttemptHandler {
-	private readonly attempts = new StreamAttempts();
-	private queueEntry?: TimerHandle;
 	private rejectionCount = 0;
+	private readonly attempts: StreamAttempts;
 	private readonly selector: StreamPipelineSelector;
 	private readonly executions: ExecutionHistory;
 	private readonly progress: StreamProgress;
@@ -60,6 +49,8 @@
 	private readonly failureDetector: StageFailureDetector;
 	private readonly crashEvidence: CrashEvidence;
 	private readonly sender: StreamSender;
+	private readonly dispatcher: StreamDispatcher;
+	private readonly delivery: StreamDelivery;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
@@ -69,9 +60,23 @@
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
 		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
-		const {progress, executions, crashEvidence, log, selector: {expectedTokens: tokens}} = this;
+		this.attempts = new StreamAttempts(server => this.hasEnded(server), this.log);
+		this.delivery = new StreamDelivery(dependencies, request, reply, this.progress);
+		const {progress, executions, crashEvidence, log, selector} = this;
 		this.sender = new StreamSender(dependencies, {
-			request, tokens, progress, executions, crashEvidence, log,
+			request, tokens: selector.expectedTokens, progress, executions, crashEvidence, log,
+		});
+		this.dispatcher = new StreamDispatcher({...dependencies, ...streamDependencies}, {
+			request, progress, executions, selector, log,
+		}, {
+			countAttempts: () => this.attemptCount,
+			tryAcquireRetry: () => this.tryAcquireRetry(),
+			send: pipeline => {
+				this.send(pipeline);
+			},
+			failForCapacity: reason => {
+				this.failForCapacity(reason);
+			},
 		});
 	}
 
@@ -134,7 +139,7 @@
 			this.continueWith(attempt);
 		}
 
-		this.deliver(attempt, events);
+		this.delivery.deliver(attempt, events);
 		if (fault !== undefined) {
 			this.handleFault(attempt, fault);
 		}
@@ -172,38 +177,7 @@
 	}
 
 	protected dispatch(): void {
-		const {request, streamDependencies, progress} = this;
-		// Those that wait come first.
-		if (!streamDependencies.requestQueue.hasWaiting(request.priority) && this.tryStart() === StartOutcome.Started) {
-			return;
-		}
-
-		const deadlines = computeStreamDeadlines(request, progress, this.executions.mayHaveExecuted, streamDependencies.limits);
-		if (deadlines.queueDeadline <= this.dependencies.timers.now()) {
-			this.failWith(this.createCapacityFailure('no pipeline has capacity, and the time to wait for one has passed'));
-			return;
-		}
-
-		this.queueEntry = streamDependencies.requestQueue.enqueue({
-			priority: request.priority,
-			arrivedAt: request.arrivedAt,
-			tokens: this.selector.expectedTokens,
-			...deadlines,
-			tryStart: () => this.tryStart(),
-			...(this.selector.isLarge && {reserve: () => this.reserve()}),
-			onTimeout: () => {
-				this.failWith(this.createCapacityFailure('no pipeline had capacity in time'));
-			},
-		});
-		if (!this.queueEntry) {
-			this.failWith(this.createCapacityFailure('the queue of requests that wait for a pipeline is full'));
-			return;
-		}
-
-		streamDependencies.requestQueue.dispatchReady();
-		if (this.queueEntry) {
-			this.log.logQueued(streamDependencies.requestQueue.size, this.attemptCount, this.selector.expectedTokens);
-		}
+		this.dispatcher.dispatch();
 	}
 
 	protected createDeadlineFailure(): Failure {
@@ -218,8 +192,7 @@
 	}
 
 	protected release(): void {
-		this.queueEntry?.cancel();
-		this.queueEntry = undefined;
+		this.dispatcher.cancel();
 		this.attempts.clear();
 	}
 
@@ -239,79 +212,33 @@
 	/** Sends a silent stream along another pipeline too, if one has capacity and the retry budget allows it. */
 	private takeOver(select: (now: number) => Pipeline | undefined, cause: TakeoverCause): void {
 		const now = this.dependencies.timers.now();
-		const pipeline = this.mayTakeOver(cause) ? this.selectTakeover(() => select(now)) : undefined;
+		const mayTakeOver = this.rejectionCount < this.streamDependencies.limits.maxRejections && this.attempts.mayTakeOver(cause);
+		const pipeline = mayTakeOver ? this.attempts.selectTakeover(() => select(now)) : undefined;
 		if (!pipeline || !this.tryAcquireRetry()) {
 			this.refuseIfAbandoned(now);
 			return;
 		}
 
-		this.attempts.newest!.faultReason = cause.reason;
-		const replaced = this.findReplaced(cause);
-		for (const attempt of replaced) {
-			this.cancelAttempt(attempt);
-		}
-
+		const hasCancelled = this.attempts.prepareTakeover(cause);
 		this.send(pipeline);
-		if (replaced.length > 0) {
+		if (hasCancelled) {
 			// Not earlier, since a queued request could take the capacity of the alternative.
 			this.streamDependencies.requestQueue.dispatchReady();
 		}
 	}
 
-	private mayTakeOver({isFaultKnown}: TakeoverCause): boolean {
-		return this.rejectionCount < this.streamDependencies.limits.maxRejections && (isFaultKnown || !this.attempts.isFull);
-	}
-
-	/** Returns the attempts that are not worth keeping beside a further one: those along a pipeline that has lost a stage, or the newest one if there are too many. */
-	private findReplaced({faulty, reason}: TakeoverCause): readonly StreamAttempt[] {
-		const {attempts} = this;
-		const ended = faulty && this.hasEnded(faulty) ? attempts.all.filter(attempt => attempt.usesServer(faulty)) : [];
-		for (const attempt of ended) {
-			attempt.faultReason ??= reason;
-		}
-
-		return ended.length === 0 && attempts.isFull ? [attempts.newest!] : ended;
-	}
-
-	/** Selects a pipeline that has room beside the newest attempt, or else one that has room if the load of that attempt does not count. */
-	private selectTakeover(select: () => Pipeline | undefined): Pipeline | undefined {
-		return select() ?? this.attempts.newest!.selectWithoutLoad(select);
-	}
-
-	/** Goes on with an attempt that received an event, and cancels the others. */
+	/** Goes on with an attempt that received an event. */
 	private continueWith(attempt: StreamAttempt): void {
-		attempt.faultReason = undefined;
-		if (this.attempts.all.length === 1) {
-			return;
-		}
-
-		for (const other of this.attempts.all) {
-			if (other !== attempt) {
-				this.cancelAttempt(other);
-			}
-		}
-
-		this.streamDependencies.requestQueue.dispatchReady();
-	}
-
-	/** Cancels an attempt because another one goes on or replaces it. */
-	private cancelAttempt(attempt: StreamAttempt): void {
-		attempt.cancel();
-		this.attempts.remove(attempt);
-		if (attempt.faultReason === undefined) {
-			this.log.logCancelled(attempt);
-			return;
+		if (this.attempts.continueWith(attempt)) {
+			this.streamDependencies.requestQueue.dispatchReady();
 		}
-
-		attempt.crashEvidence.recordSilence(attempt.firstServer);
-		this.log.logAttemptFailed(attempt, attempt.faultReason, true);
 	}
 
 	/** Refuses a silent stream shortly before its caller abandons it. Once the reply has begun there is nothing left to refuse, so the attempt goes on. */
 	private refuseIfAbandoned(now: number): void {
 		const {queueDeadline} = computeStreamDeadlines(this.request, this.progress, true, this.streamDependencies.limits);
 		if (!this.reply.isStarted && now >= queueDeadline) {
-			this.failWith(this.createCapacityFailure('no event arrived, and no other pipeline had capacity in time'));
+			this.failForCapacity('no event arrived, and no other pipeline had capacity in time');
 		}
 	}
 
@@ -320,39 +247,15 @@
 		return this.dependencies.directory.isReplaced(server) || this.dependencies.serverHealth.hasEnded(server);
 	}
 
-	private tryStart(): StartOutcome {
-		const pipeline = this.selector.select(this.dependencies.timers.now());
-		if (!pipeline) {
-			return this.selector.isRestricted ? StartOutcome.NoAllowedCapacity : StartOutcome.NoCapacity;
-		}
-
-		// A retry stays queued until the retry budget allows it.
-		if (this.attemptCount > 0 && !this.tryAcquireRetry()) {
-			return StartOutcome.NoRetry;
-		}
-
-		this.send(pipeline);
-		return StartOutcome.Started;
-	}
-
-	/** Reserves capacity of the pipeline that is likely to have enough of it first. */
-	private reserve(): TimerHandle {
-		const {timers, load} = this.dependencies;
-		const pipeline = this.selector.selectBusy(timers.now());
-		const cancel = pipeline && load.reserve(pipeline, this.selector.expectedTokens);
-		return {
-			cancel() {
-				cancel?.();
-			},
-		};
-	}
-
 	private send(pipeline: Pipeline): void {
-		this.queueEntry = undefined;
 		this.attemptCount++;
 		this.attempts.add(this.sender.send(pipeline, this.attemptCount, this));
 	}
 
+	private failForCapacity(reason: string): void {
+		this.failWith(this.createCapacityFailure(reason));
+	}
+
 	/** Ends an attempt whose response is not worth receiving further. The body of a rejection is not passed on, so there is no need to wait for its end. */
 	private handleFault(attempt: StreamAttempt, fault: string): void {
 		if (attempt.response.head?.isNotExecuted) {
@@ -375,7 +278,7 @@
 
 	private handleStreamEnd(attempt: StreamAttempt, end: StreamEnd): void {
 		if (end === StreamEnd.Complete) {
-			this.deliver(attempt, attempt.response.releaseHeld());
+			this.delivery.deliver(attempt, attempt.response.releaseHeld());
 		}
 
 		if (end === StreamEnd.Incomplete || !this.reply.isStarted) {
@@ -390,28 +293,6 @@
 		}
 	}
 
-	private deliver(attempt: StreamAttempt, events: readonly ServerSentEvent[]): void {
-		const now = this.dependencies.timers.now();
-		for (const {bytes} of events) {
-			this.forward(attempt, bytes);
-			this.progress.recordDelivery(now);
-		}
-	}
-
-	private forward(attempt: StreamAttempt, bytes: Uint8Array): void {
-		const {metrics, serverHealth, timers} = this.dependencies;
-		if (!this.reply.isStarted) {
-			const {status, headers} = attempt.response.head!;
-			this.reply.begin(status, headers);
-			metrics.record('siskinnotch_first_event_ms', timers.now() - this.request.arrivedAt);
-			serverHealth.clearPipeline(attempt.pipeline, timers.now());
-		}
-
-		if (!this.reply.write(bytes)) {
-			attempt.transmission?.pause();
-		}
-	}
-
 	private completeStream(attempt: StreamAttempt): void {
 		const {status} = attempt.response.head!;
 		attempt.crashEvidence.recordHarmless();
@@ -458,7 +339,7 @@
 		const isAllowed = hasOther || (mayRetry && this.remaining > 0);
 		this.log.logRejected(server, number, reason, isAllowed);
 		if (!isAllowed) {
-			this.failWith(this.createCapacityFailure(reason));
+			this.failForCapacity(reason);
 		} else if (!hasOther) {
 			this.dispatch();
 		}
@@ -488,8 +369,7 @@
 	}
 
 	private endAttempt(attempt: StreamAttempt): void {
-		attempt.release();
-		this.attempts.remove(attempt);
+		this.attempts.end(attempt);
 		this.streamDependencies.requestQueue.dispatchReady();
 	}
 }
