Decide between two attempts by an event that is passed on, not by a held one

An event whose id skips others is held, since the id may be wrong. It ended the attempt that was kept, before anything was known of the other one's events. Test: silent-streams, 'keeps its first server while the only event of the other one is held', failed before.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -136,10 +136,13 @@
 		if (events.length > 0 || hasHeldEvent) {
 			attempt.crashEvidence.recordEvent(now);
 			this.dependencies.serverHealth.recordPipelineProgress(attempt.pipeline, now);
+		}
+
+		if (events.length > 0) {
 			this.continueWith(attempt);
+			this.delivery.deliver(attempt, events);
 		}
 
-		this.delivery.deliver(attempt, events);
 		if (fault !== undefined) {
 			this.handleFault(attempt, fault);
 		}
--- a/test/silent-streams.test.ts
+++ b/test/silent-streams.test.ts
@@ -161,6 +161,18 @@
 	completeWith(t, fixture, {index: 1, ids: [3]});
 });
 
+// Guards against a stream that loses its first server for an event that is not passed on, since its id may be wrong.
+test('a silent stream keeps its first server while the only event of the other one is held', t => {
+	const fixture = startTakeover();
+	fixture.latest.onHead(sampleResponseHead);
+	fixture.latest.onData(encodeEvent(9));
+	t.deepEqual(fixture.cancelled, []);
+	fixture.latest.onData(encodeEvent(3));
+	t.deepEqual(fixture.cancelled, [1], 'the id was wrong');
+	t.is(fixture.sent.length, 2);
+	completeWith(t, fixture, {index: 0, ids: [2, 3]});
+});
+
 // Guards against streams that are sent once more than needed, or fail, when one of two attempts ends.
 test('a stream with two attempts goes on with the one that is left', t => {
 	const lost = {reason: AttemptFailureReason.ConnectionLost, detail: 'reset', wasConnectionReused: false};
