--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -25,6 +25,20 @@
 	readonly isComplete: boolean;
 };
 
+/** What a caller sends, and when it leaves. */
+export type CallerOptions = {
+	readonly method?: string;
+	readonly body?: string;
+	readonly key?: string;
+	readonly promptParts?: string;
+	/** Milliseconds after which the caller leaves. */
+	readonly leaveAfter?: number;
+	/** Milliseconds without data after which the caller leaves. */
+	readonly idleTimeout?: number;
+	/** The caller leaves when this is aborted. */
+	readonly departure?: AbortSignal;
+};
+
 const conditionTimeoutMs = 15_000;
 const pollIntervalMs = 25;
 const bytesPerKilobyte = 1024;
@@ -283,7 +297,7 @@
 	}
 
 	/** Sends a request as a caller. Resolves also if the response ends prematurely; rejects if there is none. */
-	async send(target: string, options: {method?: string; body?: string; key?: string; leaveAfter?: number; promptParts?: string} = {}): Promise<CallerResponse> {
+	async send(target: string, options: CallerOptions = {}): Promise<CallerResponse> {
 		const headers: Record<string, string> = {
 			host: 'site.example',
 			'siskinnotch-attempt-id': `${this.id}-attempt-${++this.sentRequests}`,
@@ -310,6 +324,15 @@
 			});
 			request.on('error', reject);
 			request.end(options.body ?? 'prompt');
+			if (options.idleTimeout !== undefined) {
+				request.setTimeout(options.idleTimeout, () => {
+					request.destroy();
+				});
+			}
+
+			options.departure?.addEventListener('abort', () => {
+				request.destroy();
+			});
 			if (options.leaveAfter !== undefined) {
 				this.timers.after(options.leaveAfter, () => {
 					request.destroy();
@@ -319,7 +342,7 @@
 	}
 
 	/** Sends a request; resolves to the status of the response. */
-	async sendForStatus(target: string, options: Parameters<RouterProcess['send']>[1] = {}): Promise<number> {
+	async sendForStatus(target: string, options: CallerOptions = {}): Promise<number> {
 		const {status} = await this.send(target, options);
 		return status;
 	}
