Keep a silent attempt of a lookup beside the second one

Callers saw a lookup fail although its server had only paused: after the response timeout the exchange cancelled the silent attempt and sent to another server. If that one rejected the request, hung or failed, nothing was left of the first. That a server has room is an estimate; only its response shows it.

Now the silent attempt is kept, and at most two run. The first response that can be passed on decides, complete or too large for the buffer, and the other attempt is cancelled. An attempt that fails, is rejected or gets a response that would be retried is dropped while another one runs; retry or failure is decided when the last one is gone. The response timer then starts again for the one that is left, so that a lookup whose first server is dead and whose second one rejects it does not wait for its deadline; it may go to a server that rejected it before. Both attempts count as executions and in the load, and the second takes a retry from the budget. A complete error response that was dropped is passed on if the attempt beside it ends without a response to pass on; a large one that was cancelled before its end is not.

plain-exchange.ts is split by concern: one attempt, the attempts of a request, the choice of servers, the wait for a limit, the limits of retries, the verdict on a response, the log lines, the dependencies. receiveHead, receiveData, receiveEnd and receiveFailure of the exchange now concern the response that is passed on; the events of each attempt come with the attempt. New log lines: request.hedged and request.attempt_cancelled. A silent attempt writes request.hedged when the second one is sent, no longer request.attempt_failed. ResponseBuffer.clear is unused and removed.

Tests: test/hedged-lookups.test.ts is new; its fixture and that of plain-exchange moved to test/support/lookup-fixture.ts, the existing tests are unchanged apart from that.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -181,9 +181,19 @@
 	),
 	mutation(
 		'a complete response clears a plain request',
-		['src/relay/plain-exchange.js', 'this.attemptEvidence.recordHarmless();', ''],
+		['src/relay/plain-attempts.js', 'evidence.recordHarmless();', ''],
 		['test/plain-exchange.test.ts', 'a complete response*'],
 	),
+	mutation(
+		'a silent attempt of a plain request is kept beside a second one',
+		['src/relay/plain-exchange.js', 'this.attempts.recordSilence(silent);', 'this.attempts.cancel([silent]);'],
+		['test/plain-exchange.test.ts', 'a lookup whose server is silent is answered*'],
+	),
+	mutation(
+		'of two attempts of a plain request, the one that did not decide is cancelled',
+		['src/relay/plain-exchange.js', 'this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));', ''],
+		['test/hedged-lookups.test.ts', 'of two answers*'],
+	),
 	mutation(
 		'quarantines are learned from other instances',
 		['src/peers/quarantine-exchange.js', '!this.quarantine.has(part)', 'false'],
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -1,178 +1,150 @@
-import {isRepeatable} from '../catalog/route.js';
 import {type DecisionFields} from '../observation/decision-log.js';
-import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
-import {type PlainServerRequirements, type PlainServerSelector} from '../pipelines/plain-server-selector.js';
-import {SuspicionCause} from '../pipelines/suspicion-cause.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type TimerHandle} from '../time/timer-handle.js';
-import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
-import {
-	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
-} from './attempt-failure.js';
+import {type AttemptFailure} from './attempt-failure.js';
 import {type RunningAttempt} from './backend-client.js';
 import {type CallerReply} from './caller-reply.js';
-import {CrashEvidence} from './crash-evidence.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {ExchangeListener} from './exchange-listener.js';
 import {Exchange} from './exchange.js';
-import {LimitReservation} from './limit-reservation.js';
+import {type PlainAttempt, type PlainAttemptHandler} from './plain-attempt.js';
+import {PlainAttempts} from './plain-attempts.js';
+import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
+import {PlainLimitWait} from './plain-limit-wait.js';
+import {PlainLog} from './plain-log.js';
+import {PlainRetryPolicy} from './plain-retry-policy.js';
+import {PlainServerChoice} from './plain-server-choice.js';
 import {type RelayRequest} from './relay-request.js';
-import {ResponseBuffer} from './response-buffer.js';
 import {type ResponseHead} from './response-head.js';
+import {
+	assessResponse, describeVerdict, isPassable, ResponseVerdict,
+} from './response-verdict.js';
 
-/** Limits of plain exchanges. */
-export type PlainLimits = {
-	/** Bytes of a response that are buffered until it is complete, so that another server can still be tried. */
-	readonly maxBufferedBytes: number;
-	/** Fraction of the route's latency target after which an attempt without a response is retried on another server. */
-	readonly responseTimeoutFraction: number;
-};
-
-/** Dependencies of plain exchanges, in addition to those of all exchanges. */
-export type PlainExchangeDependencies = {
-	readonly selector: PlainServerSelector;
-	/** Returns this instance's share of the connections that a server accepts from all callers. */
-	readonly computeConnectionShare: (connections: number) => number;
-	readonly limits: PlainLimits;
-};
-
-const minServerErrorStatus = 500;
-const minNonSuccessStatus = 300;
-/** A response with a status above this one is not passed on to the caller. */
-const maxPassedStatus = 599;
-/** Attempts beyond the executions that the route allows, since an attempt that was not executed doesn't count as one. */
-const extraAttempts = 3;
 const retryAfterSeconds = 0.5;
-const millisecondsPerSecond = 1000;
-/** Fraction of the time left for which a request waits for the limit of a server at most. */
-const maxLimitWaitFraction = 0.5;
-
-/** Exchange of a request to a plain service. The response is buffered until it is complete, unless it is large. */
-export class PlainExchange extends Exchange {
-	private readonly triedIncarnations = new Set<string>();
-	/** Attempts that were or may have been executed. */
-	private executions = 0;
-	private currentAttempt?: RunningAttempt;
-	/** Monotonic time in milliseconds at which the current attempt was sent. */
-	private sentAt = 0;
-	private server?: BackendServer;
-	private releaseLoad?: () => void;
+
+/** Exchange of a request to a plain service. Responses are buffered until one is complete, unless it is large. If an attempt is silent, a second one runs beside it, and the first response that can be passed on decides. */
+export class PlainExchange extends Exchange implements PlainAttemptHandler {
+	private readonly attempts: PlainAttempts;
+	private readonly servers: PlainServerChoice;
+	private readonly log: PlainLog;
+	private readonly limitWait: PlainLimitWait;
+	private readonly retryPolicy: PlainRetryPolicy;
 	private responseTimer?: TimerHandle;
-	private readonly response: ResponseBuffer;
-	private readonly reservation: LimitReservation;
-	private readonly crashEvidence: CrashEvidence;
-	private attemptEvidence?: AttemptCrashEvidence;
+	/** The attempt whose response is passed on. */
+	private chosen?: PlainAttempt;
+	/** A dropped attempt whose response is passed on if the one beside it has none. */
+	private fallback?: PlainAttempt;
 
-	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly plainDependencies: PlainExchangeDependencies) {
+	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, plainDependencies: PlainExchangeDependencies) {
 		super(dependencies, request, reply);
-		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request);
-		this.response = new ResponseBuffer(plainDependencies.limits.maxBufferedBytes);
-		this.reservation = new LimitReservation(dependencies);
+		this.log = new PlainLog(dependencies.log, request);
+		this.servers = new PlainServerChoice(request, plainDependencies);
+		this.attempts = new PlainAttempts({...dependencies, ...plainDependencies}, request, this.servers, this.log);
+		this.limitWait = new PlainLimitWait(dependencies, request, this.servers, this.log);
+		this.retryPolicy = new PlainRetryPolicy(request, this.attempts, dependencies.timers);
 	}
 
 	override endQuarantined(refusal: Failure): void {
-		if (this.isDone || this.response.head) {
+		if (this.isDone) {
+			return;
+		}
+
+		if (this.attempts.hasHead) {
+			this.attempts.cancel(this.attempts.all.filter(({head}) => !head));
 			return;
 		}
 
 		this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.BackendFailed, refusal.message, Execution.Unknown) : refusal);
 	}
 
-	receiveHead(head: ResponseHead): void {
-		this.observeServer(this.server!, head, this.sentAt);
-		this.response.head = head;
+	handleHead(attempt: PlainAttempt, head: ResponseHead): void {
+		this.observeServer(attempt.server, head, attempt.sentAt);
 	}
 
-	receiveData(chunk: Uint8Array): void {
-		if (this.reply.isStarted) {
-			this.forward(chunk);
+	handleData(attempt: PlainAttempt, chunk: Uint8Array): void {
+		if (this.chosen) {
+			this.receiveData(chunk);
 			return;
 		}
 
-		const {response} = this;
-		response.add(chunk);
-		if (!response.isFull || !response.head) {
-			return;
-		}
-
-		if (response.head.isNotExecuted || this.isUnfoundedRefusal(response.head)) {
-			// The body of a rejection is not passed on, so there is no need to wait for its end.
-			this.currentAttempt?.cancel();
-			this.receiveEnd();
-		} else {
-			this.startReply(response.head);
+		attempt.response.add(chunk);
+		if (attempt.response.isFull) {
+			this.handleLargeResponse(attempt);
 		}
 	}
 
-	receiveEnd(): void {
-		const head = this.response.head!;
-		this.release();
-		if (head.isNotExecuted) {
-			this.executions--;
-			this.dependencies.serverHealth.recordRejection(this.server!, this.dependencies.timers.now());
-			this.retryOrFail(`the server did not execute the request (status ${head.status})`, head);
-			return;
-		}
-
-		this.attemptEvidence!.recordHarmless();
-		if (this.isUnfoundedRefusal(head)) {
-			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
-			this.retryOrFail(`the server responded with status ${head.status} without stating that it did not execute the request`, undefined);
+	handleEnd(attempt: PlainAttempt): void {
+		const verdict = this.assess(attempt);
+		const {status} = attempt.head!;
+		this.endAttempt(attempt);
+		this.attempts.recordResponse(attempt, verdict);
+		if (verdict === ResponseVerdict.Final) {
+			this.deliver(attempt);
 			return;
 		}
 
-		if (head.status >= minServerErrorStatus) {
-			this.plainDependencies.selector.recordFailure(this.server!, this.dependencies.timers.now());
-			this.retryOrFail(`the server responded with status ${head.status}`, head);
-			return;
-		}
+		// A response that fills the buffer here was cancelled before its end.
+		const canPassOn = isPassable(verdict, status) && !attempt.response.isFull;
+		this.handleUnusable(attempt, describeVerdict(verdict, status), canPassOn ? attempt : undefined);
+	}
 
-		if (!head.isSigned && head.status < minNonSuccessStatus) {
-			this.retryOrFail('the response is not signed', undefined);
+	handleFailure(attempt: PlainAttempt, failure: AttemptFailure): void {
+		this.endAttempt(attempt);
+		this.attempts.recordFailure(attempt, failure);
+		if (this.chosen) {
+			this.receiveFailure(failure);
 			return;
 		}
 
-		if (!head.isSelfDelimited) {
-			this.retryOrFail('the response ends with its connection, so it may be truncated', head);
-			return;
-		}
+		this.handleUnusable(attempt, `${failure.detail}${failure.wasConnectionReused ? ' (reused connection)' : ''}`, undefined);
+	}
 
-		this.dependencies.serverHealth.clearSuspicion(this.server!, this.dependencies.timers.now());
-		this.deliver(head);
+	/** Begins the reply with the head of the chosen response. */
+	receiveHead({status, headers}: ResponseHead): void {
+		this.reply.begin(status, headers);
 	}
 
-	receiveFailure({reason, detail, wasConnectionReused}: AttemptFailure): void {
-		const now = this.dependencies.timers.now();
-		this.release();
-		this.plainDependencies.selector.recordFailure(this.server!, now);
-		if (reason === AttemptFailureReason.ConnectionLost) {
-			this.attemptEvidence!.recordLoss(this.server!);
-		} else if (reason === AttemptFailureReason.ExcessiveResponse) {
-			this.dependencies.serverHealth.suspect(this.server!, detail, now, SuspicionCause.Failing);
+	/** Passes on a part of the chosen response. */
+	receiveData(chunk: Uint8Array): void {
+		if (this.reply.write(chunk)) {
+			return;
 		}
 
-		if (isUnsent(reason)) {
-			this.executions--;
-			this.dependencies.serverHealth.suspect(this.server!, detail, now, getSuspicionCause(reason));
+		for (const attempt of this.runningAttempts) {
+			attempt.pause();
 		}
+	}
 
-		if (this.reply.isStarted) {
-			this.failWith(new Failure(ResultCode.BackendFailed, `the response was interrupted: ${detail}`, Execution.Unknown));
-			return;
-		}
+	/** Completes the reply with the chosen response. */
+	receiveEnd(): void {
+		const {server, head} = this.chosen!;
+		this.log.logAnswered(head!.status, server, this.attemptCount, this.dependencies.timers.now());
+		this.complete(head!.status);
+	}
 
-		this.retryOrFail(`${detail}${wasConnectionReused ? ' (reused connection)' : ''}`, undefined);
+	/** Ends the reply after the chosen response was interrupted. */
+	receiveFailure({detail}: AttemptFailure): void {
+		this.failWith(new Failure(ResultCode.BackendFailed, `the response was interrupted: ${detail}`, Execution.Unknown));
 	}
 
 	protected dispatch(): void {
-		const server = this.selectServer(this.triedIncarnations) ?? this.selectServer(new Set());
-		if (server) {
-			this.dependencies.backpressure.limits.recordRequest(server, this.dependencies.timers.now());
-			this.send(server);
-		} else {
-			this.waitForLimit();
+		const available = this.servers.select(this.dependencies.timers.now(), []);
+		if (available) {
+			this.sendNow(available);
+			return;
+		}
+
+		const refusal = this.limitWait.begin(this.attemptCount, server => {
+			if (server) {
+				this.send(server);
+			} else {
+				this.dispatch();
+			}
+		});
+		if (refusal) {
+			this.failWithCode(ResultCode.NoPipeline, refusal.reason, refusal.retryAfterSeconds);
 		}
 	}
 
@@ -183,125 +155,103 @@
 	}
 
 	protected get runningAttempts(): readonly RunningAttempt[] {
-		return this.currentAttempt ? [this.currentAttempt] : [];
+		return this.attempts.transmissions;
 	}
 
 	protected release(): void {
-		this.currentAttempt = undefined;
+		this.attempts.clear();
 		this.responseTimer?.cancel();
-		this.reservation.cancel();
-		this.releaseLoad?.();
-		this.releaseLoad = undefined;
+		this.limitWait.cancel();
 	}
 
 	protected describeProgress(): DecisionFields {
-		return {executions: this.executions};
+		return {executions: this.attempts.executions};
 	}
 
 	protected get mayHaveExecuted(): boolean {
-		return this.executions > 0;
+		return this.attempts.executions > 0;
 	}
 
-	private selectServer(excluded: ReadonlySet<string>): BackendServer | undefined {
-		return this.plainDependencies.selector.select(this.createRequirements(excluded), this.dependencies.timers.now());
+	/** Sends a request that the limit of the server does not have to be waited for. */
+	private sendNow(server: BackendServer): void {
+		const {backpressure, timers} = this.dependencies;
+		backpressure.limits.recordRequest(server, timers.now());
+		this.send(server);
 	}
 
-	private createRequirements(excluded: ReadonlySet<string>): PlainServerRequirements {
-		const {plainDependencies: {computeConnectionShare}, request: {service: {name: service, maxConnections}}} = this;
-		return {service, excluded, maxRequests: computeConnectionShare(maxConnections)};
+	private send(server: BackendServer): void {
+		this.attemptCount++;
+		this.attempts.send(server, this.attemptCount, this);
+		this.startResponseTimer();
 	}
 
-	/** Reserves the next request that the limit of a server allows, and sends it then; refuses the request at once if that is too late. */
-	private waitForLimit(): void {
-		const {request, dependencies: {timers, log}, plainDependencies: {selector}} = this;
-		const now = timers.now();
-		const next = selector.findNextAllowed(this.createRequirements(new Set()), now);
-		if (!next) {
-			this.failWithCode(ResultCode.NoPipeline, `no server of service ${request.service.name} is listed, has a free connection and accepts requests of this instance`);
-			return;
-		}
+	private assess({head}: PlainAttempt): ResponseVerdict {
+		return assessResponse(head!, this.isUnfoundedRefusal(head!));
+	}
 
-		const {server, delay} = next;
-		if (delay > Math.min(request.route.latencyTarget, this.remaining * maxLimitWaitFraction)) {
-			this.failWithCode(ResultCode.NoPipeline, `the servers of service ${request.service.name} limit their requests`, delay / millisecondsPerSecond);
+	/** Begins the reply with a response that outgrows the buffer, unless it is none to pass on. */
+	private handleLargeResponse(attempt: PlainAttempt): void {
+		const verdict = this.assess(attempt);
+		const isRefusal = verdict === ResponseVerdict.NotExecuted || verdict === ResponseVerdict.UnfoundedRefusal;
+		const isRivalled = verdict === ResponseVerdict.ServerError && this.attempts.all.length > 1;
+		if (!isRefusal && !isRivalled) {
+			this.choose(attempt);
 			return;
 		}
 
-		log.write('request.waiting', {
-			request: request.id, server: server.id, limitMs: Math.round(delay), attempts: this.attemptCount,
-		});
-		this.reservation.begin(next, isUsable => {
-			if (isUsable) {
-				this.send(server);
-			} else {
-				this.dispatch();
-			}
-		});
+		// The body is not passed on, so there is no need to wait for its end.
+		attempt.cancel();
+		this.handleEnd(attempt);
 	}
 
-	private send(server: BackendServer): void {
-		const {dependencies, request} = this;
-		const now = dependencies.timers.now();
-		this.server = server;
-		this.sentAt = now;
-		// On a kept connection, a repeated response to the earlier attempt could not be told from the one to this attempt: both have the id of the request.
-		const needsNewConnection = !isRepeatable(request.route) || this.triedIncarnations.has(getIncarnationId(server));
-		this.triedIncarnations.add(getIncarnationId(server));
-		this.attemptEvidence = this.crashEvidence.beginAttempt(now);
-		this.attemptCount++;
-		this.executions++;
-		this.releaseLoad = dependencies.load.start([{server, range: {from: 0, to: 0}}], 0);
-		dependencies.serverHealth.recordDispatch(server, now);
-		dependencies.log.write('request.sent', {
-			request: request.id, server: server.id, attempt: this.attemptCount, remainingMs: Math.round(this.remaining), listAgeMs: Math.round(now - dependencies.directory.lastReadAt),
-		});
-		this.currentAttempt = dependencies.client.send({
-			request, server, remaining: this.remaining, needsNewConnection,
-		}, new ExchangeListener(this));
-		this.startResponseTimer(server);
+	/** Sends the head and the buffered part of the body to the caller; from then on no other attempt can take its place. */
+	private choose(attempt: PlainAttempt): void {
+		this.chosen = attempt;
+		this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));
+		this.receiveHead(attempt.head!);
+		const body = attempt.response.take();
+		if (body.length > 0) {
+			this.receiveData(body);
+		}
 	}
 
-	private deliver(head: ResponseHead): void {
-		if (!this.reply.isStarted) {
-			this.startReply(head);
+	private deliver(attempt: PlainAttempt): void {
+		if (!this.chosen) {
+			this.choose(attempt);
 		}
 
-		this.dependencies.log.write('request.answered', {
-			request: this.request.id, status: head.status, server: this.server!.id, attempts: this.attemptCount, afterMs: Math.round(this.dependencies.timers.now() - this.request.arrivedAt),
-		});
-		this.complete(head.status);
+		this.receiveEnd();
 	}
 
-	/** Sends the head and the buffered part of the body to the caller; from then on no other server can be tried. */
-	private startReply(head: ResponseHead): void {
-		this.reply.begin(head.status, head.headers);
-		const body = this.response.take();
-		if (body.length > 0) {
-			this.forward(body);
-		}
+	private endAttempt(attempt: PlainAttempt): void {
+		this.responseTimer?.cancel();
+		this.attempts.remove(attempt);
 	}
 
-	private forward(chunk: Uint8Array): void {
-		if (!this.reply.write(chunk)) {
-			this.currentAttempt?.pause();
+	/** Handles an attempt whose response is not final: the exchange goes on with the attempt beside it if there is one. */
+	private handleUnusable(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
+		if (this.attempts.all.length === 0) {
+			this.retryOrFail(attempt, reason, passable ?? this.fallback);
+			return;
 		}
+
+		this.fallback = passable ?? this.fallback;
+		this.log.logAttemptFailed(attempt, reason, false);
+		this.startResponseTimer();
 	}
 
 	/** Retries on another server if that is allowed; otherwise sends the final reply. */
-	private retryOrFail(reason: string, head: ResponseHead | undefined): void {
+	private retryOrFail(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
 		const isAllowed = this.tryAcquireNextAttempt();
-		this.logFailedAttempt(reason, isAllowed);
+		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (isAllowed) {
-			this.dispatchAgain();
-			return;
-		}
-
-		if (head && !head.isNotExecuted && head.status <= maxPassedStatus) {
-			this.deliver(head);
-			return;
+			this.fallback = undefined;
+			this.dispatch();
+		} else if (passable) {
+			this.deliver(passable);
+		} else {
+			this.failWithCode(ResultCode.Overloaded, reason);
 		}
-
-		this.failWithCode(ResultCode.Overloaded, reason);
 	}
 
 	/** Fails with the code if the request was not executed, or with `BackendFailed` if it may have been. */
@@ -313,46 +263,30 @@
 
 	/** Whether the request may be sent again. If it may, takes a retry from the budget. */
 	private tryAcquireNextAttempt(): boolean {
-		const {request} = this;
-		const mayExecute = !this.reply.isStarted && (this.executions === 0 || (isRepeatable(request.route) && this.executions < request.route.maxExecutions));
-		const isWithinLimits = this.attemptCount < request.route.maxExecutions + extraAttempts && this.remaining > 0;
-		return mayExecute && isWithinLimits && !this.crashEvidence.isConclusive && this.tryAcquireRetry();
+		return !this.chosen && this.retryPolicy.allowsAttempt(this.attemptCount) && this.tryAcquireRetry();
 	}
 
-	private logFailedAttempt(reason: string, isRepeated: boolean): void {
-		this.dependencies.log.warn('request.attempt_failed', {
-			request: this.request.id, server: this.server!.id, attempt: this.attemptCount, reason, isRepeated,
-		});
-	}
-
-	private dispatchAgain(): void {
-		this.response.clear();
-		this.dispatch();
+	/** Waits for the only attempt in progress to respond, while there is still time for a second one. */
+	private startResponseTimer(): void {
+		const {all, responseTimeout} = this.attempts;
+		this.responseTimer?.cancel();
+		if (all.length === 1 && this.retryPolicy.allowsExecution) {
+			this.responseTimer = this.dependencies.timers.after(responseTimeout, () => {
+				this.hedge(all[0], responseTimeout);
+			});
+		}
 	}
 
-	/** Retries on another server if this one sends no response while there is still time for a retry. */
-	private startResponseTimer(server: BackendServer): void {
-		const {request, dependencies, plainDependencies: {limits}} = this;
-		if (!isRepeatable(request.route) || this.executions >= request.route.maxExecutions) {
+	/** Sends the request to a second server as well. The silent attempt is kept, since only a response shows which of the servers can take the request. */
+	private hedge(silent: PlainAttempt, timeout: number): void {
+		const {serverHealth, timers} = this.dependencies;
+		const alternative = silent.head ? undefined : this.servers.select(timers.now(), [silent.server]);
+		if (!alternative || serverHealth.isSuspected(alternative, timers.now()) || !this.tryAcquireNextAttempt()) {
 			return;
 		}
 
-		const timeout = Math.min(this.remaining / 2, request.route.latencyTarget * limits.responseTimeoutFraction);
-		this.responseTimer = dependencies.timers.after(timeout, () => {
-			// The server may still answer, so the attempt is kept unless another one can take the request.
-			const alternative = this.isDone || this.response.head ? undefined : this.selectServer(this.triedIncarnations);
-			if (!alternative || dependencies.serverHealth.isSuspected(alternative, dependencies.timers.now()) || !this.tryAcquireNextAttempt()) {
-				return;
-			}
-
-			this.currentAttempt?.cancel();
-			this.attemptEvidence!.recordSilence(server);
-			this.release();
-			this.plainDependencies.selector.recordFailure(server, dependencies.timers.now());
-			this.logFailedAttempt(`no response within ${Math.round(timeout)} ms`, true);
-			this.response.clear();
-			dependencies.backpressure.limits.recordRequest(alternative, dependencies.timers.now());
-			this.send(alternative);
-		});
+		this.attempts.recordSilence(silent);
+		this.log.logHedged(silent, timeout);
+		this.sendNow(alternative);
 	}
 }
--- a/src/relay/response-buffer.ts
+++ b/src/relay/response-buffer.ts
@@ -5,7 +5,7 @@
 export class ResponseBuffer {
 	/** The head of the response; undefined until it is received. */
 	head?: ResponseHead;
-	private body = new ByteBuffer();
+	private readonly body = new ByteBuffer();
 
 	/**
 	@param maxBytes - bytes of the body that are buffered
@@ -26,10 +26,4 @@
 	take(): Uint8Array {
 		return this.body.take();
 	}
-
-	/** Drops the response, before another attempt. */
-	clear(): void {
-		this.head = undefined;
-		this.body = new ByteBuffer();
-	}
 }
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -9,32 +9,11 @@
 import {ResultCode} from '../src/results/result-code.js';
 import {resultTable} from '../src/results/result-table.js';
 import {RandomSource} from '../src/routing/random-source.js';
-import {ExchangeFixture, sampleResponseHead, sampleStreamRoute} from './support/exchange-fixture.js';
+import {ExchangeFixture, sampleResponseHead} from './support/exchange-fixture.js';
+import {lookupRoute, startLookup} from './support/lookup-fixture.js';
 import {sampleServer} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
 
-const lookupRoute = {
-	...sampleStreamRoute, kind: RequestKind.Idempotent, isResumable: false, targets: [{service: 'records', weight: 1}],
-};
-
-/** A fixture with the exchange of one lookup. */
-type LookupFixture = ExchangeFixture & {exchange?: PlainExchange};
-
-function startLookup(connectionShare: number, ids: readonly string[] = ['a'], maxExecutions = lookupRoute.maxExecutions, kind = RequestKind.Idempotent): LookupFixture {
-	const fixture: LookupFixture = new ExchangeFixture();
-	const {dependencies, directory, serverHealth, backpressure, load} = fixture;
-	directory.applyReading({servers: ids.map(id => sampleServer(id, '', undefined, {service: 'records'})), requestedAt: 0, mayBeIncomplete: false});
-	fixture.exchange = new PlainExchange(dependencies, fixture.createRequest({...lookupRoute, maxExecutions, kind}), fixture.reply, {
-		selector: new PlainServerSelector({
-			directory, serverHealth, backpressure, load, random: new RandomSource(seed()),
-		}),
-		computeConnectionShare: () => connectionShare,
-		limits: {maxBufferedBytes: 1000, responseTimeoutFraction: 0.8},
-	});
-	fixture.exchange.start(() => undefined);
-	return fixture;
-}
-
 test('a lookup that was executed is not reported as not executed when its servers leave the list', t => {
 	const fixture = startLookup(5);
 	fixture.latest.onHead({...sampleResponseHead, status: 500});
@@ -230,13 +209,13 @@
 test('when a request is quarantined, its attempt without a response is cancelled and fails as unknown', t => {
 	const refusal = new Failure(ResultCode.RequestQuarantined, 'the request is quarantined', Execution.NotRun, 600);
 	const fixture = startLookup(5);
-	fixture.exchange!.endQuarantined(refusal);
+	fixture.exchange.endQuarantined(refusal);
 	t.is(fixture.cancelCount, 1);
 	t.is(fixture.reply.failure?.execution, Execution.Unknown);
 
 	const answered = startLookup(5);
 	answered.latest.onHead(sampleResponseHead);
-	answered.exchange!.endQuarantined(refusal);
+	answered.exchange.endQuarantined(refusal);
 	answered.latest.onEnd();
 	t.true(answered.reply.isEnded);
 });
@@ -260,7 +239,7 @@
 			const fixture = startLookup(5, ['a', 'b'], 2, RequestKind.NonIdempotent);
 			fixture.latest.onHead({...sampleResponseHead, status});
 			fixture.latest.onData(new Uint8Array(bodyBytes));
-			if (!fixture.exchange!.isDone) {
+			if (!fixture.exchange.isDone) {
 				fixture.latest.onEnd();
 			}
 
@@ -294,7 +273,7 @@
 test('a lookup that was lost at one server and refused by the next may have run', t => {
 	const fixture = startLookup(5, ['a', 'b'], 2);
 	fixture.latest.onFailure({reason: AttemptFailureReason.InvalidResponse, detail: 'the response belongs to another request', wasConnectionReused: true});
-	for (let count = 1; count < fixture.sent.length && !fixture.exchange!.isDone; count++) {
+	for (let count = 1; count < fixture.sent.length && !fixture.exchange.isDone; count++) {
 		fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
 		fixture.latest.onEnd();
 	}
