--- a/test/silent-streams-process.test.ts
+++ b/test/silent-streams-process.test.ts
@@ -1,4 +1,5 @@
 import test, {type ExecutionContext} from 'ava';
+import {PartitionKind} from './support/partition.js';
 import {createSiteConfiguration, RouterProcess} from './support/router-process.js';
 import {
 	otherBehaviours, SilentStream, silenceMs, stageCount, wholeAnswer,
@@ -8,10 +9,15 @@
 const cancellationMs = 500;
 /** Within which the present attempt would be cancelled for the next one. */
 const overlapMs = 50;
-/** Between two changes of the configuration. */
+/** Between two changes of the configuration, or two signals. */
 const changeIntervalMs = 100;
 /** More than the silence of a stage, which delays what arrives at it. */
 const settlingMs = silenceMs + 500;
+/** For an instance to notice that it is partitioned. */
+const noticeMs = 1500;
+const firstVersion = 4;
+/** Timeouts of the route of records that the configurations have in turn. */
+const recordsTimeoutsMs = [700, 800];
 
 async function startRouter(t: ExecutionContext): Promise<RouterProcess> {
 	const router = await RouterProcess.start(stageCount);
@@ -21,6 +27,30 @@
 	return router;
 }
 
+function countLines({logLines}: RouterProcess, event: string): number {
+	return logLines.filter(line => line.includes(`"${event}"`)).length;
+}
+
+/** Disturbs a router at intervals until a stream has ended. */
+async function disturb(router: RouterProcess, {response}: SilentStream, act: (round: number) => void): Promise<void> {
+	let round = 0;
+	const repetition = router.timers.repeat(changeIntervalMs, () => {
+		act(round++);
+	});
+	await response;
+	repetition.cancel();
+}
+
+/** Starts a router whose configuration leaves records time for a silence and lets no stream resume. */
+async function startOneTimeRouter(t: ExecutionContext): Promise<RouterProcess> {
+	const router = await startRouter(t);
+	const {routes, ...configuration} = createSiteConfiguration(firstVersion, settlingMs);
+	const reads = countLines(router, 'catalog.taken');
+	router.store.putRow('op', 'config', {...configuration, routes: routes.map(route => ({...route, ...(route.name === 'drafts' && {streamResume: false})}))});
+	await router.waitUntil(() => countLines(router, 'catalog.taken') > reads);
+	return router;
+}
+
 async function assertWhole(t: ExecutionContext, stream: SilentStream): Promise<void> {
 	const {status, text, isComplete} = await stream.response;
 	t.is(status, 200);
@@ -58,6 +88,43 @@
 	t.deepEqual(stream.otherAttempts.map(({wasAborted}) => wasAborted), [true]);
 });
 
+// Guards against running streams that lose what they need to keep an attempt when the configuration is replaced.
+test.serial('while the configuration changes, a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+	const router = await startRouter(t);
+	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
+	const reads = countLines(router, 'catalog.taken');
+	await disturb(router, stream, round => {
+		router.store.putRow('op', 'config', createSiteConfiguration(firstVersion + round, recordsTimeoutsMs[round % 2]));
+	});
+	await assertWhole(t, stream);
+	t.true(stream.otherAttempts.length > 0);
+	t.true(countLines(router, 'catalog.taken') - reads > 5);
+});
+
+// Guards against running streams that lose what they need to keep an attempt when the settings are read again.
+test.serial('while the settings are reloaded, a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+	const router = await startRouter(t);
+	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
+	await disturb(router, stream, round => {
+		router.changeSettings(`; ${round}\n`);
+		router.signal('SIGHUP');
+	});
+	await assertWhole(t, stream);
+	t.true(stream.otherAttempts.length > 0);
+	t.true(countLines(router, 'process.reloaded') > 5);
+});
+
+// Guards against a stopping instance that ends streams whose answers are still to come.
+test.serial('while the instance stops, a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+	const router = await startRouter(t);
+	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
+	await router.timers.sleep(changeIntervalMs);
+	router.signal('SIGTERM');
+	await assertWhole(t, stream);
+	t.true(stream.otherAttempts.length > 0);
+	t.is(await router.waitForExit(), 0);
+});
+
 // Guards against attempts that run on, or are sent, for a caller that has left.
 test.serial('a caller leaves while two attempts are under way: an attempt runs on or another one is sent', async t => {
 	const router = await startRouter(t);
@@ -72,3 +139,41 @@
 	await router.timers.sleep(settlingMs);
 	t.is(stream.attempts.length, 2);
 });
+
+for (const kind of [PartitionKind.Reset, PartitionKind.Silent]) {
+	// Guards against attempts through another instance that are given up for a server that rejects the request.
+	test.serial(`a stream through another instance (${kind}) is cut off when its first stage is silent for a while and the only other pipeline rejects it`, async t => {
+		const first = await startRouter(t);
+		const second = await RouterProcess.startBeside(first, 'entry-b');
+		t.teardown(async () => second.stop());
+		second.partition(kind);
+		await second.timers.sleep(noticeMs);
+		await second.waitUntil(async () => await second.sendForStatus('/drafts/0') === 200);
+		const stream = await SilentStream.start(second, '/drafts/1', otherBehaviours.rejecting);
+		await assertWhole(t, stream);
+		t.true(stream.otherAttempts.length > 0);
+		t.deepEqual(stream.silentAttempts.map(({wasAborted}) => wasAborted), [false]);
+	});
+}
+
+// Guards against streams that run twice although their route does not let them resume.
+test.serial('a stream that may not resume is sent again or cut off when its first stage is silent for a while', async t => {
+	const router = await startOneTimeRouter(t);
+	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.accepting);
+	await assertWhole(t, stream);
+	await router.timers.sleep(settlingMs);
+	t.deepEqual(stream.attempts.map(({wasAborted}) => wasAborted), [false]);
+});
+
+// Guards against records that are written twice because their server was silent for a while.
+test.serial('a record is sent again or refused when its server is silent for a while', async t => {
+	const router = await startOneTimeRouter(t);
+	for (const server of router.records) {
+		server.behaviour.pause = silenceMs;
+	}
+
+	const {status} = await router.send('/records/1');
+	t.is(status, 200);
+	await router.timers.sleep(settlingMs);
+	t.is(router.records.flatMap(({receivedRequests}) => receivedRequests).length, 1);
+});
