Keep a silent attempt of an answer until its replacement has delivered

Callers saw an answer end with StreamInterrupted although its server was only silent for about a second: an attempt with a stage that did not answer an inspection was cancelled as soon as another route existed, and the other route then refused the new attempt. That a route exists is an estimate; only its first token is a fact.

Now the silent attempt is kept beside the new one, for up to 1.5 s as before where there was no other route. The first accepted frame of either decides, and the other is cancelled, so no tokens of two attempts are mixed; at most two run. A new attempt that is closed or fails is dropped, and the next route is tried within the limit of attempts and the retry budget; if that is not possible, the silent one goes on alone instead of failing at once. An attempt that has ended is not kept: closed connection, unreachable server, forgotten or stuck.

CompletionRun holds its attempts by number; RunningAttempt ends load, spans and connection of each once. The simulated engine can refuse new attempts.

--- a/simulators/engine-faults.ts
+++ b/simulators/engine-faults.ts
@@ -12,6 +12,11 @@
 	slowness: z.number().optional(),
 	/** Whether load reports say that the engine is leaving. */
 	isLeaving: z.boolean().optional(),
+	/** Whether new attempts are refused. Those that run go on. */
+	refusesAttempts: z.boolean().optional(),
 	/** Whether orders with an outdated fencing number are accepted. */
 	ignoreFencing: z.boolean().optional(),
 });
+
+/** Faults that a control call sets at an engine simulator. */
+export type EngineFaults = z.infer<typeof engineFaultsSchema>;
--- a/simulators/engine-state.ts
+++ b/simulators/engine-state.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import {type TimerService} from '../src/time/timer-service.js';
+import {type EngineFaults} from './engine-faults.js';
 import {type EngineSettings} from './engine-settings.js';
 import {StatusResponse} from './json-server.js';
 
@@ -13,6 +14,8 @@
 export class EngineState {
 	/** Whether orders with an outdated fencing number are refused. */
 	checksOrders: boolean;
+	/** Whether new attempts are refused. */
+	refusesAttempts = false;
 	/** Monotonic time in milliseconds since which the engine reports that it is leaving; undefined if it is not. */
 	leavingSince?: number;
 	private highestFencing = 0;
@@ -25,6 +28,19 @@
 		return this.current;
 	}
 
+	/** Applies those of the faults that concern orders, leaving and new attempts. */
+	applyFaults({ignoreFencing, isLeaving, refusesAttempts}: EngineFaults): void {
+		if (ignoreFencing !== undefined) {
+			this.checksOrders = !ignoreFencing;
+		}
+
+		if (isLeaving !== undefined) {
+			this.leavingSince = isLeaving ? this.timers.now() : undefined;
+		}
+
+		this.refusesAttempts = refusesAttempts ?? this.refusesAttempts;
+	}
+
 	/** Answers an order. Its layer range takes effect after the simulated load time of the weights. */
 	applyOrder(body: unknown): unknown {
 		const {model, version, firstLayer, endLayer, fencing} = orderSchema.parse(body);
--- a/src/completions/completion-run.ts
+++ b/src/completions/completion-run.ts
@@ -1,7 +1,6 @@
-import {type Span} from '@opentelemetry/api';
 import {type Logger} from 'winston';
-import {type AttemptHandle} from '../backends/attempt-handle.js';
-import {type Attempt} from '../backends/attempt.js';
+import {type AttemptSink} from '../backends/attempt-sink.js';
+import {type Frame} from '../backends/frame.js';
 import {type ModelEngine} from '../backends/model-engine.js';
 import {type Route} from '../backends/stage.js';
 import {type Metrics} from '../observation/metrics.js';
@@ -13,6 +12,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {type CompletionSink} from './completion-sink.js';
 import {type CompletionRequest} from './completion-request.js';
+import {RunningAttempt} from './running-attempt.js';
 
 /** Dependencies shared by all completion runs of an instance. */
 export type CompletionRunDependencies = {
@@ -28,9 +28,8 @@
 
 /** Runs one completion: carries out the commands of its stream recovery and passes it the resulting events. */
 export class CompletionRun {
-	private handle?: AttemptHandle;
-	private attempt?: Attempt;
-	private spans: Span[] = [];
+	/** The attempts that were started and not yet ended, by number. */
+	private readonly attempts = new Map<number, RunningAttempt>();
 	private readonly generated: string[] = [];
 	private lastTokenAt: number;
 	private readonly startedAt: number;
@@ -70,9 +69,8 @@
 			}
 
 			case StreamCommandKind.Attach: {
-				this.handle?.close();
 				this.dependencies.metrics.count('siskinnotch_attaches_total');
-				this.handle = this.dependencies.engine.attach(this.attempt!, command.from, this.createAttemptSink(command.connection));
+				this.attempts.get(command.attempt)?.attach(command.from, this.createAttemptSink(command.connection));
 				break;
 			}
 
@@ -82,7 +80,7 @@
 			}
 
 			case StreamCommandKind.Cancel: {
-				this.cancelAttempt(!this.recovery.isOver);
+				this.cancelAttempt(command.attempt);
 				break;
 			}
 
@@ -103,7 +101,7 @@
 			}
 
 			case StreamCommandKind.Finish: {
-				this.endAttempt();
+				this.endAttempts();
 				this.sink.onFinish(command.reason);
 				break;
 			}
@@ -116,12 +114,11 @@
 	}
 
 	private startAttempt(number: number, connection: number, route: Route): void {
-		const {tracing, engine, fleet, metrics} = this.dependencies;
+		const {tracing, metrics} = this.dependencies;
 		const span = tracing.startSpan('attempt', {attempt: number, stages: route.length}, this.request.context);
 		const context = tracing.getContext(span);
 		const stageSpans = route.map(({server, firstLayer, endLayer, version}) => tracing.startSpan(`stage ${server}`, {firstLayer, endLayer, version}, context));
-		this.spans = [...stageSpans, span];
-		this.attempt = {
+		const attempt = {
 			request: this.request.id,
 			number,
 			route,
@@ -132,13 +129,12 @@
 			headers: tracing.inject(context),
 		};
 		metrics.count('siskinnotch_attempts_total');
-		fleet.recordStart(route);
-		this.handle = engine.run(this.attempt, this.createAttemptSink(connection));
+		this.attempts.set(number, new RunningAttempt(attempt, [...stageSpans, span], this.dependencies, this.createAttemptSink(connection)));
 	}
 
-	private createAttemptSink(connection: number) {
+	private createAttemptSink(connection: number): AttemptSink {
 		return {
-			onFrames: (frames: Parameters<Parameters<ModelEngine['run']>[1]['onFrames']>[0]) => {
+			onFrames: (frames: readonly Frame[]) => {
 				this.dispatch({kind: StreamEventKind.Frames, connection, frames});
 			},
 			onClosed: (reason: string, unreachableServer?: string) => {
@@ -173,32 +169,21 @@
 		this.sink.onTokens(tokens);
 	}
 
-	/** Cancels the attempt: its servers stop working on it, and frames that still arrive are ignored. */
-	private cancelAttempt(isReplaced: boolean): void {
-		if (!this.attempt) {
-			return;
-		}
-
-		if (isReplaced) {
+	/** Cancels an attempt. Its frames that still arrive are ignored. */
+	private cancelAttempt(number: number): void {
+		if (!this.recovery.isOver) {
 			this.dependencies.metrics.count('siskinnotch_attempts_replaced_total');
 		}
 
-		void this.dependencies.engine.cancel(this.attempt);
-		this.endAttempt();
+		this.attempts.get(number)?.cancel();
+		this.attempts.delete(number);
 	}
 
-	private endAttempt(): void {
-		this.handle?.close();
-		if (this.attempt) {
-			this.dependencies.fleet.recordEnd(this.attempt.route);
-		}
-
-		for (const span of this.spans) {
-			span.end();
+	private endAttempts(): void {
+		for (const attempt of this.attempts.values()) {
+			attempt.end();
 		}
 
-		this.spans = [];
-		this.handle = undefined;
-		this.attempt = undefined;
+		this.attempts.clear();
 	}
 }
--- a/test/stream-failures.test.ts
+++ b/test/stream-failures.test.ts
@@ -84,6 +84,29 @@
 	});
 });
 
+// Guards against answers that are lost because their silent attempts were cancelled for a server that refuses them.
+test.serial('the last stage is frozen for a second while the other server refuses new attempts: every answer is complete', async t => {
+	await withCluster(async cluster => {
+		const lastStages = cluster.backends.filter(({id}) => id.startsWith('engine-16'));
+		const other = lastStages.find(({id}) => id === 'engine-16b')!;
+		await expectCompleteAnswers(t, cluster, async engine => {
+			await cluster.waitFor(async () => await countAttempts(lastStages) === 8);
+			await postControl(other.address, 'faults', {refusesAttempts: true});
+			engine.program.sendSignal('SIGSTOP');
+			await cluster.timers.sleep(1000);
+			engine.program.sendSignal('SIGCONT');
+			await cluster.timers.sleep(200);
+			await postControl(other.address, 'faults', {refusesAttempts: false});
+		}, 2);
+		t.true(await cluster.readMetric(cluster.entries[0], 'siskinnotch_attempts_replaced_total') > 0);
+	});
+});
+
+async function countAttempts(engines: readonly BackendProcess[]): Promise<number> {
+	const checks = await Promise.all(engines.map(async ({address}) => readControl<Checks>(address, 'checks')));
+	return checks.reduce((sum, {counts}) => sum + counts.attempts, 0);
+}
+
 test.serial('without a replacement server the stream ends with an explicit error and never as if it were complete', async t => {
 	await withCluster(async cluster => {
 		const running = sendPrompt(cluster, createPrompt(1));
