--- a/test/silent-streams-process.test.ts
+++ b/test/silent-streams-process.test.ts
@@ -59,7 +59,7 @@
 }
 
 // Guards against a sound server's answer that is given up for a server that rejects the request.
-test.serial('a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+test.serial('a stream whose first stage is silent for a while is not cut off when the only other pipeline rejects it', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
 	await assertWhole(t, stream);
@@ -68,7 +68,7 @@
 });
 
 // Guards against events that arrive twice or not at all, and work that goes on, when two servers could answer.
-test.serial('a stream that another pipeline takes over has missing or duplicate events, or its silent attempt runs on', async t => {
+test.serial('a stream that another pipeline takes over has no missing or duplicate events, and its silent attempt ends', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.accepting);
 	await assertWhole(t, stream);
@@ -79,7 +79,7 @@
 });
 
 // Guards against an answer that is given up for a server that accepts the request and sends nothing.
-test.serial('a stream whose first stage is silent for a while is given up when the only other pipeline never answers', async t => {
+test.serial('a stream whose first stage is silent for a while is not given up when the only other pipeline never answers', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.silent);
 	await assertWhole(t, stream);
@@ -89,7 +89,7 @@
 });
 
 // Guards against running streams that lose what they need to keep an attempt when the configuration is replaced.
-test.serial('while the configuration changes, a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+test.serial('while the configuration changes, a stream whose first stage is silent for a while is not cut off when the only other pipeline rejects it', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
 	const reads = countLines(router, 'catalog.taken');
@@ -102,7 +102,7 @@
 });
 
 // Guards against running streams that lose what they need to keep an attempt when the settings are read again.
-test.serial('while the settings are reloaded, a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+test.serial('while the settings are reloaded, a stream whose first stage is silent for a while is not cut off when the only other pipeline rejects it', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
 	await disturb(router, stream, round => {
@@ -115,7 +115,7 @@
 });
 
 // Guards against a stopping instance that ends streams whose answers are still to come.
-test.serial('while the instance stops, a stream whose first stage is silent for a while is cut off when the only other pipeline rejects it', async t => {
+test.serial('while the instance stops, a stream whose first stage is silent for a while is not cut off when the only other pipeline rejects it', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.rejecting);
 	await router.timers.sleep(changeIntervalMs);
@@ -126,7 +126,7 @@
 });
 
 // Guards against attempts that run on, or are sent, for a caller that has left.
-test.serial('a caller leaves while two attempts are under way: an attempt runs on or another one is sent', async t => {
+test.serial('when a caller leaves while two attempts are under way, none runs on and no other one is sent', async t => {
 	const router = await startRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.silent);
 	await stream.waitForOther();
@@ -142,7 +142,7 @@
 
 for (const kind of [PartitionKind.Reset, PartitionKind.Silent]) {
 	// Guards against attempts through another instance that are given up for a server that rejects the request.
-	test.serial(`a stream through another instance (${kind}) is cut off when its first stage is silent for a while and the only other pipeline rejects it`, async t => {
+	test.serial(`a stream through another instance (${kind}) is not cut off when its first stage is silent for a while and the only other pipeline rejects it`, async t => {
 		const first = await startRouter(t);
 		const second = await RouterProcess.startBeside(first, 'entry-b');
 		t.teardown(async () => second.stop());
@@ -157,7 +157,7 @@
 }
 
 // Guards against streams that run twice although their route does not let them resume.
-test.serial('a stream that may not resume is sent again or cut off when its first stage is silent for a while', async t => {
+test.serial('a stream that may not resume is neither sent again nor cut off when its first stage is silent for a while', async t => {
 	const router = await startOneTimeRouter(t);
 	const stream = await SilentStream.start(router, '/drafts/1', otherBehaviours.accepting);
 	await assertWhole(t, stream);
@@ -166,7 +166,7 @@
 });
 
 // Guards against records that are written twice because their server was silent for a while.
-test.serial('a record is sent again or refused when its server is silent for a while', async t => {
+test.serial('a record is neither sent again nor refused when its server is silent for a while', async t => {
 	const router = await startOneTimeRouter(t);
 	for (const server of router.records) {
 		server.behaviour.pause = silenceMs;
