Create the failures of a stream in one place

Each says whether the request may have been executed; the choice stood at four places of stream-exchange.ts.

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -4,9 +4,7 @@
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
-import {Execution} from '../results/execution.js';
-import {Failure} from '../results/failure.js';
-import {ResultCode} from '../results/result-code.js';
+import {type Failure} from '../results/failure.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
@@ -26,13 +24,13 @@
 import {StreamDispatcher} from './stream-dispatcher.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 import {StreamEnd} from './stream-end.js';
+import {StreamFailures} from './stream-failures.js';
 import {StreamLog} from './stream-log.js';
 import {StreamPipelineSelector} from './stream-pipeline-selector.js';
 import {StreamProgress} from './stream-progress.js';
 import {StreamSender} from './stream-sender.js';
 
 const minNonSuccessStatus = 300;
-const millisecondsPerSecond = 1000;
 
 /**
 Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received.
@@ -51,6 +49,7 @@
 	private readonly sender: StreamSender;
 	private readonly dispatcher: StreamDispatcher;
 	private readonly delivery: StreamDelivery;
+	private readonly failures: StreamFailures;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {
 		super(dependencies, request, reply);
@@ -61,6 +60,7 @@
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
 		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
 		this.attempts = new StreamAttempts(server => this.hasEnded(server), this.log);
+		this.failures = new StreamFailures(request, this.executions, streamDependencies.limits.retryAfter);
 		this.delivery = new StreamDelivery(dependencies, request, reply, this.progress);
 		const {progress, executions, crashEvidence, log, selector} = this;
 		this.sender = new StreamSender(dependencies, {
@@ -118,7 +118,7 @@
 			return;
 		}
 
-		this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.StreamInterrupted, refusal.message, Execution.Unknown, refusal.retryAfterSeconds) : refusal);
+		this.failWith(this.failures.createQuarantineFailure(refusal));
 	}
 
 	receiveHead(attempt: StreamAttempt, head: ResponseHead): void {
@@ -184,10 +184,7 @@
 	}
 
 	protected createDeadlineFailure(): Failure {
-		const limit = Math.round(this.request.deadline - this.request.arrivedAt);
-		return this.mayHaveExecuted
-			? new Failure(ResultCode.DeadlinePassed, `the stream was not complete within ${limit} ms`, Execution.Unknown)
-			: this.createCapacityFailure('the deadline passed before the request was sent');
+		return this.failures.createDeadlineFailure();
 	}
 
 	protected get runningAttempts(): readonly RunningAttempt[] {
@@ -256,7 +253,7 @@
 	}
 
 	private failForCapacity(reason: string): void {
-		this.failWith(this.createCapacityFailure(reason));
+		this.failWith(this.failures.createCapacityFailure(reason));
 	}
 
 	/** Ends an attempt whose response is not worth receiving further. The body of a rejection is not passed on, so there is no need to wait for its end. */
@@ -354,7 +351,7 @@
 		const isAllowed = attempt.response.isResumable && (hasOther || this.mayResume);
 		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (!isAllowed) {
-			this.failWith(new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown));
+			this.failWith(this.failures.createInterruption(reason));
 		} else if (!hasOther) {
 			this.dispatch();
 		}
@@ -364,13 +361,6 @@
 		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive;
 	}
 
-	/** Creates the failure to reply with if no pipeline can be used. */
-	private createCapacityFailure(reason: string): Failure {
-		return this.mayHaveExecuted
-			? new Failure(ResultCode.StreamInterrupted, reason, Execution.Unknown)
-			: new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.streamDependencies.limits.retryAfter / millisecondsPerSecond);
-	}
-
 	private endAttempt(attempt: StreamAttempt): void {
 		this.attempts.end(attempt);
 		this.streamDependencies.requestQueue.dispatchReady();
