Pace the takeovers of a silent stream instead of ending them, and keep up to three attempts

Rejections are counted for each silence now, each adds 100 ms to the pause before the next takeover, and an attempt that can't go on is replaced without a pause. - With two attempts in progress, a suspicion of the newest cancelled it before the third server had answered: the same fault one attempt later. Up to three are kept; the route's limit of servers holds as before. - Two attempts without an event that were lost together counted as two signs of a crash, so that the stream was cut; a silent one counts as silent only. - An attempt with wrong ids that had passed nothing on cut the stream beside a sound attempt, if ids skip. - At quarantine the second attempt ran on beside one that had begun. - A begun stream that is rejected again and again could take all retries of its service: beyond the limit there are 100 ms between two attempts.

The log says request.hedged when a silent stream is sent to another server as well, and request.attempt_cancelled, with the reason, for the attempt that is not needed, as for lookups.

--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -32,8 +32,8 @@
 
 /** One attempt of a stream exchange: where it was sent, what it holds there, and what was received. */
 export class StreamAttempt extends ResponseListener {
-	/** Why another attempt is to take the stream over; undefined while nothing is known against this one. */
-	faultReason?: string;
+	/** Why another attempt was sent as well; undefined unless this one is silent. */
+	silenceReason?: string;
 	private running?: RunningAttempt;
 	private releaseLoad?: () => void;
 
@@ -99,6 +99,15 @@
 		this.releaseLoad = undefined;
 	}
 
+	/** Records that the attempt was lost. One that was silent before counts as silent only, since it is no further sign of a crash. */
+	recordLoss(): void {
+		if (this.silenceReason === undefined) {
+			this.crashEvidence.recordLoss(this.firstServer);
+		} else {
+			this.crashEvidence.recordSilence(this.firstServer);
+		}
+	}
+
 	/** Selects something while the load of this attempt does not count. */
 	selectWithoutLoad<T>(select: () => T): T {
 		this.releaseLoad?.();
--- a/src/relay/stream-attempts.ts
+++ b/src/relay/stream-attempts.ts
@@ -3,21 +3,25 @@
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamLog} from './stream-log.js';
 
-/** Attempts of one stream that may be in progress at once: a silent one, and one that is to take over from it. */
-const maxAttempts = 2;
+/** Attempts of one stream that may be in progress at once: silent ones, and one that is to take over from them. */
+const maxConcurrentAttempts = 3;
+/** Pause after a takeover that was rejected, in milliseconds; grows by as much with each further one of the same silence. */
+const rejectionPauseMs = 100;
 
 /** Why another attempt is to take a silent stream over. */
 export type TakeoverCause = {
 	readonly reason: string;
 	/** The stage that is held responsible; undefined if it is not known. */
 	readonly faulty?: BackendServer;
-	/** Whether something is known against the pipeline or the connection, besides the silence. */
-	readonly isFaultKnown: boolean;
 };
 
 /** The attempts of a stream that are in progress, in the order in which they were sent. */
 export class StreamAttempts {
 	private attempts: readonly StreamAttempt[] = [];
+	/** Takeovers that were rejected since the last event. */
+	private rejections = 0;
+	/** Monotonic time in milliseconds before which no further takeover is tried. */
+	private notBefore = Number.NEGATIVE_INFINITY;
 
 	/**
 	@param hasEnded - whether a server is known to execute nothing any more
@@ -55,32 +59,44 @@
 		return this.newest ? now - Math.max(...this.attempts.map(({lastReceivedAt}) => lastReceivedAt)) : 0;
 	}
 
-	/** Whether a further attempt may be sent. If two are in progress, something must be known against the newest one. */
-	mayTakeOver({isFaultKnown}: TakeoverCause): boolean {
-		return isFaultKnown || this.attempts.length < maxAttempts;
+	/** Whether a further attempt may be sent now. */
+	mayTakeOver(cause: TakeoverCause, now: number): boolean {
+		return this.findEnded(cause).length > 0 || (now >= this.notBefore && this.attempts.length < maxConcurrentAttempts);
 	}
 
-	/** Selects a pipeline that has room beside the newest attempt, or else one that has room if the load of that attempt does not count. */
-	selectTakeover(select: () => Pipeline | undefined): Pipeline | undefined {
-		return select() ?? this.newest?.selectWithoutLoad(select);
+	/** Records that an attempt was rejected while another one is in progress. */
+	recordRejection(now: number): void {
+		this.rejections++;
+		this.notBefore = now + (this.rejections * rejectionPauseMs);
+	}
+
+	/** Selects a pipeline that has room beside the attempts in progress. If a stage is at fault, one that has room without the newest attempt is the next choice, as its stages may have dropped that attempt. */
+	selectTakeover({faulty}: TakeoverCause, select: () => Pipeline | undefined): Pipeline | undefined {
+		return select() ?? (faulty && this.newest?.selectWithoutLoad(select));
 	}
 
 	/**
-	Records why a further attempt is to take over, and cancels the attempts that are not worth keeping beside it: those along a pipeline that has lost a stage, or else the newest one if there are too many.
+	Cancels the attempts along a pipeline that has lost a stage, since they can't go on.
 
 	@returns whether an attempt was cancelled
 	*/
-	prepareTakeover(cause: TakeoverCause): boolean {
-		const replaced = this.findReplaced(cause);
-		for (const attempt of this.attempts) {
-			attempt.faultReason ??= cause.reason;
+	cancelEnded(cause: TakeoverCause): boolean {
+		const ended = this.findEnded(cause);
+		for (const attempt of ended) {
+			this.cancelSilent(attempt, cause.reason);
 		}
 
-		for (const attempt of replaced) {
-			this.cancel(attempt);
-		}
+		return ended.length > 0;
+	}
 
-		return replaced.length > 0;
+	/** Records that the attempts in progress are silent, and that another one is sent as well. */
+	recordSilence({reason}: TakeoverCause): void {
+		for (const attempt of this.attempts) {
+			if (attempt.silenceReason === undefined) {
+				attempt.silenceReason = reason;
+				this.log.logHedged(attempt, reason);
+			}
+		}
 	}
 
 	/**
@@ -89,35 +105,47 @@
 	@returns whether an attempt was cancelled
 	*/
 	continueWith(attempt: StreamAttempt): boolean {
-		attempt.faultReason = undefined;
+		attempt.silenceReason = undefined;
+		this.rejections = 0;
+		this.notBefore = Number.NEGATIVE_INFINITY;
+		return this.cancelOthers(attempt);
+	}
+
+	/** Cancels the attempts that have received no event, if another one has. */
+	cancelWithoutEvent(): boolean {
+		const begun = this.attempts.find(({crashEvidence}) => crashEvidence.hasReceivedEvent);
+		return begun !== undefined && this.cancelOthers(begun);
+	}
+
+	private cancelOthers(attempt: StreamAttempt): boolean {
 		if (this.attempts.length === 1) {
 			return false;
 		}
 
 		for (const other of this.attempts) {
 			if (other !== attempt) {
-				this.cancel(other);
+				this.cancelSilent(other, other.silenceReason);
 			}
 		}
 
 		return true;
 	}
 
-	private findReplaced({faulty}: TakeoverCause): readonly StreamAttempt[] {
-		const ended = faulty && this.hasEnded(faulty) ? this.attempts.filter(attempt => attempt.usesServer(faulty)) : [];
-		return ended.length === 0 && this.attempts.length >= maxAttempts ? this.attempts.slice(-1) : ended;
+	private findEnded({faulty}: TakeoverCause): readonly StreamAttempt[] {
+		return faulty && this.hasEnded(faulty) ? this.attempts.filter(attempt => attempt.usesServer(faulty)) : [];
 	}
 
-	/** Cancels an attempt because another one goes on or replaces it. */
-	private cancel(attempt: StreamAttempt): void {
+	/**
+	Cancels an attempt that another one replaces.
+
+	@param silenceReason - why the other one was sent; undefined if this one was not silent
+	*/
+	private cancelSilent(attempt: StreamAttempt, silenceReason: string | undefined): void {
 		attempt.cancel();
 		this.end(attempt);
-		if (attempt.faultReason === undefined) {
-			this.log.logCancelled(attempt);
-			return;
+		this.log.logCancelled(attempt, silenceReason);
+		if (silenceReason !== undefined) {
+			attempt.crashEvidence.recordSilence(attempt.firstServer);
 		}
-
-		attempt.crashEvidence.recordSilence(attempt.firstServer);
-		this.log.logAttemptFailed(attempt, attempt.faultReason, true);
 	}
 }
--- a/src/relay/stream-dispatcher.ts
+++ b/src/relay/stream-dispatcher.ts
@@ -33,6 +33,7 @@
 /** Starts a stream on a pipeline, or queues it until one has capacity. */
 export class StreamDispatcher {
 	private queueEntry?: TimerHandle;
+	private delay?: TimerHandle;
 
 	constructor(
 		private readonly dependencies: Pick<ExchangeDependencies, 'timers' | 'load'> & Pick<StreamExchangeDependencies, 'requestQueue' | 'limits'>,
@@ -57,8 +58,16 @@
 		this.enqueue(deadlines);
 	}
 
+	/** Dispatches the stream after a delay in milliseconds. */
+	dispatchAfter(delay: number): void {
+		this.delay = this.dependencies.timers.after(delay, () => {
+			this.dispatch();
+		});
+	}
+
 	/** Removes the stream from the queue. */
 	cancel(): void {
+		this.delay?.cancel();
 		this.queueEntry?.cancel();
 		this.queueEntry = undefined;
 	}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -31,6 +31,8 @@
 import {StreamSender} from './stream-sender.js';
 
 const minNonSuccessStatus = 300;
+/** Pause in milliseconds after each rejection beyond the limit for requests that have not begun. */
+const rejectionPauseMs = 100;
 
 /**
 Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received.
@@ -103,18 +105,26 @@
 		}
 
 		this.selector.avoid(faulty ?? newest.firstServer);
-		this.takeOver(now => this.selector.selectAlternative(now, faulty), {reason, faulty, isFaultKnown: faulty !== undefined});
+		this.takeOver(now => this.selector.selectAlternative(now, faulty), {reason, faulty});
 	}
 
-	/** Sends a silent stream again, because the connection to its first stage seems to be broken and not the stage itself. */
+	/** Sends a silent stream over another connection as well, because the one to its first stage seems to be broken and not the stage itself. */
 	reconnect(reason: string): void {
 		if (!this.isDone && this.attempts.newest && this.mayResume) {
-			this.takeOver(now => this.selector.select(now), {reason, isFaultKnown: true});
+			this.takeOver(now => this.selector.select(now), {reason});
 		}
 	}
 
 	override endQuarantined(refusal: Failure): void {
-		if (this.isDone || this.attempts.all.some(({crashEvidence}) => crashEvidence.hasReceivedEvent)) {
+		if (this.isDone) {
+			return;
+		}
+
+		if (this.attempts.all.some(({crashEvidence}) => crashEvidence.hasReceivedEvent)) {
+			if (this.attempts.cancelWithoutEvent()) {
+				this.streamDependencies.requestQueue.dispatchReady();
+			}
+
 			return;
 		}
 
@@ -175,7 +185,7 @@
 			return;
 		}
 
-		attempt.crashEvidence.recordLoss(firstServer);
+		attempt.recordLoss();
 		this.resumeOrFail(attempt, detail);
 	}
 
@@ -212,14 +222,14 @@
 	/** Sends a silent stream along another pipeline too, if one has capacity and the retry budget allows it. */
 	private takeOver(select: (now: number) => Pipeline | undefined, cause: TakeoverCause): void {
 		const now = this.dependencies.timers.now();
-		const mayTakeOver = this.rejectionCount < this.streamDependencies.limits.maxRejections && this.attempts.mayTakeOver(cause);
-		const pipeline = mayTakeOver ? this.attempts.selectTakeover(() => select(now)) : undefined;
+		const pipeline = this.attempts.mayTakeOver(cause, now) ? this.attempts.selectTakeover(cause, () => select(now)) : undefined;
 		if (!pipeline || !this.tryAcquireRetry()) {
 			this.refuseIfAbandoned(now);
 			return;
 		}
 
-		const hasCancelled = this.attempts.prepareTakeover(cause);
+		const hasCancelled = this.attempts.cancelEnded(cause);
+		this.attempts.recordSilence(cause);
 		this.send(pipeline);
 		if (hasCancelled) {
 			// Not earlier, since a queued request could take the capacity of the alternative.
@@ -282,11 +292,11 @@
 		}
 
 		if (end === StreamEnd.Incomplete || !this.reply.isStarted) {
-			attempt.crashEvidence.recordLoss(attempt.firstServer);
+			attempt.recordLoss();
 			this.resumeOrFail(attempt, 'the stream ended and may be incomplete');
 		} else if (end === StreamEnd.Empty) {
 			this.selector.exclude(attempt.firstServer);
-			attempt.crashEvidence.recordLoss(attempt.firstServer);
+			attempt.recordLoss();
 			this.resumeOrFail(attempt, 'the stream ended before an event and may be incomplete');
 		} else {
 			this.completeStream(attempt);
@@ -331,29 +341,35 @@
 		return head.status >= minNonSuccessStatus && !this.reply.isStarted && !this.isUnfoundedRefusal(head) && !hasAlternative;
 	}
 
-	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it, unless another attempt is in progress. A reply that has begun can't be refused any more, so its rejections are not limited. */
+	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it, unless another attempt is in progress. A reply that has begun can't be refused any more, so the number of its rejections is not limited. */
 	private retryRejected({number}: StreamAttempt, reason: string, server: BackendServer): void {
 		this.rejectionCount++;
 		const hasOther = this.attempts.newest !== undefined;
-		const mayRetry = this.reply.isStarted || this.rejectionCount <= this.streamDependencies.limits.maxRejections;
-		const isAllowed = hasOther || (mayRetry && this.remaining > 0);
-		this.log.logRejected(server, number, reason, isAllowed);
-		if (!isAllowed) {
+		const isWithinLimit = this.rejectionCount <= this.streamDependencies.limits.maxRejections;
+		const isAllowed = hasOther || ((isWithinLimit || this.reply.isStarted) && this.remaining > 0);
+		this.log.logRejected(server, number, reason, isAllowed && !hasOther);
+		if (hasOther) {
+			this.attempts.recordRejection(this.dependencies.timers.now());
+		} else if (!isAllowed) {
 			this.failForCapacity(reason);
-		} else if (!hasOther) {
+		} else if (isWithinLimit) {
 			this.dispatch();
+		} else {
+			this.dispatcher.dispatchAfter(rejectionPauseMs);
 		}
 	}
 
 	/** Handles an attempt that was executed and interrupted: the stream goes on with the other attempt, or resumes on another pipeline if the route allows it. */
 	private resumeOrFail(attempt: StreamAttempt, reason: string): void {
 		const hasOther = this.attempts.newest !== undefined;
-		const isAllowed = attempt.response.isResumable && (hasOther || this.mayResume);
-		this.log.logAttemptFailed(attempt, reason, isAllowed);
-		if (!isAllowed) {
-			this.failWith(this.failures.createInterruption(reason));
-		} else if (!hasOther) {
+		// What an attempt sent that passed nothing on does not concern the others.
+		const mayContinue = hasOther && (attempt.response.isResumable || !attempt.response.hasPassedEvents);
+		const isRetried = !hasOther && attempt.response.isResumable && this.mayResume;
+		this.log.logAttemptFailed(attempt, reason, isRetried);
+		if (isRetried) {
 			this.dispatch();
+		} else if (!mayContinue) {
+			this.failWith(this.failures.createInterruption(reason));
 		}
 	}
 
--- a/src/relay/stream-log.ts
+++ b/src/relay/stream-log.ts
@@ -83,10 +83,21 @@
 		});
 	}
 
-	/** Logs an attempt that was cancelled because the attempt that it was to replace went on. */
-	logCancelled({firstServer, number}: StreamAttempt): void {
+	/** Logs that the request is sent along another pipeline as well, because an attempt is silent. */
+	logHedged({firstServer, number}: StreamAttempt, reason: string): void {
+		this.log.warn('request.hedged', {
+			request: this.request.id, server: firstServer.id, attempt: number, reason, afterEvent: this.progress.lastEventId,
+		});
+	}
+
+	/**
+	Logs an attempt that was cancelled because another one goes on.
+
+	@param reason - why the other one was sent; undefined if this one was not silent
+	*/
+	logCancelled({firstServer, number}: StreamAttempt, reason: string | undefined): void {
 		this.log.write('request.attempt_cancelled', {
-			request: this.request.id, server: firstServer.id, attempt: number, afterEvent: this.progress.lastEventId,
+			request: this.request.id, server: firstServer.id, attempt: number, reason, afterEvent: this.progress.lastEventId,
 		});
 	}
 
--- a/src/relay/stream-response.ts
+++ b/src/relay/stream-response.ts
@@ -25,6 +25,7 @@
 	private readonly splitter = new EventSplitter();
 	private readonly sequence: EventSequence;
 	private receivedAt?: number;
+	private passesEvents = false;
 
 	constructor(private readonly passed: PassedEvents) {
 		this.sequence = new EventSequence(passed);
@@ -40,6 +41,11 @@
 		return this.receivedAt;
 	}
 
+	/** Whether an event of this response was passed on. */
+	get hasPassedEvents(): boolean {
+		return this.passesEvents;
+	}
+
 	/** Whether a further attempt would continue after the last event that the caller has received. */
 	get isResumable(): boolean {
 		return !this.sequence.isDisordered || this.passed.isTrusted;
@@ -59,6 +65,7 @@
 		}
 
 		const passed = events.flatMap(event => this.sequence.add(event));
+		this.passesEvents ||= passed.length > 0;
 		return {events: passed, hasHeldEvent: this.sequence.isHolding && !wasHolding, fault: this.findFault()};
 	}
 
