Pass on a complete answer that is in hand, and try a third server while two are silent

The error response of one server is passed on at the deadline and at shutdown, where a failure of this instance took its place. - With two silent servers a third one was not tried, although the route allowed it: the response timer runs for as many attempts as the route allows. - Two attempts without a response that were lost together counted as two signs of a crash; a silent one counts as silent only.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -176,7 +176,7 @@
 	),
 	mutation(
 		'a silent attempt is kept beside the one that takes over',
-		['src/relay/stream-attempts.js', 'const replaced = this.findReplaced(cause);', 'const replaced = this.attempts;'],
+		['src/relay/stream-attempts.js', 'const ended = this.findEnded(cause);', 'const ended = this.attempts;'],
 		['test/silent-streams.test.ts', 'a stream whose server falls silent*'],
 	),
 	mutation(
@@ -186,7 +186,7 @@
 	),
 	mutation(
 		'a silent attempt of a plain request is kept beside a second one',
-		['src/relay/plain-exchange.js', 'this.attempts.recordSilence(silent);', 'this.attempts.cancel([silent]);'],
+		['src/relay/plain-exchange.js', 'this.attempts.recordSilence();', 'this.attempts.cancel(this.attempts.all);'],
 		['test/plain-exchange.test.ts', 'a lookup whose server is silent is answered*'],
 	),
 	mutation(
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -139,6 +139,13 @@
 		return retryBudgets.forService(this.request.service.name).tryAcquire(timers.now());
 	}
 
+	/** Ends the exchange because the deadline of its final reply has passed. */
+	protected handleDeadline(): void {
+		if (!this.isOver) {
+			this.failWith(this.createDeadlineFailure());
+		}
+	}
+
 	/** Whether a response would tell the caller of a request that may be executed only once that it was not executed, although the server does not state it. */
 	protected isUnfoundedRefusal({status, isNotExecuted}: ResponseHead): boolean {
 		return !isNotExecuted && refusalStatuses.has(status) && !isRepeatable(this.request.route);
@@ -162,12 +169,6 @@
 	/** Returns how far the exchange got, for the log line of its failure. */
 	protected abstract describeProgress(): DecisionFields;
 
-	private handleDeadline(): void {
-		if (!this.isOver) {
-			this.failWith(this.createDeadlineFailure());
-		}
-	}
-
 	private handleCallerGone(): void {
 		if (this.isOver) {
 			return;
--- a/src/relay/plain-attempt.ts
+++ b/src/relay/plain-attempt.ts
@@ -6,6 +6,8 @@
 import {type ResponseHead} from './response-head.js';
 import {ResponseListener} from './response-listener.js';
 
+const minErrorStatus = 400;
+
 /** Handles what the attempts of one plain request receive. */
 export type PlainAttemptHandler = {
 	/** Handles the head of the response to an attempt. */
@@ -37,6 +39,8 @@
 export class PlainAttempt extends ResponseListener {
 	/** Its transmission; undefined until it is sent. */
 	running?: RunningAttempt;
+	/** Whether another attempt was sent because this one was silent. */
+	isHedged = false;
 
 	constructor(private readonly resources: PlainAttemptResources, private readonly handler: PlainAttemptHandler) {
 		super();
@@ -72,6 +76,11 @@
 		return this.response.head;
 	}
 
+	/** Whether its response is an error. */
+	get isError(): boolean {
+		return (this.head?.status ?? 0) >= minErrorStatus;
+	}
+
 	/** Whether it has had no response for its response timeout. */
 	isSilent(now: number): boolean {
 		return !this.head && now - this.sentAt >= this.resources.responseTimeout;
--- a/src/relay/plain-attempts.ts
+++ b/src/relay/plain-attempts.ts
@@ -105,9 +105,15 @@
 		}
 	}
 
-	/** Records that an attempt is silent, so that its server gets fewer requests. */
-	recordSilence({server}: PlainAttempt): void {
-		this.dependencies.selector.recordFailure(server, this.dependencies.timers.now());
+	/** Records that the attempts in progress are silent and that another one is sent as well, so that their servers get fewer requests. */
+	recordSilence(): void {
+		const {selector, timers} = this.dependencies;
+		const now = timers.now();
+		for (const attempt of this.all.filter(({isHedged}) => !isHedged)) {
+			attempt.isHedged = true;
+			selector.recordFailure(attempt.server, now);
+			this.log.logHedged(attempt, now - attempt.sentAt);
+		}
 	}
 
 	/** Records a complete response. */
@@ -128,11 +134,14 @@
 	}
 
 	/** Records that an attempt ended without a complete response. */
-	recordFailure({server, evidence}: PlainAttempt, {reason, detail}: AttemptFailure): void {
+	recordFailure({server, evidence, isHedged}: PlainAttempt, {reason, detail}: AttemptFailure): void {
 		const {selector, serverHealth, timers} = this.dependencies;
 		const now = timers.now();
 		selector.recordFailure(server, now);
-		if (reason === AttemptFailureReason.ConnectionLost) {
+		if (reason === AttemptFailureReason.ConnectionLost && isHedged) {
+			// It was silent before, so its loss is no further sign of a crash.
+			evidence.recordSilence(server);
+		} else if (reason === AttemptFailureReason.ConnectionLost) {
 			evidence.recordLoss(server);
 		} else if (reason === AttemptFailureReason.ExcessiveResponse) {
 			serverHealth.suspect(server, detail, now, SuspicionCause.Failing);
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -101,6 +101,18 @@
 		this.handleUnusable(attempt, `${failure.detail}${failure.wasConnectionReused ? ' (reused connection)' : ''}`, undefined);
 	}
 
+	override abort(reason: string): void {
+		if (!this.tryDeliverFallback()) {
+			super.abort(reason);
+		}
+	}
+
+	protected override handleDeadline(): void {
+		if (!this.tryDeliverFallback()) {
+			super.handleDeadline();
+		}
+	}
+
 	protected dispatch(): void {
 		const available = this.servers.select(this.dependencies.timers.now(), []);
 		if (available) {
@@ -165,8 +177,8 @@
 	private handleLargeResponse(attempt: PlainAttempt): void {
 		const verdict = this.assess(attempt);
 		const isRefusal = verdict === ResponseVerdict.NotExecuted || verdict === ResponseVerdict.UnfoundedRefusal;
-		const isRivalled = verdict === ResponseVerdict.ServerError && this.attempts.all.length > 1;
-		if (!isRefusal && !isRivalled) {
+		const hasOther = verdict === ResponseVerdict.ServerError && this.attempts.all.length > 1;
+		if (!isRefusal && !hasOther) {
 			this.choose(attempt);
 			return;
 		}
@@ -219,6 +231,22 @@
 		this.failWith(new Failure(ResultCode.BackendFailed, `the response was interrupted: ${detail}`, Execution.Unknown));
 	}
 
+	/** Chooses between a response that can be passed on and an earlier one; an answer goes before an error. */
+	private chooseFallback(passable: PlainAttempt | undefined): PlainAttempt | undefined {
+		return this.fallback?.isError === false ? this.fallback : passable ?? this.fallback;
+	}
+
+	/** Passes on the response of a dropped attempt, if there is one, because those beside it have none in time. */
+	private tryDeliverFallback(): boolean {
+		const isOpen = !this.isDone && this.chosen === undefined;
+		if (!isOpen || this.fallback === undefined) {
+			return false;
+		}
+
+		this.deliver(this.fallback);
+		return true;
+	}
+
 	private endAttempt(attempt: PlainAttempt): void {
 		this.responseTimer?.cancel();
 		this.attempts.remove(attempt);
@@ -227,33 +255,42 @@
 	/** Handles an attempt whose response is not final: the exchange goes on with the attempt beside it if there is one. */
 	private handleUnusable(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
 		if (this.attempts.all.length === 0) {
-			this.retryOrFail(attempt, reason, passable ?? this.fallback);
+			this.retryOrFail(attempt, reason, this.chooseFallback(passable));
 			return;
 		}
 
-		this.fallback = passable ?? this.fallback;
+		this.fallback = this.chooseFallback(passable);
 		this.log.logAttemptFailed(attempt, reason, false);
-		this.continueAlone();
+		if (passable?.isError === false && !this.retryPolicy.allowsExecution) {
+			this.deliver(passable);
+		} else {
+			this.continueWithOthers();
+		}
 	}
 
-	/** Goes on with the only attempt that is left. If it has been silent for long, a server that has not been tried gets the request at once. */
-	private continueAlone(): void {
+	/** Goes on with the attempts that are left. If all have been silent for long, a server that has not been tried gets the request at once. */
+	private continueWithOthers(): void {
 		const now = this.dependencies.timers.now();
-		const [attempt] = this.attempts.all;
-		const untried = attempt.isSilent(now) && this.retryPolicy.allowsExecution ? this.servers.selectUntried(now) : undefined;
-		if (untried && this.hedge(attempt, untried)) {
-			this.fallback = undefined;
+		const isSilent = this.attempts.all.every(attempt => attempt.isSilent(now));
+		const untried = isSilent && this.retryPolicy.allowsExecution ? this.servers.selectUntried(now) : undefined;
+		if (untried && this.hedge(untried)) {
+			this.forgetError();
 		} else {
 			this.startResponseTimer();
 		}
 	}
 
+	/** After a retry an error response is not passed on any more. */
+	private forgetError(): void {
+		this.fallback = this.fallback?.isError ? undefined : this.fallback;
+	}
+
 	/** Retries on another server if that is allowed; otherwise sends the final reply. */
 	private retryOrFail(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
 		const isAllowed = this.tryAcquireNextAttempt();
 		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (isAllowed) {
-			this.fallback = undefined;
+			this.forgetError();
 			this.dispatch();
 		} else if (passable) {
 			this.deliver(passable);
@@ -274,31 +311,30 @@
 		return !this.chosen && this.retryPolicy.allowsAttempt(this.attemptCount) && this.tryAcquireRetry();
 	}
 
-	/** Waits for the only attempt in progress to respond, while there is still time for a second one. */
+	/** Waits for a response to the attempts in progress, while there is still time for another one. */
 	private startResponseTimer(): void {
-		const {all, responseTimeout} = this.attempts;
+		const {timers} = this.dependencies;
 		this.responseTimer?.cancel();
-		if (all.length === 1 && this.retryPolicy.allowsExecution) {
-			this.responseTimer = this.dependencies.timers.after(responseTimeout, () => {
-				this.hedge(all[0], this.servers.select(this.dependencies.timers.now(), [all[0].server]));
+		if (this.retryPolicy.allowsExecution) {
+			this.responseTimer = timers.after(this.attempts.responseTimeout, () => {
+				this.hedge(this.servers.select(timers.now(), this.attempts.all.map(({server}) => server)));
 			});
 		}
 	}
 
 	/**
-	Sends the request to a second server as well. The silent attempt is kept, since only a response shows which of the servers can take the request.
+	Sends the request to a further server as well. The silent attempts are kept, since only a response shows which of the servers can take the request.
 
 	@returns whether it was sent
 	*/
-	private hedge(silent: PlainAttempt, server: BackendServer | undefined): boolean {
+	private hedge(server: BackendServer | undefined): boolean {
 		const {serverHealth, timers} = this.dependencies;
-		const mayHedge = !silent.head && server && !serverHealth.isSuspected(server, timers.now());
+		const mayHedge = !this.attempts.hasHead && server && !serverHealth.isSuspected(server, timers.now());
 		if (!mayHedge || !this.tryAcquireNextAttempt()) {
 			return false;
 		}
 
-		this.attempts.recordSilence(silent);
-		this.log.logHedged(silent, timers.now() - silent.sentAt);
+		this.attempts.recordSilence();
 		this.sendNow(server);
 		return true;
 	}
