--- a/src/relay/stream-attempts.ts
+++ b/src/relay/stream-attempts.ts
@@ -3,13 +3,13 @@
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamLog} from './stream-log.js';
 
-/** Attempts of one stream that may be in progress at once: silent ones, and one that is to take over from them. */
+/** Attempts of one stream that may be in progress at once: silent ones, and one that is sent beside them. */
 const maxConcurrentAttempts = 3;
-/** Pause after a takeover that was rejected, in milliseconds; grows by as much with each further one of the same silence. */
+/** Pause after an attempt that was rejected beside a silent one, in milliseconds; grows by as much with each further rejection during the same silence. */
 const rejectionPauseMs = 100;
 
-/** Why another attempt is to take a silent stream over. */
-export type TakeoverCause = {
+/** Why a silent stream is sent along another pipeline as well. */
+export type HedgeCause = {
 	readonly reason: string;
 	/** The stage that is held responsible; undefined if it is not known. */
 	readonly faulty?: BackendServer;
@@ -18,9 +18,9 @@
 /** The attempts of a stream that are in progress, in the order in which they were sent. */
 export class StreamAttempts {
 	private attempts: readonly StreamAttempt[] = [];
-	/** Takeovers that were rejected since the last event. */
+	/** Attempts that were rejected beside a silent one since the last event. */
 	private rejections = 0;
-	/** Monotonic time in milliseconds before which no further takeover is tried. */
+	/** Monotonic time in milliseconds before which no further attempt is sent. */
 	private notBefore = Number.NEGATIVE_INFINITY;
 
 	/**
@@ -60,7 +60,7 @@
 	}
 
 	/** Whether a further attempt may be sent now. */
-	mayTakeOver(cause: TakeoverCause, now: number): boolean {
+	mayHedge(cause: HedgeCause, now: number): boolean {
 		return this.findEnded(cause).length > 0 || (now >= this.notBefore && this.attempts.length < maxConcurrentAttempts);
 	}
 
@@ -71,7 +71,7 @@
 	}
 
 	/** Selects a pipeline that has room beside the attempts in progress. If a stage is at fault, one that has room without the newest attempt is the next choice, as its stages may have dropped that attempt. */
-	selectTakeover({faulty}: TakeoverCause, select: () => Pipeline | undefined): Pipeline | undefined {
+	selectHedge({faulty}: HedgeCause, select: () => Pipeline | undefined): Pipeline | undefined {
 		return select() ?? (faulty && this.newest?.selectWithoutLoad(select));
 	}
 
@@ -80,7 +80,7 @@
 
 	@returns whether an attempt was cancelled
 	*/
-	cancelEnded(cause: TakeoverCause): boolean {
+	cancelEnded(cause: HedgeCause): boolean {
 		const ended = this.findEnded(cause);
 		for (const attempt of ended) {
 			this.cancelSilent(attempt, cause.reason);
@@ -90,7 +90,7 @@
 	}
 
 	/** Records that the attempts in progress are silent, and that another one is sent as well. */
-	recordSilence({reason}: TakeoverCause): void {
+	recordSilence({reason}: HedgeCause): void {
 		for (const attempt of this.attempts) {
 			if (attempt.silenceReason === undefined) {
 				attempt.silenceReason = reason;
@@ -131,7 +131,7 @@
 		return true;
 	}
 
-	private findEnded({faulty}: TakeoverCause): readonly StreamAttempt[] {
+	private findEnded({faulty}: HedgeCause): readonly StreamAttempt[] {
 		return faulty && this.hasEnded(faulty) ? this.attempts.filter(attempt => attempt.usesServer(faulty)) : [];
 	}
 
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -18,7 +18,7 @@
 import {type ResponseHead} from './response-head.js';
 import {StageFailureDetector} from './stage-failure-detector.js';
 import {type StreamAttempt, type StreamAttemptHandler} from './stream-attempt.js';
-import {StreamAttempts, type TakeoverCause} from './stream-attempts.js';
+import {StreamAttempts, type HedgeCause} from './stream-attempts.js';
 import {computeStreamDeadlines} from './stream-deadlines.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {StreamDispatcher} from './stream-dispatcher.js';
@@ -98,20 +98,20 @@
 	}
 
 	/** Sends a silent stream along a pipeline without the faulty stage as well, or without the first stage if the faulty one is not known. */
-	migrate(faulty: BackendServer | undefined, reason: string): void {
+	hedge(faulty: BackendServer | undefined, reason: string): void {
 		const {newest} = this.attempts;
 		if (this.isDone || !newest || !this.mayResume) {
 			return;
 		}
 
 		this.selector.avoid(faulty ?? newest.firstServer);
-		this.takeOver(now => this.selector.selectAlternative(now, faulty), {reason, faulty});
+		this.sendHedge(now => this.selector.selectAlternative(now, faulty), {reason, faulty});
 	}
 
 	/** Sends a silent stream over another connection as well, because the one to its first stage seems to be broken and not the stage itself. */
 	reconnect(reason: string): void {
 		if (!this.isDone && this.attempts.newest && this.mayResume) {
-			this.takeOver(now => this.selector.select(now), {reason});
+			this.sendHedge(now => this.selector.select(now), {reason});
 		}
 	}
 
@@ -220,9 +220,9 @@
 	}
 
 	/** Sends a silent stream along another pipeline too, if one has capacity and the retry budget allows it. */
-	private takeOver(select: (now: number) => Pipeline | undefined, cause: TakeoverCause): void {
+	private sendHedge(select: (now: number) => Pipeline | undefined, cause: HedgeCause): void {
 		const now = this.dependencies.timers.now();
-		const pipeline = this.attempts.mayTakeOver(cause, now) ? this.attempts.selectTakeover(cause, () => select(now)) : undefined;
+		const pipeline = this.attempts.mayHedge(cause, now) ? this.attempts.selectHedge(cause, () => select(now)) : undefined;
 		if (!pipeline || !this.tryAcquireRetry()) {
 			this.refuseIfAbandoned(now);
 			return;
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -45,18 +45,18 @@
 	readonly rejectionThreshold: number;
 	/** Minimum interval between two health checks of a server. */
 	readonly healthCheckInterval: number;
-	/** Silence after which the slowdown factors of all stages are queried, and after which a stream with a suspected stage is migrated. */
+	/** Silence after which the slowdown factors of all stages are queried, and after which a stream with a suspected stage is hedged. */
 	readonly slownessThreshold: number;
 	/** Silence after which the first stage is asked which stages its requests wait for. */
 	readonly blockedQueryThreshold: number;
-	/** Silence after which a stream is migrated, whatever its first stage reports. */
+	/** Silence after which a stream is hedged, whatever its first stage reports. */
 	readonly silenceTimeout: number;
 	/** Minimum interval between two queries of one first stage. */
 	readonly blockedQueryInterval: number;
 };
 
 /**
-Monitors streams for silence. The first stage of a silent stream is asked which stage its requests wait for; all streams through that stage are then migrated to other pipelines.
+Monitors streams for silence. The first stage of a silent stream is asked which stage its requests wait for; all silent streams through that stage are then hedged: sent along other pipelines as well.
 */
 export class StreamMonitor {
 	private readonly healthCheckedAt = new Map<string, number>();
@@ -96,14 +96,14 @@
 		}
 	}
 
-	/** Migrates the silent streams that use a server, because it is suspected. Streams that receive events show that it works for them. */
-	migrateStreamsFrom(server: BackendServer, reason: string): void {
+	/** Hedges the silent streams that use a server, because it is suspected. Streams that receive events show that it works for them. */
+	hedgeStreamsThrough(server: BackendServer, reason: string): void {
 		const incarnationId = getIncarnationId(server);
 		const now = this.dependencies.timers.now();
 		for (const exchange of this.dependencies.exchanges.streams) {
 			const usesServer = exchange.stages?.some(stage => getIncarnationId(stage.server) === incarnationId);
 			if (usesServer && exchange.computeSilence(now) >= this.timings.slownessThreshold) {
-				exchange.migrate(server, reason);
+				exchange.hedge(server, reason);
 			}
 		}
 	}
@@ -149,7 +149,7 @@
 			if (exchange.usesOwnPath && this.dependencies.isPathSilent(firstServer)) {
 				exchange.reconnect(`no event for ${Math.round(silence)} ms, and the path to ${firstServer.id} is broken`);
 			} else {
-				this.migrateSilentStream(exchange, silence, now);
+				this.hedgeSilentStream(exchange, silence, now);
 			}
 		}
 
@@ -158,13 +158,13 @@
 		}
 	}
 
-	/** Migrates a silent stream that has a suspected stage or has been silent for long. */
-	private migrateSilentStream(exchange: StreamExchange, silence: number, now: number): void {
+	/** Hedges a silent stream that has a suspected stage or has been silent for long. */
+	private hedgeSilentStream(exchange: StreamExchange, silence: number, now: number): void {
 		const suspected = exchange.stages!.find(({server}) => this.dependencies.serverHealth.isSuspected(server, now));
 		if (suspected) {
-			exchange.migrate(suspected.server, `${suspected.server.id} is suspected, and no event arrived for ${Math.round(silence)} ms`);
+			exchange.hedge(suspected.server, `${suspected.server.id} is suspected, and no event arrived for ${Math.round(silence)} ms`);
 		} else if (silence >= this.timings.silenceTimeout) {
-			exchange.migrate(undefined, `no event for ${Math.round(silence)} ms`);
+			exchange.hedge(undefined, `no event for ${Math.round(silence)} ms`);
 		}
 	}
 
@@ -242,6 +242,6 @@
 			onSuspicion(server, isBlocking, reason);
 		}
 
-		this.migrateStreamsFrom(server, reason);
+		this.hedgeStreamsThrough(server, reason);
 	}
 }
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -188,7 +188,7 @@
 			}
 		},
 		onSuspicion(server, reason) {
-			streamMonitor.migrateStreamsFrom(server, reason);
+			streamMonitor.hedgeStreamsThrough(server, reason);
 		},
 		onCrashReport(report) {
 			crashGuard.receiveReport(report);
@@ -230,7 +230,7 @@
 		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
-		streamMonitor.migrateStreamsFrom(server, reason);
+		streamMonitor.hedgeStreamsThrough(server, reason);
 		gossip.reportSuspicion(server, isBlocking, reason);
 	};
 
--- a/test/silent-streams.test.ts
+++ b/test/silent-streams.test.ts
@@ -49,7 +49,7 @@
 	const silent = fixture.latest;
 	fixture.timers.advance(1400);
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event for 1400 ms');
+	fixture.exchange.hedge(undefined, 'no event for 1400 ms');
 	t.is(fixture.sent.length, 2);
 	fixture.pipeline = undefined;
 	fixture.latest.onHead(rejection);
@@ -88,7 +88,7 @@
 	const fixture = startStream();
 	fixture.timers.advance(1400);
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event for 1400 ms');
+	fixture.exchange.hedge(undefined, 'no event for 1400 ms');
 	return fixture;
 }
 
@@ -121,7 +121,7 @@
 	const sentAt: number[] = [];
 	for (let elapsed = 0; elapsed < 1800; elapsed += 100) {
 		if (elapsed > 0) {
-			fixture.exchange.migrate(undefined, 'no event');
+			fixture.exchange.hedge(undefined, 'no event');
 		}
 
 		if (fixture.sent.length === sentAt.length + 2) {
@@ -135,7 +135,7 @@
 	t.deepEqual(sentAt, [0, 100, 300, 600, 1000, 1500]);
 	t.deepEqual(fixture.cancelled, []);
 	fixture.sent[0].listener.onData(encodeEvent(2));
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.sent.length, 8, 'an event ends the pause');
 	completeWith(t, fixture, {index: 0, ids: [3]});
 });
@@ -153,20 +153,20 @@
 	early.latest.onHead(sampleResponseHead);
 	early.latest.onData(encodeEvent(1));
 	early.pipeline = [{server: second, range}];
-	early.exchange.migrate(first, 'it does not respond');
+	early.exchange.hedge(first, 'it does not respond');
 	t.is(early.sent.length, 8);
 
 	const ended = startTakeover();
 	for (let rejections = 0; rejections < 6; rejections++) {
 		reject(ended);
 		ended.timers.advance(700);
-		ended.exchange.migrate(undefined, 'no event');
+		ended.exchange.hedge(undefined, 'no event');
 	}
 
 	reject(ended);
 	const sent = ended.sent.length;
 	ended.serverHealth.suspect(first, 'connection refused', ended.timers.now(), SuspicionCause.Refusing);
-	ended.exchange.migrate(first, 'connection refused');
+	ended.exchange.hedge(first, 'connection refused');
 	t.is(ended.sent.length, sent + 1, 'without a pause, as the silent attempt can not go on');
 });
 
@@ -191,9 +191,9 @@
 	const third = sampleServer('third', 'large', range, {address: '10.0.0.3:1'});
 	const fixture = startStream({...sampleStreamRoute, maxExecutions: 3});
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	fixture.pipeline = [{server: third, range}];
-	fixture.exchange.migrate(second, 'it does not respond');
+	fixture.exchange.hedge(second, 'it does not respond');
 	t.is(fixture.sent.length, 3);
 	reject(fixture);
 	t.deepEqual(fixture.cancelled, []);
@@ -209,7 +209,7 @@
 	fixture.pipeline = [{server: first, range}];
 	fixture.start();
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	fixture.sent[0].listener.onFailure(lost);
 	fixture.sent[1].listener.onFailure(lost);
 	t.is(fixture.sent.length, 3);
@@ -224,7 +224,7 @@
 	}
 
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	fixture.latest.onHead(sampleResponseHead);
 	for (const id of [2, 2]) {
 		fixture.latest.onData(encodeEvent(id));
@@ -322,7 +322,7 @@
 	fixture.start();
 	fixture.timers.advance(1400);
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event for 1400 ms');
+	fixture.exchange.hedge(undefined, 'no event for 1400 ms');
 	fixture.latest.onHead({...sampleResponseHead, status: 500});
 	fixture.latest.onEnd();
 	t.false(fixture.reply.isStarted);
@@ -356,11 +356,11 @@
 	const third = sampleServer('third', 'large', range, {address: '10.0.0.3:1'});
 	const fixture = startTakeover();
 	fixture.pipeline = [{server: third, range}];
-	fixture.exchange.migrate(second, 'it does not respond');
+	fixture.exchange.hedge(second, 'it does not respond');
 	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set(['first@1', 'second@1']));
 
 	const limited = startStream({...sampleStreamRoute, maxExecutions: 1});
-	limited.exchange.migrate(undefined, 'no event');
+	limited.exchange.hedge(undefined, 'no event');
 	t.deepEqual(limited.pipelineRequests.at(-1)!.firstStageCandidates, new Set(['first@1']));
 	t.is(limited.sent.length, 1);
 	completeWith(t, limited, {index: 0, ids: [2]});
@@ -374,7 +374,7 @@
 	}
 
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.sent.length, 1);
 	completeWith(t, fixture, {index: 0, ids: [2]});
 });
@@ -384,7 +384,7 @@
 	const fixture = startStream();
 	fixture.pipeline = [{server: second, range}];
 	fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
-	fixture.exchange.migrate(first, 'connection refused');
+	fixture.exchange.hedge(first, 'connection refused');
 	t.deepEqual(fixture.cancelled, [0]);
 	fixture.latest.onHead(sampleResponseHead);
 	completeWith(t, fixture, {index: 1, ids: [2]});
@@ -408,11 +408,11 @@
 	fixture.start();
 	fixture.timers.advance(1400);
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(undefined, 'no event for 1400 ms');
+	fixture.exchange.hedge(undefined, 'no event for 1400 ms');
 	reject(fixture);
 	fixture.pipeline = undefined;
 	fixture.timers.advance(450);
-	fixture.exchange.migrate(undefined, 'no event for 1850 ms');
+	fixture.exchange.hedge(undefined, 'no event for 1850 ms');
 	t.is(fixture.reply.failure?.execution, Execution.Unknown);
 	t.deepEqual(fixture.cancelled, [0]);
 });
@@ -438,7 +438,7 @@
 		const index = this.alive.at(attempt) ?? this.alive.at(0);
 		if (kind === 'move') {
 			fixture.pipeline = [{server: fixture.sent.length % 2 === 0 ? first : second, range}];
-			fixture.exchange.migrate(undefined, 'no event');
+			fixture.exchange.hedge(undefined, 'no event');
 		} else if (kind === 'wait' || index === undefined) {
 			fixture.timers.advance(50);
 		} else if (kind === 'lose') {
--- a/test/stream-exchange.test.ts
+++ b/test/stream-exchange.test.ts
@@ -30,7 +30,7 @@
 	fixture.start();
 	fixture.timers.advance(1300);
 	fixture.pipeline = undefined;
-	fixture.exchange.migrate(first, 'no event');
+	fixture.exchange.hedge(first, 'no event');
 	fixture.latest.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'socket hang up', wasConnectionReused: false});
 	fixture.timers.advance(490);
 	t.is(fixture.reply.failure, undefined, 'the caller is still waiting');
@@ -79,7 +79,7 @@
 	const fixture = new StreamExchangeFixture();
 	fixture.pipeline = pipeline;
 	fixture.start();
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.sent.length, 1);
 	t.true(fixture.pipelineRequests.at(-1)!.excluded.has(getIncarnationId(first)));
 
@@ -107,7 +107,7 @@
 	fixture.pipeline = pipeline;
 	fixture.start();
 	const tokens = fixture.load.getTokens(first);
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.load.getTokens(first), tokens);
 	fixture.latest.onHead(sampleResponseHead);
 	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
@@ -122,10 +122,10 @@
 	fixture.start();
 	fixture.pipeline = [{server: second, range}];
 	fixture.serverHealth.suspect(first, 'it says that it is leaving', fixture.timers.now(), SuspicionCause.Failing);
-	fixture.exchange.migrate(first, 'it says that it is leaving');
+	fixture.exchange.hedge(first, 'it says that it is leaving');
 	t.is(fixture.sent.length, 2);
 	fixture.serverHealth.suspect(second, 'it says that it is leaving', fixture.timers.now(), SuspicionCause.Failing);
-	fixture.exchange.migrate(second, 'it says that it is leaving');
+	fixture.exchange.hedge(second, 'it says that it is leaving');
 	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
 });
 
@@ -136,10 +136,10 @@
 	fixture.serverHealth.suspect(first, 'a peer could not reach it', fixture.timers.now(), SuspicionCause.Reported);
 	fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
 	fixture.pipeline = [{server: sampleServer('second', 'large', range), range}];
-	fixture.exchange.migrate(first, 'connection refused');
+	fixture.exchange.hedge(first, 'connection refused');
 	t.is(fixture.sent.length, 2);
 	fixture.pipeline = undefined;
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.pipelineRequests.at(-1)!.firstStageCandidates, undefined);
 });
 
@@ -184,10 +184,10 @@
 	fixture.start();
 	fixture.serverHealth.suspect(first, 'it does not respond', fixture.timers.now(), SuspicionCause.Unresponsive);
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	t.is(fixture.sent.length, 2);
 	fixture.serverHealth.suspect(second, 'it does not respond', fixture.timers.now(), SuspicionCause.Unresponsive);
-	fixture.exchange.migrate(second, 'it does not respond');
+	fixture.exchange.hedge(second, 'it does not respond');
 	t.deepEqual(fixture.pipelineRequests.at(-1)!.firstStageCandidates, new Set([getIncarnationId(first), getIncarnationId(second)]));
 });
 
@@ -232,9 +232,9 @@
 	fixture.latest.onData(encoder.encode('id: 1\ndata: one\n\n'));
 	fixture.pipeline = undefined;
 	fixture.timers.advance(700);
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	fixture.timers.advance(1500);
-	fixture.exchange.migrate(undefined, 'no event for 2200 ms');
+	fixture.exchange.hedge(undefined, 'no event for 2200 ms');
 	t.is(fixture.cancelCount, 0);
 	t.false(fixture.reply.isAborted);
 	fixture.latest.onData(encoder.encode('id: 2\ndata: two\n\n'));
@@ -298,7 +298,7 @@
 	const transmissions = enqueueRequest(fixture);
 	fixture.pipeline = [{server: sampleServer('second', 'large', range, {address: '10.0.0.2:1'}), range}];
 	fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
-	fixture.exchange.migrate(first, 'connection refused');
+	fixture.exchange.hedge(first, 'connection refused');
 	t.deepEqual(transmissions, [2]);
 	t.is(fixture.load.getTokens(first), 0);
 });
@@ -312,7 +312,7 @@
 	const tokens = fixture.load.getTokens(first);
 	const transmissions = enqueueRequest(fixture);
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	t.deepEqual(transmissions, []);
 	t.deepEqual([first, second].map(server => fixture.load.getTokens(server)), [tokens, tokens]);
 	fixture.latest.onHead(sampleResponseHead);
@@ -329,14 +329,14 @@
 	fixture.pipeline = pipeline;
 	fixture.start();
 	fixture.pipeline = [{server: second, range}];
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	t.is(fixture.sent.length, 2);
-	fixture.exchange.migrate(second, 'it does not respond');
+	fixture.exchange.hedge(second, 'it does not respond');
 	t.is(fixture.sent.length, 2, 'a stage does not replace itself');
 	fixture.pipeline = pipeline;
-	fixture.exchange.migrate(undefined, 'no event');
+	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.sent.length, 2, 'a stage that may only be slow is not left for one that was silent before');
-	fixture.exchange.migrate(second, 'it does not respond');
+	fixture.exchange.hedge(second, 'it does not respond');
 	t.is(fixture.sent.length, 3);
 	t.is(fixture.sent[2].attempt.server, first);
 });
@@ -410,10 +410,10 @@
 	fixture.start();
 	fixture.pipeline = undefined;
 	fixture.timers.advance(1790);
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	t.is(fixture.reply.failure, undefined, 'the server may still answer in time');
 	fixture.timers.advance(20);
-	fixture.exchange.migrate(first, 'it does not respond');
+	fixture.exchange.hedge(first, 'it does not respond');
 	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
 	t.is(fixture.cancelCount, 1);
 });
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -30,24 +30,24 @@
 }
 
 class FakeStream {
-	/** Ids of the stages from which the stream was migrated; undefined for an unknown cause. */
-	migrations: Array<string | undefined> = [];
+	/** Ids of the stages for which the stream was hedged; undefined for an unknown cause. */
+	hedges: Array<string | undefined> = [];
 
 	/**
-	@param isKept - whether there is no other pipeline to migrate to
+	@param isKept - whether there is no other pipeline
 	*/
 	constructor(private readonly servers: readonly BackendServer[], public silence: number, private readonly isKept = false) {}
 
 	get stages() {
-		return this.migrations.length > 0 && !this.isKept ? undefined : this.servers.map(server => ({server, range: server.range!}));
+		return this.hedges.length > 0 && !this.isKept ? undefined : this.servers.map(server => ({server, range: server.range!}));
 	}
 
 	computeSilence(): number {
 		return this.silence;
 	}
 
-	migrate(server: BackendServer | undefined): void {
-		this.migrations.push(server?.id);
+	hedge(server: BackendServer | undefined): void {
+		this.hedges.push(server?.id);
 	}
 }
 
@@ -103,7 +103,7 @@
 
 const servers = [sampleServer('first', 'large', {from: 0, to: 40}), sampleServer('second', 'large', {from: 40, to: 80}, {address: '10.0.0.2:1'})];
 
-test('when the first stage reports a blocking stage, all silent streams through that stage are migrated at once', async t => {
+test('when the first stage reports a blocking stage, all silent streams through that stage are hedged at once', async t => {
 	const silent = new FakeStream(servers, 400);
 	const other = new FakeStream(servers, 260);
 	const reporter = new FakeReporter(() => ({...idleReport, blockedRequests: new Map([['r1', '10.0.0.2:1']])}), () => Health.Good);
@@ -111,18 +111,18 @@
 	monitor.start();
 	timers.advance(100);
 	await settle();
-	t.deepEqual(silent.migrations, ['second']);
-	t.deepEqual(other.migrations, ['second']);
+	t.deepEqual(silent.hedges, ['second']);
+	t.deepEqual(other.hedges, ['second']);
 	t.deepEqual(reported, ['second']);
 });
 
-test('a silent stream is migrated after the silence timeout even if its stages report no problem', async t => {
+test('a silent stream is hedged after the silence timeout even if its stages report no problem', async t => {
 	const silent = new FakeStream(servers, 1400);
 	const {monitor, timers, reported} = createMonitor(new FakeReporter(() => idleReport, () => Health.Good), [silent]);
 	monitor.start();
 	timers.advance(100);
 	await settle();
-	t.deepEqual(silent.migrations, [undefined]);
+	t.deepEqual(silent.hedges, [undefined]);
 	t.deepEqual(reported, []);
 });
 
@@ -149,31 +149,31 @@
 });
 
 // Guards against answers that are moved or cut off although their servers work: another instance may have lost its own path to a server.
-test('a stream that receives events is not migrated when one of its stages becomes suspected, only once it falls silent', async t => {
+test('a stream that receives events is not hedged when one of its stages becomes suspected, only once it falls silent', async t => {
 	const working = new FakeStream(servers, 10);
 	const silent = new FakeStream(servers, 260);
 	const {monitor, timers, serverHealth, directory} = createMonitor(new FakeReporter(() => idleReport, () => Health.Good), [working, silent]);
 	const [, second] = directory.all();
 	serverHealth.suspect(second, 'entry-b: connection not established', 0, SuspicionCause.Reported);
-	monitor.migrateStreamsFrom(second, 'entry-b: connection not established');
+	monitor.hedgeStreamsThrough(second, 'entry-b: connection not established');
 	await settle();
-	t.deepEqual(working.migrations, []);
-	t.deepEqual(silent.migrations, ['second']);
+	t.deepEqual(working.hedges, []);
+	t.deepEqual(silent.hedges, ['second']);
 	working.silence = 250;
 	monitor.start();
 	timers.advance(100);
-	t.deepEqual(working.migrations, ['second'], 'the suspicion still holds when it falls silent');
+	t.deepEqual(working.hedges, ['second'], 'the suspicion still holds when it falls silent');
 });
 
 // Guards against a stream that stays on a silent pipeline because no other had capacity when it was first looked for.
-test('a silent stream with a suspected stage is offered for migration again until it moves', async t => {
+test('a silent stream with a suspected stage is offered for hedging again until it moves', async t => {
 	const kept = new FakeStream(servers, 260, true);
 	const {monitor, timers, serverHealth, directory} = createMonitor(new FakeReporter(() => idleReport, () => Health.Good), [kept]);
 	serverHealth.suspect(directory.all()[1], 'entry-b: connection not established', 0, SuspicionCause.Reported);
 	monitor.start();
 	timers.advance(300);
 	await settle();
-	t.deepEqual(kept.migrations, ['second', 'second', 'second']);
+	t.deepEqual(kept.hedges, ['second', 'second', 'second']);
 });
 
 // Guards against a plain server that is asked for a state it does not report, and is suspected because it lost one connection.
