--- a/src/relay/plain-attempt.ts
+++ b/src/relay/plain-attempt.ts
@@ -37,7 +37,7 @@
 
 /** One attempt of a plain request, beside which another one may run. */
 export class PlainAttempt extends ResponseListener {
-	/** Its transmission; undefined until it is sent. */
+	/** The transmission; undefined until the attempt is sent. */
 	running?: RunningAttempt;
 	/** Whether another attempt was sent because this one was silent. */
 	isHedged = false;
--- a/src/relay/plain-attempts.ts
+++ b/src/relay/plain-attempts.ts
@@ -139,7 +139,7 @@
 		const now = timers.now();
 		selector.recordFailure(server, now);
 		if (reason === AttemptFailureReason.ConnectionLost && isHedged) {
-			// It was silent before, so its loss is no further sign of a crash.
+			// A silent attempt that is lost is no further sign of a crash.
 			evidence.recordSilence(server);
 		} else if (reason === AttemptFailureReason.ConnectionLost) {
 			evidence.recordLoss(server);
--- a/src/relay/response-verdict.ts
+++ b/src/relay/response-verdict.ts
@@ -7,16 +7,16 @@
 
 /** What becomes of a response to a plain request. */
 export enum ResponseVerdict {
-	/** It is passed on. */
+	/** The response is passed on. */
 	Final = 'final',
 	/** The server states that it did not execute the request. */
 	NotExecuted = 'not_executed',
-	/** It would tell the caller that the request was not executed, which the server does not state. */
+	/** The response would tell the caller that the request was not executed, which the server does not state. */
 	UnfoundedRefusal = 'unfounded_refusal',
 	ServerError = 'server_error',
-	/** It may come from something else than the server. */
+	/** The response may come from something else than the server. */
 	Unsigned = 'unsigned',
-	/** It ends with its connection, so it may be truncated. */
+	/** The response ends with its connection, so it may be truncated. */
 	Undelimited = 'undelimited',
 }
 
