Keep an answer in hand through retries, and no attempt along a pipeline that has lost a server

An answer with a 4xx status is an answer. - An attempt whose server has ended was only cancelled if that server was the one suspected now: it no longer counted among the servers of the route, so that three ran of two allowed, or it held one of three places. Each hedge cancels all attempts along a pipeline that has lost a server. - After ids that skip were contradicted by an attempt that passed nothing on, a later attempt resumed after them, and events could be missing without a sign: the stream goes on with its server and resumes nowhere else. - A quarantined request was sent to another server when its begun attempt fell silent.

Tests: silent-streams and hedged-lookups, four new or changed.

--- a/src/relay/plain-attempt.ts
+++ b/src/relay/plain-attempt.ts
@@ -6,7 +6,7 @@
 import {type ResponseHead} from './response-head.js';
 import {ResponseListener} from './response-listener.js';
 
-const minErrorStatus = 400;
+const minServerErrorStatus = 500;
 
 /** Handles what the attempts of one plain request receive. */
 export type PlainAttemptHandler = {
@@ -76,9 +76,9 @@
 		return this.response.head;
 	}
 
-	/** Whether its response is an error. */
+	/** Whether its response is an error of the server. */
 	get isError(): boolean {
-		return (this.head?.status ?? 0) >= minErrorStatus;
+		return (this.head?.status ?? 0) >= minServerErrorStatus;
 	}
 
 	/** Whether it has had no response for its response timeout. */
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -56,7 +56,9 @@
 			return;
 		}
 
-		this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.BackendFailed, refusal.message, Execution.Unknown) : refusal);
+		if (!this.tryDeliverFallback()) {
+			this.failWith(this.mayHaveExecuted ? new Failure(ResultCode.BackendFailed, refusal.message, Execution.Unknown) : refusal);
+		}
 	}
 
 	handleHead(attempt: PlainAttempt, head: ResponseHead): void {
@@ -177,7 +179,7 @@
 	private handleLargeResponse(attempt: PlainAttempt): void {
 		const verdict = this.assess(attempt);
 		const isRefusal = verdict === ResponseVerdict.NotExecuted || verdict === ResponseVerdict.UnfoundedRefusal;
-		const hasOther = verdict === ResponseVerdict.ServerError && this.attempts.all.length > 1;
+		const hasOther = verdict === ResponseVerdict.ServerError && (this.attempts.all.length > 1 || this.fallback !== undefined);
 		if (!isRefusal && !hasOther) {
 			this.choose(attempt);
 			return;
@@ -233,7 +235,7 @@
 
 	/** Chooses between a response that can be passed on and an earlier one; an answer goes before an error. */
 	private chooseFallback(passable: PlainAttempt | undefined): PlainAttempt | undefined {
-		return this.fallback?.isError === false ? this.fallback : passable ?? this.fallback;
+		return this.answer ?? passable ?? this.fallback;
 	}
 
 	/** Passes on the response of a dropped attempt, if there is one, because those beside it have none in time. */
@@ -261,28 +263,35 @@
 
 		this.fallback = this.chooseFallback(passable);
 		this.log.logAttemptFailed(attempt, reason, false);
-		if (passable?.isError === false && !this.retryPolicy.allowsExecution) {
-			this.deliver(passable);
-		} else {
-			this.continueWithOthers();
-		}
+		this.continueWithOthers();
 	}
 
-	/** Goes on with the attempts that are left. If all have been silent for long, a server that has not been tried gets the request at once. */
+	/** Goes on with the attempts that are left. If all have been silent for long, a server that has not been tried gets the request at once; if there is none, an answer that is in hand is passed on. */
 	private continueWithOthers(): void {
 		const now = this.dependencies.timers.now();
-		const isSilent = this.attempts.all.every(attempt => attempt.isSilent(now));
-		const untried = isSilent && this.retryPolicy.allowsExecution ? this.servers.selectUntried(now) : undefined;
-		if (untried && this.hedge(untried)) {
+		if (this.attempts.all.some(attempt => !attempt.isSilent(now))) {
+			this.startResponseTimer();
+			return;
+		}
+
+		const untried = this.retryPolicy.allowsExecution ? this.servers.selectUntried(now) : undefined;
+		if (this.hedge(untried)) {
 			this.forgetError();
+		} else if (this.answer) {
+			this.deliver(this.answer);
 		} else {
 			this.startResponseTimer();
 		}
 	}
 
+	/** A dropped attempt whose response may be a whole answer. */
+	private get answer(): PlainAttempt | undefined {
+		return this.fallback?.isError === false ? this.fallback : undefined;
+	}
+
 	/** After a retry an error response is not passed on any more. */
 	private forgetError(): void {
-		this.fallback = this.fallback?.isError ? undefined : this.fallback;
+		this.fallback = this.answer;
 	}
 
 	/** Retries on another server if that is allowed; otherwise sends the final reply. */
@@ -290,6 +299,7 @@
 		const isAllowed = this.tryAcquireNextAttempt();
 		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (isAllowed) {
+			this.fallback = passable;
 			this.forgetError();
 			this.dispatch();
 		} else if (passable) {
@@ -299,8 +309,12 @@
 		}
 	}
 
-	/** Fails with the code if the request was not executed, or with `BackendFailed` if it may have been. */
+	/** Passes on a response that is in hand. Otherwise fails with the code if the request was not executed, or with `BackendFailed` if it may have been. */
 	private failWithCode(code: ResultCode, reason: string, retryAfter = retryAfterSeconds): void {
+		if (this.tryDeliverFallback()) {
+			return;
+		}
+
 		this.failWith(this.mayHaveExecuted
 			? new Failure(ResultCode.BackendFailed, reason, Execution.Unknown)
 			: new Failure(code, reason, Execution.NotRun, retryAfter));
@@ -311,17 +325,25 @@
 		return !this.chosen && this.retryPolicy.allowsAttempt(this.attemptCount) && this.tryAcquireRetry();
 	}
 
-	/** Waits for a response to the attempts in progress, while there is still time for another one. */
+	/** Waits for a response to the attempts in progress, while there is something else to do without one. */
 	private startResponseTimer(): void {
-		const {timers} = this.dependencies;
 		this.responseTimer?.cancel();
-		if (this.retryPolicy.allowsExecution) {
-			this.responseTimer = timers.after(this.attempts.responseTimeout, () => {
-				this.hedge(this.servers.select(timers.now(), this.attempts.all.map(({server}) => server)));
+		if (this.retryPolicy.allowsExecution || this.answer) {
+			this.responseTimer = this.dependencies.timers.after(this.attempts.responseTimeout, () => {
+				this.handleSilence();
 			});
 		}
 	}
 
+	/** Sends the request to a further server as well, or passes on the answer that is in hand. */
+	private handleSilence(): void {
+		const busy = this.attempts.all.map(({server}) => server);
+		const server = this.retryPolicy.allowsExecution ? this.servers.select(this.dependencies.timers.now(), busy) : undefined;
+		if (!this.hedge(server) && !this.attempts.hasHead && this.answer) {
+			this.deliver(this.answer);
+		}
+	}
+
 	/**
 	Sends the request to a further server as well. The silent attempts are kept, since only a response shows which of the servers can take the request.
 
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -1,4 +1,4 @@
-import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
+import {type BackendServer} from '../pipelines/backend-server.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
 import {type AttemptFailure} from './attempt-failure.js';
@@ -76,11 +76,6 @@
 		return this.running;
 	}
 
-	/** Whether the server is a stage of the attempt. */
-	usesServer(server: BackendServer): boolean {
-		return this.pipeline.some(stage => getIncarnationId(stage.server) === getIncarnationId(server));
-	}
-
 	/** Records the transmission of the attempt, and the start of its load. */
 	begin(running: RunningAttempt, releaseLoad: () => void): void {
 		this.running = running;
--- a/src/relay/stream-attempts.ts
+++ b/src/relay/stream-attempts.ts
@@ -60,8 +60,8 @@
 	}
 
 	/** Whether a further attempt may be sent now. */
-	mayHedge(cause: HedgeCause, now: number): boolean {
-		return this.findEnded(cause).length > 0 || (now >= this.notBefore && this.attempts.length < maxConcurrentAttempts);
+	mayHedge(now: number): boolean {
+		return this.findEnded().length > 0 || (now >= this.notBefore && this.attempts.length < maxConcurrentAttempts);
 	}
 
 	/** Records that an attempt was rejected while another one is in progress. */
@@ -80,10 +80,10 @@
 
 	@returns whether an attempt was cancelled
 	*/
-	cancelEnded(cause: HedgeCause): boolean {
-		const ended = this.findEnded(cause);
+	cancelEnded({reason}: HedgeCause): boolean {
+		const ended = this.findEnded();
 		for (const attempt of ended) {
-			this.cancelSilent(attempt, cause.reason);
+			this.cancelSilent(attempt, reason);
 		}
 
 		return ended.length > 0;
@@ -111,10 +111,18 @@
 		return this.cancelOthers(attempt);
 	}
 
-	/** Cancels the attempts that have received no event, if another one has. */
+	/**
+	Cancels the attempts that have received no event.
+
+	@returns whether an attempt was cancelled
+	*/
 	cancelWithoutEvent(): boolean {
-		const begun = this.attempts.find(({crashEvidence}) => crashEvidence.hasReceivedEvent);
-		return begun !== undefined && this.cancelOthers(begun);
+		const withoutEvent = this.attempts.filter(({crashEvidence}) => !crashEvidence.hasReceivedEvent);
+		for (const attempt of withoutEvent) {
+			this.cancelSilent(attempt, attempt.silenceReason);
+		}
+
+		return withoutEvent.length > 0;
 	}
 
 	private cancelOthers(attempt: StreamAttempt): boolean {
@@ -131,8 +139,8 @@
 		return true;
 	}
 
-	private findEnded({faulty}: HedgeCause): readonly StreamAttempt[] {
-		return faulty && this.hasEnded(faulty) ? this.attempts.filter(attempt => attempt.usesServer(faulty)) : [];
+	private findEnded(): readonly StreamAttempt[] {
+		return this.attempts.filter(({pipeline}) => pipeline.some(({server}) => this.hasEnded(server)));
 	}
 
 	/**
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -41,6 +41,9 @@
 */
 export class StreamExchange extends Exchange implements StreamAttemptHandler {
 	private rejectionCount = 0;
+	private isQuarantined = false;
+	/** Whether the ids of the events that were passed on may be wrong, so that no attempt can resume after them. */
+	private hasWrongIds = false;
 	private readonly attempts: StreamAttempts;
 	private readonly selector: StreamPipelineSelector;
 	private readonly executions: ExecutionHistory;
@@ -100,7 +103,7 @@
 	/** Sends a silent stream along a pipeline without the faulty stage as well, or without the first stage if the faulty one is not known. */
 	hedge(faulty: BackendServer | undefined, reason: string): void {
 		const {newest} = this.attempts;
-		if (this.isDone || !newest || !this.mayResume) {
+		if (!newest || !this.mayHedge) {
 			return;
 		}
 
@@ -110,7 +113,7 @@
 
 	/** Sends a silent stream over another connection as well, because the one to its first stage seems to be broken and not the stage itself. */
 	reconnect(reason: string): void {
-		if (!this.isDone && this.attempts.newest && this.mayResume) {
+		if (this.attempts.newest && this.mayHedge) {
 			this.sendHedge(now => this.selector.select(now), {reason});
 		}
 	}
@@ -120,6 +123,7 @@
 			return;
 		}
 
+		this.isQuarantined = true;
 		if (this.attempts.all.some(({crashEvidence}) => crashEvidence.hasReceivedEvent)) {
 			if (this.attempts.cancelWithoutEvent()) {
 				this.streamDependencies.requestQueue.dispatchReady();
@@ -222,7 +226,7 @@
 	/** Sends a silent stream along another pipeline too, if one has capacity and the retry budget allows it. */
 	private sendHedge(select: (now: number) => Pipeline | undefined, cause: HedgeCause): void {
 		const now = this.dependencies.timers.now();
-		const pipeline = this.attempts.mayHedge(cause, now) ? this.attempts.selectHedge(cause, () => select(now)) : undefined;
+		const pipeline = this.attempts.mayHedge(now) ? this.attempts.selectHedge(cause, () => select(now)) : undefined;
 		if (!pipeline || !this.tryAcquireRetry()) {
 			this.refuseIfAbandoned(now);
 			return;
@@ -362,9 +366,10 @@
 	/** Handles an attempt that was executed and interrupted: the stream goes on with the other attempt, or resumes on another pipeline if the route allows it. */
 	private resumeOrFail(attempt: StreamAttempt, reason: string): void {
 		const hasOther = this.attempts.newest !== undefined;
-		// What an attempt sent that passed nothing on does not concern the others.
+		this.hasWrongIds ||= !attempt.response.isResumable;
+		// An attempt that passed nothing on does not end the others.
 		const mayContinue = hasOther && (attempt.response.isResumable || !attempt.response.hasPassedEvents);
-		const isRetried = !hasOther && attempt.response.isResumable && this.mayResume;
+		const isRetried = !hasOther && this.mayResume;
 		this.log.logAttemptFailed(attempt, reason, isRetried);
 		if (isRetried) {
 			this.dispatch();
@@ -374,7 +379,12 @@
 	}
 
 	private get mayResume(): boolean {
-		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive;
+		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive && !this.hasWrongIds;
+	}
+
+	/** Whether another attempt may be sent beside those in progress. */
+	private get mayHedge(): boolean {
+		return !this.isDone && !this.isQuarantined && this.mayResume;
 	}
 
 	private endAttempt(attempt: StreamAttempt): void {
--- a/test/hedged-lookups.test.ts
+++ b/test/hedged-lookups.test.ts
@@ -85,6 +85,40 @@
 	t.is(fixture.reply.failure, undefined);
 });
 
+// Guards against a complete answer that is replaced by an error or a failure, in whatever order the others end.
+test('a complete answer that only its connection delimits is kept through retries, errors and a quarantine', t => {
+	const undelimited = {...sampleResponseHead, isSelfDelimited: false};
+	const large = startHedged(['a', 'b', 'c'], 3);
+	respond(large.second, undelimited, 'whole');
+	large.first.onFailure(connectionLost);
+	large.fixture.latest.onHead(serverError);
+	large.fixture.latest.onData(new Uint8Array(2000));
+
+	const empty = startHedged(['a', 'b'], 3);
+	respond(empty.second, undelimited, 'whole');
+
+	const last = startHedged(['a', 'b', 'c'], 3);
+	last.first.onFailure(connectionLost);
+	respond(last.second, undelimited, 'whole');
+	last.fixture.latest.onFailure(connectionLost);
+
+	const exhausted = startHedged(['a', 'b', 'c'], 3);
+	exhaustBudget(exhausted.fixture);
+	respond(exhausted.second, undelimited, 'whole');
+
+	const quarantined = startHedged(['a', 'b', 'c'], 3);
+	respond(quarantined.second, undelimited, 'whole');
+	quarantined.fixture.exchange.endQuarantined(new Failure(ResultCode.RequestQuarantined, 'the request is quarantined', Execution.NotRun, 600));
+
+	const missing = startHedged(['a', 'b'], 2);
+	respond(missing.second, {...undelimited, status: 404}, 'whole');
+	for (const {fixture} of [large, empty, last, exhausted, quarantined, missing]) {
+		t.is(fixture.reply.text, 'whole');
+		t.is(fixture.reply.failure, undefined);
+		t.is(fixture.runningRequests, 0);
+	}
+});
+
 // Guards against an error response in hand that is replaced by a failure of this instance.
 test('an error response is passed on at the deadline and at shutdown if the silent server has not answered', t => {
 	const expired = startHedged();
--- a/test/silent-streams.test.ts
+++ b/test/silent-streams.test.ts
@@ -237,14 +237,50 @@
 	t.true(fixture.reply.isEnded);
 });
 
+// Guards against events that are missing without a sign, because a stream resumes after an id that another server contradicted.
+test('a stream whose ids were contradicted goes on with its server, and does not resume elsewhere', t => {
+	const fixture = startStream();
+	for (const id of [3, 90]) {
+		fixture.latest.onData(encodeEvent(id));
+	}
+
+	fixture.pipeline = [{server: second, range}];
+	fixture.exchange.hedge(undefined, 'no event');
+	fixture.latest.onHead(sampleResponseHead);
+	for (const id of [3, 5, 100]) {
+		fixture.latest.onData(encodeEvent(id));
+	}
+
+	t.deepEqual(fixture.cancelled, [1]);
+	fixture.sent[0].listener.onFailure({reason: AttemptFailureReason.ConnectionLost, detail: 'reset', wasConnectionReused: false});
+	t.is(fixture.sent.length, 2);
+	t.true(fixture.reply.isAborted);
+});
+
 // Guards against servers that begin a request that was quarantined meanwhile.
-test('when a request is quarantined, an attempt that has begun goes on and the one beside it is cancelled', t => {
+test('when a request is quarantined, an attempt that has begun goes on, the one beside it is cancelled, and no other is sent', t => {
 	const fixture = startTakeover();
 	fixture.exchange.endQuarantined(new Failure(ResultCode.RequestQuarantined, 'the request is quarantined', Execution.NotRun, 600));
 	t.deepEqual(fixture.cancelled, [1]);
+	fixture.timers.advance(300);
+	fixture.pipeline = [{server: sampleServer('third', 'large', range, {address: '10.0.0.3:1'}), range}];
+	fixture.exchange.hedge(undefined, 'no event');
+	t.is(fixture.sent.length, 2);
 	completeWith(t, fixture, {index: 0, ids: [2]});
 });
 
+// Guards against streams that run on more servers than their route allows, and against a place that a dead attempt holds.
+test('an attempt whose server has ended is not kept, whichever server is suspected', t => {
+	for (const suspected of [second, undefined]) {
+		const fixture = startTakeover();
+		fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
+		fixture.pipeline = [{server: sampleServer('third', 'large', range, {address: '10.0.0.3:1'}), range}];
+		fixture.exchange.hedge(suspected, 'it does not respond');
+		t.is(fixture.sent.length, 3);
+		t.deepEqual(fixture.cancelled, [0]);
+	}
+});
+
 // Guards against answers that end with the silence of both servers although the first one goes on.
 test('a silent stream goes on with its first server if the other one never answers, and the other attempt is cancelled', t => {
 	const fixture = startTakeover();
