--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -176,7 +176,7 @@
 	),
 	mutation(
 		'a silent attempt is kept beside the one that takes over',
-		['src/relay/stream-attempts.js', 'const ended = this.findEnded(cause);', 'const ended = this.attempts;'],
+		['src/relay/stream-attempts.js', 'const ended = this.findEnded();', 'const ended = this.attempts;'],
 		['test/silent-streams.test.ts', 'a stream whose server falls silent*'],
 	),
 	mutation(
