Say of a response that was lost after its head that it had begun, and how far it got

What operators saw: the log of a stream that had passed on 11 events said that the connection closed before a response arrived. With a reset it said `read ECONNRESET`, which leaves open whether anything had arrived. Who looks for a reply that was cut is sent the wrong way.

Cause: if the connection ends in the middle of a response, the runtime reports the close of the request before that of the response, so the listener of the request spoke first, with a reason that was meant for a request without a response.

Now each reason that is given once the head is there says `the response ended before it was complete, after its head and N bytes of its body`, and what the runtime reported (`: read ECONNRESET`, `: aborted`) if it reported anything. Reasons before the head are unchanged. The kind of failure is the same as before; only the text changes.

Tests: with a server on the loopback interface, framed by a length, by chunks and not at all, closed and reset, before the head, after it and after 5 bytes of the body (16 cases).

--- a/src/relay/backend-client.ts
+++ b/src/relay/backend-client.ts
@@ -73,6 +73,8 @@
 	private isConnected = false;
 	private hasTunnel = false;
 	private endsWithConnection = false;
+	/** Bytes of the body of the response that were received. */
+	private receivedBytes = 0;
 
 	constructor(private readonly dependencies: BackendClientDependencies, private readonly attempt: Attempt, private readonly listener: ResponseListener) {}
 
@@ -97,10 +99,11 @@
 			this.receive(message);
 		});
 		this.request.on('error', error => {
-			this.fail(getFailureReason(error), error.message);
+			this.fail(getFailureReason(error), this.message ? this.describeCut(error.message) : error.message);
 		});
 		this.request.on('close', () => {
-			this.fail(AttemptFailureReason.ConnectionLost, 'the connection closed before a response arrived');
+			// The runtime reports the end of the request before that of the response.
+			this.fail(AttemptFailureReason.ConnectionLost, this.message ? this.describeCut() : 'the connection closed before a response arrived');
 		});
 		this.request.end(attempt.request.body);
 	}
@@ -173,6 +176,7 @@
 		const isEarly = !this.request.writableFinished;
 		const pieceLimit = new PieceLimit();
 		message.on('data', (chunk: Uint8Array) => {
+			this.receivedBytes += chunk.length;
 			pieceLimit.add(chunk.length);
 			if (pieceLimit.isExceeded) {
 				this.fail(AttemptFailureReason.ExcessiveResponse, 'the response arrives in too many small pieces');
@@ -184,10 +188,10 @@
 			this.finish(message, isEarly);
 		});
 		message.on('error', error => {
-			this.fail(AttemptFailureReason.ConnectionLost, error.message);
+			this.fail(AttemptFailureReason.ConnectionLost, this.describeCut(error.message));
 		});
 		message.on('close', () => {
-			this.fail(AttemptFailureReason.ConnectionLost, 'the response ended before it was complete');
+			this.fail(AttemptFailureReason.ConnectionLost, this.describeCut());
 		});
 		this.listener.onHead(head);
 	}
@@ -200,7 +204,7 @@
 		// If the instance that carries a tunnel is killed, the connection ends as if the server had closed it.
 		const isTruncated = this.endsWithConnection && (this.hasTunnel || !wasClosedByPeer(message.socket));
 		if (!message.complete || isTruncated) {
-			this.fail(AttemptFailureReason.ConnectionLost, 'the response ended before it was complete');
+			this.fail(AttemptFailureReason.ConnectionLost, this.describeCut());
 			return;
 		}
 
@@ -213,6 +217,12 @@
 		this.listener.onEnd();
 	}
 
+	/** Describes a response that was lost after its head. */
+	private describeCut(cause?: string): string {
+		const observed = `the response ended before it was complete, after its head and ${this.receivedBytes} bytes of its body`;
+		return cause === undefined ? observed : `${observed}: ${cause}`;
+	}
+
 	private fail(reason: AttemptFailureReason, detail: string): void {
 		if (this.isDone) {
 			return;
--- a/test/backend-client.test.ts
+++ b/test/backend-client.test.ts
@@ -51,6 +51,8 @@
 	readonly status?: number;
 	readonly isNotExecuted?: boolean;
 	readonly reason?: AttemptFailureReason;
+	/** What was observed of a failure. */
+	readonly detail?: string;
 	readonly text: string;
 };
 
@@ -123,8 +125,8 @@
 				onEnd() {
 					resolve(outcome);
 				},
-				onFailure({reason}) {
-					resolve({...outcome, reason});
+				onFailure({reason, detail}) {
+					resolve({...outcome, reason, detail});
 				},
 			});
 		});
@@ -218,6 +220,52 @@
 	};
 }
 
+/** Parts of a response of 12 bytes behind which its connection ends, and what the failure then says. */
+const cuts: ReadonlyArray<[description: string, body: string | undefined, detail: RegExp]> = [
+	['before its head', undefined, /^(?:the connection closed before a response arrived|socket hang up|read ECONNRESET)$/v],
+	['after its head', '', /^the response ended before it was complete, after its head and 0 bytes of its body/v],
+	['after some bytes', 'hello', /^the response ended before it was complete, after its head and 5 bytes of its body/v],
+];
+
+for (const [framing, head] of heads) {
+	for (const isReset of [false, true]) {
+		for (const [description, body, expected] of cuts) {
+			// Without framing, an orderly end is the end of the response.
+			const isCut = isReset || framing !== 'neither' || body === undefined;
+			if (!isCut) {
+				continue;
+			}
+
+			// Guards against a failure that says that no response arrived, although a part of it was passed on.
+			test(`a connection that is lost ${description} is reported as that (${framing}, ${isReset ? 'reset' : 'closed'})`, async t => {
+				const fixture = await startFixture(t, (id, socket) => {
+					const endConnection = () => {
+						if (isReset) {
+							socket.resetAndDestroy();
+						} else {
+							socket.end();
+						}
+					};
+
+					if (body === undefined) {
+						endConnection();
+						return;
+					}
+
+					const piece = framing === 'chunks' && body.length > 0 ? `${body.length.toString(16)}\r\n${body}\r\n` : body;
+					socket.write(head(id) + piece);
+					// After the bytes have arrived, since a reset discards what is on its way.
+					new ClockTimerService().after(20, endConnection);
+				});
+				const {reason, detail, text} = await fixture.send(attemptId);
+				t.is(reason, AttemptFailureReason.ConnectionLost);
+				t.is(text, body ?? '');
+				t.regex(detail!, expected);
+			});
+		}
+	}
+}
+
 for (const [framing, head] of heads) {
 	for (const isReset of [false, true]) {
 		// Guards against a response without its body, or with a part of it, that counts as whole because its server ended within the head.
