Don't drop a complete response because its server closes the connection before a slow caller has taken it

What callers saw: a reply that its server had sent whole was cut, or its request sent again, if the server closed the connection after the response while the instance held reading back for a slow caller. The bytes that had arrived and were not read yet were dropped.

Cause: the client failed an attempt when its request ended. The runtime ends the request with the connection, while a paused response, complete and in memory, still has bytes to be read.

Now the end of the request, or an error of it, fails the attempt only as long as the response is not complete. A complete one ends by itself when it has been read; `finish` still fails one that nothing but a reset connection delimits.

Test: a server on the loopback interface sends 1,000 bytes, 20 ms later 2,000 more and the end of the connection, to a caller that pauses 100 ms after each piece; framed by a length, by chunks, by the end of the connection.

--- a/src/relay/backend-client.ts
+++ b/src/relay/backend-client.ts
@@ -99,11 +99,10 @@
 			this.receive(message);
 		});
 		this.request.on('error', error => {
-			this.fail(getFailureReason(error), this.message ? this.describeCut(error.message) : error.message);
+			this.failRequest(getFailureReason(error), error.message);
 		});
 		this.request.on('close', () => {
-			// The runtime reports the end of the request before that of the response.
-			this.fail(AttemptFailureReason.ConnectionLost, this.message ? this.describeCut() : 'the connection closed before a response arrived');
+			this.failRequest(AttemptFailureReason.ConnectionLost);
 		});
 		this.request.end(attempt.request.body);
 	}
@@ -217,6 +216,15 @@
 		this.listener.onEnd();
 	}
 
+	/** Fails because the request has ended. The runtime reports that before the end of the response, which may be complete and not read yet. */
+	private failRequest(reason: AttemptFailureReason, cause?: string): void {
+		if (!this.message) {
+			this.fail(reason, cause ?? 'the connection closed before a response arrived');
+		} else if (!this.message.complete) {
+			this.fail(reason, this.describeCut(cause));
+		}
+	}
+
 	/** Describes a response that was lost after its head. */
 	private describeCut(cause?: string): string {
 		const observed = `the response ended before it was complete, after its head and ${this.receivedBytes} bytes of its body`;
--- a/test/backend-client.test.ts
+++ b/test/backend-client.test.ts
@@ -220,6 +220,53 @@
 	};
 }
 
+for (const framing of ['length', 'chunks', 'end']) {
+	// Guards against a complete response that counts as lost because its server closes the connection while a slow caller has not taken it all.
+	test(`a response that is complete when its server closes the connection arrives whole at a caller that reads slowly (${framing})`, async t => {
+		const body = 'x'.repeat(3000);
+		const timers = new ClockTimerService();
+		const port = await startFaultyServer(t, [], (id, socket) => {
+			const fields = {length: `Content-Length: ${body.length}\r\n`, chunks: 'Transfer-Encoding: chunked\r\n', end: ''}[framing];
+			socket.write(`HTTP/1.1 200 OK\r\nSiskinnotch-Attempt-Id: ${id}\r\nSiskinnotch-Replica-Signature: s\r\n${fields}Connection: close\r\n\r\n`);
+			const [start, rest] = [body.slice(0, 1000), body.slice(1000)];
+			const toPiece = (part: string) => framing === 'chunks' ? `${part.length.toString(16)}\r\n${part}\r\n` : part;
+			socket.write(toPiece(start));
+			timers.after(20, () => {
+				socket.end(toPiece(rest) + (framing === 'chunks' ? '0\r\n\r\n' : ''));
+			});
+		});
+		const client = new BackendClient({
+			codec: new PlatformCodec(), agent: new BackendAgent(timers, 1000), timers, connectTimeout: 1000,
+		});
+		let received = '';
+		const outcome = await new Promise<string>(resolve => {
+			const running = client.send({
+				request: {...new ExchangeFixture().createRequest(sampleStreamRoute), id: 'slow', headers: ['Siskinnotch-Attempt-Id', 'slow']},
+				server: sampleServer('a', '', undefined, {address: `127.0.0.1:${port}`}),
+				remaining: 2000,
+				needsNewConnection: true,
+			}, {
+				onHead: () => undefined,
+				onData(chunk) {
+					received += new TextDecoder().decode(chunk);
+					running.pause();
+					timers.after(100, () => {
+						running.resume();
+					});
+				},
+				onEnd() {
+					resolve('complete');
+				},
+				onFailure({detail}) {
+					resolve(detail);
+				},
+			});
+		});
+		t.is(outcome, 'complete');
+		t.is(received, body);
+	});
+}
+
 /** Parts of a response of 12 bytes behind which its connection ends, and what the failure then says. */
 const cuts: ReadonlyArray<[description: string, body: string | undefined, detail: RegExp]> = [
 	['before its head', undefined, /^(?:the connection closed before a response arrived|socket hang up|read ECONNRESET)$/v],
