Count the servers that a request lost, not the connections, before it is taken for one that crashes servers

What callers saw: a sound stream was cut although its caller had time left and many servers were free.

Cause: a request is sent to no further server once it lost two attempts before they showed that it is sound. The rule is meant for servers that crash. But a lost connection doesn't say that its server ended, and two connections that one living server closes counted like two servers.

Now what a request lost early is counted by incarnation: one that may be alive counts once, however many of its connections were lost; one that is known to have ended counts once for each, since what came later may have been lost by its successor at the same address, before that was listed. The request still stops after two servers, or after one if it is suspected already. An incarnation that lost two attempts early is not used again by this request, so that it doesn't go there without end; the fleet, the limit of the route, the retry budget and the deadline bound it as before. Thus a request that crashes servers reaches one more than before only if the first one lost two attempts and isn't known to have ended: three at most, that is two retries. Streams and plain requests use the same count.

--- a/src/relay/plain-attempts.ts
+++ b/src/relay/plain-attempts.ts
@@ -1,6 +1,7 @@
 import {isRepeatable} from '../catalog/route.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {SuspicionCause} from '../pipelines/suspicion-cause.js';
+import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
 } from './attempt-failure.js';
@@ -27,7 +28,8 @@
 		private readonly servers: PlainServerChoice,
 		private readonly log: PlainLog,
 	) {
-		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request);
+		const {crashGuard, directory, serverHealth} = dependencies;
+		this.crashEvidence = new CrashEvidence(crashGuard, request, server => directory.isReplaced(server) || serverHealth.hasEnded(server));
 	}
 
 	/** The attempts in progress. */
@@ -142,7 +144,7 @@
 			// A silent attempt that is lost is no further sign of a crash.
 			evidence.recordSilence(server);
 		} else if (reason === AttemptFailureReason.ConnectionLost) {
-			evidence.recordLoss(server);
+			this.recordLoss(server, evidence);
 		} else if (reason === AttemptFailureReason.ExcessiveResponse) {
 			serverHealth.suspect(server, detail, now, SuspicionCause.Failing);
 		}
@@ -153,6 +155,14 @@
 		}
 	}
 
+	/** Records that the connection of an attempt was lost. A server that loses several of them is not used again, although it may be alive. */
+	private recordLoss(server: BackendServer, evidence: AttemptCrashEvidence): void {
+		evidence.recordLoss(server);
+		if (this.crashEvidence.isExhausted(server)) {
+			this.servers.exclude(server);
+		}
+	}
+
 	/** Milliseconds left until the deadline of the final reply. */
 	private get remaining(): number {
 		return this.request.deadline - this.dependencies.timers.now();
--- a/src/relay/plain-server-choice.ts
+++ b/src/relay/plain-server-choice.ts
@@ -6,6 +6,7 @@
 /** Chooses the servers for the attempts of one plain request. Times are monotonic milliseconds. */
 export class PlainServerChoice {
 	private readonly triedIncarnations = new Set<string>();
+	private readonly excludedIncarnations = new Set<string>();
 
 	constructor(private readonly request: RelayRequest, private readonly dependencies: PlainExchangeDependencies) {}
 
@@ -43,12 +44,17 @@
 		this.triedIncarnations.add(getIncarnationId(server));
 	}
 
+	/** Excludes a server from the further attempts. */
+	exclude(server: BackendServer): void {
+		this.excludedIncarnations.add(getIncarnationId(server));
+	}
+
 	private selectExcept(excluded: ReadonlySet<string>, now: number): BackendServer | undefined {
 		return this.dependencies.selector.select(this.createRequirements(excluded), now);
 	}
 
 	private createRequirements(excluded: ReadonlySet<string>): PlainServerRequirements {
 		const {dependencies: {computeConnectionShare}, request: {service: {name: service, maxConnections}}} = this;
-		return {service, excluded, maxRequests: computeConnectionShare(maxConnections)};
+		return {service, excluded: new Set([...excluded, ...this.excludedIncarnations]), maxRequests: computeConnectionShare(maxConnections)};
 	}
 }
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -60,7 +60,7 @@
 		super(dependencies, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
 		this.log = new StreamLog(dependencies.log, request, this.progress);
-		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request);
+		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request, server => this.hasEnded(server));
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
 		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
@@ -189,7 +189,7 @@
 			return;
 		}
 
-		attempt.recordLoss();
+		this.recordLoss(attempt);
 		this.resumeOrFail(attempt, detail);
 	}
 
@@ -296,7 +296,7 @@
 		}
 
 		if (end === StreamEnd.Incomplete || !this.reply.isStarted) {
-			attempt.recordLoss();
+			this.recordLoss(attempt);
 			this.resumeOrFail(attempt, 'the stream ended and may be incomplete');
 		} else if (end === StreamEnd.Empty) {
 			this.selector.exclude(attempt.firstServer);
@@ -378,6 +378,14 @@
 		}
 	}
 
+	/** Records that an attempt was lost. A server that loses several of them early is not used again, although it may be alive. */
+	private recordLoss(attempt: StreamAttempt): void {
+		attempt.recordLoss();
+		if (this.crashEvidence.isExhausted(attempt.firstServer)) {
+			this.selector.exclude(attempt.firstServer);
+		}
+	}
+
 	private get mayResume(): boolean {
 		return isRepeatable(this.request.route) && this.remaining > 0 && !this.crashEvidence.isConclusive && !this.hasWrongIds;
 	}
