Resume a stream at another first stage than the one that has just failed it, where one is free

Cause: only a stage that was silent, or whose response was malformed, was avoided. One that closed its connection, ended within an event, answered with an error or for another request was as good a choice as any, and often the best one, since it had just become free.

Now the first stage of a failed attempt comes last in the next choices of that stream: if possible none that failed it is used; else not the one that failed last; else any. The limit of the route stands above that: where it allows no further server, the stream goes back to the one that failed first, and with a limit of one server to that one. A stage that failed is still preferred to one on which the stream is silent now. Nothing is recorded against the server for other requests. A stream that nothing can take at the moment costs up to three choices instead of one, only if an attempt has failed it before.

Through a tunnel the same holds: whether the tunnel or the server was lost can't be told, and if it was the tunnel, the way to that server is the worse one. A refused or impossible connection needs nothing new, since its server is suspected; nor does a server that is leaving, since it is not listed as usable. Plain requests use a server that was not tried as long as there is one, and one that lost connections of two servers ends.

Tests: seven cases in test/lost-connections.test.ts (lost before an event, after events, ended within an event, an error, the response to another request; back to the first; a silent stream).

--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -365,6 +365,7 @@
 
 	/** Handles an attempt that was executed and interrupted: the stream goes on with the other attempt, or resumes on another pipeline if the route allows it. */
 	private resumeOrFail(attempt: StreamAttempt, reason: string): void {
+		this.selector.recordFailure(attempt.firstServer);
 		const hasOther = this.attempts.newest !== undefined;
 		this.hasWrongIds ||= !attempt.response.isResumable;
 		// An attempt that passed nothing on does not end the others.
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -14,6 +14,8 @@
 	private readonly excluded = new Set<string>();
 	/** Incarnation ids of stages on which the stream went silent. */
 	private readonly avoided = new Set<string>();
+	/** Incarnation ids of first stages that failed an attempt, the latest last. */
+	private readonly failed = new Set<string>();
 	/** The pipeline that the stream waits for, or last waited for. */
 	private awaited?: Pipeline;
 
@@ -49,6 +51,13 @@
 		this.avoided.add(getIncarnationId(server));
 	}
 
+	/** Records that an attempt failed at its first stage, or on the way there; the stage is selected again only if there is no alternative. */
+	recordFailure(server: BackendServer): void {
+		const incarnationId = getIncarnationId(server);
+		this.failed.delete(incarnationId);
+		this.failed.add(incarnationId);
+	}
+
 	/** Selects the pipeline to use now; returns undefined if none has capacity. */
 	select(now: number): Pipeline | undefined {
 		return this.selectAlternative(now) ?? (this.avoided.size > 0 ? this.selectWithout(this.excluded, now) : undefined);
@@ -71,8 +80,17 @@
 		return this.awaited;
 	}
 
+	/** Selects a pipeline without the excluded stages: if possible one without those that failed an attempt, or at least without the one that did so last. */
 	private selectWithout(excluded: ReadonlySet<string>, now: number): Pipeline | undefined {
-		return this.selector.select(this.createRequest(excluded), now);
+		const failed = [...this.failed].filter(incarnationId => !excluded.has(incarnationId));
+		for (const count of new Set([failed.length, Math.min(1, failed.length), 0])) {
+			const pipeline = this.selector.select(this.createRequest(new Set([...excluded, ...failed.slice(failed.length - count)])), now);
+			if (pipeline) {
+				return pipeline;
+			}
+		}
+
+		return undefined;
 	}
 
 	private createRequest(excluded: ReadonlySet<string>): PipelineRequest {
--- a/test/lost-connections.test.ts
+++ b/test/lost-connections.test.ts
@@ -102,6 +102,72 @@
 	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
 });
 
+/** How an attempt can fail after it was sent, with the server alive. */
+const failures: ReadonlyArray<[title: string, fail: (fixture: StreamExchangeFixture) => void]> = [
+	['lost before an event', fixture => {
+		fixture.latest.onFailure(connectionLost);
+	}],
+	['lost after events', fixture => {
+		loseAfter(fixture, 3);
+	}],
+	['ended within an event', fixture => {
+		fixture.latest.onHead({...sampleResponseHead, isSelfDelimited: false});
+		fixture.latest.onData(new TextEncoder().encode('id: 1\ndata: to'));
+		fixture.latest.onEnd();
+	}],
+	['answered with an error', fixture => {
+		fixture.latest.onHead({...sampleResponseHead, status: 500});
+		fixture.latest.onEnd();
+	}],
+	['answered for another request', fixture => {
+		fixture.latest.onFailure({reason: AttemptFailureReason.InvalidResponse, detail: 'the response belongs to another request', wasConnectionReused: true});
+	}],
+];
+
+for (const [title, fail] of failures) {
+	// Guards against a stream that is sent again to the first stage that has just failed it, where others are free.
+	test(`a stream whose attempt was ${title} goes on at another first stage, and at the same one if there is no other`, t => {
+		const fixture = startStream();
+		fixture.alternatives = [secondPipeline];
+		fail(fixture);
+		t.deepEqual(listServers(fixture), ['first', 'second']);
+
+		const alone = startStream();
+		fail(alone);
+		t.deepEqual(listServers(alone), ['first', 'first']);
+
+		const limited = startStream(1);
+		limited.alternatives = [secondPipeline];
+		fail(limited);
+		t.deepEqual(listServers(limited).slice(1), title.includes('error') ? [] : ['first'], 'the route allows one server');
+	});
+}
+
+// Guards against a stream that goes back and forth to the server that failed last, where its route allows one that failed before.
+test('a stream that may use no further server goes back to the one that failed first', t => {
+	const fixture = startStream();
+	fixture.alternatives = [secondPipeline, thirdPipeline];
+	for (let losses = 0; losses < 4; losses++) {
+		fixture.latest.onHead(sampleResponseHead);
+		const id = (2 * losses) + 1;
+		fixture.latest.onData(new TextEncoder().encode(`id: ${id}\ndata: token\n\n`));
+		fixture.timers.advance(500);
+		fixture.latest.onData(new TextEncoder().encode(`id: ${id + 1}\ndata: token\n\n`));
+		fixture.latest.onFailure(connectionLost);
+	}
+
+	t.deepEqual(listServers(fixture), ['first', 'second', 'first', 'second', 'first']);
+});
+
+// Guards against a silent stream that stays where it is, since the only other server that its route allows failed it before.
+test('a silent stream is sent to a first stage that failed it before if there is no other', t => {
+	const fixture = startStream();
+	fixture.alternatives = [secondPipeline, thirdPipeline];
+	fixture.latest.onFailure(connectionLost);
+	fixture.exchange.hedge(undefined, 'no event');
+	t.deepEqual(listServers(fixture), ['first', 'second', 'first']);
+});
+
 // Guards against a sound lookup that fails because one living server closed two of its connections.
 test('a lookup that lost two connections of one server goes on at another one, and not at that one', t => {
 	const fixture = startLookup(5, ['a'], 4);
