Send the final reply before its caller gives up, not at that moment

What callers saw: a request that allowed less time than its route and met a silent server ended with neither an answer nor a refusal. A refusal out of the queue and an answer in hand crossed it in the same way.

Cause: the deadline of an exchange was the caller's own; nothing was kept back for the way. At the product's own interface, besides, a completion ended only with the next tick of 50 ms, and a plain call that was to be sent again could pause beyond its deadline, and was then still sent.

Why it works: the reply is on its way while the caller still waits, for as long as the network in both directions and a late timer together take less than what is kept back. A begun reply is cut as much earlier as well; what would come in that time hardly reaches its caller.

--- a/src/callers/caller-headers.ts
+++ b/src/callers/caller-headers.ts
@@ -3,6 +3,7 @@
 import {Priority} from '../configuration/priority.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
+import {deductReplyMargin} from '../time/reply-margin.js';
 
 /** Header with the time in milliseconds that the caller allows for the request. */
 const deadlineHeader = 'x-deadline-ms';
@@ -19,10 +20,10 @@
 }
 
 /**
-Reads the time that a request may take, from its header.
+Reads the time that a request may take until its final response is sent, from its header.
 
-@param limitMs - the longest time allowed; returned if the header is missing or larger
-@returns milliseconds
+@param limitMs - the longest time allowed; returned if the header is missing or allows more
+@returns milliseconds, somewhat fewer than the caller allows
 @throws Failure DeadlineInvalid, or DeadlinePassed if the value is zero or negative
 */
 export function readDeadline(headers: IncomingHttpHeaders, limitMs: number): number {
@@ -39,7 +40,7 @@
 		throw new Failure(ResultCode.DeadlinePassed, `${deadlineHeader} is ${text}; no time is left`);
 	}
 
-	return Math.min(limitMs, Number(text));
+	return Math.min(limitMs, deductReplyMargin(Number(text)));
 }
 
 /**
--- a/src/completions/completion-service.ts
+++ b/src/completions/completion-service.ts
@@ -12,6 +12,7 @@
 import {StreamEventKind} from '../routing/stream-event.js';
 import {StreamRecovery} from '../routing/stream-recovery.js';
 import {type Reservation} from '../usage/reservation.js';
+import {type TimerHandle} from '../time/timer-handle.js';
 import {type UsageMeter} from '../usage/usage-meter.js';
 import {type StreamCapacity} from './stream-capacity.js';
 import {type CompletionLimits} from './completion-limits.js';
@@ -31,6 +32,8 @@
 	readonly sink: CompletionSink;
 	readonly reservation: Reservation;
 	readonly enqueuedAt: number;
+	/** Ends the run at its deadline, which may lie between two ticks. */
+	readonly deadlineTimer: TimerHandle;
 	run?: CompletionRun;
 	isEnded: boolean;
 };
@@ -103,9 +106,13 @@
 	}
 
 	private admit(request: CompletionRequest, sink: CompletionSink, reservation: Reservation): void {
-		const now = this.dependencies.runDependencies.timers.now();
+		const {timers} = this.dependencies.runDependencies;
+		const now = timers.now();
+		const deadlineTimer = timers.after(Math.max(0, request.deadline - now), () => {
+			pending.run?.dispatch({kind: StreamEventKind.Tick});
+		});
 		const pending: PendingCompletion = {
-			request, sink, reservation, enqueuedAt: now, isEnded: false,
+			request, sink, reservation, enqueuedAt: now, deadlineTimer, isEnded: false,
 		};
 		this.pending.set(request.id, pending);
 		this.dependencies.retryBudget.recordRequest(now);
@@ -193,6 +200,7 @@
 		}
 
 		pending.isEnded = true;
+		pending.deadlineTimer.cancel();
 		this.pending.delete(pending.request.id);
 		this.dependencies.meter.settle(pending.reservation, used);
 		const now = this.dependencies.runDependencies.timers.now();
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -22,6 +22,7 @@
 import {CarefulAuthorizer} from './careful-authorizer.js';
 import {HttpCallerReply} from './http-caller-reply.js';
 import {type RequestAuthorizer} from './request-authorizer.js';
+import {computeDeadline} from './request-deadline.js';
 
 /** Dependencies of an entry server. */
 export type EntryServerDependencies = {
@@ -146,7 +147,7 @@
 				workspace: workspace?.name,
 				priority: Math.min(lowestPriority, workspace?.priority ?? route.priority),
 				arrivedAt,
-				deadline: arrivedAt + Math.min(route.timeout, callerHeaders.timeout ?? route.timeout),
+				deadline: computeDeadline(arrivedAt, route.timeout, callerHeaders.timeout),
 				promptTokens: callerHeaders.promptTokens,
 				maxAnswerTokens: callerHeaders.maxAnswerTokens,
 				lastEventId: callerHeaders.lastEventId,
--- a/src/plain/plain-dispatcher.ts
+++ b/src/plain/plain-dispatcher.ts
@@ -78,7 +78,10 @@
 			}
 
 			if (count > 0) {
-				await this.dependencies.timers.sleep(baseRetryDelayMs * (2 ** count) * this.dependencies.random.nextFraction()); // eslint-disable-line no-await-in-loop
+				await this.pauseBeforeRetry(count, request); // eslint-disable-line no-await-in-loop
+				if (!this.isBeforeDeadline(request)) {
+					break;
+				}
 			}
 
 			tried.add(server.listed.id);
@@ -95,6 +98,12 @@
 		throw new Failure(code, result.reason ?? 'no response was received', result.execution);
 	}
 
+	/** Waits until the next attempt is due, or until the deadline. */
+	private async pauseBeforeRetry(count: number, {deadline}: PlainRequest): Promise<void> {
+		const {timers, random} = this.dependencies;
+		await timers.sleep(Math.min(baseRetryDelayMs * (2 ** count) * random.nextFraction(), deadline - timers.now()));
+	}
+
 	private isBeforeDeadline(request: PlainRequest): boolean {
 		return this.dependencies.timers.now() < request.deadline;
 	}
--- /dev/null
+++ b/test/support/entry-fixture.ts
@@ -0,0 +1,198 @@
+import {request as startRequest, type ClientRequest} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
+import {type ExecutionContext} from 'ava';
+import {freePort} from '../../harness/ports.js';
+import {sampleModel} from '../../harness/sample-model.js';
+import {PlatformCodec} from '../../platform/platform-codec.js';
+import {ActiveCatalog} from '../../src/catalog/active-catalog.js';
+import {type Catalog} from '../../src/catalog/catalog.js';
+import {RequestKind} from '../../src/catalog/request-kind.js';
+import {type Route} from '../../src/catalog/route.js';
+import {EntryServer, type EntryServerDependencies} from '../../src/entry/entry-server.js';
+import {RequestAuthorizer} from '../../src/entry/request-authorizer.js';
+import {Lifecycle} from '../../src/lifecycle.js';
+import {Metrics} from '../../src/observation/metrics.js';
+import {PlainServerSelector} from '../../src/pipelines/plain-server-selector.js';
+import {type Pipeline} from '../../src/pipelines/pipeline.js';
+import {type PipelineSelector} from '../../src/pipelines/pipeline-selector.js';
+import {ExchangeRegistry} from '../../src/relay/exchange-registry.js';
+import {RequestQueue} from '../../src/relay/request-queue.js';
+import {type CurrencyReport} from '../../src/replication/table-currency.js';
+import {RandomSource} from '../../src/routing/random-source.js';
+import {ExchangeFixture} from './exchange-fixture.js';
+import {createCatalog, createRoute} from './sample-catalog.js';
+import {sampleServer} from './sample-fleet.js';
+import {seed} from './seed.js';
+
+/** Timeout of the routes, in milliseconds. */
+export const routeTimeout = 5000;
+/** Path prefixes of the routes of each kind. */
+export const lookups = '/lookups/';
+export const records = '/records/';
+export const drafts = '/drafts/';
+const range = {from: 0, to: 80};
+
+/** Creates the routes, with changes to all of them. */
+export function createRoutes(changes: Partial<Route> = {}): readonly Route[] {
+	const route = {timeout: routeTimeout, latencyTarget: 500, ...changes};
+	return [
+		createRoute(lookups, route),
+		createRoute(records, {kind: RequestKind.NonIdempotent, maxExecutions: 1, ...route}),
+		createRoute(drafts, {
+			kind: RequestKind.Streaming, isResumable: true, targets: [{service: 'model', weight: 1}], ...route,
+		}),
+	];
+}
+
+/** What a caller received. */
+export type Received = {
+	readonly status: number;
+	readonly text: string;
+};
+
+/** A call, the rest of whose body the test sends. */
+export type Upload = {
+	readonly request: ClientRequest;
+	readonly received: Promise<Received>;
+};
+
+/** The entry server of an instance with its exchanges, whose time and backend servers the test provides. */
+export class EntryFixture extends ExchangeFixture {
+	static async start(t: ExecutionContext): Promise<EntryFixture> {
+		const fixture = new EntryFixture(await freePort());
+		fixture.apply(createCatalog(1, createRoutes()));
+		await fixture.server.listen('127.0.0.1', fixture.port);
+		t.teardown(() => {
+			fixture.server.stopListening();
+			for (const {request} of fixture.uploads) {
+				request.destroy();
+			}
+		});
+		return fixture;
+	}
+
+	readonly activeCatalog = new ActiveCatalog(this.log, this.timers);
+	readonly server: EntryServer;
+	readonly exchanges: ExchangeRegistry;
+	/** How current the instance says that its configuration is. */
+	currency: CurrencyReport = {isBehind: false, age: 0};
+	/** The pipeline of all streams; without one they are queued. */
+	pipeline?: Pipeline = [{server: sampleServer('first', 'large', range), range}];
+	private readonly uploads: Upload[] = [];
+
+	private constructor(readonly port: number) {
+		super();
+		const {directory, serverHealth, backpressure, load, timers, log, activeCatalog} = this;
+		const random = new RandomSource(seed());
+		directory.applyReading({servers: ['a', 'b'].map(service => sampleServer(service, '', undefined, {service})), requestedAt: 0, mayBeIncomplete: false});
+		this.exchanges = new ExchangeRegistry(this.dependencies, {
+			selector: new PlainServerSelector({
+				directory, serverHealth, backpressure, load, random,
+			}),
+			computeConnectionShare: connections => connections,
+			limits: {maxBufferedBytes: 1000, responseTimeoutFraction: 0.8},
+		}, {
+			selector: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+				select: () => this.pipeline,
+				selectBusy: () => undefined,
+			} as unknown as PipelineSelector,
+			requestQueue: new RequestQueue(timers, {capacity: 10, dispatchInterval: 40}),
+			limits: {
+				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
+			},
+			onRejection() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			onSuspicion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		});
+		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			authorizer: new RequestAuthorizer(activeCatalog, random),
+			catalogCurrency: {describe: () => this.currency},
+			codec: new PlatformCodec(),
+			exchanges: this.exchanges,
+			crashGuard: {check() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+			lifecycle: new Lifecycle(),
+			timers,
+			metrics: new Metrics(),
+			log,
+		} as unknown as EntryServerDependencies);
+		activeCatalog.onChange(({limits}) => {
+			this.server.setLimits(limits);
+		});
+	}
+
+	/** Applies a configuration to which the services, and limits that allow the uploads of tests, are added. */
+	apply(catalog: Catalog): void {
+		const services = new Map([...catalog.services].map(([name, service]) => [name, {...service, maxConnections: 100}]));
+		if (!services.has('model')) {
+			services.set('model', {
+				name: 'model', healthPath: '/healthz', maxConnections: 100, engine: sampleModel,
+			});
+		}
+
+		this.activeCatalog.apply({
+			...catalog,
+			services,
+			limits: {
+				maxHeaderBytes: 16_384, maxBodyBytes: 10_000, headerTimeout: 3000, idleTimeout: 15_000,
+			},
+		}, 'test');
+	}
+
+	/**
+	Sends the head of a request.
+
+	@param patience - milliseconds for which the caller says that it waits; undefined to say nothing
+	*/
+	upload(path: string, patience?: number): Upload {
+		const request = startRequest({
+			port: this.port,
+			host: '127.0.0.1',
+			method: 'POST',
+			path,
+			headers: {
+				host: 'site',
+				'x-api-key': 'key-1',
+				'siskinnotch-attempt-id': `upload-${this.uploads.length}`,
+				'siskinnotch-token-usage': '100,50',
+				...(patience !== undefined && {'siskinnotch-deadline-remaining': String(patience)}),
+			},
+		});
+		const received = new Promise<Received>((resolve, reject) => {
+			request.once('error', reject);
+			request.once('response', response => {
+				void (async () => {
+					let text = '';
+					for await (const chunk of response) {
+						text += String(chunk);
+					}
+
+					resolve({status: response.statusCode!, text});
+				})();
+			});
+		});
+		request.flushHeaders();
+		const upload = {request, received};
+		this.uploads.push(upload);
+		return upload;
+	}
+
+	/** Waits until a condition holds. */
+	async waitUntil(isMet: () => boolean): Promise<void> {
+		while (!isMet()) {
+			await setImmediate(); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Waits until a number of requests are being received or authorized. */
+	async waitForPending(count: number): Promise<void> {
+		await this.waitUntil(() => this.server.pendingRequests === count);
+	}
+
+	/** Sends a whole request, and waits until its exchange has started. */
+	async send(path: string, patience?: number): Promise<Upload> {
+		const {size} = this.exchanges;
+		const upload = this.upload(path, patience);
+		upload.request.end('prompt');
+		await this.waitUntil(() => this.exchanges.size > size);
+		return upload;
+	}
+}
