Say when a stream or plain request ends for want of a retry

Callers of the product's own interface got `BackendFailed` for plain requests that were denied a retry.

A queued stream now ends with the reason of its last start: `the retry budget was exhausted` or the former text. A silent stream that is refused, and a plain request that is denied its retry, say the same. Each denied retry leaves one line, `request.retry_denied`, and one count of siskinnotch_retries_denied{kind}: per attempt that could not be sent, not per try, so that a waiting stream writes one and not one a tick. In the own interface a denied plain retry has the code RetryBudgetSpent (503, with Retry-After) in place of BackendFailed (502); the execution is unchanged.

--- a/src/plain/plain-dispatcher.ts
+++ b/src/plain/plain-dispatcher.ts
@@ -71,9 +71,15 @@
 	private async executeWithRetries(request: PlainRequest): Promise<PlainAnswer> {
 		const tried = new Set<string>();
 		let result: SendResult = {execution: Execution.NotRun, reason: 'no live backend server offers the operation'};
+		let isRetryDenied = false;
 		for (let count = 0; count < maxAttempts && this.isBeforeDeadline(request); count++) {
 			const server = this.selectServer(request, tried) ?? this.selectServer(request, new Set());
-			if (!server || (count > 0 && !this.dependencies.retryBudget.tryAcquire(this.dependencies.timers.now()))) {
+			if (!server) {
+				break;
+			}
+
+			isRetryDenied = count > 0 && !this.dependencies.retryBudget.tryAcquire(this.dependencies.timers.now());
+			if (isRetryDenied) {
 				break;
 			}
 
@@ -94,8 +100,18 @@
 			result = result.execution === Execution.Unknown ? {...latest, execution: Execution.Unknown} : latest;
 		}
 
-		const code = this.isBeforeDeadline(request) ? ResultCode.BackendFailed : ResultCode.DeadlinePassed;
-		throw new Failure(code, result.reason ?? 'no response was received', result.execution);
+		throw this.createFailure(request, result, isRetryDenied);
+	}
+
+	/** Creates the failure of a request whose last attempt had no answer. */
+	private createFailure(request: PlainRequest, {reason = 'no response was received', execution}: SendResult, isRetryDenied: boolean): Failure {
+		if (!this.isBeforeDeadline(request)) {
+			return new Failure(ResultCode.DeadlinePassed, reason, execution);
+		}
+
+		return isRetryDenied
+			? new Failure(ResultCode.RetryBudgetSpent, `${reason}, and the retry budget is spent`, execution)
+			: new Failure(ResultCode.BackendFailed, reason, execution);
 	}
 
 	/** Waits until the next attempt is due, or until the deadline. */
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -19,6 +19,8 @@
 	/** Number of attempts sent so far. */
 	protected attemptCount = 0;
 	private isOver = false;
+	/** Number of attempts sent when a retry was last denied. */
+	private deniedAfter?: number;
 	private deadlineTimer?: TimerHandle;
 	private endListener?: () => void;
 
@@ -136,7 +138,12 @@
 	/** Takes a retry from the budget of the service; returns false if the budget is exhausted. */
 	protected tryAcquireRetry(): boolean {
 		const {retryBudgets, timers} = this.dependencies;
-		return retryBudgets.forService(this.request.service.name).tryAcquire(timers.now());
+		const isAcquired = retryBudgets.forService(this.request.service.name).tryAcquire(timers.now());
+		if (!isAcquired) {
+			this.reportDeniedRetry();
+		}
+
+		return isAcquired;
 	}
 
 	/** Ends the exchange because the deadline of its final reply has passed. */
@@ -169,6 +176,20 @@
 	/** Returns how far the exchange got, for the log line of its failure. */
 	protected abstract describeProgress(): DecisionFields;
 
+	/** Reports that the retry budget was exhausted: once for each attempt that can't be sent, however often it is tried. */
+	private reportDeniedRetry(): void {
+		if (this.deniedAfter === this.attemptCount) {
+			return;
+		}
+
+		this.deniedAfter = this.attemptCount;
+		const {log, metrics} = this.dependencies;
+		log.warn('request.retry_denied', {
+			request: this.request.id, service: this.request.service.name, attempts: this.attemptCount, isBegun: this.reply.isStarted,
+		});
+		metrics.count('siskinnotch_retries_denied', 1, {kind: this.request.route.kind});
+	}
+
 	private handleCallerGone(): void {
 		if (this.isOver) {
 			return;
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -296,7 +296,8 @@
 
 	/** Retries on another server if that is allowed; otherwise sends the final reply. */
 	private retryOrFail(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
-		const isAllowed = this.tryAcquireNextAttempt();
+		const isWanted = this.mayRetry;
+		const isAllowed = isWanted && this.tryAcquireRetry();
 		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (isAllowed) {
 			this.fallback = passable;
@@ -305,7 +306,7 @@
 		} else if (passable) {
 			this.deliver(passable);
 		} else {
-			this.failWithCode(ResultCode.Overloaded, reason);
+			this.failWithCode(ResultCode.Overloaded, isWanted ? `${reason}, and the retry budget was exhausted` : reason);
 		}
 	}
 
@@ -320,9 +321,9 @@
 			: new Failure(code, reason, Execution.NotRun, retryAfter));
 	}
 
-	/** Whether the request may be sent again. If it may, takes a retry from the budget. */
-	private tryAcquireNextAttempt(): boolean {
-		return !this.chosen && this.retryPolicy.allowsAttempt(this.attemptCount) && this.tryAcquireRetry();
+	/** Whether the request may be sent again, apart from the retry budget. */
+	private get mayRetry(): boolean {
+		return !this.chosen && this.retryPolicy.allowsAttempt(this.attemptCount);
 	}
 
 	/** Waits for a response to the attempts in progress, while there is something else to do without one. */
@@ -352,7 +353,7 @@
 	private hedge(server: BackendServer | undefined): boolean {
 		const {serverHealth, timers} = this.dependencies;
 		const mayHedge = !this.attempts.hasHead && server && !serverHealth.isSuspected(server, timers.now());
-		if (!mayHedge || !this.tryAcquireNextAttempt()) {
+		if (!mayHedge || !this.mayRetry || !this.tryAcquireRetry()) {
 			return false;
 		}
 
--- a/src/relay/stream-dispatcher.ts
+++ b/src/relay/stream-dispatcher.ts
@@ -26,7 +26,7 @@
 	/** Takes a retry from the budget; returns false if the budget is exhausted. */
 	tryAcquireRetry(): boolean;
 	send(pipeline: Pipeline): void;
-	/** Ends the stream because no pipeline has capacity. */
+	/** Ends the stream because no pipeline has capacity, or because the retry budget is exhausted. */
 	failForCapacity(reason: string): void;
 };
 
@@ -34,6 +34,7 @@
 export class StreamDispatcher {
 	private queueEntry?: TimerHandle;
 	private delay?: TimerHandle;
+	private latestOutcome?: StartOutcome;
 
 	constructor(
 		private readonly dependencies: Pick<ExchangeDependencies, 'timers' | 'load'> & Pick<StreamExchangeDependencies, 'requestQueue' | 'limits'>,
@@ -44,6 +45,7 @@
 	/** Starts the stream now if no other request waits and a pipeline has capacity; queues it otherwise. */
 	dispatch(): void {
 		const {dependencies: {requestQueue, limits, timers}, stream: {request, progress, executions}, handler} = this;
+		this.latestOutcome = undefined;
 		// Those that wait come first.
 		if (!requestQueue.hasWaiting(request.priority) && this.tryStart() === StartOutcome.Started) {
 			return;
@@ -51,7 +53,8 @@
 
 		const deadlines = computeStreamDeadlines(request, progress, executions.mayHaveExecuted, limits);
 		if (deadlines.queueDeadline <= timers.now()) {
-			handler.failForCapacity('no pipeline has capacity, and the time to wait for one has passed');
+			const lack = this.isRetryDenied ? 'the retry budget is exhausted' : 'no pipeline has capacity';
+			handler.failForCapacity(`${lack}, and the time to wait has passed`);
 			return;
 		}
 
@@ -81,8 +84,8 @@
 			...deadlines,
 			tryStart: () => this.tryStart(),
 			...(selector.isLarge && {reserve: () => this.reserve()}),
-			onTimeout() {
-				handler.failForCapacity('no pipeline had capacity in time');
+			onTimeout: () => {
+				handler.failForCapacity(this.isRetryDenied ? 'the retry budget was exhausted' : 'no pipeline had capacity in time');
 			},
 		});
 		if (!this.queueEntry) {
@@ -96,7 +99,17 @@
 		}
 	}
 
+	/** Whether a pipeline had capacity and the retry budget was exhausted when the stream was last tried. */
+	private get isRetryDenied(): boolean {
+		return this.latestOutcome === StartOutcome.NoRetry;
+	}
+
 	private tryStart(): StartOutcome {
+		this.latestOutcome = this.start();
+		return this.latestOutcome;
+	}
+
+	private start(): StartOutcome {
 		const {dependencies: {timers}, stream: {selector}, handler} = this;
 		const pipeline = selector.select(timers.now());
 		if (!pipeline) {
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -227,8 +227,13 @@
 	private sendHedge(select: (now: number) => Pipeline | undefined, cause: HedgeCause): void {
 		const now = this.dependencies.timers.now();
 		const pipeline = this.attempts.mayHedge(now) ? this.attempts.selectHedge(cause, () => select(now)) : undefined;
-		if (!pipeline || !this.tryAcquireRetry()) {
-			this.refuseIfAbandoned(now);
+		if (!pipeline) {
+			this.refuseIfAbandoned(now, 'no event arrived, and no other pipeline had capacity in time');
+			return;
+		}
+
+		if (!this.tryAcquireRetry()) {
+			this.refuseIfAbandoned(now, 'no event arrived, and the retry budget was exhausted');
 			return;
 		}
 
@@ -249,10 +254,10 @@
 	}
 
 	/** Refuses a silent stream shortly before its caller abandons it. Once the reply has begun there is nothing left to refuse, so the attempt goes on. */
-	private refuseIfAbandoned(now: number): void {
+	private refuseIfAbandoned(now: number, reason: string): void {
 		const {queueDeadline} = computeStreamDeadlines(this.request, this.progress, true, this.streamDependencies.limits);
 		if (!this.reply.isStarted && now >= queueDeadline) {
-			this.failForCapacity('no event arrived, and no other pipeline had capacity in time');
+			this.failForCapacity(reason);
 		}
 	}
 
