Keep a part of the retry budget for replies that have begun

A rejected request can be refused and sent elsewhere; a begun reply can't.

RetryBudget takes the urgency of a retry. A tenth of the share, and one whole retry of a share of two or more, is left for replies that have begun and have no attempt in progress. Requests that have only been rejected, hedges and moves off slow stages can't take it. The total of a share is as before. The own interface has one such budget for each process, so it keeps the same part for answers of which tokens were delivered. The mutation of the budget names the changed line.

Tests that take retries now name the urgency, `Begun` throughout, which may take everything, so they are as strict as before.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -136,7 +136,7 @@
 	),
 	mutation(
 		'retries stay within the budget',
-		['src/admission/retry-budget.js', 'retries + 1 > this.minimum + (this.ratio * requests)', 'false'],
+		['src/admission/retry-budget.js', 'this.retries.length + 1 > limit', 'false'],
 		['test/decisions.test.ts', 'retry budget*'],
 	),
 	mutation(
--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -1,17 +1,21 @@
-const defaultWindowMs = 10_000;
+import {RetryUrgency} from './retry-urgency.js';
 
-type BudgetEntry = {
-	readonly at: number;
-	readonly isRetry: boolean;
-};
+const defaultWindowMs = 10_000;
+/** Fraction of the retries of a window that is kept for replies that have begun; at least one retry. */
+const reservedFraction = 0.1;
+/** Retries of a window from which one is kept for replies that have begun. */
+const minReservingShare = 2;
 
 /**
 Limits retries to a ratio of recent requests, so that a failure of many servers does not multiply the load (B. Beyer et al., Site Reliability Engineering, 2016, chapter 21).
 
-In any window, retries are at most `minimum + ratio × requests`.
+In any window, retries are at most `minimum + ratio × requests`. A small part of them is kept for replies that have begun.
 */
 export class RetryBudget {
-	private entries: BudgetEntry[] = [];
+	/** Monotonic times in milliseconds at which requests arrived. */
+	private requests: number[] = [];
+	/** Monotonic times in milliseconds until which the retries count. */
+	private retries: number[] = [];
 
 	/**
 	@param ratio - retries allowed per request
@@ -28,24 +32,34 @@
 	/** Counts a request, which increases the budget. */
 	recordRequest(now: number): void {
 		this.discardExpired(now);
-		this.entries.push({at: now, isRetry: false});
+		this.requests.push(now);
 	}
 
-	/** Takes one retry from the budget; returns false if the budget is exhausted. */
-	tryAcquire(now: number): boolean {
+	/** Takes one retry from the budget; returns false if the budget is exhausted, or if what is left is kept for more urgent retries. */
+	tryAcquire(now: number, urgency: RetryUrgency): boolean {
 		this.discardExpired(now);
-		const retries = this.entries.filter(({isRetry}) => isRetry).length;
-		const requests = this.entries.length - retries;
-		if (retries + 1 > this.minimum + (this.ratio * requests)) {
+		const limit = this.share - (urgency === RetryUrgency.Begun ? 0 : this.reserve);
+		if (this.retries.length + 1 > limit) {
 			return false;
 		}
 
-		this.entries.push({at: now, isRetry: true});
+		this.retries.push(now + this.window);
 		return true;
 	}
 
+	/** Retries that are allowed in the current window. */
+	private get share(): number {
+		return this.minimum + (this.ratio * this.requests.length);
+	}
+
+	/** Retries that only replies that have begun may take. */
+	private get reserve(): number {
+		return this.share < minReservingShare ? 0 : Math.max(1, Math.floor(this.share * reservedFraction));
+	}
+
 	private discardExpired(now: number): void {
-		const first = this.entries.findIndex(({at}) => at > now - this.window);
-		this.entries = first === -1 ? [] : this.entries.slice(first);
+		const first = this.requests.findIndex(at => at + this.window > now);
+		this.requests = first === -1 ? [] : this.requests.slice(first);
+		this.retries = this.retries.filter(until => until > now);
 	}
 }
--- a/src/completions/completion-service.ts
+++ b/src/completions/completion-service.ts
@@ -150,7 +150,7 @@
 			deadline: request.deadline,
 			findRoute: (excluded, previousRoute, at) => this.findRoute(pending, excluded, previousRoute, at),
 			getRetryDelay: attempt => retryBaseDelayMs * (2 ** attempt) * this.dependencies.random.nextFraction(),
-			tryAcquireRetry: () => this.dependencies.retryBudget.tryAcquire(timers.now()),
+			tryAcquireRetry: urgency => this.dependencies.retryBudget.tryAcquire(timers.now(), urgency),
 		}, now);
 		pending.run = new CompletionRun(request, recovery, this.dependencies.runDependencies, this.createRunSink(pending));
 		pending.run.dispatch({kind: StreamEventKind.Begin});
--- a/src/plain/plain-dispatcher.ts
+++ b/src/plain/plain-dispatcher.ts
@@ -2,6 +2,7 @@
 import {computeFingerprint} from '../actions/action.js';
 import {type SendResult} from '../actions/send-result.js';
 import {type RetryBudget} from '../admission/retry-budget.js';
+import {RetryUrgency} from '../admission/retry-urgency.js';
 import {type PlainAnswer} from '../backends/plain-answer.js';
 import {type PlainService} from '../backends/plain-service.js';
 import {type Tracing} from '../observation/tracing.js';
@@ -78,7 +79,7 @@
 				break;
 			}
 
-			isRetryDenied = count > 0 && !this.dependencies.retryBudget.tryAcquire(this.dependencies.timers.now());
+			isRetryDenied = count > 0 && !this.dependencies.retryBudget.tryAcquire(this.dependencies.timers.now(), RetryUrgency.Ordinary);
 			if (isRetryDenied) {
 				break;
 			}
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,3 +1,4 @@
+import {type RetryUrgency} from '../admission/retry-urgency.js';
 import {isRepeatable} from '../catalog/route.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {type DecisionFields} from '../observation/decision-log.js';
@@ -135,10 +136,10 @@
 		}
 	}
 
-	/** Takes a retry from the budget of the service; returns false if the budget is exhausted. */
-	protected tryAcquireRetry(): boolean {
+	/** Takes a retry from the budget of the service; returns false if the budget is exhausted for this urgency. */
+	protected tryAcquireRetry(urgency: RetryUrgency): boolean {
 		const {retryBudgets, timers} = this.dependencies;
-		const isAcquired = retryBudgets.forService(this.request.service.name).tryAcquire(timers.now());
+		const isAcquired = retryBudgets.forService(this.request.service.name).tryAcquire(timers.now(), urgency);
 		if (!isAcquired) {
 			this.reportDeniedRetry();
 		}
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -1,3 +1,4 @@
+import {RetryUrgency} from '../admission/retry-urgency.js';
 import {type DecisionFields} from '../observation/decision-log.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {Execution} from '../results/execution.js';
@@ -297,7 +298,7 @@
 	/** Retries on another server if that is allowed; otherwise sends the final reply. */
 	private retryOrFail(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
 		const isWanted = this.mayRetry;
-		const isAllowed = isWanted && this.tryAcquireRetry();
+		const isAllowed = isWanted && this.tryAcquireRetry(RetryUrgency.Ordinary);
 		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (isAllowed) {
 			this.fallback = passable;
@@ -353,7 +354,7 @@
 	private hedge(server: BackendServer | undefined): boolean {
 		const {serverHealth, timers} = this.dependencies;
 		const mayHedge = !this.attempts.hasHead && server && !serverHealth.isSuspected(server, timers.now());
-		if (!mayHedge || !this.mayRetry || !this.tryAcquireRetry()) {
+		if (!mayHedge || !this.mayRetry || !this.tryAcquireRetry(RetryUrgency.Ordinary)) {
 			return false;
 		}
 
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -1,3 +1,4 @@
+import {RetryUrgency} from '../admission/retry-urgency.js';
 import {isRepeatable} from '../catalog/route.js';
 import {type DecisionFields} from '../observation/decision-log.js';
 import {type BackendServer} from '../pipelines/backend-server.js';
@@ -75,7 +76,7 @@
 			request, progress, executions, selector, log,
 		}, {
 			countAttempts: () => this.attemptCount,
-			tryAcquireRetry: () => this.tryAcquireRetry(),
+			tryAcquireRetry: () => this.tryAcquireRetry(this.reply.isStarted ? RetryUrgency.Begun : RetryUrgency.Ordinary),
 			send: pipeline => {
 				this.send(pipeline);
 			},
@@ -232,7 +233,7 @@
 			return;
 		}
 
-		if (!this.tryAcquireRetry()) {
+		if (!this.tryAcquireRetry(RetryUrgency.Ordinary)) {
 			this.refuseIfAbandoned(now, 'no event arrived, and the retry budget was exhausted');
 			return;
 		}
--- a/src/routing/attempt-pair.ts
+++ b/src/routing/attempt-pair.ts
@@ -1,3 +1,4 @@
+import {RetryUrgency} from '../admission/retry-urgency.js';
 import {type Route} from '../backends/stage.js';
 import {type AttemptPlanner} from './attempt-planner.js';
 import {type StreamAttempt} from './stream-attempt.js';
@@ -123,7 +124,7 @@
 
 	/** Whether another attempt may run beside the silent one. Takes a retry from the budget if so. */
 	private mayStartBeside(silent: StreamAttempt, failedServers: ReadonlySet<string>, now: number): boolean {
-		return this.planner.hasRoute(this.getAvoided(failedServers), silent.route, now) && this.planner.requestRetry() === undefined;
+		return this.planner.hasRoute(this.getAvoided(failedServers), silent.route, now) && this.planner.requestRetry(RetryUrgency.Ordinary) === undefined;
 	}
 
 	private startNext(failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
--- a/src/routing/attempt-planner.ts
+++ b/src/routing/attempt-planner.ts
@@ -1,3 +1,4 @@
+import {type RetryUrgency} from '../admission/retry-urgency.js';
 import {type Route} from '../backends/stage.js';
 import {ResultCode} from '../results/result-code.js';
 import {StreamAttempt} from './stream-attempt.js';
@@ -57,13 +58,13 @@
 	}
 
 	/** Takes a retry from the budget. Returns why there may be no further attempt; undefined if there may be one. */
-	requestRetry(): RetryRefusal | undefined {
+	requestRetry(urgency: RetryUrgency): RetryRefusal | undefined {
 		if (this.started >= maximumAttempts) {
 			return {code: ResultCode.BackendFailed, message: `${this.started} attempts failed`};
 		}
 
 		// The first retry of a stream only moves its work to other servers. Further retries multiply the work, so they need the retry budget.
-		const isAcquired = this.started <= 1 || this.options.tryAcquireRetry();
+		const isAcquired = this.started <= 1 || this.options.tryAcquireRetry(urgency);
 		return isAcquired ? undefined : {code: ResultCode.RetryBudgetSpent, message: 'a backend server failed and the retry budget is spent'};
 	}
 
--- a/src/routing/stream-recovery-options.ts
+++ b/src/routing/stream-recovery-options.ts
@@ -1,3 +1,4 @@
+import {type RetryUrgency} from '../admission/retry-urgency.js';
 import {type Route} from '../backends/stage.js';
 
 /** Limits and callbacks for the recovery of a stream. */
@@ -16,6 +17,6 @@
 	readonly findRoute: (excluded: ReadonlySet<string>, previousRoute: Route, now: number) => Route | undefined;
 	/** Random delay in milliseconds before the third and later attempts. It spreads out the retries of many streams. */
 	readonly getRetryDelay: (attempt: number) => number;
-	/** Takes one retry from the budget; returns false if the budget is exhausted. */
-	readonly tryAcquireRetry: () => boolean;
+	/** Takes one retry from the budget; returns false if the budget is exhausted for this urgency. */
+	readonly tryAcquireRetry: (urgency: RetryUrgency) => boolean;
 };
--- a/src/routing/stream-recovery.ts
+++ b/src/routing/stream-recovery.ts
@@ -1,3 +1,4 @@
+import {RetryUrgency} from '../admission/retry-urgency.js';
 import {type Frame} from '../backends/frame.js';
 import {type StageStatus} from '../backends/stage-status.js';
 import {ResultCode} from '../results/result-code.js';
@@ -195,7 +196,7 @@
 	private moveOffSlowStages(attempt: StreamAttempt, statuses: ReadonlyArray<StageStatus | undefined>, now: number): readonly StreamCommand[] {
 		attempt.isInspectingSlowdown = false;
 		const suspects = attempt.getServers(diagnoseStall(statuses, [], this.delivered).stages);
-		if (suspects.size === 0 || !this.planner.hasUnusedRoute(suspects, attempt.route, now) || !this.options.tryAcquireRetry()) {
+		if (suspects.size === 0 || !this.planner.hasUnusedRoute(suspects, attempt.route, now) || !this.options.tryAcquireRetry(RetryUrgency.Ordinary)) {
 			return [];
 		}
 
@@ -222,7 +223,7 @@
 
 	/** Cancels the current attempt and starts another one without the suspects, unless too many attempts have failed. */
 	private replace(attempt: StreamAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
-		const refusal = this.running.silent ? undefined : this.planner.requestRetry();
+		const refusal = this.running.silent ? undefined : this.planner.requestRetry(this.delivered > 0 ? RetryUrgency.Begun : RetryUrgency.Ordinary);
 		const commands = refusal ? this.fail(refusal.code, refusal.message) : this.running.replace(attempt, suspects, now);
 		return [...createSuspectCommands(suspects), ...commands];
 	}
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import {Admission} from '../src/admission/admission.js';
 import {RetryBudget} from '../src/admission/retry-budget.js';
+import {RetryUrgency} from '../src/admission/retry-urgency.js';
 import {type AdmissionRequest} from '../src/admission/admission-request.js';
 import {ActiveConfiguration} from '../src/configuration/active-configuration.js';
 import {ConfigurationFreshness} from '../src/configuration/configuration-freshness.js';
@@ -129,7 +130,7 @@
 			if (isRequest) {
 				budget.recordRequest(now);
 				requests.push(now);
-			} else if (budget.tryAcquire(now)) {
+			} else if (budget.tryAcquire(now, RetryUrgency.Begun)) {
 				retries.push(now);
 				const since = now - 10_000;
 				if (retries.filter(at => at > since).length > 3 + (0.2 * requests.filter(at => at > since).length)) {
--- a/test/hedged-lookups.test.ts
+++ b/test/hedged-lookups.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {RetryUrgency} from '../src/admission/retry-urgency.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {type ResponseListener} from '../src/relay/response-listener.js';
 import {Execution} from '../src/results/execution.js';
@@ -309,7 +310,7 @@
 	budget.setMinimum(1);
 	fixture.timers.advance(responseTimeout);
 	t.is(fixture.sent.length, 2);
-	t.false(budget.tryAcquire(fixture.timers.now()));
+	t.false(budget.tryAcquire(fixture.timers.now(), RetryUrgency.Begun));
 });
 
 // Guards against a refused connection that counts as an execution, and against a promise that a lookup did not run although a lost attempt may have.
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {RetryBudget} from '../src/admission/retry-budget.js';
+import {RetryUrgency} from '../src/admission/retry-urgency.js';
 import {Lease} from '../src/leases/lease.js';
 import {PeerLoads} from '../src/peers/peer-loads.js';
 import {getIdDigest, getServerDigest} from '../src/peers/id-digest.js';
@@ -214,7 +215,7 @@
 test('the retries of all instances stay within the total allowance while instances are being added', t => {
 	const now = 1000;
 	const budgets = Array.from({length: 4}, () => new RetryBudget(0.2, 100 / (2 * 2), 10_000));
-	const acquired = budgets.reduce((sum, budget) => sum + Array.from({length: 200}, () => budget.tryAcquire(now)).filter(Boolean).length, 0);
+	const acquired = budgets.reduce((sum, budget) => sum + Array.from({length: 200}, () => budget.tryAcquire(now, RetryUrgency.Begun)).filter(Boolean).length, 0);
 	t.true(acquired <= 100, `${acquired} of 100, though each instance assumes two instances`);
 });
 
--- a/test/retry-denials.test.ts
+++ b/test/retry-denials.test.ts
@@ -1,5 +1,6 @@
 import test, {type ExecutionContext} from 'ava';
 import {RetryBudget} from '../src/admission/retry-budget.js';
+import {RetryUrgency} from '../src/admission/retry-urgency.js';
 import {type SendResult} from '../src/actions/send-result.js';
 import {RequestKind} from '../src/catalog/request-kind.js';
 import {PlainDispatcher, type PlainDispatcherDependencies} from '../src/plain/plain-dispatcher.js';
@@ -23,7 +24,7 @@
 const firstEvent = new TextEncoder().encode('id: 1\ndata: first\n\n');
 
 function exhaustBudget({retryBudget, timers}: ExchangeFixture): void {
-	while (retryBudget.tryAcquire(timers.now())) {
+	while (retryBudget.tryAcquire(timers.now(), RetryUrgency.Begun)) {
 		// Other requests take all retries.
 	}
 }
--- a/test/silent-streams.test.ts
+++ b/test/silent-streams.test.ts
@@ -1,5 +1,6 @@
 import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
+import {RetryUrgency} from '../src/admission/retry-urgency.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {Execution} from '../src/results/execution.js';
@@ -405,7 +406,7 @@
 // Guards against retries beyond the budget, and against a stream that is given up because the budget is exhausted.
 test('a silent stream is kept on its server while the retry budget is exhausted', t => {
 	const fixture = startStream();
-	while (fixture.retryBudget.tryAcquire(fixture.timers.now())) {
+	while (fixture.retryBudget.tryAcquire(fixture.timers.now(), RetryUrgency.Begun)) {
 		// Another request takes each retry.
 	}
 
