--- a/test/request-deadline.test.ts
+++ b/test/request-deadline.test.ts
@@ -3,8 +3,8 @@
 import {ResultCode} from '../src/results/result-code.js';
 import {sampleResponseHead} from './support/exchange-fixture.js';
 import {
-	drafts, EntryFixture, lookups, records, routeTimeout,
-} from './support/entry-fixture.js';
+	drafts, EntryExchangeFixture, lookups, records, routeTimeout,
+} from './support/entry-exchange-fixture.js';
 
 /** Shorter than the route's timeout. */
 const patience = 900;
@@ -14,7 +14,7 @@
 // Guards against replies that cross the leaving of their callers: what ends at the caller's own deadline must end somewhat before it.
 for (const path of [lookups, records, drafts]) {
 	test(`a request that is silent until its caller gives up is answered before that: ${path}`, async t => {
-		const fixture = await EntryFixture.start(t);
+		const fixture = await EntryExchangeFixture.start(t);
 		const {received} = await fixture.send(path, patience);
 		const {attempt} = fixture.sent[0];
 		t.true(attempt.remaining > patience * 0.9 && attempt.remaining <= patience);
@@ -28,7 +28,7 @@
 
 // Guards against the same crossing by the refusal of a stream that has waited in the queue.
 test('a stream that is queued until its caller gives up is refused before that, as not run', async t => {
-	const fixture = await EntryFixture.start(t);
+	const fixture = await EntryExchangeFixture.start(t);
 	fixture.pipeline = undefined;
 	const {received} = await fixture.send(drafts, patience);
 	fixture.timers.advance(patience - wayBackMs);
@@ -40,7 +40,7 @@
 
 // Guards against the same crossing by an answer that was kept in hand until the deadline.
 test('an answer in hand is passed on before its caller gives up', async t => {
-	const fixture = await EntryFixture.start(t);
+	const fixture = await EntryExchangeFixture.start(t);
 	const {directory} = fixture;
 	directory.applyReading({
 		servers: [...directory.all(), {...directory.all()[0], id: 'second', address: '10.0.0.1:9000'}], requestedAt: 1, mayBeIncomplete: false,
@@ -58,7 +58,7 @@
 
 test('a request that is silent until the timeout of its route fails exactly then', async t => {
 	for (const callerPatience of [undefined, routeTimeout * 2]) {
-		const fixture = await EntryFixture.start(t); // eslint-disable-line no-await-in-loop
+		const fixture = await EntryExchangeFixture.start(t); // eslint-disable-line no-await-in-loop
 		const {received} = await fixture.send(lookups, callerPatience); // eslint-disable-line no-await-in-loop
 		fixture.timers.advance(routeTimeout - 1);
 		t.is(fixture.exchanges.size, 1);
--- a/test/support/entry-fixture.ts
+++ b/test/support/entry-exchange-fixture.ts
@@ -57,9 +57,9 @@
 };
 
 /** The entry server of an instance with its exchanges, whose time and backend servers the test provides. */
-export class EntryFixture extends ExchangeFixture {
-	static async start(t: ExecutionContext): Promise<EntryFixture> {
-		const fixture = new EntryFixture(await freePort());
+export class EntryExchangeFixture extends ExchangeFixture {
+	static async start(t: ExecutionContext): Promise<EntryExchangeFixture> {
+		const fixture = new EntryExchangeFixture(await freePort());
 		fixture.apply(createCatalog(1, createRoutes()));
 		await fixture.server.listen('127.0.0.1', fixture.port);
 		t.teardown(() => {
