Log and count requests whose connections end without an answer, by cause

Callers saw requests that ended with neither an answer nor a refusal, and no line told why: a request whose caller seems to have left before it was accepted returned without one; a refusal was logged also where it was not sent; connections closed as idle or for malformed input, and replies whose bytes did not all leave, left nothing.

`request.left` is written before acceptance too, with `isEndedByCaller`; `request.refused` has `isSent`.

A half close can't be told from a full close by the state of the socket: the runtime ends this side as soon as the caller's end arrives. The log says whether the caller ended or reset the connection, no more.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -1,10 +1,9 @@
 import {Buffer} from 'node:buffer';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type CallerLimits} from '../catalog/caller-limits.js';
 import {type Lifecycle} from '../lifecycle.js';
 import {ByteBuffer} from '../network/byte-buffer.js';
+import {CallerServer} from '../network/caller-server.js';
 import {findRequestHeadFault} from '../network/head-faults.js';
 import {listen} from '../network/listen.js';
 import {type DecisionLog} from '../observation/decision-log.js';
@@ -20,6 +19,7 @@
 import {toFailure} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {CarefulAuthorizer} from './careful-authorizer.js';
+import {ConnectionLog} from './connection-log.js';
 import {HttpCallerReply} from './http-caller-reply.js';
 import {type RequestAuthorizer} from './request-authorizer.js';
 import {computeDeadline} from './request-deadline.js';
@@ -49,16 +49,17 @@
 
 /** Accepts HTTP requests from callers, authorizes them and starts an exchange for each. */
 export class EntryServer {
-	private readonly server: Server;
+	private readonly server: CallerServer;
 	private readonly authorizer: CarefulAuthorizer;
 	private pending = 0;
 	private maxBodyBytes = defaultMaxBodyBytes;
 
 	constructor(private readonly dependencies: EntryServerDependencies) {
 		this.authorizer = new CarefulAuthorizer(dependencies);
-		this.server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
+		const {codec, metrics, log} = dependencies;
+		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
-		});
+		}, new ConnectionLog(codec, metrics, log));
 	}
 
 	/** Starts accepting connections. Rejects if the address cannot be bound. */
@@ -113,6 +114,7 @@
 			// The catalog may have changed while the body was received.
 			const {route, service, workspace, version} = await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
 			if (reply.isGone) {
+				this.logLeft(reply, callerHeaders.id, arrivedAt);
 				return;
 			}
 
@@ -173,13 +175,28 @@
 		}
 	}
 
+	/** Logs that a request ends without a reply because its caller seems to have left before it was accepted. */
+	private logLeft(reply: HttpCallerReply, id: string, arrivedAt: number): void {
+		const {log, metrics, timers} = this.dependencies;
+		metrics.count('siskinnotch_requests_left_early');
+		log.write('request.left', {
+			request: id,
+			attempts: 0,
+			isStarted: reply.isStarted,
+			isEndedByCaller: reply.isEndedByCaller,
+			afterMs: Math.round(timers.now() - arrivedAt),
+			reason: 'the caller ended or reset the connection before the request was accepted',
+		});
+	}
+
 	private refuse(reply: HttpCallerReply, id: string, failure: Failure, message: IncomingMessage): void {
 		const {isBehind, age} = this.dependencies.catalogCurrency.describe();
+		const isSent = !reply.isGone && !reply.isStarted;
 		this.dependencies.log.warn('request.refused', {
-			request: id, code: failure.code, execution: failure.execution, reason: failure.message, isCatalogBehind: isBehind, catalogAgeMs: Math.round(age),
+			request: id, code: failure.code, execution: failure.execution, reason: failure.message, isSent, isCatalogBehind: isBehind, catalogAgeMs: Math.round(age),
 		});
 		this.dependencies.metrics.count('siskinnotch_refusals', 1, {code: String(failure.code)});
-		if (!reply.isGone && !reply.isStarted) {
+		if (isSent) {
 			reply.fail(failure);
 		}
 
--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -27,6 +27,11 @@
 		return this.response.destroyed || this.message.socket.destroyed || this.message.socket.readableEnded;
 	}
 
+	/** Whether the caller has ended its side of the connection, rather than reset it. It may still read; that can't be told before something is written. */
+	get isEndedByCaller(): boolean {
+		return this.message.socket.readableEnded;
+	}
+
 	get isStarted(): boolean {
 		return this.response.headersSent;
 	}
