Start an answer of the own interface again without the stage that forgot, refused or garbled its attempt

What callers saw: nothing for certain; found by reading, beside streams that are passed on. An answer whose connection was closed, and whose stages responded to an inspection but didn't know the attempt any more, or whose last stage left out a token, was started again at once on the very same route, since the planner keeps the servers of the earlier route. A stage that refuses the attempt is asked again until the eight attempts or the retry budget are used up.

Cause: no stage was held responsible there, so that none was avoided: the diagnosis of a forgotten attempt named none, and receipts that are valid name none.

Now the diagnosis names the stages that were reached and don't know the attempt, and a missing token is held against the last stage, which sends the tokens. They are avoided by this answer and not suspected, since they respond; they are used again on the next tick if there is no other route. A lost, silent or stuck server was avoided before.

Tests: two in test/stream-recovery.test.ts, which failed on the code before (route a1, b1 again instead of a1, b2). The seven files of the own interface and its streams pass.

--- a/src/routing/stall-diagnosis.ts
+++ b/src/routing/stall-diagnosis.ts
@@ -4,7 +4,7 @@
 export enum StallCause {
 	/** At least one server did not respond over a new connection. */
 	ServersLost = 'servers_lost',
-	/** A server responded but does not know the attempt, because it was restarted. */
+	/** A server responded but does not know the attempt, because it was restarted or refused it. */
 	AttemptForgotten = 'attempt_forgotten',
 	/** The last stage has emitted more tokens than arrived: the connection to it no longer delivers data. */
 	ConnectionSilent = 'connection_silent',
@@ -30,12 +30,12 @@
 	});
 }
 
-/** Whether a stage that the attempt had reached no longer knows it. */
-function isAttemptForgotten(statuses: readonly StageStatus[]): boolean {
-	return statuses.some(({isKnown}, index) => {
+/** Finds the stages that the attempt had reached and that no longer know it. */
+function findForgetful(statuses: readonly StageStatus[]): readonly number[] {
+	return [...statuses.keys()].filter(index => {
 		const isLast = index === statuses.length - 1;
 		const wasReached = index === 0 ? statuses.some(({received}) => received > 0) : statuses[index - 1].forwarded > 0;
-		return !isKnown && (isLast || wasReached);
+		return !statuses[index].isKnown && (isLast || wasReached);
 	});
 }
 
@@ -73,8 +73,9 @@
 	}
 
 	const answered = statuses.filter(status => status !== undefined);
-	if (isAttemptForgotten(answered)) {
-		return {cause: StallCause.AttemptForgotten, stages: [], isOnLink: false};
+	const forgetful = findForgetful(answered);
+	if (forgetful.length > 0) {
+		return {cause: StallCause.AttemptForgotten, stages: forgetful, isOnLink: false};
 	}
 
 	if (answered.at(-1)!.emitted > delivered) {
--- a/src/routing/stream-recovery.ts
+++ b/src/routing/stream-recovery.ts
@@ -115,6 +115,10 @@
 
 	private reject(attempt: StreamAttempt, {reason, stage}: InvalidFrame, now: number): readonly StreamCommand[] {
 		const rejectCommand: StreamCommand = {kind: StreamCommandKind.Reject, reason};
+		if (stage === undefined && attempt !== this.running.silent) {
+			return [rejectCommand, ...this.restart(attempt, attempt.getServers([attempt.route.length - 1]), now)];
+		}
+
 		const suspects = attempt.getServers(stage === undefined ? [] : [stage]);
 		return [rejectCommand, ...this.giveUp(attempt, suspects, now)];
 	}
@@ -178,7 +182,7 @@
 			}
 
 			case StallCause.AttemptForgotten: {
-				return this.replace(attempt, new Set(), now);
+				return this.restart(attempt, suspects, now);
 			}
 
 			case StallCause.ConnectionSilent: {
@@ -223,9 +227,13 @@
 
 	/** Cancels the current attempt and starts another one without the suspects, unless too many attempts have failed. */
 	private replace(attempt: StreamAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+		return [...createSuspectCommands(suspects), ...this.restart(attempt, suspects, now)];
+	}
+
+	/** Cancels the current attempt and starts another one, if possible without servers that failed it, unless too many attempts have failed. */
+	private restart(attempt: StreamAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		const refusal = this.running.silent ? undefined : this.planner.requestRetry(this.delivered > 0 ? RetryUrgency.Begun : RetryUrgency.Ordinary);
-		const commands = refusal ? this.fail(refusal.code, refusal.message) : this.running.replace(attempt, suspects, now);
-		return [...createSuspectCommands(suspects), ...commands];
+		return refusal ? this.fail(refusal.code, refusal.message) : this.running.replace(attempt, failedServers, now);
 	}
 
 	private fail(code: ResultCode, message: string): readonly StreamCommand[] {
--- a/test/stream-recovery.test.ts
+++ b/test/stream-recovery.test.ts
@@ -79,6 +79,29 @@
 	t.deepEqual(getNewRoute(commands), ['a1', 'b2']);
 });
 
+// Guards against an answer that is started again at once on the route that has just refused or forgotten it.
+test('a stage that no longer knows the attempt is avoided and not suspected, and used again if there is no other', t => {
+	const statuses = [createStatus(1, 1), {...createStatus(0, 0), isKnown: false}];
+	for (const isAlone of [false, true]) {
+		const recovery = startRecovery(isAlone ? {findRoute: excluded => excluded.size === 0 ? createRoute(['a1', 'b1']) : undefined} : {});
+		recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 0)]}, 10);
+		recovery.handle({kind: StreamEventKind.Closed, connection: 1, reason: 'reset'}, 20);
+		const commands = recovery.handle({kind: StreamEventKind.Inspected, attempt: 1, statuses}, 30);
+		t.false(getKinds(commands).includes(StreamCommandKind.Suspect));
+		const next = isAlone ? recovery.handle({kind: StreamEventKind.Tick}, 40) : commands;
+		t.deepEqual(getNewRoute(next), isAlone ? ['a1', 'b1'] : ['a1', 'b2']);
+	}
+});
+
+// Guards against an answer that is started again at once on the route that has just left out a token.
+test('the last stage of an attempt that leaves out a token is avoided and not suspected', t => {
+	const recovery = startRecovery();
+	const commands = recovery.handle({kind: StreamEventKind.Frames, connection: 1, frames: [createFrame(1, 0), createFrame(1, 2)]}, 10);
+	t.is(recovery.delivered, 1);
+	t.false(getKinds(commands).includes(StreamCommandKind.Suspect));
+	t.deepEqual(getNewRoute(commands), ['a1', 'b2']);
+});
+
 test('late frames of an earlier attempt are dropped', t => {
 	const recovery = startRecovery();
 	recovery.handle({
