Don't count a server as lost by a request after it has reported that it is still running

What callers saw: a stream that lost an early connection at two servers was cut as one that crashes servers, also if both servers were running.

Cause: that a connection was lost is known, that its process ended is not. But it can be known that it didn't: each loss has the first stage asked for its report at once, so that a crash is confirmed, and the report names the start of the process. Nobody kept that.

Now the health records keep when an incarnation was last asked for a report in which it named itself. A server whose report was asked for at its latest loss or later, and which isn't known to have ended, doesn't count towards the two. A report without a start, of another start, or asked for before the loss says nothing. Whatever the servers report, three early losses are the most that a request gets, that is two retries, so that one that ends servers a while after it closed their connections stays within what request-crashes demands. A crashed server reports nothing, so a request that crashes each server is still stopped after two. Plain servers report no start, so nothing changes for lookups.

Tests: three in test/lost-connections.test.ts and one in test/stream-monitor.test.ts. The API is new, so they don't run on the old code; with `hasOutlived` always false the stream that goes on at a third server fails, with the start of the report unchecked the second one, and without the limit of three losses the first one again. Not measured: how often the report arrives before the second loss on a site of full size.

--- a/src/pipelines/server-health-tracker.ts
+++ b/src/pipelines/server-health-tracker.ts
@@ -46,6 +46,8 @@
 */
 export class ServerHealthTracker {
 	private readonly records = new Map<string, HealthRecord>();
+	/** Monotonic time in milliseconds at which each incarnation was last asked for a report in which it named itself, by incarnation id. */
+	private readonly reportedAt = new Map<string, number>();
 
 	constructor(private readonly timings: ServerHealthTimings, private readonly log: DecisionLog) {}
 
@@ -133,6 +135,23 @@
 		return this.records.get(getIncarnationId(server))?.hasEnded ?? false;
 	}
 
+	/**
+	Records a report of the process at the server's address.
+
+	@param startedAt - the start of that process as Unix time in milliseconds; undefined if it does not tell
+	@param askedAt - monotonic time in milliseconds at which it was asked
+	*/
+	recordReport(server: BackendServer, startedAt: number | undefined, askedAt: number): void {
+		if (startedAt === server.startedAt) {
+			this.reportedAt.set(getIncarnationId(server), askedAt);
+		}
+	}
+
+	/** Whether this incarnation of the server has given a report for which it was asked at a monotonic time in milliseconds, or later. */
+	hasOutlived(server: BackendServer, time: number): boolean {
+		return (this.reportedAt.get(getIncarnationId(server)) ?? Number.NEGATIVE_INFINITY) >= time;
+	}
+
 	/** Whether the server has completed work since it was last suspected, or never was suspected. */
 	isHealthy(server: BackendServer): boolean {
 		return (this.records.get(getIncarnationId(server))?.consecutiveSuspicions ?? 0) === 0;
@@ -179,9 +198,10 @@
 	/** Removes the records of incarnations that are no longer listed. */
 	retain(servers: Iterable<BackendServer>): void {
 		const listed = new Set([...servers].map(server => getIncarnationId(server)));
-		for (const incarnationId of this.records.keys()) {
+		for (const incarnationId of [...this.records.keys(), ...this.reportedAt.keys()]) {
 			if (!listed.has(incarnationId)) {
 				this.records.delete(incarnationId);
+				this.reportedAt.delete(incarnationId);
 			}
 		}
 	}
--- a/src/relay/attempt-crash-evidence.ts
+++ b/src/relay/attempt-crash-evidence.ts
@@ -9,8 +9,8 @@
 	readonly guard: Pick<CrashRecorder, 'recordProgress' | 'recordLoss'>;
 	/** The prompt parts and the fingerprint of the request. */
 	readonly suspects: readonly string[];
-	/** Called with the server or first stage of the attempt when that is lost before it has cleared the request. */
-	readonly onEarlyLoss: (server: BackendServer) => void;
+	/** Called with the server or first stage of the attempt, and the time, when the attempt is lost before it has cleared the request. */
+	readonly onEarlyLoss: (server: BackendServer, lostAt: number) => void;
 };
 
 /** Collects what one attempt shows about whether its request crashes backend servers. Times are monotonic milliseconds. */
@@ -45,9 +45,9 @@
 	}
 
 	/** Records that the connection of the attempt to its server or first stage was lost. */
-	recordLoss(server: BackendServer): void {
+	recordLoss(server: BackendServer, now: number): void {
 		if (!this.isCleared) {
-			this.dependencies.onEarlyLoss(server);
+			this.dependencies.onEarlyLoss(server, now);
 			this.recordSilence(server);
 		}
 	}
--- a/src/relay/plain-attempts.ts
+++ b/src/relay/plain-attempts.ts
@@ -29,7 +29,10 @@
 		private readonly log: PlainLog,
 	) {
 		const {crashGuard, directory, serverHealth} = dependencies;
-		this.crashEvidence = new CrashEvidence(crashGuard, request, server => directory.isReplaced(server) || serverHealth.hasEnded(server));
+		this.crashEvidence = new CrashEvidence(crashGuard, request, {
+			hasEnded: server => directory.isReplaced(server) || serverHealth.hasEnded(server),
+			hasOutlived: (server, time) => serverHealth.hasOutlived(server, time),
+		});
 	}
 
 	/** The attempts in progress. */
@@ -157,7 +160,7 @@
 
 	/** Records that the connection of an attempt was lost. A server that loses several of them is not used again, although it may be alive. */
 	private recordLoss(server: BackendServer, evidence: AttemptCrashEvidence): void {
-		evidence.recordLoss(server);
+		evidence.recordLoss(server, this.dependencies.timers.now());
 		if (this.crashEvidence.isExhausted(server)) {
 			this.servers.exclude(server);
 		}
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -94,10 +94,10 @@
 		this.releaseLoad = undefined;
 	}
 
-	/** Records that the attempt was lost. One that was silent before counts as silent only, since it is no further sign of a crash. */
-	recordLoss(): void {
+	/** Records that the attempt was lost, at a monotonic time in milliseconds. One that was silent before counts as silent only, since it is no further sign of a crash. */
+	recordLoss(now: number): void {
 		if (this.silenceReason === undefined) {
-			this.crashEvidence.recordLoss(this.firstServer);
+			this.crashEvidence.recordLoss(this.firstServer, now);
 		} else {
 			this.crashEvidence.recordSilence(this.firstServer);
 		}
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -61,7 +61,10 @@
 		super(dependencies, request, reply);
 		this.progress = new StreamProgress(request.arrivedAt, request.lastEventId);
 		this.log = new StreamLog(dependencies.log, request, this.progress);
-		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request, server => this.hasEnded(server));
+		this.crashEvidence = new CrashEvidence(dependencies.crashGuard, request, {
+			hasEnded: server => this.hasEnded(server),
+			hasOutlived: (server, time) => dependencies.serverHealth.hasOutlived(server, time),
+		});
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
 		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
@@ -306,7 +309,7 @@
 			this.resumeOrFail(attempt, 'the stream ended and may be incomplete');
 		} else if (end === StreamEnd.Empty) {
 			this.selector.exclude(attempt.firstServer);
-			attempt.recordLoss();
+			this.recordLoss(attempt);
 			this.resumeOrFail(attempt, 'the stream ended before an event and may be incomplete');
 		} else {
 			this.completeStream(attempt);
@@ -387,7 +390,7 @@
 
 	/** Records that an attempt was lost. A server that loses several of them early is not used again, although it may be alive. */
 	private recordLoss(attempt: StreamAttempt): void {
-		attempt.recordLoss();
+		attempt.recordLoss(this.dependencies.timers.now());
 		if (this.crashEvidence.isExhausted(attempt.firstServer)) {
 			this.selector.exclude(attempt.firstServer);
 		}
--- a/src/relay/stream-monitor.ts
+++ b/src/relay/stream-monitor.ts
@@ -206,10 +206,12 @@
 	}
 
 	private async queryBlockedRequests(server: BackendServer): Promise<void> {
-		const {reporter, directory, log} = this.dependencies;
+		const {reporter, directory, serverHealth, timers, log} = this.dependencies;
 		this.countQuery(QueryReason.Silence);
+		const askedAt = timers.now();
 		try {
-			const {blockedRequests, slowdownFactor} = await reporter.fetchReport(server);
+			const {blockedRequests, slowdownFactor, startedAt} = await reporter.fetchReport(server);
+			serverHealth.recordReport(server, startedAt, askedAt);
 			log.write('stage.asked', {server: server.id, blocked: blockedRequests.size, pace: slowdownFactor});
 			for (const address of new Set(blockedRequests.values())) {
 				const faulty = directory.findByAddress(address);
--- a/test/lost-connections.test.ts
+++ b/test/lost-connections.test.ts
@@ -102,6 +102,48 @@
 	t.is(fixture.reply.failure?.code, ResultCode.StreamInterrupted);
 });
 
+// Guards against a sound stream that is cut because two living servers closed one of its connections each.
+test('a stream goes on at a third server if the first one has reported since that it is running, and ends with the third loss', t => {
+	const fixture = startStream(4);
+	fixture.alternatives = [secondPipeline, thirdPipeline];
+	loseAfter(fixture, 11);
+	fixture.serverHealth.recordReport(first, first.startedAt, fixture.timers.now());
+	fixture.timers.advance(74);
+	loseAfter(fixture, 0);
+	t.deepEqual(listServers(fixture), ['first', 'second', 'third']);
+	fixture.serverHealth.recordReport(second, second.startedAt, fixture.timers.now());
+	fixture.timers.advance(74);
+	loseAfter(fixture, 0);
+	t.is(fixture.sent.length, 3);
+	t.true(fixture.reply.isAborted);
+});
+
+// Guards against a request that crashes one server after the other, each of which is taken for a living one.
+test('a report counts only if it is of the incarnation that lost the connection, and asked for since then', t => {
+	for (const [startedAt, delay] of [[first.startedAt + 1, 0], [undefined, 0], [first.startedAt, -1]] as const) {
+		const fixture = startStream(4);
+		fixture.alternatives = [secondPipeline, thirdPipeline];
+		fixture.timers.advance(10);
+		loseAfter(fixture, 1);
+		fixture.serverHealth.recordReport(first, startedAt, fixture.timers.now() + delay);
+		loseAfter(fixture, 0);
+		t.deepEqual(listServers(fixture), ['first', 'second']);
+		t.true(fixture.reply.isAborted);
+	}
+});
+
+// Guards against the sign of life of a server that has ended since.
+test('a server that has ended counts, although it had reported after the loss', t => {
+	const fixture = startStream(4);
+	fixture.alternatives = [secondPipeline, thirdPipeline];
+	loseAfter(fixture, 1);
+	fixture.serverHealth.recordReport(first, first.startedAt, fixture.timers.now());
+	fixture.serverHealth.suspect(first, 'connection refused', fixture.timers.now(), SuspicionCause.Refusing);
+	loseAfter(fixture, 0);
+	t.is(fixture.sent.length, 2);
+	t.true(fixture.reply.isAborted);
+});
+
 /** How an attempt can fail after it was sent, with the server alive. */
 const failures: ReadonlyArray<[title: string, fail: (fixture: StreamExchangeFixture) => void]> = [
 	['lost before an event', fixture => {
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -208,3 +208,17 @@
 	await settle();
 	t.true(serverHealth.hasEnded(plain));
 });
+
+// Guards against a living server that counts as one which a request crashed: only its own report shows that it is still running.
+test('a server that is asked after it lost a connection outlives the loss if the report is its own', async t => {
+	for (const startedAt of [servers[0].startedAt, servers[0].startedAt + 1, undefined]) {
+		const {monitor, timers, serverHealth} = createMonitor(new FakeReporter(() => ({...idleReport, startedAt}), () => Health.Good), []);
+		timers.advance(1000);
+		t.true(monitor.checkServer(servers[0]));
+		await settle(); // eslint-disable-line no-await-in-loop
+		t.is(serverHealth.hasOutlived(servers[0], 1000), startedAt === servers[0].startedAt);
+		t.false(serverHealth.hasOutlived(servers[0], 1001));
+		serverHealth.retain([]);
+		t.false(serverHealth.hasOutlived(servers[0], 1000));
+	}
+});
