--- a/simulators/stage-simulator.ts
+++ b/simulators/stage-simulator.ts
@@ -18,6 +18,8 @@
 	readonly promptParts: readonly string[];
 	/** Whether it was refused without being executed because it names another incarnation. */
 	readonly isMisdirected: boolean;
+	/** Whether it was refused without being executed because the simulator rejects requests. */
+	readonly isRejected: boolean;
 	/** Whether the connection closed before the response was complete. */
 	wasAborted: boolean;
 };
@@ -34,6 +36,8 @@
 	wrongEventId?: {readonly event: number; readonly id: number};
 	/** Whether responses to plain requests have no length and end when the connection closes. */
 	isUnframed?: boolean;
+	/** Bytes of the body of a plain response, or of the data of all events of a stream, for the path of a request; shorter ones are padded. */
+	answerBytes?: (path: string) => number;
 	/** Status with which requests are refused without being executed. */
 	rejectionStatus?: number;
 	/** Id of a prompt part; a stream on a prompt with this part, other than as its last one, crashes the simulator just before its first event. */
@@ -49,6 +53,8 @@
 };
 
 const misdirectedStatus = 421;
+/** Fills answers up to their length. */
+const padding = '.';
 
 async function readText(message: IncomingMessage): Promise<string> {
 	let text = '';
@@ -170,6 +176,7 @@
 			body,
 			promptParts: parsePromptParts(getHeader(message, 'siskinnotch-prompt-prefix')),
 			isMisdirected: expectedId !== undefined && expectedId !== this.id,
+			isRejected: this.behaviour.rejectionStatus !== undefined,
 			wasAborted: false,
 		};
 		this.receivedRequests.push(arrival);
@@ -198,10 +205,10 @@
 		}
 
 		response.setHeader('Siskinnotch-Replica-Signature', `signature of ${this.id}`);
-		await (arrival.pipeline === undefined ? this.answerPlainRequest(response) : this.streamEvents(response, arrival));
+		await (arrival.pipeline === undefined ? this.answerPlainRequest(response, arrival.path) : this.streamEvents(response, arrival));
 	}
 
-	private async answerPlainRequest(response: ServerResponse): Promise<void> {
+	private async answerPlainRequest(response: ServerResponse, requestPath: string): Promise<void> {
 		await this.timers.sleep(this.behaviour.pause);
 		if (this.behaviour.isUnframed) {
 			response.useChunkedEncodingByDefault = false;
@@ -209,7 +216,7 @@
 			response.flushHeaders();
 		}
 
-		response.end(`answer of ${this.id}`);
+		response.end(`answer of ${this.id}`.padEnd(this.behaviour.answerBytes?.(requestPath) ?? 0, padding));
 	}
 
 	private async streamEvents(response: ServerResponse, arrival: ReceivedRequest): Promise<void> {
@@ -219,6 +226,7 @@
 		this.behaviour.wrongEventId = undefined;
 		response.writeHead(200, {'content-type': 'text/event-stream'});
 		const first = (arrival.lastEventId ?? 0) + 1;
+		const eventBytes = (this.behaviour.answerBytes?.(arrival.path) ?? 0) / events;
 		for (let id = first; id <= events && !response.destroyed; id++) {
 			await this.timers.sleep(pause); // eslint-disable-line no-await-in-loop
 			await this.silence; // eslint-disable-line no-await-in-loop
@@ -234,7 +242,7 @@
 				return;
 			}
 
-			response.write(`id: ${id === wrongEventId?.event ? wrongEventId.id : id}\ndata: token ${id}\n\n`);
+			response.write(`id: ${id === wrongEventId?.event ? wrongEventId.id : id}\ndata: ${`token ${id}`.padEnd(eventBytes, padding)}\n\n`);
 			if (id === first && silenceMs !== undefined) {
 				this.silence = this.timers.sleep(silenceMs);
 			}
