Lend retries between the instances of a fleet

Each instance has a fixed share of it, 4 to 11 retries in 10 s, and a few more rejections than usual exhaust one share while its neighbours' are free. At 7 instances the shares are large enough.

An instance that takes the last retry that a rejected request may take, or is denied one, asks one random responsive instance for one more: of its own zone first, of any after a request that brought nothing. It has one request in flight and a pause that grows from 25 to 800 ms while there is nothing to borrow, so its calls don't grow with the fleet. A lender gives at most half of what is free and none of its reserve. It counts what it lent until the window and the lifetime of the loan (1 s) have passed; the borrower counts the lifetime from its request. So each borrowed retry is in a window only while the lender counts it, whatever is lost, late or repeated. A loan that arrives starts the queued requests. A stopping instance lends, and borrows for begun replies only.

The calls are a new procedure, `lendRetries`, beside `exchange`, which is unchanged; they count in the traffic that bounds gossip. An earlier build answers with an error: that is no loan, and doesn't count as a failed neighbour.

The tests of loans can't be run on the code before, which has none; the simulation's assertions fail with fixed shares.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -139,6 +139,11 @@
 		['src/admission/retry-budget.js', 'this.retries.length + 1 > limit', 'false'],
 		['test/decisions.test.ts', 'retry budget*'],
 	),
+	mutation(
+		'a lender does without what it lent until no loan can be in use',
+		['src/admission/retry-budget.js', 'now + lifetime + this.window', 'now + this.window'],
+		['test/retry-loans.test.ts', 'an instance lends*'],
+	),
 	mutation(
 		'an instance uses only its share of a limit that a server names',
 		['src/backpressure/limit-share.js', 'computeWeight(own) / sharing', '1; void sharing'],
--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -10,12 +10,16 @@
 Limits retries to a ratio of recent requests, so that a failure of many servers does not multiply the load (B. Beyer et al., Site Reliability Engineering, 2016, chapter 21).
 
 In any window, retries are at most `minimum + ratio × requests`. A small part of them is kept for replies that have begun.
+
+Instances lend retries to each other. Those that are lent count as the lender's until they can be in no window any more, whether or not they are used, and not as the borrower's. So the retries of all instances stay within the sum of their budgets, whatever messages are lost, late or repeated.
 */
 export class RetryBudget {
 	/** Monotonic times in milliseconds at which requests arrived. */
 	private requests: number[] = [];
-	/** Monotonic times in milliseconds until which the retries count. */
+	/** Monotonic times in milliseconds until which the retries count: the own ones, and those that were lent. */
 	private retries: number[] = [];
+	/** Monotonic times in milliseconds at which borrowed retries expire. */
+	private borrowed: number[] = [];
 
 	/**
 	@param ratio - retries allowed per request
@@ -38,6 +42,11 @@
 	/** Takes one retry from the budget; returns false if the budget is exhausted, or if what is left is kept for more urgent retries. */
 	tryAcquire(now: number, urgency: RetryUrgency): boolean {
 		this.discardExpired(now);
+		if (this.borrowed.length > 0) {
+			this.borrowed.shift();
+			return true;
+		}
+
 		const limit = this.share - (urgency === RetryUrgency.Begun ? 0 : this.reserve);
 		if (this.retries.length + 1 > limit) {
 			return false;
@@ -47,6 +56,36 @@
 		return true;
 	}
 
+	/** Returns the number of retries that a request whose reply has not begun could take now. */
+	countAvailable(now: number): number {
+		this.discardExpired(now);
+		return this.borrowed.length + Math.max(0, Math.floor(this.share - this.reserve - this.retries.length));
+	}
+
+	/**
+	Lends retries to another instance: at most half of those that are free, and none that are kept for replies that have begun.
+
+	@param wanted - retries that the other instance asks for
+	@param lifetime - milliseconds from now within which it uses them
+	@returns the number of retries that are lent
+	*/
+	lend(wanted: number, lifetime: number, now: number): number {
+		this.discardExpired(now);
+		const free = this.share - this.retries.length;
+		const lent = Math.max(0, Math.min(wanted, Math.floor(free / 2), Math.floor(free - this.reserve)));
+		this.retries.push(...Array.from({length: lent}, () => now + lifetime + this.window));
+		return lent;
+	}
+
+	/**
+	Adds retries that another instance has lent.
+
+	@param expiresAt - monotonic time in milliseconds from which they can't be used
+	*/
+	addBorrowed(retries: number, expiresAt: number): void {
+		this.borrowed.push(...Array.from({length: retries}, () => expiresAt));
+	}
+
 	/** Retries that are allowed in the current window. */
 	private get share(): number {
 		return this.minimum + (this.ratio * this.requests.length);
@@ -61,5 +100,6 @@
 		const first = this.requests.findIndex(at => at + this.window > now);
 		this.requests = first === -1 ? [] : this.requests.slice(first);
 		this.retries = this.retries.filter(until => until > now);
+		this.borrowed = this.borrowed.filter(expiresAt => expiresAt > now);
 	}
 }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -7,6 +7,7 @@
 import {type ServerDirectory} from '../pipelines/server-directory.js';
 import {type GossipClients} from '../peers/gossip-clients.js';
 import {type GossipService} from '../peers/gossip-service.js';
+import {type RetryLoans} from '../peers/retry-loans.js';
 import {type PlacementController} from '../placement/placement-controller.js';
 import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
@@ -40,6 +41,7 @@
 	readonly instanceRegistry: InstanceRegistry;
 	readonly gossip: GossipService;
 	readonly gossipClients: GossipClients;
+	readonly retryLender: RetryLoans;
 	readonly ownPaths: OwnPaths;
 	readonly tunnelServer: TunnelServer;
 	readonly lease: Lease;
@@ -66,7 +68,7 @@
 		await this.listen(settings.instance.readiness, async (host, port) => dependencies.statusServer.listenReadiness(host, port));
 		await this.listen(settings.instance.metrics, async (host, port) => dependencies.statusServer.listenMetrics(host, port));
 		await this.listen(settings.instance.callers, async (host, port) => dependencies.entryServer.listen(host, port));
-		await this.listen(settings.instance.peers, async (host, port) => dependencies.gossipClients.listen(host, port, dependencies.gossip, dependencies.tunnelServer));
+		await this.listen(settings.instance.peers, async (host, port) => dependencies.gossipClients.listen(host, port, dependencies));
 		for (const watcher of dependencies.tableWatchers) {
 			watcher.start();
 		}
--- a/src/peers/gossip-clients.ts
+++ b/src/peers/gossip-clients.ts
@@ -9,7 +9,9 @@
 import {type GossipTraffic} from './byte-budget.js';
 import {CallFailure} from './call-failure.js';
 import {gossipMessageSchema, type GossipMessage} from './gossip-message.js';
-import {createGossipProcedures, type GossipProcedures, type GossipReceiver} from './gossip-procedures.js';
+import {
+	createGossipProcedures, loanAnswerSchema, type GossipProcedures, type GossipReceiver, type LoanCall, type RetryLender,
+} from './gossip-procedures.js';
 
 /** Time for which an idle connection of another instance is kept; instances contact each other in random order. */
 const idleConnectionMs = 60_000;
@@ -20,6 +22,13 @@
 /** Largest message accepted; a whole server list and configuration fit in it. */
 const maxMessageBytes = 16_000_000;
 
+/** What answers the calls and connections of other instances. */
+export type PeerReceivers = {
+	readonly gossip: GossipReceiver;
+	readonly retryLender: RetryLender;
+	readonly tunnelServer: Pick<TunnelServer, 'accept'>;
+};
+
 /** Sends and receives the calls between pipeline routers over tRPC and HTTP. */
 export class GossipClients {
 	private readonly http = new HttpFetch();
@@ -33,8 +42,8 @@
 	constructor(private readonly timers: TimerService, private readonly timeout: number) {}
 
 	/** Starts to answer other instances; rejects if the address is unavailable. */
-	async listen(host: string, port: number, receiver: GossipReceiver, tunnelServer: TunnelServer): Promise<void> {
-		this.server = createServer(createHTTPHandler({router: createGossipProcedures(receiver), maxBodySize: maxMessageBytes}));
+	async listen(host: string, port: number, {gossip, retryLender, tunnelServer}: PeerReceivers): Promise<void> {
+		this.server = createServer(createHTTPHandler({router: createGossipProcedures(gossip, retryLender), maxBodySize: maxMessageBytes}));
 		this.server.keepAliveTimeout = idleConnectionMs;
 		this.server.on('connect', (request, socket) => {
 			void tunnelServer.accept(request, socket);
@@ -69,6 +78,14 @@
 		}
 	}
 
+	/** Asks an instance for retries and returns how many it lent. Rejects if no answer arrives in time, or if the instance is of an earlier build and lends none. */
+	async borrowRetries(address: string, call: LoanCall): Promise<number> {
+		return this.timers.runWithTimeout(this.timeout, async signal => {
+			const client = this.createClient(address, () => undefined);
+			return loanAnswerSchema.parse(await client.lendRetries.mutate(call, {signal})).retries;
+		});
+	}
+
 	private createClient(address: string, onData: (bytes: number) => void): TRPCClient<GossipProcedures> {
 		return createTRPCClient<GossipProcedures>({
 			links: [httpLink({
--- a/src/relay/exchange-dependencies.ts
+++ b/src/relay/exchange-dependencies.ts
@@ -1,4 +1,5 @@
 import {type RetryBudget} from '../admission/retry-budget.js';
+import {type RetryUrgency} from '../admission/retry-urgency.js';
 import {type Backpressure} from '../backpressure/backpressure.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
@@ -12,6 +13,8 @@
 /** The retry budgets of all services; each is shared by all requests to its service. */
 export type RetryBudgets = {
 	forService(service: string): RetryBudget;
+	/** Asks another instance for retries if the budget of the service has none left; called after a retry was taken or denied. */
+	replenish(service: string, urgency: RetryUrgency): void;
 };
 
 /** Dependencies that all exchanges share. */
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -144,6 +144,8 @@
 			this.reportDeniedRetry();
 		}
 
+		retryBudgets.replenish(this.request.service.name, urgency);
+
 		return isAcquired;
 	}
 
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {type Agent} from 'node:http';
 import {type Logger} from 'winston';
+import {RetryBorrowing} from './admission/retry-borrowing.js';
 import {RetryBudget} from './admission/retry-budget.js';
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
@@ -34,6 +35,7 @@
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementController} from './placement/placement-controller.js';
 import {GossipClients} from './peers/gossip-clients.js';
+import {RetryLoans} from './peers/retry-loans.js';
 import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {wireCrashGuard} from './quarantine-wiring.js';
@@ -136,7 +138,7 @@
 /** Fraction of the latency target after which an unresponsive server is abandoned for another one. */
 const plainResponseTimeoutFraction = 0.8;
 /** Counters whose growth is logged: what an instance asks of the backend servers and of other instances. */
-const loggedCounters = new Set(['siskinnotch_connections', 'siskinnotch_server_queries', 'siskinnotch_tunnels_opened', 'siskinnotch_gossip_calls']);
+const loggedCounters = new Set(['siskinnotch_connections', 'siskinnotch_server_queries', 'siskinnotch_tunnels_opened', 'siskinnotch_gossip_calls', 'siskinnotch_loan_requests']);
 const counterLogIntervalMs = 2000;
 /** Creates a pipeline router and everything that it consists of. */
 export function wireRouter(settings: RouterSettings, {timers, log, logger, countDroppedLines}: RouterEnvironment, adapters: PlatformAdapters): Router {
@@ -223,11 +225,29 @@
 		return retryBudget;
 	};
 
+	const retryLoans = new RetryLoans({
+		borrowing: new RetryBorrowing(instance.availability_zone, () => findResponsivePeers(), random),
+		clients: gossipClients,
+		findBudget: getRetryBudget,
+		isKnownService: service => activeCatalog.current?.catalog.services.has(service) ?? false,
+		lifecycle,
+		timers,
+		metrics,
+		log,
+		onLoan() {
+			requestQueue.dispatchReady();
+		},
+	});
 	const backendClient = new BackendClient({
 		codec: adapters.codec, agent: backendAgent, newConnectionAgent, timers, connectTimeout: limits.connect,
 	});
 	const exchangeDependencies: ExchangeDependencies = {
-		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, retryBudgets: {forService: getRetryBudget}, timers, metrics, log,
+		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, timers, metrics, log,
+		retryBudgets: {
+			forService: getRetryBudget, replenish(service, urgency) {
+				retryLoans.replenish(service, urgency);
+			},
+		},
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
 		streamMonitor.hedgeStreamsThrough(server, reason);
@@ -354,7 +374,7 @@
 	new CounterLog(loggedCounters, metrics, log).start(timers, counterLogIntervalMs);
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
-		directory, instanceRegistry, gossip, gossipClients, ownPaths, tunnelServer, lease, leaseManager, placementController,
+		directory, instanceRegistry, gossip, gossipClients, retryLender: retryLoans, ownPaths, tunnelServer, lease, leaseManager, placementController,
 	});
 	return router;
 }
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -144,7 +144,7 @@
 				},
 				isSuspectedRequest: fingerprint => this.suspectedRequests.has(fingerprint),
 			},
-			retryBudgets: {forService: () => this.retryBudget},
+			retryBudgets: {forService: () => this.retryBudget, replenish: () => undefined},
 			timers,
 			metrics: new Metrics(),
 			log,
