Let a planned stop wait until replies have left the process

Callers that read late lost replies that the log calls answered. An exchange is over when the reply was ended, and a stop went on and ended the process while bytes of ended replies were still in it.

A stop now goes on when every reply whose request was read has been handed to the system, within its grace, also a refusal and one that closes its connection; `openReplies` in `process.stopped` says how many were left at the end of the grace. A caller that does not read holds the stop until then, no longer.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -89,6 +89,11 @@
 		return this.pending;
 	}
 
+	/** Number of replies whose bytes have not all left this process, with those that have not begun. */
+	get openReplies(): number {
+		return this.server.openReplies;
+	}
+
 	private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.pending++;
 		try {
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -109,7 +109,7 @@
 		const drainDeadline = stopRequestedAt + settings.stop.grace - settings.stop.margin;
 		while (dependencies.timers.now() < drainDeadline) {
 			await dependencies.entryServer.closeIdle(); // eslint-disable-line no-await-in-loop
-			if (dependencies.exchanges.size === 0 && dependencies.entryServer.pendingRequests === 0 && dependencies.tunnelServer.size === 0) {
+			if (this.isDrained) {
 				break;
 			}
 
@@ -117,10 +117,17 @@
 		}
 
 		const inFlight = dependencies.exchanges.size;
+		const {openReplies} = dependencies.entryServer;
 		dependencies.entryServer.stopListening();
 		dependencies.gossipClients.close();
 		dependencies.exchanges.abortAll('the instance is shutting down');
-		dependencies.log.write('process.stopped', {cut: inFlight, afterMs: Math.round(dependencies.timers.now() - stopRequestedAt)});
+		dependencies.log.write('process.stopped', {cut: inFlight, openReplies, afterMs: Math.round(dependencies.timers.now() - stopRequestedAt)});
+	}
+
+	/** Whether nothing is left that the end of the process would cut: no request, no byte of a reply, and no tunnel. */
+	private get isDrained(): boolean {
+		const {exchanges, entryServer, tunnelServer} = this.dependencies;
+		return exchanges.size === 0 && entryServer.pendingRequests === 0 && entryServer.openReplies === 0 && tunnelServer.size === 0;
 	}
 
 	/** Whether to acquire or renew the placement lease. The current holder always renews it; other instances try only if they read the store, while it is reachable and no holder has been heard from recently. */
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -45,6 +45,11 @@
 		});
 	}
 
+	/** Number of replies whose bytes have not all been handed to the system, of requests whose heads were read. */
+	get openReplies(): number {
+		return [...this.tracked.values()].reduce((sum, {openReplies}) => sum + openReplies, 0);
+	}
+
 	/** Also called by the runtime when the server stops listening. */
 	override closeIdleConnections(): void {
 		void this.closeIdle();
--- a/src/tunnels/tunnel-server.ts
+++ b/src/tunnels/tunnel-server.ts
@@ -85,16 +85,29 @@
 			return;
 		}
 
-		this.open++;
-		result.once('close', () => {
-			this.open--;
-		});
+		this.count(near, result);
 		near.setNoDelay(true);
 		near.setKeepAlive(true, keepAliveDelayMs);
 		near.write('HTTP/1.1 200 OK\r\n\r\n');
 		join(near, result);
 	}
 
+	/** Counts a tunnel until the server's connection is closed and all that it sent is handed to the system, or the other instance is gone. */
+	private count(instance: Socket, server: Socket): void {
+		this.open++;
+		let isOver = false;
+		const update = () => {
+			if (!isOver && server.closed && (instance.closed || instance.writableFinished)) {
+				isOver = true;
+				this.open--;
+			}
+		};
+
+		server.once('close', update);
+		instance.once('finish', update);
+		instance.once('close', update);
+	}
+
 	/** Returns a connection to the server, or the status that says why there is none. */
 	private async connect(address: string): Promise<Socket | TunnelStatus> {
 		const {direct, isServer, isAvailable, reachesAnother} = this.dependencies;
--- a/test/support/kept-connection.ts
+++ b/test/support/kept-connection.ts
@@ -47,6 +47,15 @@
 		].join('\r\n'));
 	}
 
+	/** Stops reading, or goes on. */
+	setReading(isReading: boolean): void {
+		if (isReading) {
+			this.socket.resume();
+		} else {
+			this.socket.pause();
+		}
+	}
+
 	/** Closes the connection. */
 	close(): void {
 		this.socket.destroy();
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -1,6 +1,7 @@
 import {createServer as createHttpServer} from 'node:http';
 import {createServer, Socket, type Server} from 'node:net';
 import {once} from 'node:events';
+import {Duplex} from 'node:stream';
 import test, {type ExecutionContext} from 'ava';
 import {freePort} from '../harness/ports.js';
 import {Metrics} from '../src/observation/metrics.js';
@@ -42,11 +43,14 @@
 	return `127.0.0.1:${port}`;
 }
 
-/** Starts another instance that opens tunnels; returns its address. */
-async function startInstance(t: ExecutionContext, changes: Partial<TunnelServerDependencies> = {}): Promise<string> {
-	const tunnelServer = new TunnelServer({
+function createTunnelServer(changes: Partial<TunnelServerDependencies> = {}): TunnelServer {
+	return new TunnelServer({
 		direct: new TcpConnector(timers, new Metrics(), 150), isServer: () => true, isAvailable: () => true, reachesAnother: async () => true, log: new RecordingLog(), ...changes,
 	});
+}
+
+/** Starts another instance that opens tunnels; returns its address. */
+async function startInstance(t: ExecutionContext, changes: Partial<TunnelServerDependencies> = {}, tunnelServer = createTunnelServer(changes)): Promise<string> {
 	const server = createHttpServer();
 	server.on('connect', (request, socket) => {
 		void tunnelServer.accept(request, socket);
@@ -90,6 +94,34 @@
 	socket.destroy();
 });
 
+// Guards against responses that are cut by the planned stop of the instance that holds their tunnel: the server had sent them, and the other instance had not received them.
+test('a tunnel is open until what the server sent has left the instance', async t => {
+	const server = await listenTcp(t, socket => {
+		socket.end('response');
+	});
+	let sent = '';
+	const release: Array<() => void> = [];
+	// The connection of an instance that does not read yet.
+	const stream = Object.assign(new Duplex({
+		read: () => undefined,
+		write(chunk: Uint8Array, _encoding, callback) {
+			sent += new TextDecoder().decode(chunk);
+			release.push(callback);
+		},
+	}), {setNoDelay: () => undefined, setKeepAlive: () => undefined});
+	const tunnelServer = createTunnelServer();
+	await tunnelServer.accept({url: server}, stream);
+	await timers.sleep(200);
+	t.is(tunnelServer.size, 1);
+	while (!stream.writableFinished) {
+		release.shift()?.();
+		await timers.sleep(5); // eslint-disable-line no-await-in-loop
+	}
+
+	t.true(sent.endsWith('response'));
+	t.is(tunnelServer.size, 0);
+});
+
 // Guards against a truncated response that looks complete because the reset of its connection was lost on the way.
 test('a connection that the server resets is reset at the other end of the tunnel', async t => {
 	const server = await listenTcp(t, socket => {
