Answer a request whose handling throws with 500, and go on

All callers of an instance lost what it had read when the handling of one request threw outside the part that refuses: the handling is started without a listener for its failure, so the rejection ended the process. The head is decoded there, and a refusal can throw itself, when the codec or the writer of the head does.

What throws is now answered with 500 and InternalError, logged as `request.refused`, and the process goes on; a reply that had begun is cut instead of left open. A lost reply is logged also if the head of its request can't be decoded. A tunnel whose opening throws is refused and logged as `tunnel.failed`.

The two cases that threw inside the old `try` are there for comparison.

--- a/src/entry/connection-log.ts
+++ b/src/entry/connection-log.ts
@@ -1,3 +1,4 @@
+import {type IncomingMessage} from 'node:http';
 import {
 	ConnectionObserver, type ConnectionEnd, type LostReply,
 } from '../network/connection-observer.js';
@@ -21,7 +22,16 @@
 	recordLostReply({loss, message, response}: LostReply): void {
 		this.metrics.count('siskinnotch_replies_lost', 1, {loss});
 		this.log.write('reply.lost', {
-			request: this.codec.decodeRequest(message).id, loss, status: response.headersSent ? response.statusCode : undefined,
+			request: this.findId(message), loss, status: response.headersSent ? response.statusCode : undefined,
 		});
 	}
+
+	/** Returns the id of a request; empty if its head can't be decoded. */
+	private findId(message: IncomingMessage): string {
+		try {
+			return this.codec.decodeRequest(message).id;
+		} catch {
+			return '';
+		}
+	}
 }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -16,7 +16,7 @@
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
-import {toFailure} from '../results/to-failure.js';
+import {getErrorMessage, toFailure} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
 import {CarefulAuthorizer} from './careful-authorizer.js';
 import {ConnectionLog} from './connection-log.js';
@@ -98,11 +98,20 @@
 		this.pending++;
 		try {
 			await this.acceptRequest(message, response);
+		} catch (error) {
+			this.failUnexpectedly(error, message, response);
 		} finally {
 			this.pending--;
 		}
 	}
 
+	/** Replies to a request whose handling threw. It ends alone, and neither the process nor the other requests with it. */
+	private failUnexpectedly(error: unknown, message: IncomingMessage, response: ServerResponse): void {
+		const failure = new Failure(ResultCode.InternalError, getErrorMessage(error), Execution.Unknown);
+		const reply = new HttpCallerReply(message, response, () => [], () => true);
+		this.refuse(reply, '', failure, message);
+	}
+
 	private async acceptRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {dependencies} = this;
 		const arrivedAt = dependencies.timers.now();
@@ -203,6 +212,8 @@
 		this.dependencies.metrics.count('siskinnotch_refusals', 1, {code: String(failure.code)});
 		if (isSent) {
 			reply.fail(failure);
+		} else if (!reply.isGone) {
+			reply.abort();
 		}
 
 		message.resume();
--- a/src/tunnels/tunnel-server.ts
+++ b/src/tunnels/tunnel-server.ts
@@ -3,6 +3,7 @@
 import {type Duplex} from 'node:stream';
 import {wasClosedByPeer, watchConnectionEnd} from '../network/connection-end.js';
 import {type DecisionLog} from '../observation/decision-log.js';
+import {getErrorMessage} from '../results/to-failure.js';
 import {ConnectionFailureCause} from './connection-failure-cause.js';
 import {ConnectionFailure} from './connection-failure.js';
 import {ConnectionPurpose} from './connection-purpose.js';
@@ -73,7 +74,7 @@
 		});
 		// Nothing is sent before the answer, but an end must be noticed.
 		near.resume();
-		const result = await this.connect(address);
+		const result = await this.connectOrRefuse(address);
 		if (typeof result === 'number') {
 			this.dependencies.log.write('tunnel.refused', {address, status: result});
 			near.end(`HTTP/1.1 ${result} ${STATUS_CODES[result]}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
@@ -108,6 +109,16 @@
 		instance.once('close', update);
 	}
 
+	/** As `connect`; an error beside those of the connection refuses the tunnel, and does not end the process. */
+	private async connectOrRefuse(address: string): Promise<Socket | TunnelStatus> {
+		try {
+			return await this.connect(address);
+		} catch (error) {
+			this.dependencies.log.warn('tunnel.failed', {address, reason: getErrorMessage(error)});
+			return TunnelStatus.Unavailable;
+		}
+	}
+
 	/** Returns a connection to the server, or the status that says why there is none. */
 	private async connect(address: string): Promise<Socket | TunnelStatus> {
 		const {direct, isServer, isAvailable, reachesAnother} = this.dependencies;
--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -4,7 +4,10 @@
 import {EntryServer, type EntryServerDependencies} from '../src/entry/entry-server.js';
 import {Lifecycle} from '../src/lifecycle.js';
 import {Metrics} from '../src/observation/metrics.js';
+import {Execution} from '../src/results/execution.js';
+import {ResultCode} from '../src/results/result-code.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
+import {EntryFixture, type EntryOptions} from './support/entry-fixture.js';
 import {RecordingLog} from './support/sample-fleet.js';
 
 const limits = {
@@ -78,3 +81,59 @@
 	upload.end(chunk);
 	t.is(await statusCode, 413);
 });
+
+function fail(): never {
+	throw new TypeError('broken');
+}
+
+const faultyOptions: Readonly<Record<string, EntryOptions>> = {
+	'decoding its head': {decode: fail},
+	'authorizing it': {authorize: fail},
+	'starting it': {answer: fail},
+	'encoding the head of its refusal': {encodeReply: fail, authorize: fail},
+	'writing the head of its refusal': {encodeReply: () => ['x y', ''], authorize: fail},
+};
+
+for (const [title, options] of Object.entries(faultyOptions)) {
+	// Guards against a request that ends the process, with all the others that it has read: its handling threw outside the part that refuses.
+	test(`a request is answered with 500, and the process goes on, if ${title} throws`, async t => {
+		const entry = await EntryFixture.start(t, options);
+		const caller = await entry.connect();
+		caller.socket.write('GET /drafts/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\n\r\n');
+		await entry.waitUntil(() => caller.isClosed || caller.received.endsWith('}'));
+		t.regex(caller.received, /^HTTP\/1\.1 500 /v);
+		t.regex(caller.received, new RegExp(`"code":${ResultCode.InternalError},`, 'v'));
+		t.like(await entry.waitForLine('request.refused'), {code: ResultCode.InternalError, execution: Execution.Unknown, isSent: true});
+		t.is(entry.server.pendingRequests, 0);
+	});
+}
+
+// Guards against callers that wait for the rest of a reply that nothing will complete.
+test('the connection is closed if the handling of a request throws after its reply has begun', async t => {
+	const entry = await EntryFixture.start(t, {
+		answer(reply) {
+			reply.begin(200, ['Content-Length', '9']);
+			reply.write(new Uint8Array(1));
+			fail();
+		},
+	});
+	const caller = await entry.connect();
+	caller.socket.write('GET /drafts/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\n\r\n');
+	await entry.waitUntil(() => caller.socket.readableEnded);
+	t.like(await entry.waitForLine('request.refused'), {code: ResultCode.InternalError, isSent: false});
+	t.like(await entry.waitForLine('reply.lost'), {request: 'r1', loss: 'cut'});
+});
+
+// Guards against a process that ends because it logs a lost reply to a request whose head it can't decode.
+test('a reply that is lost is logged although the head of its request cannot be decoded', async t => {
+	let isBroken = false;
+	const entry = await EntryFixture.start(t, {
+		decode: () => isBroken ? fail() : {},
+	});
+	const {socket} = await entry.connect();
+	socket.write('GET /drafts/1 HTTP/1.1\r\nHost: a\r\n\r\n');
+	await entry.waitForLine('request.accepted');
+	isBroken = true;
+	socket.resetAndDestroy();
+	t.like(await entry.waitForLine('reply.lost'), {request: '', loss: 'unanswered'});
+});
--- a/test/support/entry-fixture.ts
+++ b/test/support/entry-fixture.ts
@@ -17,6 +17,8 @@
 	readonly answer?: (reply: CallerReply) => void;
 	/** Decodes the head of a request, beside the id. */
 	readonly decode?: (message: IncomingMessage) => Partial<CallerHeaders>;
+	/** Encodes the headers of a reply of the instance itself. */
+	readonly encodeReply?: () => string[];
 	/** Called each time that a request is authorized. */
 	readonly authorize?: () => void;
 };
@@ -58,7 +60,7 @@
 	readonly server: EntryServer;
 	private readonly sockets: Socket[] = [];
 
-	private constructor(private readonly port: number, {answer, decode, authorize}: EntryOptions) {
+	private constructor(private readonly port: number, {answer, decode, encodeReply, authorize}: EntryOptions) {
 		const {timers, metrics, log, lifecycle} = this;
 		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 			authorizer: {
@@ -72,7 +74,7 @@
 				decodeRequest: (message: IncomingMessage) => ({
 					id: String(message.headers['x-id'] ?? ''), forwardedHeaders: [], promptParts: [], ...decode?.(message),
 				}),
-				encodeReplyHeaders: () => [],
+				encodeReplyHeaders: () => encodeReply?.() ?? [],
 			},
 			exchanges: {
 				start(_request: unknown, reply: CallerReply) {
--- a/test/tunnels.test.ts
+++ b/test/tunnels.test.ts
@@ -122,6 +122,16 @@
 	t.is(tunnelServer.size, 0);
 });
 
+// Guards against a process that ends because opening a tunnel for another instance threw.
+test('a tunnel whose opening throws is refused, and the process goes on', async t => {
+	const instance = await startInstance(t, {
+		isServer() {
+			throw new TypeError('broken');
+		},
+	});
+	t.is(await findFailureReason(openTunnel(instance, '127.0.0.1:1')), TunnelFailureReason.Unavailable);
+});
+
 // Guards against a truncated response that looks complete because the reset of its connection was lost on the way.
 test('a connection that the server resets is reset at the other end of the tunnel', async t => {
 	const server = await listenTcp(t, socket => {
