Test that callers who stay are not taken for callers who have left

A request counts as one whose caller has left when the caller has ended its side of the connection. That is kept: the runtime ends the other side as soon as it reads the end, so a caller that only half-closes can't be answered. It is visible since `request.left` and `request.refused` say so.

The tests hold a body in pieces and a wait for a newer configuration against it: a caller that stays is answered, one that ends the connection during the wait is logged, as refused with CallerGone and not sent.

--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -5,6 +5,7 @@
 import {Lifecycle} from '../src/lifecycle.js';
 import {Metrics} from '../src/observation/metrics.js';
 import {Execution} from '../src/results/execution.js';
+import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
 import {EntryFixture, type EntryOptions} from './support/entry-fixture.js';
@@ -137,3 +138,63 @@
 	socket.resetAndDestroy();
 	t.like(await entry.waitForLine('reply.lost'), {request: '', loss: 'unanswered'});
 });
+
+const post = 'POST /drafts/1 HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\nContent-Length: 40\r\n\r\n';
+
+// Guards against requests that are taken for those of callers who have left, because their bodies arrive in pieces.
+test('a caller that sends its body in pieces and stays has not left', async t => {
+	const entry = await EntryFixture.start(t, {
+		answer(reply) {
+			t.false(reply.isGone);
+			reply.begin(204, []);
+			reply.end();
+		},
+	});
+	const caller = await entry.connect();
+	caller.socket.write(post);
+	for (let piece = 0; piece < 4; piece++) {
+		await entry.timers.sleep(30); // eslint-disable-line no-await-in-loop
+		caller.socket.write('x'.repeat(10));
+	}
+
+	await entry.waitUntil(() => caller.received !== '' || caller.isClosed);
+	t.regex(caller.received, /^HTTP\/1\.1 204 /v);
+	t.false(entry.log.lines.some(({kind}) => kind === 'request.left'));
+});
+
+for (const hasLeft of [false, true]) {
+	// Guards against requests that are taken for those of callers who have left, because they waited for a newer configuration.
+	test(`a request that waits for a newer configuration is ${hasLeft ? 'logged as left if its caller ends the connection' : 'answered if its caller stays'}`, async t => {
+		let isNewer = false;
+		const entry = await EntryFixture.start(t, {
+			isBehind: true,
+			authorize() {
+				if (!isNewer) {
+					throw new Failure(ResultCode.PathUnknown, 'no route');
+				}
+			},
+			answer(reply) {
+				t.false(hasLeft);
+				reply.begin(204, []);
+				reply.end();
+			},
+		});
+		const caller = await entry.connect();
+		caller.socket.write(post + 'x'.repeat(40));
+		await entry.waitUntil(() => entry.server.pendingRequests === 1);
+		await entry.timers.sleep(100);
+		if (hasLeft) {
+			caller.socket.end();
+			await entry.timers.sleep(50);
+		}
+
+		isNewer = true;
+		if (hasLeft) {
+			t.like(await entry.waitForLine('request.refused'), {request: 'r1', code: ResultCode.CallerGone, execution: Execution.NotRun, isSent: false});
+		} else {
+			await entry.waitUntil(() => caller.received !== '' || caller.isClosed);
+			t.regex(caller.received, /^HTTP\/1\.1 204 /v);
+			t.false(entry.log.lines.some(({kind}) => kind === 'request.left'));
+		}
+	});
+}
--- a/test/support/entry-fixture.ts
+++ b/test/support/entry-fixture.ts
@@ -19,6 +19,8 @@
 	readonly decode?: (message: IncomingMessage) => Partial<CallerHeaders>;
 	/** Encodes the headers of a reply of the instance itself. */
 	readonly encodeReply?: () => string[];
+	/** Whether another instance has a newer configuration. */
+	readonly isBehind?: boolean;
 	/** Called each time that a request is authorized. */
 	readonly authorize?: () => void;
 };
@@ -60,7 +62,7 @@
 	readonly server: EntryServer;
 	private readonly sockets: Socket[] = [];
 
-	private constructor(private readonly port: number, {answer, decode, encodeReply, authorize}: EntryOptions) {
+	private constructor(private readonly port: number, {answer, decode, encodeReply, isBehind = false, authorize}: EntryOptions) {
 		const {timers, metrics, log, lifecycle} = this;
 		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 			authorizer: {
@@ -69,7 +71,7 @@
 					return {route: {name: 'drafts', priority: 1, timeout: 5000}, service: {name: 'model'}, version: 1};
 				},
 			},
-			catalogCurrency: {describe: () => ({isBehind: false, age: 0})},
+			catalogCurrency: {describe: () => ({isBehind, age: 0})},
 			codec: {
 				decodeRequest: (message: IncomingMessage) => ({
 					id: String(message.headers['x-id'] ?? ''), forwardedHeaders: [], promptParts: [], ...decode?.(message),
