Refuse a request whose deadline passes before it is accepted

What callers saw: a request whose body never ended was never answered, however short its caller's time or its route's timeout; one whose body was complete only after that was accepted, and sent to a server with no time left; so was one that a newer configuration allowed only then. At the product's own interface the same, and a completion that waited for its tokens beyond its deadline was started afterwards.

Cause: the timer of the deadline starts with the exchange. Until then nothing looked at the deadline, neither while the head was held for a newer configuration nor while the body arrived.

Mended: `ReceptionDeadline` ends the reception at the deadline with DeadlineUnreachable (503, not run, to be tried again), with the line `request.refused`, and checks the deadline once more before the request is accepted. A configuration that changes the timeout of the route meanwhile is followed; one that drops the route is left to the authorization that comes after the body. A request that waits for a newer configuration waits at most until the timeout of its route, if there is one by the configuration at hand. The connection stays open, as for a body that is too large, since closing it could lose the refusal: what is left of the body is read and dropped. At the own interface the body is awaited until the deadline, and so are the tokens; those that are granted later are given back.

Why it works: nothing was sent, so the refusal is true, and after it nothing is sent any more, since the deadline is checked in the same turn in which the exchange starts.

The authorizer of test/entry-server.test.ts is a stand-in, which now tells a timeout too.

--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -18,6 +18,10 @@
 /** Short, because another instance can accept the request at once. */
 const drainingRetrySeconds = 0.2;
 
+function createLateFailure(): Failure {
+	return new Failure(ResultCode.DeadlineUnreachable, 'the deadline passed before the request was received', Execution.NotRun);
+}
+
 /** Handles the caller requests for models, chat completions, plain services and one-time actions. */
 export class CallerHandlers {
 	constructor(private readonly limits: CallerLimits, private readonly dependencies: CallerDependencies) {}
@@ -39,7 +43,7 @@
 		const {authenticator, completions, timers, tracing, metrics, invariants, log} = this.dependencies;
 		authenticator.authenticate(context.headers);
 		const deadline = timers.now() + readDeadline(context.headers, this.limits.maxDeadlineMs);
-		const body = await this.readBody(context);
+		const body = await this.readBody(context, deadline);
 		// The configuration may have changed while the body was received.
 		const caller = authenticator.authenticate(context.headers);
 		const {workspace, configuration} = caller;
@@ -88,7 +92,7 @@
 		authenticator.checkGrant(caller, service);
 		const key = readIdempotencyKey(context.headers, !operation.isIdempotent);
 		const deadline = timers.now() + readDeadline(context.headers, this.limits.maxDeadlineMs);
-		const body = await this.readBody(context);
+		const body = await this.readBody(context, deadline);
 		parseJson(body);
 		const id = randomUUID();
 		context.set(requestIdHeader, id);
@@ -124,14 +128,20 @@
 		}
 	}
 
-	private async readBody(context: Context): Promise<string> {
-		const body = await this.receiveBody(context);
+	/** Reads the body until the deadline, a monotonic time in milliseconds. */
+	private async readBody(context: Context, deadline: number): Promise<string> {
+		const {timers} = this.dependencies;
+		const body = await timers.withTimeout(this.receiveBody(context), deadline - timers.now(), createLateFailure);
 		// The caller may have left before the request was read.
-		await this.dependencies.timers.handleInput();
+		await timers.handleInput();
 		if (context.req.socket.destroyed || context.req.socket.readableEnded) {
 			throw new Failure(ResultCode.CallerGone, 'the caller closed the connection before its request was started', Execution.NotRun);
 		}
 
+		if (timers.now() >= deadline) {
+			throw createLateFailure();
+		}
+
 		// The notice period of a shutdown may have ended while the body was received.
 		if (this.dependencies.lifecycle.isRefusing) {
 			throw new Failure(ResultCode.Draining, 'the instance is shutting down', Execution.NotRun, drainingRetrySeconds);
@@ -144,6 +154,8 @@
 		try {
 			return await getRawBody(context.req, {limit: this.limits.maxBodyBytes, length: context.req.headers['content-length'], encoding: 'utf8'});
 		} catch (error) {
+			// The rest of the body would keep the caller from reading the refusal.
+			context.req.resume();
 			const isTooLarge = typeof error === 'object' && error !== null && 'type' in error && error.type === 'entity.too.large';
 			const code = isTooLarge ? ResultCode.BodyTooLarge : ResultCode.BodyMalformed;
 			throw new Failure(code, isTooLarge ? `the body is larger than ${this.limits.maxBodyBytes} bytes` : 'the body was not received completely');
--- a/src/completions/completion-service.ts
+++ b/src/completions/completion-service.ts
@@ -85,7 +85,7 @@
 		let isCancelled = false;
 		void (async () => {
 			try {
-				const reservation = await this.dependencies.meter.reserve(request.workspace, request.promptTokens + request.maximumTokens);
+				const reservation = await this.reserve(request);
 				if (isCancelled) {
 					this.dependencies.meter.settle(reservation, 0);
 					sink.onFail(createCallerGoneFailure());
@@ -105,6 +105,24 @@
 		};
 	}
 
+	/** Reserves the tokens of a request. Gives back those that are granted only after its deadline. */
+	private async reserve({workspace, promptTokens, maximumTokens, deadline}: CompletionRequest): Promise<Reservation> {
+		const {meter, runDependencies: {timers}} = this.dependencies;
+		let isLate = false;
+		const reserving = (async () => {
+			const reservation = await meter.reserve(workspace, promptTokens + maximumTokens);
+			if (isLate) {
+				meter.settle(reservation, 0);
+			}
+
+			return reservation;
+		})();
+		return timers.withTimeout(reserving, deadline - timers.now(), () => {
+			isLate = true;
+			return new Failure(ResultCode.DeadlineUnreachable, 'the deadline passed before tokens were reserved', Execution.NotRun);
+		});
+	}
+
 	private admit(request: CompletionRequest, sink: CompletionSink, reservation: Reservation): void {
 		const {timers} = this.dependencies.runDependencies;
 		const now = timers.now();
--- a/src/entry/careful-authorizer.ts
+++ b/src/entry/careful-authorizer.ts
@@ -31,7 +31,7 @@
 	constructor(private readonly dependencies: CarefulAuthorizerDependencies) {}
 
 	/**
-	Authorizes a request. If another instance has a newer configuration that may allow it, waits for that one.
+	Authorizes a request. If another instance has a newer configuration that may allow it, waits for that one, at most until the timeout of the request's route.
 
 	@param arrivedAt - monotonic time in milliseconds
 	@param timeout - milliseconds from its arrival for which the caller waits for the reply; undefined if it did not say
@@ -39,7 +39,6 @@
 	*/
 	async authorize(request: AuthorizationRequest, arrivedAt: number, timeout = Number.POSITIVE_INFINITY): Promise<AuthorizedRequest> {
 		const {authorizer, timers} = this.dependencies;
-		const waitsUntil = arrivedAt + Math.min(maxWaitMs, timeout * maxWaitFraction);
 		for (;;) {
 			try {
 				return authorizer.authorize(request);
@@ -48,7 +47,7 @@
 					throw error;
 				}
 
-				this.checkMayWait(error, waitsUntil);
+				this.checkMayWait(error, arrivedAt + Math.min(maxWaitMs, timeout * maxWaitFraction, authorizer.findTimeout(request) ?? maxWaitMs));
 			}
 
 			this.waiting++;
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -21,8 +21,8 @@
 import {CarefulAuthorizer} from './careful-authorizer.js';
 import {ConnectionLog} from './connection-log.js';
 import {HttpCallerReply} from './http-caller-reply.js';
+import {ReceptionDeadline} from './reception-deadline.js';
 import {type RequestAuthorizer} from './request-authorizer.js';
-import {computeDeadline} from './request-deadline.js';
 
 /** Dependencies of an entry server. */
 export type EntryServerDependencies = {
@@ -121,8 +121,11 @@
 			this.checkAcceptsRequests();
 			this.checkHead(message);
 			const authorizationRequest = {host: message.headers.host ?? '', target: message.url ?? '/', apiKey: callerHeaders.key};
+			const deadline = new ReceptionDeadline(dependencies.timers, {
+				arrivedAt, patience: callerHeaders.timeout, findRouteTimeout: () => dependencies.authorizer.findTimeout(authorizationRequest),
+			});
 			await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
-			const body = await this.readBody(message);
+			const body = await deadline.limit(async () => this.readBody(message, deadline));
 			// The caller may have left before the request was read.
 			await dependencies.timers.handleInput();
 			// The catalog may have changed while the body was received.
@@ -132,6 +135,7 @@
 				return;
 			}
 
+			const replyDeadline = deadline.check(route.timeout);
 			// The notice period of a shutdown may have ended while the body was received or the request was held.
 			this.checkAcceptsRequests();
 
@@ -163,7 +167,7 @@
 				workspace: workspace?.name,
 				priority: Math.min(lowestPriority, workspace?.priority ?? route.priority),
 				arrivedAt,
-				deadline: computeDeadline(arrivedAt, route.timeout, callerHeaders.timeout),
+				deadline: replyDeadline,
 				promptTokens: callerHeaders.promptTokens,
 				maxAnswerTokens: callerHeaders.maxAnswerTokens,
 				lastEventId: callerHeaders.lastEventId,
@@ -219,7 +223,7 @@
 		message.resume();
 	}
 
-	private async readBody(message: IncomingMessage): Promise<Uint8Array> {
+	private async readBody(message: IncomingMessage, deadline: ReceptionDeadline): Promise<Uint8Array> {
 		const body = new ByteBuffer();
 		if (Number(message.headers['content-length'] ?? 0) > this.maxBodyBytes) {
 			throw new Failure(ResultCode.BodyTooLarge, `the request body exceeds ${this.maxBodyBytes} bytes`);
@@ -229,7 +233,7 @@
 			// Destroying the message would close the connection before the refusal is sent.
 			for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 				body.append(chunk);
-				if (body.length > this.maxBodyBytes) {
+				if (body.length > this.maxBodyBytes || deadline.isOver) {
 					break;
 				}
 			}
@@ -237,6 +241,11 @@
 			throw new Failure(ResultCode.CallerGone, `the request body was not received: ${toFailure(error).message}`, Execution.NotRun);
 		}
 
+		if (deadline.isOver) {
+			// The rest must not be taken for another request.
+			message.resume();
+		}
+
 		if (body.length > this.maxBodyBytes) {
 			throw new Failure(ResultCode.BodyTooLarge, `the request body exceeds ${this.maxBodyBytes} bytes`);
 		}
--- a/src/entry/request-authorizer.ts
+++ b/src/entry/request-authorizer.ts
@@ -32,25 +32,35 @@
 	constructor(private readonly activeCatalog: ActiveCatalog, private readonly random: RandomSource) {}
 
 	/** Authorizes a request. Throws Failure if it is refused. */
-	authorize({host, target, apiKey}: AuthorizationRequest): AuthorizedRequest {
+	authorize(request: AuthorizationRequest): AuthorizedRequest {
 		const index = this.activeCatalog.current;
 		if (!index) {
 			throw new Failure(ResultCode.NotReady, 'no configuration has been loaded yet');
 		}
 
-		const queryStart = target.indexOf('?');
-		const path = queryStart === -1 ? target : target.slice(0, queryStart);
-		const route = index.findRoute(host.replace(portPattern, '').toLowerCase(), path);
+		const route = this.findRoute(index, request);
 		if (!route) {
 			throw new Failure(ResultCode.PathUnknown, `no route in configuration version ${index.catalog.version} matches`);
 		}
 
-		const workspace = this.authenticateWorkspace(index, route, apiKey);
+		const workspace = this.authenticateWorkspace(index, route, request.apiKey);
 		return {
 			route, workspace, service: this.selectService(index, route), version: index.catalog.version,
 		};
 	}
 
+	/** Returns the timeout in milliseconds of the route of a request, whether it is allowed or not; undefined if no route matches. */
+	findTimeout(request: AuthorizationRequest): number | undefined {
+		const index = this.activeCatalog.current;
+		return index && this.findRoute(index, request)?.timeout;
+	}
+
+	private findRoute(index: CatalogIndex, {host, target}: AuthorizationRequest): Route | undefined {
+		const queryStart = target.indexOf('?');
+		const path = queryStart === -1 ? target : target.slice(0, queryStart);
+		return index.findRoute(host.replace(portPattern, '').toLowerCase(), path);
+	}
+
 	private authenticateWorkspace(index: CatalogIndex, route: Route, apiKey: string | undefined): Workspace | undefined {
 		if (route.isAnonymous || !index.needsKeys) {
 			return undefined;
--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -29,6 +29,7 @@
 				markHeadRead();
 				return {};
 			},
+			findTimeout: () => 5000,
 		},
 		catalogCurrency: {describe: () => ({isBehind: false, age: 0})},
 		codec: {decodeRequest: () => ({id: 'r1', forwardedHeaders: []}), encodeReplyHeaders: () => []},
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -104,6 +104,8 @@
 	readonly workspace: string;
 	/** Sent with POST; without a body, GET is used. */
 	readonly body?: string;
+	/** Milliseconds that the caller allows; undefined to say nothing. */
+	readonly allowed?: number;
 	/** Called between the headers and the body. */
 	beforeBody?(): Promise<void>;
 };
@@ -199,10 +201,15 @@
 	}
 
 	/** Sends a call. */
-	async send({path, workspace: name, body, beforeBody}: Call): Promise<Response> {
+	async send({path, workspace: name, body, allowed, beforeBody}: Call): Promise<Response> {
 		return new Promise((resolve, reject) => {
 			const request = startRequest({
-				port: this.port, host: '127.0.0.1', method: body === undefined ? 'GET' : 'POST', path: `/v1/${path}`, headers: {authorization: `Bearer ${getApiKey(name)}`}, agent: false,
+				port: this.port,
+				host: '127.0.0.1',
+				method: body === undefined ? 'GET' : 'POST',
+				path: `/v1/${path}`,
+				headers: {authorization: `Bearer ${getApiKey(name)}`, ...(allowed !== undefined && {'x-deadline-ms': String(allowed)})},
+				agent: false,
 			}, response => {
 				response.resume();
 				resolve({status: response.statusCode, headers: response.headers});
--- a/test/support/entry-exchange-fixture.ts
+++ b/test/support/entry-exchange-fixture.ts
@@ -19,6 +19,7 @@
 import {RequestQueue} from '../../src/relay/request-queue.js';
 import {type CurrencyReport} from '../../src/replication/table-currency.js';
 import {RandomSource} from '../../src/routing/random-source.js';
+import {ClockTimerService} from '../../src/time/clock-timer-service.js';
 import {ExchangeFixture} from './exchange-fixture.js';
 import {createCatalog, createRoute} from './sample-catalog.js';
 import {sampleServer} from './sample-fleet.js';
@@ -30,6 +31,8 @@
 export const lookups = '/lookups/';
 export const records = '/records/';
 export const drafts = '/drafts/';
+/** Time that an assertion waits, in milliseconds. */
+const maxWaitMs = 5000;
 const range = {from: 0, to: 80};
 
 /** Creates the routes, with changes to all of them. */
@@ -78,6 +81,7 @@
 	currency: CurrencyReport = {isBehind: false, age: 0};
 	/** The pipeline of all streams; without one they are queued. */
 	pipeline?: Pipeline = [{server: sampleServer('first', 'large', range), range}];
+	private readonly clock = new ClockTimerService();
 	private readonly uploads: Upload[] = [];
 
 	private constructor(readonly port: number) {
@@ -175,13 +179,23 @@
 		return upload;
 	}
 
-	/** Waits until a condition holds. */
+	/** Waits until a condition holds; rejects if it takes too long. */
 	async waitUntil(isMet: () => boolean): Promise<void> {
+		const limit = this.clock.now() + maxWaitMs;
 		while (!isMet()) {
+			if (this.clock.now() > limit) {
+				throw new Error('the condition does not hold');
+			}
+
 			await setImmediate(); // eslint-disable-line no-await-in-loop
 		}
 	}
 
+	/** Waits for the reply to a request; rejects if it takes too long. */
+	async receive({received}: Upload): Promise<Received> {
+		return this.clock.withTimeout(received, maxWaitMs, () => new Error('no reply was received'));
+	}
+
 	/** Waits until a number of requests are being received or authorized. */
 	async waitForPending(count: number): Promise<void> {
 		await this.waitUntil(() => this.server.pendingRequests === count);
--- a/test/support/entry-fixture.ts
+++ b/test/support/entry-fixture.ts
@@ -70,6 +70,7 @@
 					authorize?.();
 					return {route: {name: 'drafts', priority: 1, timeout: 5000}, service: {name: 'model'}, version: 1};
 				},
+				findTimeout: () => 5000,
 			},
 			catalogCurrency: {describe: () => ({isBehind, age: 0})},
 			codec: {
