Test that a change of the configuration between head and body loses no request

What callers saw: in a report without a record, a request beside a change of the configuration got neither an answer nor a refusal. This looks for it at one place, the two authorizations before and after the body.

Not covered: changes of the time for which connections may stay idle, and an event loop that stands still while a large configuration is taken.

--- a/test/support/entry-exchange-fixture.ts
+++ b/test/support/entry-exchange-fixture.ts
@@ -123,18 +123,13 @@
 		});
 	}
 
-	/** Applies a configuration to which the services, and limits that allow the uploads of tests, are added. */
-	apply(catalog: Catalog): void {
-		const services = new Map([...catalog.services].map(([name, service]) => [name, {...service, maxConnections: 100}]));
-		if (!services.has('model')) {
-			services.set('model', {
-				name: 'model', healthPath: '/healthz', maxConnections: 100, engine: sampleModel,
-			});
-		}
-
+	/** Applies a configuration to which the service of the model, the connections of all services, and limits that allow the uploads of tests, are added. */
+	apply(catalog: Catalog, maxConnections = 100): void {
+		const model = {name: 'model', healthPath: '/healthz', engine: sampleModel};
+		const services = [...catalog.services.values(), model].map(service => ({...service, maxConnections}));
 		this.activeCatalog.apply({
 			...catalog,
-			services,
+			services: new Map(services.map(service => [service.name, service])),
 			limits: {
 				maxHeaderBytes: 16_384, maxBodyBytes: 10_000, headerTimeout: 3000, idleTimeout: 15_000,
 			},
@@ -196,6 +191,16 @@
 		return this.clock.withTimeout(received, maxWaitMs, () => new Error('no reply was received'));
 	}
 
+	/** Returns the replies to all requests, by path, in the order in which the requests were sent. */
+	async receiveAll(): Promise<ReadonlyMap<string, Received>> {
+		return new Map(await Promise.all(this.uploads.map(async upload => [upload.request.path, await this.receive(upload)] as const)));
+	}
+
+	/** Lets the process handle what has arrived. */
+	async turn(): Promise<void> {
+		await setImmediate();
+	}
+
 	/** Waits until a number of requests are being received or authorized. */
 	async waitForPending(count: number): Promise<void> {
 		await this.waitUntil(() => this.server.pendingRequests === count);
