Split the requests of a route among the services that are known

What callers saw: with a configuration in which one target of a route is a service that is not listed any more, proper requests got 503, though the other targets were there, if that target was the last one; if it was an earlier one, its share fell to the next one alone.

Cause: `selectService` drew a target by weight among all, and only then looked whether its service is known.

Mended: it draws among the known ones, by their weights.

--- a/src/entry/request-authorizer.ts
+++ b/src/entry/request-authorizer.ts
@@ -79,13 +79,15 @@
 	}
 
 	private selectService(index: CatalogIndex, route: Route): Service {
-		const totalWeight = route.targets.reduce((sum, {weight}) => sum + weight, 0);
-		let remainder = this.random.nextFraction() * totalWeight;
-		for (const {service, weight} of route.targets) {
+		const known = route.targets.flatMap(({service: name, weight}) => {
+			const service = index.catalog.services.get(name);
+			return service ? [{service, weight}] : [];
+		});
+		let remainder = this.random.nextFraction() * known.reduce((sum, {weight}) => sum + weight, 0);
+		for (const {service, weight} of known) {
 			remainder -= weight;
-			const found = index.catalog.services.get(service);
-			if (found && remainder < 0) {
-				return found;
+			if (remainder < 0) {
+				return service;
 			}
 		}
 
--- a/test/catalog.test.ts
+++ b/test/catalog.test.ts
@@ -67,6 +67,18 @@
 	t.true(share > 0.07 && share < 0.13, `${share}`);
 });
 
+// Guards against proper requests that are refused because a part of their route's weight is on a service that is gone, although the others are there.
+test('the targets of a route that are known get the share of those that are not, in any order', t => {
+	for (const names of [['a', 'gone', 'b'], ['gone', 'a', 'b'], ['a', 'b', 'gone']]) {
+		const active = new ActiveCatalog(new RecordingLog(), new ManualTimerService());
+		active.apply(createCatalog(1, [createRoute('/a/', {isAnonymous: true, targets: names.map(service => ({service, weight: service === 'b' ? 10 : 30}))})]), 'store');
+		const authorizer = new RequestAuthorizer(active, new RandomSource(7));
+		const selected = Array.from({length: 1000}, () => authorizer.authorize({host: 'site', target: '/a/'}).service.name);
+		const share = selected.filter(name => name === 'b').length / selected.length;
+		t.true(share > 0.2 && share < 0.3, `${names.join(', ')}: ${share}`);
+	}
+});
+
 test('the users\' configuration is decoded, and an invalid one is refused', t => {
 	const {version, routes, services, workspaces} = decodeCatalog(JSON.stringify(createSiteConfiguration(3)));
 	t.is(version, 3);
