Let the sheet in force when the body has arrived decide on a call of a plain service

What callers saw: at the product's own interface a call of a plain service, whose workspace, grant or operation was taken away between its headers and its body, was carried out by the older sheet.

Mended: `authorizePlainCall` is made before the body, to refuse early, and again after it, which decides.

Test: "a sheet that arrives before the body of a call of a plain service decides on the call"; on the old code the call of a workspace that was gone got 200 instead of 401.

--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -2,6 +2,7 @@
 import {type Context} from 'koa';
 import getRawBody from 'raw-body';
 import * as z from 'zod';
+import {type Operation, type Service, type Workspace} from '../configuration/sheet-row.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
@@ -18,6 +19,15 @@
 /** Short, because another instance can accept the request at once. */
 const drainingRetrySeconds = 0.2;
 
+/** A call of a plain service that is allowed. */
+type AuthorizedPlainCall = {
+	readonly workspace: Workspace;
+	readonly service: Service;
+	readonly operation: Operation;
+	/** The value of the Idempotency-Key header; empty if the caller sent none. */
+	readonly key: string;
+};
+
 function createLateFailure(): Failure {
 	return new Failure(ResultCode.DeadlineUnreachable, 'the deadline passed before the request was received', Execution.NotRun);
 }
@@ -79,25 +89,17 @@
 
 	/** Calls an operation of a plain service. */
 	async callPlain(context: Context): Promise<void> {
-		const {authenticator, plainDispatcher, timers, tracing, metrics} = this.dependencies;
-		const caller = authenticator.authenticate(context.headers);
-		const {workspace, configuration} = caller;
-		const {service: serviceName, operation: operationName} = operationPathSchema.parse(context.params);
-		const service = configuration.sheet.findService(serviceName);
-		const operation = configuration.sheet.findOperation(serviceName, operationName);
-		if (!service || !operation) {
-			throw authenticator.createRefusal(configuration, ResultCode.OperationUnknown, `the sheet has no operation ${operationName} of ${serviceName}`);
-		}
-
-		authenticator.checkGrant(caller, service);
-		const key = readIdempotencyKey(context.headers, !operation.isIdempotent);
+		const {plainDispatcher, timers, tracing, metrics} = this.dependencies;
+		this.authorizePlainCall(context);
 		const deadline = timers.now() + readDeadline(context.headers, this.limits.maxDeadlineMs);
 		const body = await this.readBody(context, deadline);
+		// The configuration may have changed while the body was received.
+		const {workspace, service, operation, key} = this.authorizePlainCall(context);
 		parseJson(body);
 		const id = randomUUID();
 		context.set(requestIdHeader, id);
 		metrics.count('siskinnotch_requests_total', 1, {service: service.name});
-		const response = await tracing.runInSpan('entry', {workspace: workspace.name, operation: operationName, request: id}, async () => plainDispatcher.dispatch({
+		const response = await tracing.runInSpan('entry', {workspace: workspace.name, operation: operation.name, request: id}, async () => plainDispatcher.dispatch({
 			id, workspace, operation, body, key, deadline,
 		}), tracing.extract(context.headers));
 		context.status = response.status;
@@ -120,6 +122,24 @@
 		context.body = {key, state: record.state, answer: record.answer};
 	}
 
+	/** Finds the operation that a call is for, and checks that its caller may use it. */
+	private authorizePlainCall({headers, params}: Context): AuthorizedPlainCall {
+		const {authenticator} = this.dependencies;
+		const caller = authenticator.authenticate(headers);
+		const {workspace, configuration} = caller;
+		const {service: serviceName, operation: operationName} = operationPathSchema.parse(params);
+		const service = configuration.sheet.findService(serviceName);
+		const operation = configuration.sheet.findOperation(serviceName, operationName);
+		if (!service || !operation) {
+			throw authenticator.createRefusal(configuration, ResultCode.OperationUnknown, `the sheet has no operation ${operationName} of ${serviceName}`);
+		}
+
+		authenticator.checkGrant(caller, service);
+		return {
+			workspace, service, operation, key: readIdempotencyKey(headers, !operation.isIdempotent),
+		};
+	}
+
 	private async readAction(workspace: string, key: string) {
 		try {
 			return await this.dependencies.actionExecutor.findRecord(workspace, key);
--- a/test/caller-refusals.test.ts
+++ b/test/caller-refusals.test.ts
@@ -1,7 +1,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {createConfigurationUpdate} from '../src/configuration/configuration-update.js';
 import {
-	CallerEntry, calls, newSheet, oldSheet,
+	CallerEntry, calls, newSheet, oldSheet, sheetWithoutInsider,
 } from './support/caller-entry.js';
 import {TableCallOutcome} from './support/fake-table.js';
 import {sheetText} from './support/start-cluster.js';
@@ -77,6 +77,23 @@
 	t.is(response.status, 200);
 });
 
+// Guards against a call of a plain service by the sheet that was in force when the headers arrived, while the body was on its way.
+test('a sheet that arrives before the body of a call of a plain service decides on the call', async t => {
+	const entry = await CallerEntry.start(t);
+	await entry.accept(2, sheetWithoutInsider);
+	const [call] = calls[4];
+	const response = await entry.send({
+		...call,
+		path: 'services/records/site-history',
+		async beforeBody() {
+			await entry.waitForRequests(1);
+			await entry.watcher.poll();
+		},
+	});
+	t.is(response.status, 401);
+	t.is(entry.startedRequests, 0);
+});
+
 // Guards against callers that are told to try again although no newer sheet can allow their request.
 test('with a sheet that is current, also one that has just arrived from another instance, refusals are final and at once', async t => {
 	const entry = await CallerEntry.start(t);
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -91,6 +91,9 @@
 	}
 }
 
+/** Has the workspace `outsider` only. */
+export const sheetWithoutInsider = parseSheet(writeSheet([{...workspace, name: 'outsider'}])).sheet!;
+
 /** What a call received. */
 export type Response = {
 	readonly status: number | undefined;
