Move the recorder of crash evidence to a file of its own

crash-evidence.ts and attempt-crash-evidence.ts imported one another, for this type. No change of behaviour; the build, and test/lost-connections.test.ts, pass.

--- a/src/relay/attempt-crash-evidence.ts
+++ b/src/relay/attempt-crash-evidence.ts
@@ -1,5 +1,5 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {type CrashRecorder} from './crash-evidence.js';
+import {type CrashRecorder} from './crash-recorder.js';
 
 /** Time after its first event from which an attempt shows that its request does not crash the server that answers it. */
 const harmlessDelayMs = 500;
--- a/src/relay/crash-evidence.ts
+++ b/src/relay/crash-evidence.ts
@@ -1,6 +1,6 @@
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
-import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {AttemptCrashEvidence} from './attempt-crash-evidence.js';
+import {type CrashRecorder} from './crash-recorder.js';
 import {type RelayRequest} from './relay-request.js';
 
 /** Backend servers that may lose attempts early. A request that two of them lost may crash each server to which it is sent. */
@@ -10,9 +10,6 @@
 /** Attempts that one backend server may lose early before the request is not sent to it again. */
 const maxLossesOfServer = 2;
 
-/** The part of a guard that learns from attempts. */
-export type CrashRecorder = Pick<CrashGuard, 'recordProgress' | 'recordLoss' | 'isSuspectedRequest'>;
-
 /** What is known about the processes of backend servers. */
 export type ServerFates = {
 	/** Whether a server is known to execute nothing any more. */
--- a/src/relay/exchange-dependencies.ts
+++ b/src/relay/exchange-dependencies.ts
@@ -8,7 +8,7 @@
 import {type ServerLoad} from '../pipelines/server-load.js';
 import {type TimerService} from '../time/timer-service.js';
 import {type BackendClient} from './backend-client.js';
-import {type CrashRecorder} from './crash-evidence.js';
+import {type CrashRecorder} from './crash-recorder.js';
 
 /** The retry budgets of all services; each is shared by all requests to its service. */
 export type RetryBudgets = {
