Call an attempt of the own interface a route attempt

Two files were called stream-attempt.ts, in src/relay and src/routing, each with a class StreamAttempt. The one in src/routing is the state of an attempt on a route. No change of behaviour: the tokens of the five files differ in these names only; the build and the 37 tests of stream-recovery, silent-attempts and completion-run pass.

--- a/src/routing/attempt-pair.ts
+++ b/src/routing/attempt-pair.ts
@@ -1,7 +1,7 @@
 import {RetryUrgency} from '../admission/retry-urgency.js';
 import {type Route} from '../backends/stage.js';
 import {type AttemptPlanner} from './attempt-planner.js';
-import {type StreamAttempt} from './stream-attempt.js';
+import {type RouteAttempt} from './route-attempt.js';
 import {type StreamCommand} from './stream-command.js';
 
 /**
@@ -10,30 +10,30 @@
 Whether another route accepts an attempt is known only from its first token. Until then the silent attempt is kept, because it may go on first.
 */
 export class AttemptPair {
-	private currentAttempt?: StreamAttempt;
-	private silentAttempt?: StreamAttempt;
+	private currentAttempt?: RouteAttempt;
+	private silentAttempt?: RouteAttempt;
 	/** Route of the attempt that started or went on last. */
 	private route: Route = [];
 
 	constructor(private readonly planner: AttemptPlanner) {}
 
 	/** The attempt that is expected to go on; undefined while a route is sought. */
-	get current(): StreamAttempt | undefined {
+	get current(): RouteAttempt | undefined {
 		return this.currentAttempt;
 	}
 
 	/** An earlier attempt that may still go on before the current one. */
-	get silent(): StreamAttempt | undefined {
+	get silent(): RouteAttempt | undefined {
 		return this.silentAttempt;
 	}
 
 	/** The running attempts, oldest first. */
-	get all(): readonly StreamAttempt[] {
+	get all(): readonly RouteAttempt[] {
 		return [this.silentAttempt, this.currentAttempt].filter(attempt => attempt !== undefined);
 	}
 
 	/** Returns the attempt to which the events of a connection belong; undefined if it no longer runs. */
-	getByConnection(connection: number): StreamAttempt | undefined {
+	getByConnection(connection: number): RouteAttempt | undefined {
 		return this.all.find(attempt => attempt.connection === connection);
 	}
 
@@ -55,7 +55,7 @@
 	}
 
 	/** Goes on with the attempt whose tokens were accepted, and cancels the other one. */
-	continueWith(attempt: StreamAttempt, now: number): readonly StreamCommand[] {
+	continueWith(attempt: RouteAttempt, now: number): readonly StreamCommand[] {
 		const others = this.all.filter(other => other !== attempt);
 		this.planner.readmit(attempt.silentServers);
 		attempt.recordTokens(now);
@@ -66,7 +66,7 @@
 	}
 
 	/** Keeps the current attempt, whose servers may only pause, and starts another one beside it if possible. If two are silent, a third one takes the place of the current one. */
-	keep(attempt: StreamAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	keep(attempt: RouteAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		if (!this.silentAttempt) {
 			attempt.recordSilence(suspects, now);
 			return this.startBeside(attempt, suspects, now);
@@ -81,7 +81,7 @@
 	}
 
 	/** Cancels the current attempt and starts another one. A silent attempt is kept beside it; if no other can start, the silent one goes on alone. */
-	replace(attempt: StreamAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	replace(attempt: RouteAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		const cancelCommand = attempt.createCancelCommand();
 		if (this.silentAttempt) {
 			return [cancelCommand, ...this.startBeside(this.silentAttempt, failedServers, now)];
@@ -110,7 +110,7 @@
 		return commands;
 	}
 
-	private startBeside(silent: StreamAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	private startBeside(silent: RouteAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		this.silentAttempt = silent;
 		if (this.mayStartBeside(silent, failedServers, now)) {
 			return this.startNext(failedServers, now);
@@ -123,7 +123,7 @@
 	}
 
 	/** Whether another attempt may run beside the silent one. Takes a retry from the budget if so. */
-	private mayStartBeside(silent: StreamAttempt, failedServers: ReadonlySet<string>, now: number): boolean {
+	private mayStartBeside(silent: RouteAttempt, failedServers: ReadonlySet<string>, now: number): boolean {
 		return this.planner.hasRoute(this.getAvoided(failedServers), silent.route, now) && this.planner.requestRetry(RetryUrgency.Ordinary) === undefined;
 	}
 
--- a/src/routing/attempt-planner.ts
+++ b/src/routing/attempt-planner.ts
@@ -1,7 +1,7 @@
 import {type RetryUrgency} from '../admission/retry-urgency.js';
 import {type Route} from '../backends/stage.js';
 import {ResultCode} from '../results/result-code.js';
-import {StreamAttempt} from './stream-attempt.js';
+import {RouteAttempt} from './route-attempt.js';
 import {type StreamRecoveryOptions} from './stream-recovery-options.js';
 
 const maximumAttempts = 8;
@@ -31,14 +31,14 @@
 	}
 
 	/** Starts an attempt as soon as its delay has passed and there is a route; undefined until then. */
-	start(avoided: ReadonlySet<string>, previousRoute: Route, now: number): StreamAttempt | undefined {
+	start(avoided: ReadonlySet<string>, previousRoute: Route, now: number): RouteAttempt | undefined {
 		const route = now < this.retryNotBefore ? undefined : this.findRoute(avoided, previousRoute, now);
 		if (!route) {
 			return undefined;
 		}
 
 		this.started++;
-		return new StreamAttempt({number: this.started, connection: this.takeConnection(), route}, this.options, now);
+		return new RouteAttempt({number: this.started, connection: this.takeConnection(), route}, this.options, now);
 	}
 
 	/** Returns the number of a new connection. */
--- a/src/routing/stream-attempt.ts
+++ b/src/routing/route-attempt.ts
@@ -9,14 +9,14 @@
 const keepTimeoutMs = 1500;
 
 /** Identifies an attempt, its first connection and its route. */
-export type StreamAttemptOrigin = {
+export type RouteAttemptOrigin = {
 	readonly number: number;
 	readonly connection: number;
 	readonly route: Route;
 };
 
-/** State of one attempt of a stream: its connection, its inspections, and the servers that do not respond. */
-export class StreamAttempt {
+/** State of one attempt of a stream on a route: its connection, its inspections, and the servers that do not respond. */
+export class RouteAttempt {
 	/** Number of the attempt; the first one of a request is 1. */
 	readonly number: number;
 	readonly route: Route;
@@ -36,7 +36,7 @@
 	/**
 	@param now - monotonic time in milliseconds
 	*/
-	constructor({number, connection, route}: StreamAttemptOrigin, options: StreamRecoveryOptions, now: number) {
+	constructor({number, connection, route}: RouteAttemptOrigin, options: StreamRecoveryOptions, now: number) {
 		this.number = number;
 		this.currentConnection = connection;
 		this.route = route;
--- a/src/routing/slowdown-monitor.ts
+++ b/src/routing/slowdown-monitor.ts
@@ -1,4 +1,4 @@
-import {type StreamAttempt} from './stream-attempt.js';
+import {type RouteAttempt} from './route-attempt.js';
 import {TokenRateMonitor} from './token-rate-monitor.js';
 
 const maximumInspections = 2;
@@ -22,7 +22,7 @@
 
 	@param now - monotonic time in milliseconds
 	*/
-	record(attempt: StreamAttempt, tokens: number, now: number): void {
+	record(attempt: RouteAttempt, tokens: number, now: number): void {
 		if (attempt.number !== this.attempt) {
 			this.tokenRate.reset();
 			this.attempt = attempt.number;
@@ -36,7 +36,7 @@
 	}
 
 	/** Whether to inspect the stages, because the attempt has become much slower than before. Counts the inspection. */
-	tryBeginInspection(attempt: StreamAttempt): boolean {
+	tryBeginInspection(attempt: RouteAttempt): boolean {
 		if (attempt.isInspectingSlowdown || this.inspections >= maximumInspections || !this.tokenRate.hasSlowedDown()) {
 			return false;
 		}
--- a/src/routing/stream-recovery.ts
+++ b/src/routing/stream-recovery.ts
@@ -7,7 +7,7 @@
 import {FrameValidator, type InvalidFrame} from './frame-validator.js';
 import {SlowdownMonitor} from './slowdown-monitor.js';
 import {diagnoseStall, StallCause} from './stall-diagnosis.js';
-import {type StreamAttempt} from './stream-attempt.js';
+import {type RouteAttempt} from './route-attempt.js';
 import {type StreamCommand, StreamCommandKind} from './stream-command.js';
 import {type StreamEvent, StreamEventKind} from './stream-event.js';
 import {createStreamFailure} from './stream-failure.js';
@@ -91,7 +91,7 @@
 		}
 	}
 
-	private receive(attempt: StreamAttempt, frames: readonly Frame[], now: number): readonly StreamCommand[] {
+	private receive(attempt: RouteAttempt, frames: readonly Frame[], now: number): readonly StreamCommand[] {
 		const {tokens, finish, invalid} = this.validator.validateAll(frames, attempt.number, attempt.route);
 		const continueCommands = tokens.length > 0 ? this.continueWith(attempt, tokens.length, now) : [];
 		const commands: readonly StreamCommand[] = [{kind: StreamCommandKind.Deliver, tokens}, ...continueCommands];
@@ -108,12 +108,12 @@
 		return isSlow ? [...commands, attempt.createInspectCommand()] : commands;
 	}
 
-	private continueWith(attempt: StreamAttempt, tokens: number, now: number): readonly StreamCommand[] {
+	private continueWith(attempt: RouteAttempt, tokens: number, now: number): readonly StreamCommand[] {
 		this.slowdownMonitor.record(attempt, tokens, now);
 		return this.running.continueWith(attempt, now);
 	}
 
-	private reject(attempt: StreamAttempt, {reason, stage}: InvalidFrame, now: number): readonly StreamCommand[] {
+	private reject(attempt: RouteAttempt, {reason, stage}: InvalidFrame, now: number): readonly StreamCommand[] {
 		const rejectCommand: StreamCommand = {kind: StreamCommandKind.Reject, reason};
 		if (stage === undefined && attempt !== this.running.silent) {
 			return [rejectCommand, ...this.restart(attempt, attempt.getServers([attempt.route.length - 1]), now)];
@@ -123,7 +123,7 @@
 		return [rejectCommand, ...this.giveUp(attempt, suspects, now)];
 	}
 
-	private handleClosed(attempt: StreamAttempt, unreachableServer: string | undefined, now: number): readonly StreamCommand[] {
+	private handleClosed(attempt: RouteAttempt, unreachableServer: string | undefined, now: number): readonly StreamCommand[] {
 		const {silent} = this.running;
 		const suspects = attempt.getServers([...attempt.route.keys()].filter(stage => attempt.route[stage].server === unreachableServer));
 		attempt.isConnectionOpen = false;
@@ -135,7 +135,7 @@
 		return silent ? this.running.replace(attempt, attempt.getServers([attempt.route.length - 1]), now) : this.inspect(attempt);
 	}
 
-	private inspect(attempt: StreamAttempt): readonly StreamCommand[] {
+	private inspect(attempt: RouteAttempt): readonly StreamCommand[] {
 		attempt.isInspecting = true;
 		return [attempt.createInspectCommand()];
 	}
@@ -165,7 +165,7 @@
 		return isWaiting ? commands : this.fail(ResultCode.NoPipeline, 'no pipeline of live backend servers covers the layers');
 	}
 
-	private handleInspected(attempt: StreamAttempt, statuses: ReadonlyArray<StageStatus | undefined>, now: number): readonly StreamCommand[] {
+	private handleInspected(attempt: RouteAttempt, statuses: ReadonlyArray<StageStatus | undefined>, now: number): readonly StreamCommand[] {
 		if (!attempt.isInspecting) {
 			return attempt.isInspectingSlowdown ? this.moveOffSlowStages(attempt, statuses, now) : [];
 		}
@@ -197,7 +197,7 @@
 	}
 
 	/** Moves a slow stream away from the stages that hold its batch, if there is another route and the retry budget allows it. */
-	private moveOffSlowStages(attempt: StreamAttempt, statuses: ReadonlyArray<StageStatus | undefined>, now: number): readonly StreamCommand[] {
+	private moveOffSlowStages(attempt: RouteAttempt, statuses: ReadonlyArray<StageStatus | undefined>, now: number): readonly StreamCommand[] {
 		attempt.isInspectingSlowdown = false;
 		const suspects = attempt.getServers(diagnoseStall(statuses, [], this.delivered).stages);
 		if (suspects.size === 0 || !this.planner.hasUnusedRoute(suspects, attempt.route, now) || !this.options.tryAcquireRetry(RetryUrgency.Ordinary)) {
@@ -207,17 +207,17 @@
 		return this.running.replace(attempt, suspects, now);
 	}
 
-	private attach(attempt: StreamAttempt, now: number): readonly StreamCommand[] {
+	private attach(attempt: RouteAttempt, now: number): readonly StreamCommand[] {
 		return [attempt.attach(this.planner.takeConnection(), this.delivered, now)];
 	}
 
 	/** Keeps an attempt whose servers do not respond. They receive no new requests for a while. */
-	private keep(attempt: StreamAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	private keep(attempt: RouteAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		return [...createSuspectCommands(suspects), ...this.running.keep(attempt, suspects, now)];
 	}
 
 	/** Cancels an attempt that cannot go on. Unless another one goes on, the next one starts without the suspects. */
-	private giveUp(attempt: StreamAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	private giveUp(attempt: RouteAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		if (attempt === this.running.silent) {
 			return [...createSuspectCommands(suspects), ...this.running.dropSilent()];
 		}
@@ -226,12 +226,12 @@
 	}
 
 	/** Cancels the current attempt and starts another one without the suspects, unless too many attempts have failed. */
-	private replace(attempt: StreamAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	private replace(attempt: RouteAttempt, suspects: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		return [...createSuspectCommands(suspects), ...this.restart(attempt, suspects, now)];
 	}
 
 	/** Cancels the current attempt and starts another one, if possible without servers that failed it, unless too many attempts have failed. */
-	private restart(attempt: StreamAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
+	private restart(attempt: RouteAttempt, failedServers: ReadonlySet<string>, now: number): readonly StreamCommand[] {
 		const refusal = this.running.silent ? undefined : this.planner.requestRetry(this.delivered > 0 ? RetryUrgency.Begun : RetryUrgency.Ordinary);
 		return refusal ? this.fail(refusal.code, refusal.message) : this.running.replace(attempt, failedServers, now);
 	}
