--- a/src/relay/stream-dispatcher.ts
+++ b/src/relay/stream-dispatcher.ts
@@ -1,3 +1,4 @@
+import {RetryUrgency} from '../admission/retry-urgency.js';
 import {type Pipeline} from '../pipelines/pipeline.js';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
@@ -23,8 +24,8 @@
 export type DispatchHandler = {
 	/** Returns the number of attempts sent so far. */
 	countAttempts(): number;
-	/** Takes a retry from the budget; returns false if the budget is exhausted. */
-	tryAcquireRetry(): boolean;
+	/** Takes a retry from the budget; returns false if the budget is exhausted for this urgency. */
+	tryAcquireRetry(urgency: RetryUrgency): boolean;
 	send(pipeline: Pipeline): void;
 	/** Ends the stream because no pipeline has capacity, or because the retry budget is exhausted. */
 	failForCapacity(reason: string): void;
@@ -104,6 +105,10 @@
 		return this.latestOutcome === StartOutcome.NoRetry;
 	}
 
+	private get retryUrgency(): RetryUrgency {
+		return this.stream.progress.hasDelivered ? RetryUrgency.Begun : RetryUrgency.Ordinary;
+	}
+
 	private tryStart(): StartOutcome {
 		this.latestOutcome = this.start();
 		return this.latestOutcome;
@@ -117,7 +122,7 @@
 		}
 
 		// A retry stays queued until the retry budget allows it.
-		if (handler.countAttempts() > 0 && !handler.tryAcquireRetry()) {
+		if (handler.countAttempts() > 0 && !handler.tryAcquireRetry(this.retryUrgency)) {
 			return StartOutcome.NoRetry;
 		}
 
