Name the moved file in the list of mutations, and add three for lost connections

The list names compiled files; one had moved with the route attempt. New: two connections of one living server count once; a stream resumes elsewhere than where it has just failed; a complete response survives the close of its connection.

--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -206,7 +206,7 @@
 	),
 	mutation(
 		'an attempt is kept while no other route can take it over',
-		['src/routing/stream-attempt.js', 'return this.isConnectionOpen && isWithinTimeout', 'return false && isWithinTimeout'],
+		['src/routing/route-attempt.js', 'return this.isConnectionOpen && isWithinTimeout', 'return false && isWithinTimeout'],
 		['test/stream-recovery.test.ts', 'an attempt whose stage does not respond to*'],
 	),
 	mutation(
@@ -214,4 +214,19 @@
 		['src/routing/attempt-pair.js', 'return this.startBeside(attempt, suspects, now);', 'return this.replace(attempt, suspects, now);'],
 		['test/silent-attempts.test.ts', 'a silent attempt goes on if*'],
 	),
+	mutation(
+		'a living server that closes two connections of a request counts as one server',
+		['src/relay/crash-evidence.js', 'if (this.fates.hasEnded(server))', 'if (true)'],
+		['test/lost-connections.test.ts', 'a stream that lost two connections of one server*'],
+	),
+	mutation(
+		'a stream resumes at another first stage than the one that has just failed it',
+		['src/relay/stream-resumption.js', 'selector.recordFailure(attempt.firstServer);', ''],
+		['test/lost-connections.test.ts', 'a stream whose attempt was lost before an event*'],
+	),
+	mutation(
+		'a complete response is not dropped because its server closes the connection',
+		['src/relay/backend-client.js', 'else if (!this.message.complete)', 'else if (true)'],
+		['test/backend-client.test.ts', '*that reads slowly*'],
+	),
 ];
