Answer requests on connections that wait to be accepted when a planned stop ends

The runtime accepts one connection in each turn of the event loop, and a deferred call waits for two turns. After a stall, the stop found nothing to do and ended the process while further connections with whole requests were in the queue of the listener; they were reset, and the log had no line. The stop now goes on as long as connections are being accepted.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -52,6 +52,7 @@
 	private readonly server: CallerServer;
 	private readonly authorizer: CarefulAuthorizer;
 	private pending = 0;
+	private openedConnections = 0;
 	private maxBodyBytes = defaultMaxBodyBytes;
 
 	constructor(private readonly dependencies: EntryServerDependencies) {
@@ -60,6 +61,9 @@
 		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
 		}, new ConnectionLog(codec, metrics, log), timers);
+		this.server.on('connection', () => {
+			this.openedConnections++;
+		});
 	}
 
 	/** Starts accepting connections. Rejects if the address cannot be bound. */
@@ -79,6 +83,13 @@
 		await this.server.closeIdle();
 	}
 
+	/** Handles input that has arrived. Resolves to whether callers had opened connections; then more of them may be waiting, since the runtime accepts one in each turn of the event loop. */
+	async acceptArrived(): Promise<boolean> {
+		const openedBefore = this.openedConnections;
+		await this.dependencies.timers.handleInput();
+		return this.openedConnections > openedBefore;
+	}
+
 	/** Stops accepting connections; open ones stay open. */
 	stopListening(): void {
 		this.server.close();
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -109,7 +109,8 @@
 		const drainDeadline = stopRequestedAt + settings.stop.grace - settings.stop.margin;
 		while (dependencies.timers.now() < drainDeadline) {
 			await dependencies.entryServer.closeIdle(); // eslint-disable-line no-await-in-loop
-			if (this.isDrained) {
+			const hasOpened = await dependencies.entryServer.acceptArrived(); // eslint-disable-line no-await-in-loop
+			if (!hasOpened && this.isDrained) {
 				break;
 			}
 
