--- a/test/unread-requests-process.test.ts
+++ b/test/unread-requests-process.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {RecordedConnection} from './support/recorded-connection.js';
 import {type RequestLife} from './support/request-life.js';
@@ -13,6 +15,8 @@
 const answerPauseMs = 500;
 /** More than the turns of the event loop that a deferred call waits for. */
 const connectionCount = 8;
+const bodyPieces = 4;
+const piecePauseMs = 40;
 const plan: RequestPlan = {
 	id: 'r-0',
 	route: PlannedRoute.Lookup,
@@ -63,3 +67,35 @@
 	t.is(status, 200);
 	t.is(await router.waitForExit(), 0);
 });
+
+// Guards against refusals that are lost with a connection that a stopping instance closes while it is still receiving the request.
+test.serial('a request that a stopping instance refuses before its body has arrived gets its refusal when its caller reads after writing', async t => {
+	const router = await startRouter(t);
+	router.signal('SIGTERM');
+	await router.waitUntil(() => router.logLines.some(line => line.includes('process.stopping')));
+	const socket = connect({port: router.callersPort, host: '127.0.0.1', noDelay: true});
+	const failures: Error[] = [];
+	socket.on('error', error => {
+		failures.push(error);
+	});
+	const closed = new Promise<void>(resolve => {
+		socket.on('close', () => {
+			resolve();
+		});
+	});
+	await once(socket, 'connect');
+	socket.write(`POST /lookups/1 HTTP/1.1\r\nhost: site.example\r\nx-api-key: stolen\r\ncontent-length: ${bodyPieces}\r\n\r\n`);
+	for (let piece = 0; piece < bodyPieces; piece++) {
+		await router.timers.sleep(piecePauseMs); // eslint-disable-line no-await-in-loop
+		socket.write('x');
+	}
+
+	let text = '';
+	socket.on('data', bytes => {
+		text += String(bytes);
+	});
+	await closed;
+	t.deepEqual(failures, []);
+	t.regex(text, /^HTTP\/1\.1 401 /v);
+	t.regex(text, /"execution":"not_run"\}$/v);
+});
