Let a plain request wait for a lent retry, and keep no reserve for plain services

Loans alone didn't help callers of plain services at large sites: a plain request that was rejected and denied a retry failed at once, before a loan could arrive, and a part of its service's share was kept for begun replies, which a plain service can't continue.

A plain request that is denied a retry, has no response to pass on and more than 250 ms left tries again every 25 ms for 250 ms, if there is an instance to borrow from. The budget of a service without pipelines keeps no reserve. An instance that stops, or is alone, refuses at once as before.

--- a/src/admission/retry-borrowing.ts
+++ b/src/admission/retry-borrowing.ts
@@ -52,6 +52,11 @@
 	*/
 	constructor(private readonly availabilityZone: string, private readonly findLenders: () => readonly Lender[], private readonly random: RandomSource) {}
 
+	/** Whether there is an instance to ask. */
+	get hasLenders(): boolean {
+		return this.findLenders().length > 0;
+	}
+
 	/**
 	Returns the request to send after a retry of a service was taken or denied; undefined if there is none to send.
 
--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -2,7 +2,7 @@
 
 const defaultWindowMs = 10_000;
 /** Fraction of the retries of a window that is kept for replies that have begun; at least one retry. */
-const reservedFraction = 0.1;
+const defaultReservedFraction = 0.1;
 /** Retries of a window from which one is kept for replies that have begun. */
 const minReservingShare = 2;
 
@@ -25,8 +25,9 @@
 	@param ratio - retries allowed per request
 	@param minimum - retries allowed in a window without requests
 	@param window - length of the sliding window in milliseconds
+	@param reservedFraction - fraction of the retries that is kept for replies that have begun; 0 for a service whose replies can't be continued
 	*/
-	constructor(private readonly ratio: number, private minimum: number, private readonly window = defaultWindowMs) {}
+	constructor(private readonly ratio: number, private minimum: number, private readonly window = defaultWindowMs, private readonly reservedFraction = defaultReservedFraction) {}
 
 	/** Sets the number of retries allowed in a window without requests, for example when the number of instances that share them changes. */
 	setMinimum(minimum: number): void {
@@ -93,7 +94,8 @@
 
 	/** Retries that only replies that have begun may take. */
 	private get reserve(): number {
-		return this.share < minReservingShare ? 0 : Math.max(1, Math.floor(this.share * reservedFraction));
+		const isReserving = this.reservedFraction > 0 && this.share >= minReservingShare;
+		return isReserving ? Math.max(1, Math.floor(this.share * this.reservedFraction)) : 0;
 	}
 
 	private discardExpired(now: number): void {
--- a/src/peers/retry-loans.ts
+++ b/src/peers/retry-loans.ts
@@ -30,8 +30,8 @@
 
 	/** Asks another instance for retries of a service if none is left. An instance that stops borrows only for replies that have begun. */
 	replenish(service: string, urgency: RetryUrgency): void {
-		const {borrowing, findBudget, lifecycle, timers} = this.dependencies;
-		if (lifecycle.isDraining && urgency !== RetryUrgency.Begun) {
+		const {borrowing, findBudget, timers} = this.dependencies;
+		if (!this.isAllowed(urgency)) {
 			return;
 		}
 
@@ -42,6 +42,11 @@
 		}
 	}
 
+	/** Whether another instance may lend retries. */
+	mayBorrow(urgency: RetryUrgency): boolean {
+		return this.isAllowed(urgency) && this.dependencies.borrowing.hasLenders;
+	}
+
 	lend({service, retries, lifetime}: LoanCall): number {
 		const {findBudget, isKnownService, metrics, timers} = this.dependencies;
 		const lent = isKnownService(service) ? findBudget(service).lend(retries, lifetime, timers.now()) : 0;
@@ -49,6 +54,11 @@
 		return lent;
 	}
 
+	/** An instance that stops borrows nothing for new work. */
+	private isAllowed(urgency: RetryUrgency): boolean {
+		return urgency === RetryUrgency.Begun || !this.dependencies.lifecycle.isDraining;
+	}
+
 	private async borrow(request: LoanRequest): Promise<void> {
 		const {borrowing, findBudget, timers, metrics, log, onLoan} = this.dependencies;
 		metrics.count('siskinnotch_loan_requests');
--- a/src/relay/exchange-dependencies.ts
+++ b/src/relay/exchange-dependencies.ts
@@ -15,6 +15,8 @@
 	forService(service: string): RetryBudget;
 	/** Asks another instance for retries if the budget of the service has none left; called after a retry was taken or denied. */
 	replenish(service: string, urgency: RetryUrgency): void;
+	/** Whether another instance may lend retries. */
+	mayBorrow(urgency: RetryUrgency): boolean;
 };
 
 /** Dependencies that all exchanges share. */
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain-exchange.ts
@@ -16,6 +16,7 @@
 import {PlainLimitWait} from './plain-limit-wait.js';
 import {PlainLog} from './plain-log.js';
 import {PlainRetryPolicy} from './plain-retry-policy.js';
+import {maxRetryWaitMs, PlainRetryWait} from './plain-retry-wait.js';
 import {PlainServerChoice} from './plain-server-choice.js';
 import {type RelayRequest} from './relay-request.js';
 import {type ResponseHead} from './response-head.js';
@@ -32,6 +33,7 @@
 	private readonly log: PlainLog;
 	private readonly limitWait: PlainLimitWait;
 	private readonly retryPolicy: PlainRetryPolicy;
+	private readonly retryWait: PlainRetryWait;
 	private responseTimer?: TimerHandle;
 	/** The attempt whose response is passed on. */
 	private chosen?: PlainAttempt;
@@ -44,6 +46,7 @@
 		this.servers = new PlainServerChoice(request, plainDependencies);
 		this.attempts = new PlainAttempts({...dependencies, ...plainDependencies}, request, this.servers, this.log);
 		this.limitWait = new PlainLimitWait(dependencies, request, this.servers, this.log);
+		this.retryWait = new PlainRetryWait(dependencies.timers);
 		this.retryPolicy = new PlainRetryPolicy(request, this.attempts, dependencies.timers);
 	}
 
@@ -149,6 +152,7 @@
 		this.attempts.clear();
 		this.responseTimer?.cancel();
 		this.limitWait.cancel();
+		this.retryWait.cancel();
 	}
 
 	protected describeProgress(): DecisionFields {
@@ -306,11 +310,28 @@
 			this.dispatch();
 		} else if (passable) {
 			this.deliver(passable);
+		} else if (isWanted && this.mayWaitForRetry) {
+			this.waitForRetry(reason);
 		} else {
 			this.failWithCode(ResultCode.Overloaded, isWanted ? `${reason}, and the retry budget was exhausted` : reason);
 		}
 	}
 
+	/** Whether another instance may lend a retry, long enough before the deadline. */
+	private get mayWaitForRetry(): boolean {
+		return this.remaining > maxRetryWaitMs && this.dependencies.retryBudgets.mayBorrow(RetryUrgency.Ordinary);
+	}
+
+	private waitForRetry(reason: string): void {
+		this.retryWait.begin(() => this.mayRetry && this.tryAcquireRetry(RetryUrgency.Ordinary), isAcquired => {
+			if (isAcquired) {
+				this.dispatch();
+			} else {
+				this.failWithCode(ResultCode.Overloaded, `${reason}, and the retry budget was exhausted`);
+			}
+		});
+	}
+
 	/** Passes on a response that is in hand. Otherwise fails with the code if the request was not executed, or with `BackendFailed` if it may have been. */
 	private failWithCode(code: ResultCode, reason: string, retryAfter = retryAfterSeconds): void {
 		if (this.tryDeliverFallback()) {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -220,7 +220,9 @@
 	};
 
 	const getRetryBudget = (service: string) => {
-		const retryBudget = retryBudgets.get(service) ?? new RetryBudget(limits.retry_ratio, computeRetryAllowance(), limits.retry_window);
+		// A plain reply that has begun can't be continued, so nothing is kept for it.
+		const reservedFraction = activeCatalog.current?.catalog.services.get(service)?.engine === undefined ? 0 : undefined;
+		const retryBudget = retryBudgets.get(service) ?? new RetryBudget(limits.retry_ratio, computeRetryAllowance(), limits.retry_window, reservedFraction);
 		retryBudgets.set(service, retryBudget);
 		return retryBudget;
 	};
@@ -247,6 +249,7 @@
 			forService: getRetryBudget, replenish(service, urgency) {
 				retryLoans.replenish(service, urgency);
 			},
+			mayBorrow: urgency => retryLoans.mayBorrow(urgency),
 		},
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
--- a/test/retry-reserve.test.ts
+++ b/test/retry-reserve.test.ts
@@ -69,6 +69,8 @@
 		const budget = new RetryBudget(0, minimum);
 		t.is(countRetries(budget, RetryUrgency.Ordinary), ordinary, `${minimum}`);
 		t.is(countRetries(budget, RetryUrgency.Begun), urgent, `${minimum}`);
+		const plain = new RetryBudget(0, minimum, 10_000, 0);
+		t.is(countRetries(plain, RetryUrgency.Ordinary), ordinary + urgent, `${minimum}, nothing is kept`);
 	}
 });
 
