Give the product's own interface the same care for its connections

The same server calls are made there: stopListening() cut replies that had ended and not left, and closed connections whose next request had arrived; the idle timer of the runtime likewise. The interface now uses CallerServer. `inFlight` counts replies until their bytes have left, also those of pipelined requests, so the stop of an instance waits for them within its limit. What throws is caught there already.

--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -1,21 +1,21 @@
-import {createServer, type Server} from 'node:http';
 import {type Socket} from 'node:net';
 import Router from '@koa/router';
 import Koa, {type Context} from 'koa';
+import {CallerServer} from '../network/caller-server.js';
 import {listen} from '../network/listen.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {getErrorMessage, toFailure} from '../results/to-failure.js';
+import {CallerConnectionLog} from './caller-connection-log.js';
 import {CallerHandlers} from './caller-handlers.js';
 import {type CallerLimits, type CallerDependencies} from './caller-dependencies.js';
 import {executionHeader, createErrorBody, getHttpStatus} from './error-body.js';
 
 /** The HTTP interface for callers: OpenAI's chat completions and models, plain services, health and metrics. */
 export class CallerInterface {
-	private readonly server: Server;
+	private readonly server: CallerServer;
 	private readonly sockets = new Set<Socket>();
 	private readonly handlers: CallerHandlers;
-	private openRequests = 0;
 
 	constructor(limits: CallerLimits, private readonly dependencies: CallerDependencies) {
 		this.handlers = new CallerHandlers(limits, dependencies);
@@ -29,9 +29,10 @@
 			throw new Failure(ResultCode.PathUnknown, 'see the README for the paths and methods offered');
 		});
 		const handle = app.callback();
-		this.server = createServer({headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.headersTimeoutMs * 2, connectionsCheckingInterval: 1000}, (request, response) => {
+		const {metrics, log, timers} = dependencies;
+		this.server = new CallerServer({headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.headersTimeoutMs * 2, connectionsCheckingInterval: 1000}, (request, response) => {
 			void handle(request, response);
-		});
+		}, new CallerConnectionLog(metrics, log), timers);
 		this.server.on('connection', socket => {
 			this.sockets.add(socket);
 			socket.setNoDelay(true);
@@ -41,9 +42,9 @@
 		});
 	}
 
-	/** Number of requests whose response is not finished. */
+	/** Number of requests whose response has not left this process completely. */
 	get inFlight(): number {
-		return this.openRequests;
+		return this.server.openReplies;
 	}
 
 	/** Listens on an address; rejects if the address is unavailable. */
@@ -54,7 +55,6 @@
 	/** Stops listening and closes idle connections; requests in flight continue. */
 	stopListening(): void {
 		this.server.close();
-		this.server.closeIdleConnections();
 	}
 
 	/** Closes all connections. */
@@ -90,14 +90,8 @@
 		return router;
 	}
 
-	/** Counts the open requests and turns failures into error responses. */
+	/** Turns failures into error responses. */
 	private async handleErrors(context: Context, next: () => Promise<void>): Promise<void> {
-		this.openRequests++;
-		const onClose = () => {
-			this.openRequests--;
-		};
-
-		context.res.once('close', onClose);
 		if (this.dependencies.lifecycle.isDraining) {
 			context.set('connection', 'close');
 		}
--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -33,7 +33,7 @@
 
 	/** Whether the last reply has left and nothing of a further request has been read. Before its first request a connection is not idle. */
 	get isIdle(): boolean {
-		return this.isReceived && this.replies.size === 0 && this.socket.bytesRead === this.bytesBefore;
+		return !this.socket.destroyed && this.isReceived && this.replies.size === 0 && this.socket.bytesRead === this.bytesBefore;
 	}
 
 	/** Number of requests whose heads were read. */
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -147,6 +147,8 @@
 	readonly submissions: SheetSubmissionService;
 	readonly callers: CallerInterface;
 	readonly lifecycle = new Lifecycle();
+	/** Body of the response to a call of a plain service. */
+	plainAnswer = '{}';
 	/** Number of completions and calls of plain services that were started. */
 	startedRequests = 0;
 	private readonly store = new ConfigurationStore(this.table);
@@ -180,7 +182,7 @@
 			plainDispatcher: {
 				dispatch: async () => {
 					this.startedRequests++;
-					return {status: 200, contentType: 'application/json', body: '{}'};
+					return {status: 200, contentType: 'application/json', body: this.plainAnswer};
 				},
 			},
 			actionExecutor: new ActionExecutor(table, timers, 'self', silentLog),
