Keep an idle connection for as long as its last reply has promised

A caller that relied on `Keep-Alive: timeout=15` found its connection closed after 1 s, with its request neither answered nor refused, where a configuration had shortened the idle time while the reply before was on its way: the runtime promises the time that was in force when the request was read, and sets its timer by the one in force when the reply ends. The longer of both holds now; the next reply promises the new time.

The test failed on the old code and passes now.

--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -12,6 +12,9 @@
 	return response.writableEnded ? ReplyLoss.Unsent : ReplyLoss.Cut;
 }
 
+/** Added to the idle time that a reply has promised, as the runtime does, for the way of the next request. */
+const idleMarginMs = 1000;
+
 /** A connection of a caller, with the replies on it whose bytes have not all been handed to the system. */
 export class CallerConnection {
 	private readonly replies = new Map<ServerResponse, IncomingMessage>();
@@ -51,8 +54,12 @@
 		return [...this.replies.keys()].some(({headersSent}) => headersSent);
 	}
 
-	/** Records a request whose head was read. */
-	add(message: IncomingMessage, response: ServerResponse): void {
+	/**
+	Records a request whose head was read.
+
+	@param promisedIdleTime - milliseconds for which its reply will promise to keep the connection; what a configuration changes meanwhile applies to later requests
+	*/
+	add(message: IncomingMessage, response: ServerResponse, promisedIdleTime: number): void {
 		this.requests++;
 		this.newest = message;
 		this.replies.set(response, message);
@@ -60,6 +67,9 @@
 		message.once('close', () => {
 			this.bytesBefore = this.socket.bytesRead;
 		});
+		response.once('finish', () => {
+			this.keepPromise(promisedIdleTime);
+		});
 		// Before the listener of the runtime, which may destroy the connection.
 		response.prependOnceListener('finish', () => {
 			// The runtime reports the end of writing also where the connection was destroyed before.
@@ -78,6 +88,14 @@
 		this.socket.destroy(error);
 	}
 
+	/** Keeps an idle connection for as long as its last reply has promised. The runtime has set the idle time that is in force now. */
+	private keepPromise(idleTime: number): void {
+		const {timeout = 0} = this.socket;
+		if (timeout > 0 && timeout < idleTime + idleMarginMs) {
+			this.socket.setTimeout(idleTime + idleMarginMs);
+		}
+	}
+
 	private recordLosses(): void {
 		for (const [response, message] of this.replies) {
 			this.observer.recordLostReply({loss: describeLoss(response), message, response});
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -34,7 +34,7 @@
 			this.track(socket);
 		});
 		this.on('request', (message, response) => {
-			this.tracked.get(message.socket)?.add(message, response);
+			this.tracked.get(message.socket)?.add(message, response, this.keepAliveTimeout);
 			listener(message, response);
 		});
 		this.on('timeout', (socket: Socket) => {
--- a/test/caller-connections.test.ts
+++ b/test/caller-connections.test.ts
@@ -8,6 +8,7 @@
 import {CallerServer} from '../src/network/caller-server.js';
 import {listen} from '../src/network/listen.js';
 import {Metrics} from '../src/observation/metrics.js';
+import {type CallerReply} from '../src/relay/caller-reply.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {type TimerService} from '../src/time/timer-service.js';
 import {EntryFixture, type CallerSocket} from './support/entry-fixture.js';
@@ -153,6 +154,38 @@
 	t.is(entry.metrics.getCount('siskinnotch_caller_connections_ended', {cause: 'stopping'}), 1);
 });
 
+// Guards against requests that get neither an answer nor a refusal: a changed configuration shortened the idle time after a reply had promised a longer one.
+test('a connection is kept as long as the last reply has promised, also if the idle time is shortened before the reply ends', async t => {
+	const replies: CallerReply[] = [];
+	const entry = await EntryFixture.start(t, {
+		answer(reply) {
+			replies.push(reply);
+		},
+	});
+	entry.server.setLimits({...EntryFixture.limits, idleTimeout: 3000});
+	const caller = await entry.connect();
+	const answer = async () => {
+		await entry.waitUntil(() => replies.length > 0 || caller.isClosed);
+		caller.received = '';
+		replies[0].begin(200, ['Content-Length', '0']);
+		replies.shift()!.end();
+		await entry.waitUntil(() => caller.received !== '');
+	};
+
+	caller.socket.write(request);
+	await entry.waitUntil(() => replies.length > 0);
+	entry.server.setLimits({...EntryFixture.limits, idleTimeout: 50});
+	await answer();
+	t.regex(caller.received, /\r\nKeep-Alive: timeout=3\r\n/v);
+	await entry.timers.sleep(2000);
+	caller.socket.write(request);
+	await answer();
+	t.true(caller.received.startsWith(emptyAnswer));
+	// Its reply promises nothing, so the new idle time applies.
+	await entry.timers.sleep(2000);
+	t.true(caller.socket.readableEnded);
+});
+
 // Guards against connections that are never closed: what arrives after a refusal is the rest of its request, not another one.
 test('a connection whose refused body arrives after the refusal is idle afterwards', async t => {
 	const {entry, caller} = await startKept(t);
