Close the connection of a caller that leaves before its reply is complete

What callers saw: nothing at first. An instance kept one file descriptor for each caller that closed its connection while its request was in progress, until it could accept none.

Cause: when a caller ends its side, the runtime ends the other one, and if no bytes are unsent, that takes effect at once. `resetAndDestroy` then fails with `reset EINVAL`, and the runtime forgets the socket without closing it.

Mended: the connection is reset only while bytes of the reply are unsent, and closed otherwise. What the caller receives is the same: it could not be reset before either.

--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {CallerReply} from '../relay/caller-reply.js';
 import {type Failure} from '../results/failure.js';
 import {resultTable} from '../results/result-table.js';
@@ -6,6 +7,15 @@
 /** The version of HTTP without chunks, in which the end of the connection may delimit a body. */
 const unchunkedVersion = '1.0';
 
+/** Closes a connection whose reply is not complete. Resets it while bytes of the reply are unsent; afterwards the runtime has ended its side and can't reset it any more, and would leave it open if asked to. */
+function closeUnfinished(socket: Socket): void {
+	if (socket.writableLength > 0) {
+		socket.resetAndDestroy();
+	} else {
+		socket.destroy();
+	}
+}
+
 /** Writes the reply to a caller as an HTTP response. */
 export class HttpCallerReply extends CallerReply {
 	private isEnded = false;
@@ -85,7 +95,7 @@
 		const close = () => {
 			if (!this.isEnded) {
 				notify();
-				socket.resetAndDestroy();
+				closeUnfinished(socket);
 			}
 		};
 
