Read the rest of a request before a refusal closes its connection

Callers whose bodies were still on their way to an instance that stops lost its refusal: it was sent with `Connection: close`, the runtime closed the connection with input left unread, and that resets it. A caller that is writing fails with EPIPE and may not see the refusal.

The refusal is written at once, and the reply ends, which closes the connection, when the request was read. A stop waits for that within its grace. Replies that keep their connection are as before.

The test (20 requests of 12 MB) failed on the old code and passes now.

--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -78,7 +78,7 @@
 
 		this.isEnded = true;
 		this.response.writeHead(status, this.addConnectionHeader(headers));
-		this.response.end(body);
+		this.endWith(body);
 	}
 
 	onGone(listener: () => void): void {
@@ -110,6 +110,19 @@
 		this.response.on('drain', listener);
 	}
 
+	/** Completes a failure. Where it closes the connection, the rest of the request is read before: input that is left unread would reset the connection, and the caller could lose the failure. */
+	private endWith(body: string): void {
+		if (this.message.complete || !this.shouldCloseConnection()) {
+			this.response.end(body);
+			return;
+		}
+
+		this.response.write(body);
+		this.message.once('close', () => {
+			this.response.end();
+		});
+	}
+
 	private addConnectionHeader(headers: readonly string[]): string[] {
 		return this.shouldCloseConnection() ? [...headers, 'Connection', 'close'] : [...headers];
 	}
--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -1,4 +1,7 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {request as startRequest, type ClientRequest} from 'node:http';
+import process from 'node:process';
 import test, {type ExecutionContext} from 'ava';
 import {freePort} from '../harness/ports.js';
 import {EntryServer, type EntryServerDependencies} from '../src/entry/entry-server.js';
@@ -199,3 +202,30 @@
 		}
 	});
 }
+
+// Guards against requests that get neither an answer nor a refusal: a refusal that closes the connection while the body arrives is lost with the reset that what is unread causes.
+test('callers that send large bodies to an instance that is stopping receive the refusals', async t => {
+	const entry = await EntryFixture.start(t);
+	entry.server.setLimits({...EntryFixture.limits, maxBodyBytes: 16_000_000});
+	entry.lifecycle.requestStop();
+	entry.lifecycle.refuseRequests();
+	const script = `const {request} = require('http');
+	(async () => {
+		const results = [];
+		for (let count = 0; count < 20; count++) {
+			results.push(await new Promise(resolve => {
+				const upload = request({port: ${entry.port}, host: '127.0.0.1', method: 'POST', agent: false, headers: {'content-length': 12000000}}, response => {
+					response.resume().on('close', () => { resolve(response.statusCode + ' ' + response.complete); });
+				});
+				upload.on('error', ({code}) => { resolve(code); });
+				upload.end(Buffer.alloc(12000000));
+			}));
+		}
+		process.send(results);
+	})();`;
+	const callers = spawn(process.execPath, ['-e', script], {stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
+	t.teardown(() => callers.kill('SIGKILL'));
+	const messages = await once(callers, 'message');
+	t.deepEqual(messages[0], Array.from({length: 20}, () => '503 true'));
+	await entry.waitUntil(() => entry.server.openReplies === 0);
+});
--- a/test/support/entry-fixture.ts
+++ b/test/support/entry-fixture.ts
@@ -62,7 +62,7 @@
 	readonly server: EntryServer;
 	private readonly sockets: Socket[] = [];
 
-	private constructor(private readonly port: number, {answer, decode, encodeReply, isBehind = false, authorize}: EntryOptions) {
+	private constructor(readonly port: number, {answer, decode, encodeReply, isBehind = false, authorize}: EntryOptions) {
 		const {timers, metrics, log, lifecycle} = this;
 		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 			authorizer: {
