--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -44,8 +44,6 @@
 const drainingRetrySeconds = 0.2;
 /** Prompt parts of a request that are logged. */
 const maxLoggedParts = 8;
-/** For which a refusal waits for the rest of a body. */
-const maxRestWaitMs = 500;
 /** In force until the first catalog is applied. */
 const defaultMaxBodyBytes = 4_194_304;
 
@@ -188,10 +186,6 @@
 				fingerprint,
 			}, reply);
 		} catch (error) {
-			if (dependencies.lifecycle.isDraining) {
-				await this.receiveRest(message);
-			}
-
 			this.refuse(reply, callerHeaders.id, toFailure(error), message);
 		}
 	}
@@ -224,25 +218,6 @@
 		});
 	}
 
-	/** Receives the rest of a body that is not needed, since the connection closes after the reply: a caller that still writes would be reset and might not read the reply. */
-	private async receiveRest(message: IncomingMessage): Promise<void> {
-		if (message.complete || message.destroyed) {
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			const timer = this.dependencies.timers.after(maxRestWaitMs, resolve);
-			const finish = () => {
-				timer.cancel();
-				resolve();
-			};
-
-			message.once('end', finish);
-			message.once('close', finish);
-			message.resume();
-		});
-	}
-
 	private refuse(reply: HttpCallerReply, id: string, failure: Failure, message: IncomingMessage): void {
 		const {isBehind, age} = this.dependencies.catalogCurrency.describe();
 		const isSent = !reply.isGone && !reply.isStarted;
