Keep the stop in the test of idle connections from ending before it is tested

The test sends SIGTERM, then a large configuration, and waits until the instance is busy with it. A stream that is in flight keeps it running now; the assertions are the same, and one is added for that stream.

--- a/test/idle-connections-process.test.ts
+++ b/test/idle-connections-process.test.ts
@@ -6,6 +6,8 @@
 const idleTimeoutMs = 300;
 /** Beyond the idle time, with what the runtime adds to it. */
 const stallMs = 2000;
+/** Between the five events of a stream. */
+const eventPauseMs = 500;
 
 /** So many that the instance is busy with them for longer than it takes to notice that. */
 const addedRoutes = 20_000;
@@ -64,6 +66,12 @@
 // Guards against requests that get neither an answer nor a refusal: their connections were taken for idle during the notice of a planned stop.
 test.serial('requests that arrive on kept connections while an instance that is about to stop stands still are answered', async t => {
 	const {router, connections} = await startKept(t);
+	for (const stage of router.stages) {
+		stage.behaviour.pause = eventPauseMs;
+	}
+
+	// Keeps the stop from ending before the instance is busy.
+	const last = router.sendForStatus('/drafts/2');
 	router.signal('SIGTERM');
 	await stopWhileBusy(router, 5);
 	const sending = sendOnAll(router, connections, 2);
@@ -71,5 +79,6 @@
 	router.signal('SIGCONT');
 	await sending;
 	t.deepEqual(connections.map(({statuses}) => statuses.length), targets.map(() => 2));
+	t.is(await last, 200);
 	t.is(await router.waitForExit(), 0);
 });
