Tell a reset after the end of a connection from an end in the run for accepted requests

The caller now writes once more after the end, which fails if the connection was reset; a caller that half-closes first reads what has arrived.

--- a/test/support/recorded-connection.ts
+++ b/test/support/recorded-connection.ts
@@ -15,6 +15,9 @@
 const patienceMs = 4000;
 /** Within which a reset follows the end of a connection. */
 const resetWaitMs = 100;
+const probeDelayMs = 20;
+/** May stand between requests. */
+const probeText = '\r\n';
 /** Characters of a body that are kept if it is not the answer. */
 const maxKeptText = 300;
 
@@ -115,7 +118,15 @@
 		}
 
 		if (plan.ending === Ending.HalfCloses) {
-			this.isLast = true;
+			await this.halfClose();
+		}
+	}
+
+	/** Half-closes the connection, unless the instance had closed it when the request was sent. */
+	private async halfClose(): Promise<void> {
+		await this.timers.handleInput();
+		this.isLast = true;
+		if (this.endedAt === undefined) {
 			this.socket.end();
 		}
 	}
@@ -140,15 +151,25 @@
 		this.notify?.();
 	}
 
-	/** The end may be followed by a reset, which shows that the instance did not read all that was sent. */
+	/** The end may be followed by a reset, which shows that the instance did not read all that was sent. The runtime tells of it only when something is written. */
 	private handleEnd(): void {
 		this.isLast = true;
 		this.endedAt ??= this.timers.now();
+		this.timers.after(probeDelayMs, () => {
+			this.probe();
+		});
 		this.timers.after(resetWaitMs, () => {
 			this.close(ConnectionEnd.Closed);
 		});
 	}
 
+	/** Writes to the connection, which fails if it has been reset. */
+	private probe(): void {
+		if (this.socket.writable) {
+			this.socket.write(probeText);
+		}
+	}
+
 	private pauseAfterPiece(): void {
 		if (this.reading === Reading.Steady) {
 			return;
