--- a/test/retry-loans.test.ts
+++ b/test/retry-loans.test.ts
@@ -95,6 +95,7 @@
 	t.is(borrowing.receive(request.number, 1, 20_002), undefined, 'the same answer again');
 	t.is(borrowing.request('model', 0, 20_024), undefined);
 	t.truthy(borrowing.request('model', 0, 20_025));
+	t.is(borrowing.receive(request.number, 1, 20_026), undefined, 'the answer to the request before');
 });
 
 test('an instance of the own availability zone is asked first, and any after it had nothing to lend', t => {
