--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,8 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {type Agent} from 'node:http';
 import {type Logger} from 'winston';
-import {RetryBorrowing} from './admission/retry-borrowing.js';
-import {RetryBudget} from './admission/retry-budget.js';
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
@@ -35,10 +33,10 @@
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementController} from './placement/placement-controller.js';
 import {GossipClients} from './peers/gossip-clients.js';
-import {RetryLoans} from './peers/retry-loans.js';
 import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {wireCrashGuard} from './quarantine-wiring.js';
+import {wireRetries} from './retry-wiring.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
 import {type ExchangeCodec} from './relay/exchange-codec.js';
@@ -101,10 +99,6 @@
 const selectionWeights = {
 	remoteZone: 0.4, crossing: 5, maxOccupancy: 1, occupancyWeight: 3, maxLoadAge: 1500,
 };
-/** Retries per window at most while the number of instances that share the allowance is unknown. */
-const initialRetryAllowance = 5;
-/** Fraction of the retry allowance that the instances use together. */
-const retryAllowanceFraction = 0.7;
 /** Fraction of the bandwidth between availability zones that the instances use together. */
 const interzoneBandwidthFraction = 0.5;
 /** Time for which unused bandwidth between availability zones accumulates. */
@@ -163,7 +157,6 @@
 	const slowdowns = new ServerSlowdowns(slowdownExpiryMs);
 	const activeCatalog = new ActiveCatalog(log, timers);
 
-	const retryBudgets = new Map<string, RetryBudget>();
 	const gossipClients = new GossipClients(timers, gossipTimeoutMs);
 	const {paths, peerPaths, ownPaths, serverConnector, tunnelServer} = wireTunnels(limits.connect, {
 		directory, findPeers: () => findResponsivePeers(), lifecycle, random, timers, metrics, log,
@@ -185,9 +178,7 @@
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange() {
-			for (const retryBudget of retryBudgets.values()) {
-				retryBudget.setMinimum(computeRetryAllowance());
-			}
+			retries.updateShares();
 		},
 		onSuspicion(server, reason) {
 			streamMonitor.hedgeStreamsThrough(server, reason);
@@ -213,29 +204,10 @@
 			exchanges.endQuarantined(part, refusal);
 		},
 	});
-	// Leaves a part of the allowance unused, so that the total stays within it while instances are being added.
-	const computeRetryAllowance = () => {
-		const share = limits.retry_allowance * retryAllowanceFraction / instanceRegistry.all().length;
-		return instanceRegistry.isInitialized ? share : Math.min(share, initialRetryAllowance);
-	};
-
-	const getRetryBudget = (service: string) => {
-		// A plain reply that has begun can't be continued, so nothing is kept for it.
-		const reservedFraction = activeCatalog.current?.catalog.services.get(service)?.engine === undefined ? 0 : undefined;
-		const retryBudget = retryBudgets.get(service) ?? new RetryBudget(limits.retry_ratio, computeRetryAllowance(), limits.retry_window, reservedFraction);
-		retryBudgets.set(service, retryBudget);
-		return retryBudget;
-	};
-
-	const retryLoans = new RetryLoans({
-		borrowing: new RetryBorrowing(instance.availability_zone, () => findResponsivePeers(), random),
-		clients: gossipClients,
-		findBudget: getRetryBudget,
+	const retries = wireRetries(settings, {
+		instanceRegistry, findResponsivePeers, clients: gossipClients, lifecycle, random, timers, metrics, log,
 		isKnownService: service => activeCatalog.current?.catalog.services.has(service) ?? false,
-		lifecycle,
-		timers,
-		metrics,
-		log,
+		isResumable: service => activeCatalog.current?.catalog.services.get(service)?.engine !== undefined,
 		onLoan() {
 			requestQueue.dispatchReady();
 		},
@@ -244,13 +216,7 @@
 		codec: adapters.codec, agent: backendAgent, newConnectionAgent, timers, connectTimeout: limits.connect,
 	});
 	const exchangeDependencies: ExchangeDependencies = {
-		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, timers, metrics, log,
-		retryBudgets: {
-			forService: getRetryBudget, replenish(service, urgency) {
-				retryLoans.replenish(service, urgency);
-			},
-			mayBorrow: urgency => retryLoans.mayBorrow(urgency),
-		},
+		client: backendClient, directory, serverHealth, backpressure, load: serverLoad, crashGuard, retryBudgets: retries.budgets, timers, metrics, log,
 	};
 	const onSuspicion = (server: BackendServer, isBlocking: boolean, reason: string) => {
 		streamMonitor.hedgeStreamsThrough(server, reason);
@@ -377,7 +343,7 @@
 	new CounterLog(loggedCounters, metrics, log).start(timers, counterLogIntervalMs);
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
-		directory, instanceRegistry, gossip, gossipClients, retryLender: retryLoans, ownPaths, tunnelServer, lease, leaseManager, placementController,
+		directory, instanceRegistry, gossip, gossipClients, retryLender: retries.loans, ownPaths, tunnelServer, lease, leaseManager, placementController,
 	});
 	return router;
 }
