--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -1,8 +1,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {
-	type ConnectionEndCause, ReplyLoss, type ConnectionObserver,
-} from './connection-observer.js';
+import {type ConnectionEndCause} from './connection-end-cause.js';
+import {type ConnectionObserver} from './connection-observer.js';
+import {ReplyLoss} from './reply-loss.js';
 
 function describeLoss(response: ServerResponse): ReplyLoss {
 	if (!response.headersSent) {
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -5,7 +5,8 @@
 import {type Duplex} from 'node:stream';
 import {type TimerService} from '../time/timer-service.js';
 import {CallerConnection} from './caller-connection.js';
-import {ConnectionEndCause, type ConnectionObserver} from './connection-observer.js';
+import {ConnectionEndCause} from './connection-end-cause.js';
+import {type ConnectionObserver} from './connection-observer.js';
 
 const badRequest = 400;
 const requestTimeout = 408;
--- /dev/null
+++ b/src/network/connection-end-cause.ts
@@ -0,0 +1,13 @@
+/** Why this instance ended a connection of a caller, or the caller broke it. */
+export enum ConnectionEndCause {
+	/** No request arrived within the idle time. */
+	Idle = 'idle',
+	/** It was idle when the instance stopped. */
+	Stopping = 'stopping',
+	/** What arrived is no request. */
+	Malformed = 'malformed',
+	/** A request did not arrive completely in time. */
+	Timeout = 'timeout',
+	/** The connection failed, such as by a reset. */
+	Failed = 'failed',
+}
--- a/src/network/connection-observer.ts
+++ b/src/network/connection-observer.ts
@@ -1,28 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-
-/** Why this instance ended a connection of a caller, or the caller broke it. */
-export enum ConnectionEndCause {
-	/** No request arrived within the idle time. */
-	Idle = 'idle',
-	/** It was idle when the instance stopped. */
-	Stopping = 'stopping',
-	/** What arrived is no request. */
-	Malformed = 'malformed',
-	/** A request did not arrive completely in time. */
-	Timeout = 'timeout',
-	/** The connection failed, such as by a reset. */
-	Failed = 'failed',
-}
-
-/** How far a reply got whose connection ended before the last byte of it was handed to the system. */
-export enum ReplyLoss {
-	/** Nothing of it was written. */
-	Unanswered = 'unanswered',
-	/** It was begun and not completed. */
-	Cut = 'cut',
-	/** It was completed, but not all of its bytes were handed to the system. */
-	Unsent = 'unsent',
-}
+import {type ConnectionEndCause} from './connection-end-cause.js';
+import {type ReplyLoss} from './reply-loss.js';
 
 /** The end of a connection. */
 export type ConnectionEnd = {
