--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -194,7 +194,9 @@
 
 		isNewer = true;
 		if (hasLeft) {
-			t.like(await entry.waitForLine('request.refused'), {request: 'r1', code: ResultCode.CallerGone, execution: Execution.NotRun, isSent: false});
+			t.like(await entry.waitForLine('request.refused'), {
+				request: 'r1', code: ResultCode.CallerGone, execution: Execution.NotRun, isSent: false,
+			});
 		} else {
 			await entry.waitUntil(() => caller.received !== '' || caller.isClosed);
 			t.regex(caller.received, /^HTTP\/1\.1 204 /v);
