Read the rest of a request before any refusal that closes its connection, and answer only for the input itself

What callers saw: a refusal (413, 401, 503) was lost with a reset if its caller had asked to close the connection (Connection: close, HTTP/1.0) or used the own interface, and its body was still on its way. A stop was held until the end of its grace by a caller that had its refusal and sent no more of its body. On a pipelined connection the 400 or 408 to malformed or late input was written while an earlier request was in progress, and its caller took it for the answer to that one; 408 says that it has not run.

Cause: the reply asked the state of the process, not whether the connection is going to close; the wait for the rest had no limit of its own; the answer to input looked only for replies that had begun.

Input is answered only if no earlier request waits for a reply. That connections have arrived is asked of the server below both interfaces.

--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -3,6 +3,7 @@
 import Koa, {type Context} from 'koa';
 import {CallerServer} from '../network/caller-server.js';
 import {listen} from '../network/listen.js';
+import {readRestOfRequest} from '../network/rest-of-request.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {getErrorMessage, toFailure} from '../results/to-failure.js';
@@ -52,6 +53,16 @@
 		return listen(this.server, host, port);
 	}
 
+	/** Closes connections that have no request in flight, once the input that has arrived is read; resolves afterwards. */
+	async closeIdle(): Promise<void> {
+		await this.server.closeIdle();
+	}
+
+	/** Handles input that has arrived. Resolves to whether callers had opened connections. */
+	async acceptArrived(): Promise<boolean> {
+		return this.server.acceptArrived();
+	}
+
 	/** Stops listening and closes idle connections; requests in flight continue. */
 	stopListening(): void {
 		this.server.close();
@@ -100,6 +111,9 @@
 			await next();
 		} catch (error) {
 			this.sendError(context, toFailure(error));
+			if (context.response.get('connection') === 'close' || !context.res.shouldKeepAlive) {
+				await readRestOfRequest(context.req, this.dependencies.timers);
+			}
 		}
 	}
 
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -52,7 +52,6 @@
 	private readonly server: CallerServer;
 	private readonly authorizer: CarefulAuthorizer;
 	private pending = 0;
-	private openedConnections = 0;
 	private maxBodyBytes = defaultMaxBodyBytes;
 
 	constructor(private readonly dependencies: EntryServerDependencies) {
@@ -61,9 +60,6 @@
 		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
 		}, new ConnectionLog(codec, metrics, log), timers);
-		this.server.on('connection', () => {
-			this.openedConnections++;
-		});
 	}
 
 	/** Starts accepting connections. Rejects if the address cannot be bound. */
@@ -83,11 +79,9 @@
 		await this.server.closeIdle();
 	}
 
-	/** Handles input that has arrived. Resolves to whether callers had opened connections; then more of them may be waiting, since the runtime accepts one in each turn of the event loop. */
+	/** Handles input that has arrived. Resolves to whether callers had opened connections; then more of them may be waiting. */
 	async acceptArrived(): Promise<boolean> {
-		const openedBefore = this.openedConnections;
-		await this.dependencies.timers.handleInput();
-		return this.openedConnections > openedBefore;
+		return this.server.acceptArrived();
 	}
 
 	/** Stops accepting connections; open ones stay open. */
@@ -119,7 +113,7 @@
 	/** Replies to a request whose handling threw. It ends alone, and neither the process nor the other requests with it. */
 	private failUnexpectedly(error: unknown, message: IncomingMessage, response: ServerResponse): void {
 		const failure = new Failure(ResultCode.InternalError, getErrorMessage(error), Execution.Unknown);
-		const reply = new HttpCallerReply(message, response, () => [], () => true);
+		const reply = new HttpCallerReply(message, response, () => [], () => true, this.dependencies.timers);
 		this.refuse(reply, '', failure, message);
 	}
 
@@ -127,7 +121,7 @@
 		const {dependencies} = this;
 		const arrivedAt = dependencies.timers.now();
 		const callerHeaders = dependencies.codec.decodeRequest(message);
-		const reply = new HttpCallerReply(message, response, () => dependencies.codec.encodeReplyHeaders(callerHeaders.id), () => dependencies.lifecycle.isDraining);
+		const reply = new HttpCallerReply(message, response, () => dependencies.codec.encodeReplyHeaders(callerHeaders.id), () => dependencies.lifecycle.isDraining, dependencies.timers);
 		try {
 			this.checkAcceptsRequests();
 			this.checkHead(message);
--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -1,8 +1,10 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {afterRestOfRequest} from '../network/rest-of-request.js';
 import {CallerReply} from '../relay/caller-reply.js';
 import {type Failure} from '../results/failure.js';
 import {resultTable} from '../results/result-table.js';
+import {type TimerService} from '../time/timer-service.js';
 
 /** The version of HTTP without chunks, in which the end of the connection may delimit a body. */
 const unchunkedVersion = '1.0';
@@ -29,6 +31,7 @@
 		private readonly response: ServerResponse,
 		private readonly getReplyHeaders: () => string[],
 		private readonly shouldCloseConnection: () => boolean,
+		private readonly timers: TimerService,
 	) {
 		super();
 	}
@@ -110,15 +113,15 @@
 		this.response.on('drain', listener);
 	}
 
-	/** Completes a failure. Where it closes the connection, the rest of the request is read before: input that is left unread would reset the connection, and the caller could lose the failure. */
+	/** Completes a failure. Where that closes the connection, the rest of the request is read before. */
 	private endWith(body: string): void {
-		if (this.message.complete || !this.shouldCloseConnection()) {
+		if (this.response.shouldKeepAlive && !this.shouldCloseConnection()) {
 			this.response.end(body);
 			return;
 		}
 
 		this.response.write(body);
-		this.message.once('close', () => {
+		afterRestOfRequest(this.message, this.timers, () => {
 			this.response.end();
 		});
 	}
--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -49,9 +49,10 @@
 		return this.newest?.complete === true;
 	}
 
-	/** Whether a part of a reply has been written that is not complete or not handed to the system. */
-	get hasBegunReply(): boolean {
-		return [...this.replies.keys()].some(({headersSent}) => headersSent);
+	/** Whether the next reply on the connection is that to what is being received: no earlier request waits for one, and none has been begun. */
+	get awaitsReplyToInput(): boolean {
+		const [response, ...others] = this.replies.keys();
+		return response === undefined || (others.length === 0 && !this.isReceived && !response.headersSent);
 	}
 
 	/**
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -28,6 +28,7 @@
 */
 export class CallerServer extends Server {
 	private readonly tracked = new Map<Duplex, CallerConnection>();
+	private openedConnections = 0;
 
 	constructor(options: ServerOptions, listener: (message: IncomingMessage, response: ServerResponse) => void, private readonly observer: ConnectionObserver, private readonly timers: TimerService) {
 		super(options);
@@ -61,6 +62,13 @@
 		await this.endIdle([...this.tracked.values()], ConnectionEndCause.Stopping);
 	}
 
+	/** Handles input that has arrived. Resolves to whether callers had opened connections; then more of them may be waiting, since the runtime accepts one in each turn of the event loop. */
+	async acceptArrived(): Promise<boolean> {
+		const openedBefore = this.openedConnections;
+		await this.timers.handleInput();
+		return this.openedConnections > openedBefore;
+	}
+
 	private async endIdle(connections: ReadonlyArray<CallerConnection | undefined>, cause: ConnectionEndCause): Promise<void> {
 		await this.timers.handleInput();
 		for (const connection of connections) {
@@ -71,6 +79,7 @@
 	}
 
 	private track(socket: Socket): void {
+		this.openedConnections++;
 		this.tracked.set(socket, new CallerConnection(socket, this.observer));
 		socket.once('close', () => {
 			this.tracked.delete(socket);
@@ -91,7 +100,7 @@
 		this.refuseInput(error, socket);
 	}
 
-	/** Answers input that is no request as the runtime does. */
+	/** Answers input that is no request as the runtime does, unless its caller would take the answer for that to an earlier request. */
 	private refuseInput(error: NodeJS.ErrnoException, socket: Duplex): void {
 		const connection = this.tracked.get(socket);
 		if (!socket.writable) {
@@ -100,7 +109,7 @@
 		}
 
 		const status = getInputStatus(error);
-		if (!connection?.hasBegunReply) {
+		if (!connection || connection.awaitsReplyToInput) {
 			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
 		}
 
