End a stream at once if the limit of its route leaves no server that may take it

Found by the review. A stream whose route allows one server, and whose connections that server lost twice, waited for 1.8 s for a pipeline that could not come, since its server was excluded for it. Now it ends at the second loss, as before. The test failed on the code before in the review's form (held for 1800 ms).

--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/stream-pipeline-selector.ts
@@ -41,6 +41,12 @@
 		return this.excluded.size > 0 || this.executions.allowedIncarnations !== undefined;
 	}
 
+	/** Whether the limit of the route leaves no first stage that is not excluded. */
+	get isExhausted(): boolean {
+		const allowed = this.executions.allowedIncarnations;
+		return allowed !== undefined && [...allowed].every(incarnationId => this.excluded.has(incarnationId));
+	}
+
 	/** Excludes a faulty stage for the rest of the stream. */
 	exclude(server: BackendServer): void {
 		this.excluded.add(getIncarnationId(server));
--- a/src/relay/stream-resumption.ts
+++ b/src/relay/stream-resumption.ts
@@ -52,8 +52,8 @@
 
 	/** Whether the stream may be executed once more, apart from the limit of servers and the retry budget. */
 	get mayResume(): boolean {
-		const {request: {route}, crashEvidence} = this.stream;
-		return isRepeatable(route) && this.remaining > 0 && !crashEvidence.isConclusive && !this.hasWrongIds;
+		const {request: {route}, crashEvidence, selector} = this.stream;
+		return isRepeatable(route) && this.remaining > 0 && !crashEvidence.isConclusive && !selector.isExhausted && !this.hasWrongIds;
 	}
 
 	/** Records that an attempt was lost. A server that loses several of them early is not used again, although it may be alive. */
--- a/test/lost-connections.test.ts
+++ b/test/lost-connections.test.ts
@@ -35,6 +35,18 @@
 	return sent.map(({attempt: {server: {id, startedAt}}}) => startedAt === first.startedAt ? id : `${id}@${startedAt}`);
 }
 
+// Guards against a stream that is held although no server may take it.
+test('a stream whose route allows one server ends when that has lost two of its connections', t => {
+	for (const events of [0, 1]) {
+		const fixture = startStream(1);
+		fixture.alternatives = [secondPipeline];
+		loseAfter(fixture, events);
+		loseAfter(fixture, 0);
+		t.deepEqual(listServers(fixture), ['first', 'first']);
+		t.true(fixture.reply.isAborted || fixture.reply.failure?.code === ResultCode.StreamInterrupted);
+	}
+});
+
 // Guards against a sound stream that is cut because one living server closed two of its connections.
 test('a stream that lost two connections of one server goes on at another one', t => {
 	const fixture = startStream();
