Keep a loan for the reply that asked for it, and pause the loans of each service by itself

A retry that was borrowed for a reply that has begun was taken by the next request that asked, mostly a queued one that had only been rejected, and the reply was cut: the fault that the loans are against, at the loan.

Now a loan remembers for whom it was asked, also if a begun reply joins a request in flight, and each service has a pause of its own; one request is still in flight at a time. The budget reads its arrays only when something in them expires, since each waiting request asks it every 25 ms.

In the test of pauses a second service is now asked while a request is in flight, where it must get none; between requests it had demanded the fault.

--- a/src/admission/retry-borrowing.ts
+++ b/src/admission/retry-borrowing.ts
@@ -1,4 +1,5 @@
 import {type RandomSource} from '../routing/random-source.js';
+import {RetryUrgency} from './retry-urgency.js';
 
 /** Milliseconds for which lent retries can be used, from when the borrower asked for them. */
 export const loanLifetimeMs = 1000;
@@ -10,6 +11,16 @@
 const maxPauseMs = 800;
 const pauseFactor = 2;
 
+/** When a loan of a service may be asked for. */
+type ServicePause = {
+	/** Milliseconds between two requests. */
+	readonly pause: number;
+	/** Monotonic time in milliseconds of the next request at the earliest. */
+	readonly notBefore: number;
+};
+
+const noPause: ServicePause = {pause: minPauseMs, notBefore: Number.NEGATIVE_INFINITY};
+
 /** An instance that may have retries to lend. */
 export type Lender = {
 	/** Address at which it answers other instances. */
@@ -32,6 +43,8 @@
 export type Loan = {
 	readonly service: string;
 	readonly retries: number;
+	/** For whom they were asked. */
+	readonly urgency: RetryUrgency;
 	/** Monotonic time in milliseconds. */
 	readonly expiresAt: number;
 };
@@ -39,13 +52,13 @@
 /**
 Decides when this instance asks another one for retries, and what a loan is still worth when it arrives.
 
-It asks one instance at a time, with a pause that grows while there is nothing to borrow, so that its work does not grow with the number of instances or with the retries that are denied.
+It asks one instance at a time, with a pause for each service that grows while there is nothing to borrow, so that its work does not grow with the number of instances or with the retries that are denied.
 */
 export class RetryBorrowing {
 	private pending?: LoanRequest;
+	private pendingUrgency = RetryUrgency.Ordinary;
 	private requests = 0;
-	private notBefore = Number.NEGATIVE_INFINITY;
-	private pause = minPauseMs;
+	private readonly pauses = new Map<string, ServicePause>();
 
 	/**
 	@param findLenders - returns the other instances that responded when they were last contacted
@@ -61,15 +74,21 @@
 	Returns the request to send after a retry of a service was taken or denied; undefined if there is none to send.
 
 	@param available - retries that a request to the service could take now
+	@param urgency - of the retry that was taken or denied
 	*/
-	request(service: string, available: number, now: number): LoanRequest | undefined {
-		const isBusy = this.pending !== undefined || now < this.notBefore;
-		if (isBusy || available > 0) {
+	request(service: string, available: number, now: number, urgency = RetryUrgency.Ordinary): LoanRequest | undefined {
+		if (this.pending?.service === service && urgency === RetryUrgency.Begun) {
+			this.pendingUrgency = urgency;
+		}
+
+		const {pause, notBefore} = this.pauses.get(service) ?? noPause;
+		if (this.pending !== undefined || now < notBefore || available > 0) {
 			return undefined;
 		}
 
-		const lender = this.selectLender();
+		const lender = this.selectLender(pause);
 		if (lender) {
+			this.pendingUrgency = urgency;
 			this.pending = {
 				number: this.requests++, lender, service, retries: loanRetries, askedAt: now,
 			};
@@ -91,19 +110,23 @@
 		}
 
 		const {service, askedAt} = pending;
+		const urgency = this.pendingUrgency;
 		const expiresAt = askedAt + loanLifetimeMs;
 		const retries = now < expiresAt ? Math.min(lent, pending.retries) : 0;
 		this.pending = undefined;
-		this.pause = retries > 0 ? minPauseMs : Math.min(maxPauseMs, this.pause * pauseFactor);
-		this.notBefore = askedAt + this.pause;
-		return retries > 0 ? {service, retries, expiresAt} : undefined;
+		const previous = this.pauses.get(service) ?? noPause;
+		const pause = retries > 0 ? minPauseMs : Math.min(maxPauseMs, previous.pause * pauseFactor);
+		this.pauses.set(service, {pause, notBefore: askedAt + pause});
+		return retries > 0 ? {
+			service, retries, urgency, expiresAt,
+		} : undefined;
 	}
 
 	/** Selects a random instance: one of the own availability zone, unless none is there or the latest had nothing to lend. */
-	private selectLender(): Lender | undefined {
+	private selectLender(pause: number): Lender | undefined {
 		const all = this.findLenders();
 		const near = all.filter(({availabilityZone}) => availabilityZone === this.availabilityZone);
-		const candidates = near.length === 0 || this.pause > minPauseMs ? all : near;
+		const candidates = near.length === 0 || pause > minPauseMs ? all : near;
 		return candidates.length === 0 ? undefined : this.random.pick(candidates);
 	}
 }
--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -6,6 +6,18 @@
 /** Retries of a window from which one is kept for replies that have begun. */
 const minReservingShare = 2;
 
+type BorrowedRetry = {
+	/** Monotonic time in milliseconds. */
+	readonly expiresAt: number;
+	/** For whom it was asked. */
+	readonly urgency: RetryUrgency;
+};
+
+/** Whether a retry of an urgency may use a borrowed one. */
+function isUsable(borrowed: BorrowedRetry, urgency: RetryUrgency): boolean {
+	return urgency === RetryUrgency.Begun || borrowed.urgency === RetryUrgency.Ordinary;
+}
+
 /**
 Limits retries to a ratio of recent requests, so that a failure of many servers does not multiply the load (B. Beyer et al., Site Reliability Engineering, 2016, chapter 21).
 
@@ -15,11 +27,12 @@
 */
 export class RetryBudget {
 	/** Monotonic times in milliseconds at which requests arrived. */
-	private requests: number[] = [];
+	private readonly requests: number[] = [];
 	/** Monotonic times in milliseconds until which the retries count: the own ones, and those that were lent. */
 	private retries: number[] = [];
-	/** Monotonic times in milliseconds at which borrowed retries expire. */
-	private borrowed: number[] = [];
+	/** When the next of the retries expires. */
+	private nextExpiry = Number.POSITIVE_INFINITY;
+	private borrowed: readonly BorrowedRetry[] = [];
 
 	/**
 	@param ratio - retries allowed per request
@@ -43,8 +56,9 @@
 	/** Takes one retry from the budget; returns false if the budget is exhausted, or if what is left is kept for more urgent retries. */
 	tryAcquire(now: number, urgency: RetryUrgency): boolean {
 		this.discardExpired(now);
-		if (this.borrowed.length > 0) {
-			this.borrowed.shift();
+		const borrowed = this.borrowed.findIndex(retry => isUsable(retry, urgency));
+		if (borrowed !== -1) {
+			this.borrowed = this.borrowed.toSpliced(borrowed, 1);
 			return true;
 		}
 
@@ -53,14 +67,15 @@
 			return false;
 		}
 
-		this.retries.push(now + this.window);
+		this.addRetry(now + this.window);
 		return true;
 	}
 
-	/** Returns the number of retries that a request whose reply has not begun could take now. */
-	countAvailable(now: number): number {
+	/** Returns the number of retries that a request of an urgency could take now, without those that are kept for replies that have begun. */
+	countAvailable(now: number, urgency = RetryUrgency.Ordinary): number {
 		this.discardExpired(now);
-		return this.borrowed.length + Math.max(0, Math.floor(this.share - this.reserve - this.retries.length));
+		const borrowed = this.borrowed.filter(retry => isUsable(retry, urgency)).length;
+		return borrowed + Math.max(0, Math.floor(this.share - this.reserve - this.retries.length));
 	}
 
 	/**
@@ -74,17 +89,20 @@
 		this.discardExpired(now);
 		const free = this.share - this.retries.length;
 		const lent = Math.max(0, Math.min(wanted, Math.floor(free / 2), Math.floor(free - this.reserve)));
-		this.retries.push(...Array.from({length: lent}, () => now + lifetime + this.window));
+		for (let count = 0; count < lent; count++) {
+			this.addRetry(now + lifetime + this.window);
+		}
+
 		return lent;
 	}
 
 	/**
-	Adds retries that another instance has lent.
+	Adds retries that another instance has lent. Those that were asked for a reply that has begun are kept for such replies.
 
 	@param expiresAt - monotonic time in milliseconds from which they can't be used
 	*/
-	addBorrowed(retries: number, expiresAt: number): void {
-		this.borrowed.push(...Array.from({length: retries}, () => expiresAt));
+	addBorrowed(retries: number, expiresAt: number, urgency = RetryUrgency.Ordinary): void {
+		this.borrowed = [...this.borrowed, ...Array.from({length: retries}, () => ({expiresAt, urgency}))];
 	}
 
 	/** Retries that are allowed in the current window. */
@@ -98,10 +116,25 @@
 		return isReserving ? Math.max(1, Math.floor(this.share * this.reservedFraction)) : 0;
 	}
 
+	private addRetry(until: number): void {
+		this.retries.push(until);
+		this.nextExpiry = Math.min(this.nextExpiry, until);
+	}
+
+	/** Removes what has expired. Requests are in order of time, and the other arrays are read only when something in them expires. */
 	private discardExpired(now: number): void {
-		const first = this.requests.findIndex(at => at + this.window > now);
-		this.requests = first === -1 ? [] : this.requests.slice(first);
-		this.retries = this.retries.filter(until => until > now);
-		this.borrowed = this.borrowed.filter(expiresAt => expiresAt > now);
+		const expired = this.requests.findIndex(at => at + this.window > now);
+		if (expired !== 0) {
+			this.requests.splice(0, expired === -1 ? this.requests.length : expired);
+		}
+
+		if (now >= this.nextExpiry) {
+			this.retries = this.retries.filter(until => until > now);
+			this.nextExpiry = this.retries.reduce((earliest, until) => Math.min(earliest, until), Number.POSITIVE_INFINITY);
+		}
+
+		if (this.borrowed.length > 0) {
+			this.borrowed = this.borrowed.filter(({expiresAt}) => expiresAt > now);
+		}
 	}
 }
--- a/src/peers/retry-loans.ts
+++ b/src/peers/retry-loans.ts
@@ -36,7 +36,7 @@
 		}
 
 		const now = timers.now();
-		const request = borrowing.request(service, findBudget(service).countAvailable(now), now);
+		const request = borrowing.request(service, findBudget(service).countAvailable(now, urgency), now, urgency);
 		if (request) {
 			void this.borrow(request);
 		}
@@ -67,7 +67,7 @@
 		if (loan) {
 			metrics.count('siskinnotch_retries_borrowed', loan.retries);
 			log.write('retries.borrowed', {peer: request.lender.peers, service: loan.service, retries: loan.retries});
-			findBudget(loan.service).addBorrowed(loan.retries, loan.expiresAt);
+			findBudget(loan.service).addBorrowed(loan.retries, loan.expiresAt, loan.urgency);
 			onLoan();
 		}
 	}
--- a/test/retry-loans.test.ts
+++ b/test/retry-loans.test.ts
@@ -56,7 +56,7 @@
 	t.is(exhaust(budget, windowMs + loanLifetimeMs), 2);
 });
 
-test('a borrowed retry can be used until a second after it was asked for, whatever its urgency, and does not count in the borrower\'s budget', t => {
+test('a borrowed retry can be used until a second after it was asked for, and does not count in the borrower\'s budget', t => {
 	const borrow = (receivedAt: number, usedAt: number) => {
 		const borrowing = createBorrowing();
 		const budget = new RetryBudget(0, 0);
@@ -75,15 +75,44 @@
 	t.is(borrow(1000, 1000), 0);
 });
 
+// Guards against replies that are cut although a retry was borrowed for them: a request that was only rejected must not take it.
+test('a retry that was asked for a reply that has begun is kept for such replies, also if it was asked for another request first', t => {
+	for (const first of [RetryUrgency.Begun, RetryUrgency.Ordinary]) {
+		const borrowing = createBorrowing();
+		const budget = new RetryBudget(0, 0);
+		const request = borrowing.request('model', 0, 0, first)!;
+		t.is(borrowing.request('model', 0, 1, RetryUrgency.Begun), undefined);
+		const loan = borrowing.receive(request.number, 1, 5)!;
+		budget.addBorrowed(loan.retries, loan.expiresAt, loan.urgency);
+		t.is(budget.countAvailable(6), 0);
+		t.false(budget.tryAcquire(6, RetryUrgency.Ordinary));
+		t.true(budget.tryAcquire(6, RetryUrgency.Begun));
+	}
+});
+
+// Guards against one service that starves another one of loans.
+test('a service of which nothing can be borrowed does not delay the requests for another one', t => {
+	const borrowing = createBorrowing();
+	for (let now = 0; now < 10_000; now += 25) {
+		const request = borrowing.request('model', 0, now);
+		if (request) {
+			borrowing.receive(request.number, 0, now + 5);
+		}
+
+		const other = borrowing.request('records', 0, now + 5)!;
+		t.is(other.service, 'records');
+		t.truthy(borrowing.receive(other.number, 1, now + 10));
+	}
+});
+
 test('one request is in flight at a time, and the pause grows while there is nothing to borrow', t => {
 	const borrowing = createBorrowing();
 	const requestTimes: number[] = [];
 	t.is(borrowing.request('model', 1, 0), undefined, 'a retry is left');
 	for (let now = 0; now < 10_000; now++) {
 		const request = borrowing.request('model', 0, now);
-		const second = borrowing.request('records', 0, now);
-		t.is(second, undefined);
 		if (request) {
+			t.is(borrowing.request('records', 0, now), undefined);
 			requestTimes.push(now);
 			borrowing.receive(request.number, 0, now);
 		}
