Accept and answer what has arrived before an instance of the own interface stops

The stop now reads what has arrived, closes what is idle, and goes on until no reply and no connection that waits to be accepted is left, within its limit; only then it stops listening.

--- a/src/instance.ts
+++ b/src/instance.ts
@@ -93,12 +93,9 @@
 		dependencies.log.info('Graceful shutdown started; readiness is withdrawn.');
 		await dependencies.timers.sleep(settings.stop.notice);
 		dependencies.lifecycle.refuseRequests();
-		dependencies.callers.stopListening();
 		const drainDeadline = dependencies.timers.now() + settings.stop.limit;
-		while (dependencies.callers.inFlight > 0 && dependencies.timers.now() < drainDeadline) {
-			await dependencies.timers.sleep(drainPollIntervalMs); // eslint-disable-line no-await-in-loop
-		}
-
+		await this.drainCallers(drainDeadline);
+		dependencies.callers.stopListening();
 		const isDrained = dependencies.callers.inFlight === 0;
 		await dependencies.usageMeter.flush();
 		await dependencies.actionExecutor.flush(Math.max(0, drainDeadline - dependencies.timers.now()));
@@ -109,6 +106,20 @@
 		return isDrained;
 	}
 
+	/** Waits until no reply and no connection that waits to be accepted is left, at most until a monotonic time in milliseconds. */
+	private async drainCallers(deadline: number): Promise<void> {
+		const {callers, timers} = this.dependencies;
+		while (timers.now() < deadline) {
+			await callers.closeIdle(); // eslint-disable-line no-await-in-loop
+			const hasOpened = await callers.acceptArrived(); // eslint-disable-line no-await-in-loop
+			if (!hasOpened && callers.inFlight === 0) {
+				return;
+			}
+
+			await timers.sleep(drainPollIntervalMs); // eslint-disable-line no-await-in-loop
+		}
+	}
+
 	private async listen(address: string, listenOn: (host: string, port: number) => Promise<void>): Promise<void> {
 		const {host, port} = splitAddress(address);
 		try {
