Send a refusal of the own interface at once, and look again for connections after a stall

That the stop was decided from a look at the connections that was older than the stall is the suspected cause, not shown: the check spans two turns of the event loop, and a process that stands still after the last of them has read nothing of what arrived meanwhile. A check that took 20 ms or longer is made again now.

--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -3,7 +3,7 @@
 import Koa, {type Context} from 'koa';
 import {CallerServer} from '../network/caller-server.js';
 import {listen} from '../network/listen.js';
-import {readRestOfRequest} from '../network/rest-of-request.js';
+import {afterRestOfRequest} from '../network/rest-of-request.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {getErrorMessage, toFailure} from '../results/to-failure.js';
@@ -58,7 +58,7 @@
 		await this.server.closeIdle();
 	}
 
-	/** Handles input that has arrived. Resolves to whether callers had opened connections. */
+	/** Handles input that has arrived. Resolves to whether more connections may be waiting. */
 	async acceptArrived(): Promise<boolean> {
 		return this.server.acceptArrived();
 	}
@@ -112,11 +112,23 @@
 		} catch (error) {
 			this.sendError(context, toFailure(error));
 			if (context.response.get('connection') === 'close' || !context.res.shouldKeepAlive) {
-				await readRestOfRequest(context.req, this.dependencies.timers);
+				this.endAfterRequest(context);
 			}
 		}
 	}
 
+	/** Sends an error response at once, and ends it, which closes the connection, when the rest of the request was read. */
+	private endAfterRequest(context: Context): void {
+		const {req, res} = context;
+		const body = JSON.stringify(context.body);
+		context.respond = false;
+		context.length = new TextEncoder().encode(body).length;
+		res.write(body);
+		afterRestOfRequest(req, this.dependencies.timers, () => {
+			res.end();
+		});
+	}
+
 	private sendError(context: Context, failure: Failure): void {
 		this.dependencies.metrics.count('siskinnotch_refusals_total', 1, {code: ResultCode[failure.code]});
 		if (failure.code === ResultCode.InternalError) {
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -79,7 +79,7 @@
 		await this.server.closeIdle();
 	}
 
-	/** Handles input that has arrived. Resolves to whether callers had opened connections; then more of them may be waiting. */
+	/** Handles input that has arrived. Resolves to whether more connections may be waiting. */
 	async acceptArrived(): Promise<boolean> {
 		return this.server.acceptArrived();
 	}
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -8,6 +8,8 @@
 import {ConnectionEndCause} from './connection-end-cause.js';
 import {type ConnectionObserver} from './connection-observer.js';
 
+/** Duration of two turns of the event loop from which the process may have stood still. */
+const stallThresholdMs = 20;
 const badRequest = 400;
 const requestTimeout = 408;
 /** Statuses of input that is refused before it is a request, by the code of the runtime's error. */
@@ -62,11 +64,12 @@
 		await this.endIdle([...this.tracked.values()], ConnectionEndCause.Stopping);
 	}
 
-	/** Handles input that has arrived. Resolves to whether callers had opened connections; then more of them may be waiting, since the runtime accepts one in each turn of the event loop. */
+	/** Handles input that has arrived. Resolves to whether more connections may be waiting: callers had opened some, of which the runtime accepts one in each turn of the event loop, or the process stood still meanwhile. */
 	async acceptArrived(): Promise<boolean> {
 		const openedBefore = this.openedConnections;
+		const startedAt = this.timers.now();
 		await this.timers.handleInput();
-		return this.openedConnections > openedBefore;
+		return this.openedConnections > openedBefore || this.timers.now() - startedAt >= stallThresholdMs;
 	}
 
 	private async endIdle(connections: ReadonlyArray<CallerConnection | undefined>, cause: ConnectionEndCause): Promise<void> {
--- a/src/network/rest-of-request.ts
+++ b/src/network/rest-of-request.ts
@@ -25,10 +25,3 @@
 	message.once('close', finish);
 	message.resume();
 }
-
-/** Resolves when `afterRestOfRequest` would call back. */
-export async function readRestOfRequest(message: IncomingMessage, timers: TimerService): Promise<void> {
-	return new Promise(resolve => {
-		afterRestOfRequest(message, timers, resolve);
-	});
-}
