--- a/test/accepted-requests-process.test.ts
+++ b/test/accepted-requests-process.test.ts
@@ -7,7 +7,7 @@
 
 for (const seed of runSeeds([1, 2])) {
 	// Guards against requests that an instance has read and that end with neither a whole answer nor a refusal nor a line of the log.
-	test.serial(`beside changes, silences, stalls and planned stops, no accepted request is lost (seed ${seed})`, async t => {
+	test.serial(`beside changes, silences, stalls and planned stops, no accepted request is lost, seed ${seed}`, async t => {
 		const run = await AcceptedRequestsRun.start(seed);
 		t.teardown(async () => run.stop());
 		const {requests, repeated, disturbances, exitCodes} = await run.run();
