--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -161,7 +161,7 @@
 	),
 	mutation(
 		'streams count against the limit of their first stage',
-		['src/relay/stream-sender.js', 'backpressure.limits.recordRequest(server, now);', ''],
+		['src/relay/streams/stream-sender.js', 'backpressure.limits.recordRequest(server, now);', ''],
 		['test/server-limits-process.test.ts', 'a first stage gets*'],
 	),
 	mutation(
@@ -181,22 +181,22 @@
 	),
 	mutation(
 		'a silent attempt is kept beside the one that takes over',
-		['src/relay/stream-attempts.js', 'const ended = this.findEnded();', 'const ended = this.attempts;'],
+		['src/relay/streams/stream-attempts.js', 'const ended = this.findEnded();', 'const ended = this.attempts;'],
 		['test/silent-streams.test.ts', 'a stream whose server falls silent*'],
 	),
 	mutation(
 		'a complete response clears a plain request',
-		['src/relay/plain-attempts.js', 'evidence.recordHarmless();', ''],
+		['src/relay/plain/plain-attempts.js', 'evidence.recordHarmless();', ''],
 		['test/plain-exchange.test.ts', 'a complete response*'],
 	),
 	mutation(
 		'a silent attempt of a plain request is kept beside a second one',
-		['src/relay/plain-exchange.js', 'this.attempts.recordSilence();', 'this.attempts.cancel(this.attempts.all);'],
+		['src/relay/plain/plain-exchange.js', 'this.attempts.recordSilence();', 'this.attempts.cancel(this.attempts.all);'],
 		['test/plain-exchange.test.ts', 'a lookup whose server is silent is answered*'],
 	),
 	mutation(
 		'of two attempts of a plain request, the one that did not decide is cancelled',
-		['src/relay/plain-exchange.js', 'this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));', ''],
+		['src/relay/plain/plain-exchange.js', 'this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));', ''],
 		['test/hedged-lookups.test.ts', 'of two answers*'],
 	),
 	mutation(
@@ -221,7 +221,7 @@
 	),
 	mutation(
 		'a stream resumes at another first stage than the one that has just failed it',
-		['src/relay/stream-resumption.js', 'selector.recordFailure(attempt.firstServer);', ''],
+		['src/relay/streams/stream-resumption.js', 'selector.recordFailure(attempt.firstServer);', ''],
 		['test/lost-connections.test.ts', 'a stream whose attempt was lost before an event*'],
 	),
 	mutation(
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -11,7 +11,7 @@
 import {type PlacementController} from '../placement/placement-controller.js';
 import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
-import {type StreamMonitor} from '../relay/stream-monitor.js';
+import {type StreamMonitor} from '../relay/streams/stream-monitor.js';
 import {type TableWatcher} from '../replication/table-watcher.js';
 import {type RouterSettings} from '../settings/router-settings.js';
 import {splitAddress} from '../settings/split-address.js';
--- a/src/relay/exchange-registry.ts
+++ b/src/relay/exchange-registry.ts
@@ -2,11 +2,11 @@
 import {type CallerReply} from './caller-reply.js';
 import {type ExchangeDependencies} from './exchange-dependencies.js';
 import {type Exchange} from './exchange.js';
-import {PlainExchange} from './plain-exchange.js';
-import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
+import {PlainExchange} from './plain/plain-exchange.js';
+import {type PlainExchangeDependencies} from './plain/plain-exchange-dependencies.js';
 import {type RelayRequest} from './relay-request.js';
-import {StreamExchange} from './stream-exchange.js';
-import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
+import {StreamExchange} from './streams/stream-exchange.js';
+import {type StreamExchangeDependencies} from './streams/stream-exchange-dependencies.js';
 
 /** Starts exchanges and tracks those in progress. */
 export class ExchangeRegistry {
--- a/src/relay/plain-attempt.ts
+++ b/src/relay/plain/plain-attempt.ts
@@ -1,10 +1,10 @@
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
-import {type AttemptFailure} from './attempt-failure.js';
-import {type RunningAttempt} from './backend-client.js';
-import {type ResponseBuffer} from './response-buffer.js';
-import {type ResponseHead} from './response-head.js';
-import {ResponseListener} from './response-listener.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type AttemptCrashEvidence} from '../attempt-crash-evidence.js';
+import {type AttemptFailure} from '../attempt-failure.js';
+import {type RunningAttempt} from '../backend-client.js';
+import {type ResponseBuffer} from '../response-buffer.js';
+import {type ResponseHead} from '../response-head.js';
+import {ResponseListener} from '../response-listener.js';
 
 const minServerErrorStatus = 500;
 
--- a/src/relay/plain-attempts.ts
+++ b/src/relay/plain/plain-attempts.ts
@@ -1,20 +1,20 @@
-import {isRepeatable} from '../catalog/route.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {SuspicionCause} from '../pipelines/suspicion-cause.js';
-import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
+import {isRepeatable} from '../../catalog/route.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {SuspicionCause} from '../../pipelines/suspicion-cause.js';
+import {type AttemptCrashEvidence} from '../attempt-crash-evidence.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
-} from './attempt-failure.js';
-import {type RunningAttempt} from './backend-client.js';
-import {CrashEvidence} from './crash-evidence.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
+} from '../attempt-failure.js';
+import {type RunningAttempt} from '../backend-client.js';
+import {CrashEvidence} from '../crash-evidence.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
 import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
 import {PlainAttempt, type PlainAttemptHandler} from './plain-attempt.js';
 import {type PlainLog} from './plain-log.js';
 import {type PlainServerChoice} from './plain-server-choice.js';
-import {type RelayRequest} from './relay-request.js';
-import {ResponseBuffer} from './response-buffer.js';
-import {ResponseVerdict} from './response-verdict.js';
+import {type RelayRequest} from '../relay-request.js';
+import {ResponseBuffer} from '../response-buffer.js';
+import {ResponseVerdict} from '../response-verdict.js';
 
 /** The attempts of one plain request: sends them, and records what they show about their servers. */
 export class PlainAttempts {
--- a/src/relay/plain-exchange-dependencies.ts
+++ b/src/relay/plain/plain-exchange-dependencies.ts
@@ -1,4 +1,4 @@
-import {type PlainServerSelector} from '../pipelines/plain-server-selector.js';
+import {type PlainServerSelector} from '../../pipelines/plain-server-selector.js';
 
 /** Limits of plain exchanges. */
 export type PlainLimits = {
--- a/src/relay/plain-exchange.ts
+++ b/src/relay/plain/plain-exchange.ts
@@ -1,15 +1,15 @@
-import {RetryUrgency} from '../admission/retry-urgency.js';
-import {type DecisionFields} from '../observation/decision-log.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {Execution} from '../results/execution.js';
-import {Failure} from '../results/failure.js';
-import {ResultCode} from '../results/result-code.js';
-import {type TimerHandle} from '../time/timer-handle.js';
-import {type AttemptFailure} from './attempt-failure.js';
-import {type RunningAttempt} from './backend-client.js';
-import {type CallerReply} from './caller-reply.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {Exchange} from './exchange.js';
+import {RetryUrgency} from '../../admission/retry-urgency.js';
+import {type DecisionFields} from '../../observation/decision-log.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {Execution} from '../../results/execution.js';
+import {Failure} from '../../results/failure.js';
+import {ResultCode} from '../../results/result-code.js';
+import {type TimerHandle} from '../../time/timer-handle.js';
+import {type AttemptFailure} from '../attempt-failure.js';
+import {type RunningAttempt} from '../backend-client.js';
+import {type CallerReply} from '../caller-reply.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {Exchange} from '../exchange.js';
 import {type PlainAttempt, type PlainAttemptHandler} from './plain-attempt.js';
 import {PlainAttempts} from './plain-attempts.js';
 import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
@@ -18,11 +18,11 @@
 import {PlainRetryPolicy} from './plain-retry-policy.js';
 import {maxRetryWaitMs, PlainRetryWait} from './plain-retry-wait.js';
 import {PlainServerChoice} from './plain-server-choice.js';
-import {type RelayRequest} from './relay-request.js';
-import {type ResponseHead} from './response-head.js';
+import {type RelayRequest} from '../relay-request.js';
+import {type ResponseHead} from '../response-head.js';
 import {
 	assessResponse, describeVerdict, isPassable, ResponseVerdict,
-} from './response-verdict.js';
+} from '../response-verdict.js';
 
 const retryAfterSeconds = 0.5;
 
--- a/src/relay/plain-retry-wait.ts
+++ b/src/relay/plain/plain-retry-wait.ts
@@ -1,5 +1,5 @@
-import {type TimerHandle} from '../time/timer-handle.js';
-import {type TimerService} from '../time/timer-service.js';
+import {type TimerHandle} from '../../time/timer-handle.js';
+import {type TimerService} from '../../time/timer-service.js';
 
 /** Interval between attempts to take a retry. */
 const checkIntervalMs = 25;
--- a/src/relay/event-splitter.ts
+++ b/src/relay/streams/event-splitter.ts
@@ -1,4 +1,4 @@
-import {ByteBuffer} from '../network/byte-buffer.js';
+import {ByteBuffer} from '../../network/byte-buffer.js';
 
 /** One event of a `text/event-stream`. */
 export type ServerSentEvent = {
--- a/src/relay/slowdown-poller.ts
+++ b/src/relay/streams/slowdown-poller.ts
@@ -1,15 +1,15 @@
-import {type Backpressure} from '../backpressure/backpressure.js';
-import {type DecisionLog} from '../observation/decision-log.js';
-import {type Metrics} from '../observation/metrics.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {QueryReason} from '../pipelines/query-reason.js';
-import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
-import {isSlow, type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
-import {type StageReporter} from '../pipelines/stage-reporter.js';
-import {getErrorMessage} from '../results/to-failure.js';
-import {type RandomSource} from '../routing/random-source.js';
-import {type TimerService} from '../time/timer-service.js';
+import {type Backpressure} from '../../backpressure/backpressure.js';
+import {type DecisionLog} from '../../observation/decision-log.js';
+import {type Metrics} from '../../observation/metrics.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {QueryReason} from '../../pipelines/query-reason.js';
+import {type ServerHealthTracker} from '../../pipelines/server-health-tracker.js';
+import {isSlow, type ServerSlowdowns} from '../../pipelines/server-slowdowns.js';
+import {type StageReporter} from '../../pipelines/stage-reporter.js';
+import {getErrorMessage} from '../../results/to-failure.js';
+import {type RandomSource} from '../../routing/random-source.js';
+import {type TimerService} from '../../time/timer-service.js';
 import {type QueryBudget} from './query-budget.js';
 
 export type SlowdownPollerDependencies = {
--- a/src/relay/stage-failure-detector.ts
+++ b/src/relay/streams/stage-failure-detector.ts
@@ -1,8 +1,8 @@
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
-import {SuspicionCause} from '../pipelines/suspicion-cause.js';
-import {type ResponseHead} from './response-head.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {type ServerHealthTracker} from '../../pipelines/server-health-tracker.js';
+import {SuspicionCause} from '../../pipelines/suspicion-cause.js';
+import {type ResponseHead} from '../response-head.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 
 /** The stage held responsible for a rejected attempt. */
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/streams/stream-attempt.ts
@@ -1,10 +1,10 @@
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {type AttemptCrashEvidence} from './attempt-crash-evidence.js';
-import {type AttemptFailure} from './attempt-failure.js';
-import {type RunningAttempt} from './backend-client.js';
-import {type ResponseHead} from './response-head.js';
-import {ResponseListener} from './response-listener.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {type AttemptCrashEvidence} from '../attempt-crash-evidence.js';
+import {type AttemptFailure} from '../attempt-failure.js';
+import {type RunningAttempt} from '../backend-client.js';
+import {type ResponseHead} from '../response-head.js';
+import {ResponseListener} from '../response-listener.js';
 import {type StreamResponse} from './stream-response.js';
 
 /** Handles what is received of the attempts of a stream. */
--- a/src/relay/stream-attempts.ts
+++ b/src/relay/streams/stream-attempts.ts
@@ -1,5 +1,5 @@
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamLog} from './stream-log.js';
 
--- a/src/relay/stream-conclusion.ts
+++ b/src/relay/streams/stream-conclusion.ts
@@ -1,7 +1,7 @@
-import {type CallerReply} from './caller-reply.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {type ExecutionHistory} from './execution-history.js';
-import {type ResponseHead} from './response-head.js';
+import {type CallerReply} from '../caller-reply.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {type ExecutionHistory} from '../execution-history.js';
+import {type ResponseHead} from '../response-head.js';
 import {type StageFailureDetector} from './stage-failure-detector.js';
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamAttempts} from './stream-attempts.js';
--- a/src/relay/stream-deadlines.ts
+++ b/src/relay/streams/stream-deadlines.ts
@@ -1,4 +1,4 @@
-import {type RelayRequest} from './relay-request.js';
+import {type RelayRequest} from '../relay-request.js';
 import {type StreamLimits} from './stream-exchange-dependencies.js';
 import {type StreamProgress} from './stream-progress.js';
 
--- a/src/relay/stream-dispatcher.ts
+++ b/src/relay/streams/stream-dispatcher.ts
@@ -1,10 +1,10 @@
-import {RetryUrgency} from '../admission/retry-urgency.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {type TimerHandle} from '../time/timer-handle.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {type ExecutionHistory} from './execution-history.js';
-import {type RelayRequest} from './relay-request.js';
-import {StartOutcome} from './start-outcome.js';
+import {RetryUrgency} from '../../admission/retry-urgency.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {type TimerHandle} from '../../time/timer-handle.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {type ExecutionHistory} from '../execution-history.js';
+import {type RelayRequest} from '../relay-request.js';
+import {StartOutcome} from '../start-outcome.js';
 import {computeStreamDeadlines} from './stream-deadlines.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
 import {type StreamLog} from './stream-log.js';
--- a/src/relay/stream-exchange-dependencies.ts
+++ b/src/relay/streams/stream-exchange-dependencies.ts
@@ -1,6 +1,6 @@
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type PipelineSelector} from '../pipelines/pipeline-selector.js';
-import {type RequestQueue} from './request-queue.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
+import {type RequestQueue} from '../request-queue.js';
 
 /** Limits of stream exchanges. */
 export type StreamLimits = {
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/streams/stream-exchange.ts
@@ -1,20 +1,20 @@
-import {type DecisionFields} from '../observation/decision-log.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type EngineModel} from '../pipelines/engine-model.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {SuspicionCause} from '../pipelines/suspicion-cause.js';
-import {type Failure} from '../results/failure.js';
+import {type DecisionFields} from '../../observation/decision-log.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type EngineModel} from '../../pipelines/engine-model.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {SuspicionCause} from '../../pipelines/suspicion-cause.js';
+import {type Failure} from '../../results/failure.js';
 import {
 	AttemptFailureReason, getSuspicionCause, isUnsent, type AttemptFailure,
-} from './attempt-failure.js';
-import {type RunningAttempt} from './backend-client.js';
-import {type CallerReply} from './caller-reply.js';
-import {CrashEvidence} from './crash-evidence.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {Exchange} from './exchange.js';
-import {ExecutionHistory} from './execution-history.js';
-import {type RelayRequest} from './relay-request.js';
-import {type ResponseHead} from './response-head.js';
+} from '../attempt-failure.js';
+import {type RunningAttempt} from '../backend-client.js';
+import {type CallerReply} from '../caller-reply.js';
+import {CrashEvidence} from '../crash-evidence.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {Exchange} from '../exchange.js';
+import {ExecutionHistory} from '../execution-history.js';
+import {type RelayRequest} from '../relay-request.js';
+import {type ResponseHead} from '../response-head.js';
 import {StageFailureDetector} from './stage-failure-detector.js';
 import {type StreamAttempt, type StreamAttemptHandler} from './stream-attempt.js';
 import {StreamAttempts} from './stream-attempts.js';
--- a/src/relay/stream-failures.ts
+++ b/src/relay/streams/stream-failures.ts
@@ -1,8 +1,8 @@
-import {Execution} from '../results/execution.js';
-import {Failure} from '../results/failure.js';
-import {ResultCode} from '../results/result-code.js';
-import {type ExecutionHistory} from './execution-history.js';
-import {type RelayRequest} from './relay-request.js';
+import {Execution} from '../../results/execution.js';
+import {Failure} from '../../results/failure.js';
+import {ResultCode} from '../../results/result-code.js';
+import {type ExecutionHistory} from '../execution-history.js';
+import {type RelayRequest} from '../relay-request.js';
 
 const millisecondsPerSecond = 1000;
 
--- a/src/relay/stream-hedger.ts
+++ b/src/relay/streams/stream-hedger.ts
@@ -1,9 +1,9 @@
-import {RetryUrgency} from '../admission/retry-urgency.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {type CallerReply} from './caller-reply.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {type RelayRequest} from './relay-request.js';
+import {RetryUrgency} from '../../admission/retry-urgency.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {type CallerReply} from '../caller-reply.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {type RelayRequest} from '../relay-request.js';
 import {type HedgeCause, type StreamAttempts} from './stream-attempts.js';
 import {computeStreamDeadlines} from './stream-deadlines.js';
 import {type StreamExchangeDependencies} from './stream-exchange-dependencies.js';
--- a/src/relay/stream-log.ts
+++ b/src/relay/streams/stream-log.ts
@@ -1,7 +1,7 @@
-import {type DecisionLog} from '../observation/decision-log.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {describePipeline, type Pipeline} from '../pipelines/pipeline.js';
-import {type RelayRequest} from './relay-request.js';
+import {type DecisionLog} from '../../observation/decision-log.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {describePipeline, type Pipeline} from '../../pipelines/pipeline.js';
+import {type RelayRequest} from '../relay-request.js';
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamProgress} from './stream-progress.js';
 
--- a/src/relay/stream-pipeline-selector.ts
+++ b/src/relay/streams/stream-pipeline-selector.ts
@@ -1,9 +1,9 @@
-import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
-import {computeUsualRequestTokens, type EngineModel} from '../pipelines/engine-model.js';
-import {type PipelineRequest, type PipelineSelector} from '../pipelines/pipeline-selector.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {type ExecutionHistory} from './execution-history.js';
-import {type RelayRequest} from './relay-request.js';
+import {getIncarnationId, type BackendServer} from '../../pipelines/backend-server.js';
+import {computeUsualRequestTokens, type EngineModel} from '../../pipelines/engine-model.js';
+import {type PipelineRequest, type PipelineSelector} from '../../pipelines/pipeline-selector.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {type ExecutionHistory} from '../execution-history.js';
+import {type RelayRequest} from '../relay-request.js';
 
 /** Multiple of the usual tokens above which a request counts as large. */
 const largeRequestMultiple = 1.5;
--- a/src/relay/stream-resumption.ts
+++ b/src/relay/streams/stream-resumption.ts
@@ -1,9 +1,9 @@
-import {isRepeatable} from '../catalog/route.js';
-import {type BackendServer} from '../pipelines/backend-server.js';
-import {type CallerReply} from './caller-reply.js';
-import {type CrashEvidence} from './crash-evidence.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {type RelayRequest} from './relay-request.js';
+import {isRepeatable} from '../../catalog/route.js';
+import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type CallerReply} from '../caller-reply.js';
+import {type CrashEvidence} from '../crash-evidence.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {type RelayRequest} from '../relay-request.js';
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamAttempts} from './stream-attempts.js';
 import {type StreamDispatcher} from './stream-dispatcher.js';
--- a/src/relay/stream-sender.ts
+++ b/src/relay/streams/stream-sender.ts
@@ -1,10 +1,10 @@
-import {isRepeatable} from '../catalog/route.js';
-import {getIncarnationId} from '../pipelines/backend-server.js';
-import {type Pipeline} from '../pipelines/pipeline.js';
-import {type CrashEvidence} from './crash-evidence.js';
-import {type ExchangeDependencies} from './exchange-dependencies.js';
-import {type ExecutionHistory} from './execution-history.js';
-import {type RelayRequest} from './relay-request.js';
+import {isRepeatable} from '../../catalog/route.js';
+import {getIncarnationId} from '../../pipelines/backend-server.js';
+import {type Pipeline} from '../../pipelines/pipeline.js';
+import {type CrashEvidence} from '../crash-evidence.js';
+import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {type ExecutionHistory} from '../execution-history.js';
+import {type RelayRequest} from '../relay-request.js';
 import {StreamAttempt, type StreamAttemptHandler} from './stream-attempt.js';
 import {type StreamLog} from './stream-log.js';
 import {type StreamProgress} from './stream-progress.js';
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -9,7 +9,7 @@
 import {AttemptFailureReason, type AttemptFailure} from '../src/relay/attempt-failure.js';
 import {BackendAgent} from '../src/relay/backend-agent.js';
 import {BackendClient} from '../src/relay/backend-client.js';
-import {EventSplitter} from '../src/relay/event-splitter.js';
+import {EventSplitter} from '../src/relay/streams/event-splitter.js';
 import {Execution} from '../src/results/execution.js';
 import {HttpFetch} from '../src/store/http-fetch.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
--- a/test/event-ids.test.ts
+++ b/test/event-ids.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import fc from 'fast-check';
-import {EventSequence} from '../src/relay/event-sequence.js';
-import {PassedEvents} from '../src/relay/passed-events.js';
-import {type ServerSentEvent} from '../src/relay/event-splitter.js';
+import {EventSequence} from '../src/relay/streams/event-sequence.js';
+import {PassedEvents} from '../src/relay/streams/passed-events.js';
+import {type ServerSentEvent} from '../src/relay/streams/event-splitter.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {RouterProcess} from './support/router-process.js';
 import {sampleResponseHead, sampleStreamRoute, StreamExchangeFixture} from './support/exchange-fixture.js';
--- a/test/plain-exchange.test.ts
+++ b/test/plain-exchange.test.ts
@@ -2,7 +2,7 @@
 import {RequestKind} from '../src/catalog/request-kind.js';
 import {PlainServerSelector} from '../src/pipelines/plain-server-selector.js';
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
-import {PlainExchange} from '../src/relay/plain-exchange.js';
+import {PlainExchange} from '../src/relay/plain/plain-exchange.js';
 import {AttemptFailureReason} from '../src/relay/attempt-failure.js';
 import {Execution} from '../src/results/execution.js';
 import {Failure} from '../src/results/failure.js';
--- a/test/request-sizes-fleet.test.ts
+++ b/test/request-sizes-fleet.test.ts
@@ -10,7 +10,7 @@
 import {type BackendClient} from '../src/relay/backend-client.js';
 import {RequestQueue} from '../src/relay/request-queue.js';
 import {type ResponseListener} from '../src/relay/response-listener.js';
-import {StreamExchange} from '../src/relay/stream-exchange.js';
+import {StreamExchange} from '../src/relay/streams/stream-exchange.js';
 import {RandomSource} from '../src/routing/random-source.js';
 import {
 	ExchangeFixture, RecordingReply, sampleResponseHead, sampleStreamRoute,
--- a/test/stream-monitor.test.ts
+++ b/test/stream-monitor.test.ts
@@ -6,7 +6,7 @@
 import {SuspicionCause} from '../src/pipelines/suspicion-cause.js';
 import {Health, StageReporter, type StageReport} from '../src/pipelines/stage-reporter.js';
 import {type ExchangeRegistry} from '../src/relay/exchange-registry.js';
-import {StreamMonitor} from '../src/relay/stream-monitor.js';
+import {StreamMonitor} from '../src/relay/streams/stream-monitor.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
 import {sampleBackpressure} from './support/sample-backpressure.js';
 import {RecordingLog, sampleServer} from './support/sample-fleet.js';
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -17,7 +17,7 @@
 import {type RelayRequest} from '../../src/relay/relay-request.js';
 import {RequestQueue} from '../../src/relay/request-queue.js';
 import {type ResponseListener} from '../../src/relay/response-listener.js';
-import {StreamExchange} from '../../src/relay/stream-exchange.js';
+import {StreamExchange} from '../../src/relay/streams/stream-exchange.js';
 import {type Failure} from '../../src/results/failure.js';
 import {ManualTimerService} from '../../src/time/manual-timer-service.js';
 import {sampleBackpressure} from './sample-backpressure.js';
--- a/test/support/lookup-fixture.ts
+++ b/test/support/lookup-fixture.ts
@@ -3,7 +3,7 @@
 import {PlainServerSelector} from '../../src/pipelines/plain-server-selector.js';
 import {type Attempt} from '../../src/relay/attempt.js';
 import {type BackendClient} from '../../src/relay/backend-client.js';
-import {PlainExchange} from '../../src/relay/plain-exchange.js';
+import {PlainExchange} from '../../src/relay/plain/plain-exchange.js';
 import {type ResponseListener} from '../../src/relay/response-listener.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {ExchangeFixture, RecordingReply, sampleStreamRoute} from './exchange-fixture.js';
--- a/test/support/retry-fleet.ts
+++ b/test/support/retry-fleet.ts
@@ -1,7 +1,7 @@
 import {RetryBorrowing, loanLifetimeMs} from '../../src/admission/retry-borrowing.js';
 import {RetryBudget} from '../../src/admission/retry-budget.js';
 import {RetryUrgency} from '../../src/admission/retry-urgency.js';
-import {maxRetryWaitMs} from '../../src/relay/plain-retry-wait.js';
+import {maxRetryWaitMs} from '../../src/relay/plain/plain-retry-wait.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {ManualTimerService} from '../../src/time/manual-timer-service.js';
 
