--- a/src/catalog/route.ts
+++ b/src/catalog/route.ts
@@ -27,6 +27,8 @@
 	readonly isResumable: boolean;
 	/** Milliseconds within which the first event of a stream, or the complete response, is on time. */
 	readonly latencyTarget: number;
+	/** Longest pause in milliseconds between the events of a stream that is on time; undefined if the configuration names none. */
+	readonly eventGapTarget?: number;
 	/** Milliseconds without an event after which callers abandon a stream. */
 	readonly callerIdleTimeout: number;
 };
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -179,6 +179,7 @@
 				deadline: replyDeadline,
 				promptTokens: callerHeaders.promptTokens,
 				maxAnswerTokens: callerHeaders.maxAnswerTokens,
+				answerEstimate: callerHeaders.answerEstimate,
 				lastEventId: callerHeaders.lastEventId,
 				promptParts: callerHeaders.promptParts,
 				fingerprint,
--- a/src/relay/exchange-codec.ts
+++ b/src/relay/exchange-codec.ts
@@ -12,6 +12,8 @@
 	readonly timeout?: number;
 	readonly promptTokens: number;
 	readonly maxAnswerTokens: number;
+	/** The caller's own estimate of the tokens of the answer; undefined if it sent none. */
+	readonly answerEstimate?: number;
 	readonly lastEventId?: number;
 	/** Ids of the prompt parts that the request shares with others. */
 	readonly promptParts: readonly string[];
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -24,6 +24,8 @@
 	readonly promptTokens: number;
 	/** Upper bound on the tokens of the answer. */
 	readonly maxAnswerTokens: number;
+	/** The caller's own estimate of the tokens of the answer; undefined if it sent none. */
+	readonly answerEstimate?: number;
 	/** Ids of the prompt parts that the request shares with others. */
 	readonly promptParts: readonly string[];
 	/** Equal for equal requests of one caller. */
