--- a/harness/mutation-list.ts
+++ b/harness/mutation-list.ts
@@ -191,12 +191,12 @@
 	),
 	mutation(
 		'a silent attempt of a plain request is kept beside a second one',
-		['src/relay/plain/plain-exchange.js', 'this.attempts.recordSilence();', 'this.attempts.cancel(this.attempts.all);'],
+		['src/relay/plain/plain-hedger.js', 'attempts.recordSilence();', 'attempts.cancel(attempts.all);'],
 		['test/plain-exchange.test.ts', 'a lookup whose server is silent is answered*'],
 	),
 	mutation(
 		'of two attempts of a plain request, the one that did not decide is cancelled',
-		['src/relay/plain/plain-exchange.js', 'this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));', ''],
+		['src/relay/plain/plain-delivery.js', 'this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));', ''],
 		['test/hedged-lookups.test.ts', 'of two answers*'],
 	),
 	mutation(
--- a/src/relay/plain/plain-attempts.ts
+++ b/src/relay/plain/plain-attempts.ts
@@ -8,13 +8,13 @@
 import {type RunningAttempt} from '../backend-client.js';
 import {CrashEvidence} from '../crash-evidence.js';
 import {type ExchangeDependencies} from '../exchange-dependencies.js';
+import {type RelayRequest} from '../relay-request.js';
+import {ResponseBuffer} from '../response-buffer.js';
+import {ResponseVerdict} from '../response-verdict.js';
 import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
 import {PlainAttempt, type PlainAttemptHandler} from './plain-attempt.js';
 import {type PlainLog} from './plain-log.js';
 import {type PlainServerChoice} from './plain-server-choice.js';
-import {type RelayRequest} from '../relay-request.js';
-import {ResponseBuffer} from '../response-buffer.js';
-import {ResponseVerdict} from '../response-verdict.js';
 
 /** The attempts of one plain request: sends them, and records what they show about their servers. */
 export class PlainAttempts {
--- a/src/relay/plain/plain-exchange.ts
+++ b/src/relay/plain/plain-exchange.ts
@@ -4,25 +4,26 @@
 import {Execution} from '../../results/execution.js';
 import {Failure} from '../../results/failure.js';
 import {ResultCode} from '../../results/result-code.js';
-import {type TimerHandle} from '../../time/timer-handle.js';
 import {type AttemptFailure} from '../attempt-failure.js';
 import {type RunningAttempt} from '../backend-client.js';
 import {type CallerReply} from '../caller-reply.js';
 import {type ExchangeDependencies} from '../exchange-dependencies.js';
 import {Exchange} from '../exchange.js';
+import {type RelayRequest} from '../relay-request.js';
+import {type ResponseHead} from '../response-head.js';
+import {
+	assessResponse, describeVerdict, isPassable, ResponseVerdict,
+} from '../response-verdict.js';
 import {type PlainAttempt, type PlainAttemptHandler} from './plain-attempt.js';
 import {PlainAttempts} from './plain-attempts.js';
+import {PlainDelivery} from './plain-delivery.js';
+import {PlainHedger} from './plain-hedger.js';
 import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
 import {PlainLimitWait} from './plain-limit-wait.js';
 import {PlainLog} from './plain-log.js';
 import {PlainRetryPolicy} from './plain-retry-policy.js';
 import {maxRetryWaitMs, PlainRetryWait} from './plain-retry-wait.js';
 import {PlainServerChoice} from './plain-server-choice.js';
-import {type RelayRequest} from '../relay-request.js';
-import {type ResponseHead} from '../response-head.js';
-import {
-	assessResponse, describeVerdict, isPassable, ResponseVerdict,
-} from '../response-verdict.js';
 
 const retryAfterSeconds = 0.5;
 
@@ -34,20 +35,30 @@
 	private readonly limitWait: PlainLimitWait;
 	private readonly retryPolicy: PlainRetryPolicy;
 	private readonly retryWait: PlainRetryWait;
-	private responseTimer?: TimerHandle;
-	/** The attempt whose response is passed on. */
-	private chosen?: PlainAttempt;
-	/** A dropped attempt whose response is passed on if the one beside it has none. */
-	private fallback?: PlainAttempt;
+	private readonly delivery: PlainDelivery;
+	private readonly hedger: PlainHedger;
 
 	constructor(dependencies: ExchangeDependencies, request: RelayRequest, reply: CallerReply, plainDependencies: PlainExchangeDependencies) {
 		super(dependencies, request, reply);
 		this.log = new PlainLog(dependencies.log, request);
 		this.servers = new PlainServerChoice(request, plainDependencies);
 		this.attempts = new PlainAttempts({...dependencies, ...plainDependencies}, request, this.servers, this.log);
+		this.delivery = new PlainDelivery(reply, this.attempts);
 		this.limitWait = new PlainLimitWait(dependencies, request, this.servers, this.log);
 		this.retryWait = new PlainRetryWait(dependencies.timers);
 		this.retryPolicy = new PlainRetryPolicy(request, this.attempts, dependencies.timers);
+		const {attempts, servers, delivery, retryPolicy} = this;
+		this.hedger = new PlainHedger(dependencies, {
+			attempts, servers, delivery, retryPolicy,
+		}, {
+			tryAcquireHedge: () => this.mayRetry && this.tryAcquireRetry(RetryUrgency.Ordinary),
+			send: server => {
+				this.sendNow(server);
+			},
+			deliver: attempt => {
+				this.deliver(attempt);
+			},
+		});
 	}
 
 	override endQuarantined(refusal: Failure): void {
@@ -70,8 +81,8 @@
 	}
 
 	handleData(attempt: PlainAttempt, chunk: Uint8Array): void {
-		if (this.chosen) {
-			this.forward(chunk);
+		if (this.delivery.chosen) {
+			this.delivery.forward(chunk);
 			return;
 		}
 
@@ -99,7 +110,7 @@
 	handleFailure(attempt: PlainAttempt, failure: AttemptFailure): void {
 		this.endAttempt(attempt);
 		this.attempts.recordFailure(attempt, failure);
-		if (this.chosen) {
+		if (this.delivery.chosen) {
 			this.failInterrupted(failure);
 			return;
 		}
@@ -150,7 +161,7 @@
 
 	protected release(): void {
 		this.attempts.clear();
-		this.responseTimer?.cancel();
+		this.hedger.cancel();
 		this.limitWait.cancel();
 		this.retryWait.cancel();
 	}
@@ -173,7 +184,7 @@
 	private send(server: BackendServer): void {
 		this.attemptCount++;
 		this.attempts.send(server, this.attemptCount, this);
-		this.startResponseTimer();
+		this.hedger.start();
 	}
 
 	private assess({head}: PlainAttempt): ResponseVerdict {
@@ -184,9 +195,9 @@
 	private handleLargeResponse(attempt: PlainAttempt): void {
 		const verdict = this.assess(attempt);
 		const isRefusal = verdict === ResponseVerdict.NotExecuted || verdict === ResponseVerdict.UnfoundedRefusal;
-		const hasOther = verdict === ResponseVerdict.ServerError && (this.attempts.all.length > 1 || this.fallback !== undefined);
+		const hasOther = verdict === ResponseVerdict.ServerError && (this.attempts.all.length > 1 || this.delivery.hasFallback);
 		if (!isRefusal && !hasOther) {
-			this.choose(attempt);
+			this.delivery.choose(attempt);
 			return;
 		}
 
@@ -195,40 +206,13 @@
 		this.handleEnd(attempt);
 	}
 
-	/** Sends the head and the buffered part of the body to the caller; from then on no other attempt can take its place. */
-	private choose(attempt: PlainAttempt): void {
-		this.chosen = attempt;
-		this.attempts.cancel(this.attempts.all.filter(other => other !== attempt));
-		const {status, headers} = attempt.head!;
-		this.reply.begin(status, headers);
-		const body = attempt.response.take();
-		if (body.length > 0) {
-			this.forward(body);
-		}
-	}
-
+	/** Completes the reply with the response of an attempt, or with the one that was chosen before. */
 	private deliver(attempt: PlainAttempt): void {
-		if (!this.chosen) {
-			this.choose(attempt);
-		}
-
-		this.completeReply();
-	}
-
-	/** Passes on a part of the chosen response. */
-	private forward(chunk: Uint8Array): void {
-		if (this.reply.write(chunk)) {
-			return;
-		}
-
-		for (const attempt of this.runningAttempts) {
-			attempt.pause();
+		if (!this.delivery.chosen) {
+			this.delivery.choose(attempt);
 		}
-	}
 
-	/** Completes the reply with the chosen response. */
-	private completeReply(): void {
-		const {server, head} = this.chosen!;
+		const {server, head} = this.delivery.chosen!;
 		this.log.logAnswered(head!.status, server, this.attemptCount, this.dependencies.timers.now());
 		this.complete(head!.status);
 	}
@@ -238,65 +222,32 @@
 		this.failWith(new Failure(ResultCode.BackendFailed, `the response was interrupted: ${detail}`, Execution.Unknown));
 	}
 
-	/** Chooses between a response that can be passed on and an earlier one; an answer goes before an error. */
-	private chooseFallback(passable: PlainAttempt | undefined): PlainAttempt | undefined {
-		return this.answer ?? passable ?? this.fallback;
-	}
-
 	/** Passes on the response of a dropped attempt, if there is one, because those beside it have none in time. */
 	private tryDeliverFallback(): boolean {
-		const isOpen = !this.isDone && this.chosen === undefined;
-		if (!isOpen || this.fallback === undefined) {
+		const {available} = this.delivery;
+		if (this.isDone || !available) {
 			return false;
 		}
 
-		this.deliver(this.fallback);
+		this.deliver(available);
 		return true;
 	}
 
 	private endAttempt(attempt: PlainAttempt): void {
-		this.responseTimer?.cancel();
+		this.hedger.cancel();
 		this.attempts.remove(attempt);
 	}
 
 	/** Handles an attempt whose response is not final: the exchange goes on with the attempt beside it if there is one. */
 	private handleUnusable(attempt: PlainAttempt, reason: string, passable: PlainAttempt | undefined): void {
 		if (this.attempts.all.length === 0) {
-			this.retryOrFail(attempt, reason, this.chooseFallback(passable));
+			this.retryOrFail(attempt, reason, this.delivery.selectFallback(passable));
 			return;
 		}
 
-		this.fallback = this.chooseFallback(passable);
+		this.delivery.keep(this.delivery.selectFallback(passable));
 		this.log.logAttemptFailed(attempt, reason, false);
-		this.continueWithOthers();
-	}
-
-	/** Goes on with the attempts that are left. If all have been silent for long, a server that has not been tried gets the request at once; if there is none, an answer that is in hand is passed on. */
-	private continueWithOthers(): void {
-		const now = this.dependencies.timers.now();
-		if (this.attempts.all.some(attempt => !attempt.isSilent(now))) {
-			this.startResponseTimer();
-			return;
-		}
-
-		const untried = this.retryPolicy.allowsExecution ? this.servers.selectUntried(now) : undefined;
-		if (this.hedge(untried)) {
-			this.forgetError();
-		} else if (this.answer) {
-			this.deliver(this.answer);
-		} else {
-			this.startResponseTimer();
-		}
-	}
-
-	/** A dropped attempt whose response may be a whole answer. */
-	private get answer(): PlainAttempt | undefined {
-		return this.fallback?.isError === false ? this.fallback : undefined;
-	}
-
-	/** After a retry an error response is not passed on any more. */
-	private forgetError(): void {
-		this.fallback = this.answer;
+		this.hedger.continueWithOthers();
 	}
 
 	/** Retries on another server if that is allowed; otherwise sends the final reply. */
@@ -305,8 +256,8 @@
 		const isAllowed = isWanted && this.tryAcquireRetry(RetryUrgency.Ordinary);
 		this.log.logAttemptFailed(attempt, reason, isAllowed);
 		if (isAllowed) {
-			this.fallback = passable;
-			this.forgetError();
+			this.delivery.keep(passable);
+			this.delivery.forgetError();
 			this.dispatch();
 		} else if (passable) {
 			this.deliver(passable);
@@ -345,42 +296,6 @@
 
 	/** Whether the request may be sent again, apart from the retry budget. */
 	private get mayRetry(): boolean {
-		return !this.chosen && this.retryPolicy.allowsAttempt(this.attemptCount);
-	}
-
-	/** Waits for a response to the attempts in progress, while there is something else to do without one. */
-	private startResponseTimer(): void {
-		this.responseTimer?.cancel();
-		if (this.retryPolicy.allowsExecution || this.answer) {
-			this.responseTimer = this.dependencies.timers.after(this.attempts.responseTimeout, () => {
-				this.handleSilence();
-			});
-		}
-	}
-
-	/** Sends the request to a further server as well, or passes on the answer that is in hand. */
-	private handleSilence(): void {
-		const busy = this.attempts.all.map(({server}) => server);
-		const server = this.retryPolicy.allowsExecution ? this.servers.select(this.dependencies.timers.now(), busy) : undefined;
-		if (!this.hedge(server) && !this.attempts.hasHead && this.answer) {
-			this.deliver(this.answer);
-		}
-	}
-
-	/**
-	Sends the request to a further server as well. The silent attempts are kept, since only a response shows which of the servers can take the request.
-
-	@returns whether it was sent
-	*/
-	private hedge(server: BackendServer | undefined): boolean {
-		const {serverHealth, timers} = this.dependencies;
-		const mayHedge = !this.attempts.hasHead && server && !serverHealth.isSuspected(server, timers.now());
-		if (!mayHedge || !this.mayRetry || !this.tryAcquireRetry(RetryUrgency.Ordinary)) {
-			return false;
-		}
-
-		this.attempts.recordSilence();
-		this.sendNow(server);
-		return true;
+		return !this.delivery.chosen && this.retryPolicy.allowsAttempt(this.attemptCount);
 	}
 }
--- a/src/relay/plain/plain-limit-wait.ts
+++ b/src/relay/plain/plain-limit-wait.ts
@@ -1,9 +1,9 @@
 import {type BackendServer} from '../../pipelines/backend-server.js';
 import {type ExchangeDependencies} from '../exchange-dependencies.js';
 import {LimitReservation} from '../limit-reservation.js';
+import {type RelayRequest} from '../relay-request.js';
 import {type PlainLog} from './plain-log.js';
 import {type PlainServerChoice} from './plain-server-choice.js';
-import {type RelayRequest} from '../relay-request.js';
 
 const millisecondsPerSecond = 1000;
 /** Fraction of the time left for which a request waits for the limit of a server at most. */
--- a/src/relay/plain/plain-log.ts
+++ b/src/relay/plain/plain-log.ts
@@ -1,7 +1,7 @@
 import {type DecisionLog} from '../../observation/decision-log.js';
 import {type BackendServer} from '../../pipelines/backend-server.js';
-import {type PlainAttempt} from './plain-attempt.js';
 import {type RelayRequest} from '../relay-request.js';
+import {type PlainAttempt} from './plain-attempt.js';
 
 /** Writes the log lines of one plain exchange. Times are in milliseconds. */
 export class PlainLog {
--- a/src/relay/plain/plain-retry-policy.ts
+++ b/src/relay/plain/plain-retry-policy.ts
@@ -1,7 +1,7 @@
 import {isRepeatable} from '../../catalog/route.js';
 import {type TimerService} from '../../time/timer-service.js';
-import {type PlainAttempts} from './plain-attempts.js';
 import {type RelayRequest} from '../relay-request.js';
+import {type PlainAttempts} from './plain-attempts.js';
 
 /** Attempts beyond the executions that the route allows, since an attempt that was not executed doesn't count as one. */
 const extraAttempts = 3;
--- a/src/relay/plain/plain-server-choice.ts
+++ b/src/relay/plain/plain-server-choice.ts
@@ -1,7 +1,7 @@
 import {getIncarnationId, type BackendServer} from '../../pipelines/backend-server.js';
 import {type DelayedServer, type PlainServerRequirements} from '../../pipelines/plain-server-selector.js';
-import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
 import {type RelayRequest} from '../relay-request.js';
+import {type PlainExchangeDependencies} from './plain-exchange-dependencies.js';
 
 /** Chooses the servers for the attempts of one plain request. Times are monotonic milliseconds. */
 export class PlainServerChoice {
--- a/src/relay/streams/stream-delivery.ts
+++ b/src/relay/streams/stream-delivery.ts
@@ -1,7 +1,7 @@
 import {type CallerReply} from '../caller-reply.js';
-import {type ServerSentEvent} from './event-splitter.js';
 import {type ExchangeDependencies} from '../exchange-dependencies.js';
 import {type RelayRequest} from '../relay-request.js';
+import {type ServerSentEvent} from './event-splitter.js';
 import {type StreamAttempt} from './stream-attempt.js';
 import {type StreamProgress} from './stream-progress.js';
 
--- a/src/relay/streams/stream-response.ts
+++ b/src/relay/streams/stream-response.ts
@@ -1,8 +1,8 @@
 import {ErrorBody} from '../error-body.js';
+import {type ResponseHead} from '../response-head.js';
 import {EventSequence} from './event-sequence.js';
 import {EventSplitter, type ServerSentEvent} from './event-splitter.js';
 import {type PassedEvents} from './passed-events.js';
-import {type ResponseHead} from '../response-head.js';
 import {StreamEnd} from './stream-end.js';
 
 const successStatus = 200;
