Plan the initial placement without a scarce layer

Copies of one chain end in the middle of a copy, so one layer limits the requests of a zone. The balanced plan divides the model into sections, each held by whole chains of equal capacity, and is used where it has at least as much capacity at the scarcest layer and the better score of packed requests and speed. [placement] plan = balanced | chains selects it; placement.planned and placement plan print scarcest, mean, bound and loss.

--- a/src/command/placement-commands.ts
+++ b/src/command/placement-commands.ts
@@ -1,10 +1,11 @@
 import {readFile} from 'node:fs/promises';
 import * as z from 'zod';
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {computeUsualRequestTokens, type EngineModel} from '../pipelines/engine-model.js';
+import {type EngineModel} from '../pipelines/engine-model.js';
 import {groupByZone} from '../pipelines/pipeline-selector.js';
-import {planInitialPlacement, computeTargetCapacity} from '../placement/initial-placement.js';
-import {computeCapacityByLayer, computeServerCapacity} from '../placement/layer-capacity.js';
+import {computeServerCapacity} from '../placement/layer-capacity.js';
+import {PlacementPlan} from '../placement/placement-plan.js';
+import {computePlacementFigures, planZonePlacement, type PlacementFigures} from '../placement/zone-placement.js';
 import {ResultCode} from '../results/result-code.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {
@@ -25,6 +26,8 @@
 	servers: z.array(z.strictObject({availabilityZone: z.string(), card: z.string(), count: z.int().positive()})).min(1),
 	/** Share of the model's slots for whose usual requests each layer needs token capacity. */
 	room: z.number().min(0).max(1).default(0.6),
+	/** How the ranges are planned, as in the setting of the same name. */
+	plan: z.enum(PlacementPlan).default(PlacementPlan.Balanced),
 });
 
 type FleetFile = z.infer<typeof fleetSchema>;
@@ -61,30 +64,42 @@
 /** The planned placement in one availability zone. */
 type ZonePlan = {
 	readonly availabilityZone: string;
+	readonly plan: PlacementPlan;
 	readonly placements: ReadonlyArray<{readonly server: string; readonly card: string; readonly from: number; readonly to: number; readonly tokens: number}>;
 	/** Number of usual requests that fit at the same time, limited by the layer with the least token capacity. */
 	readonly requests: number;
+	/** Capacities in usual requests, rounded down, without fractions of requests. */
+	readonly figures: PlacementFigures;
 };
 
-function planZone(availabilityZone: string, servers: readonly BackendServer[], model: EngineModel, slotShare: number): ZonePlan {
-	const placements = planInitialPlacement(servers, model, computeTargetCapacity(model, slotShare));
-	const layerCapacities = computeCapacityByLayer(placements.map(placement => ({...placement, isLoaded: true})), model);
+function planZone(availabilityZone: string, servers: readonly BackendServer[], model: EngineModel, fleet: FleetFile): ZonePlan {
+	const {plan, placements} = planZonePlacement(servers, model, fleet.room, fleet.plan);
+	const exact = computePlacementFigures(servers, placements, model);
+	const [scarcest, mean, bound, packed] = [exact.scarcest, exact.mean, exact.bound, exact.packed].map(value => Math.floor(value));
 	return {
 		availabilityZone,
+		plan,
 		placements: placements.map(({server, range}) => ({
 			server: server.id, card: server.card, from: range.from, to: range.to, tokens: Math.round(computeServerCapacity(server, range, model)),
 		})),
-		requests: placements.length === 0 ? 0 : Math.floor(Math.min(...layerCapacities) / computeUsualRequestTokens(model)),
+		requests: scarcest,
+		figures: {
+			scarcest, mean, bound, loss: bound - scarcest, packed, boundaries: exact.boundaries,
+		},
 	};
 }
 
-function formatZone({availabilityZone, placements, requests}: ZonePlan): string {
+function formatZone({availabilityZone, plan, placements, requests, figures}: ZonePlan): string {
 	if (placements.length === 0) {
 		return `${availabilityZone}: its servers have too little memory for the model`;
 	}
 
 	const rows = placements.map(({server, card, from, to, tokens}) => [server, card, `${from}-${to}`, tokens]);
-	return `${availabilityZone}: ${requests} usual requests at once\n${formatTable(['server', 'card', 'layers', 'token capacity'], rows)}`;
+	return [
+		`${availabilityZone}: ${requests} usual requests at once at the scarcest layer, ${figures.mean} on average, bound ${figures.bound}, loss ${figures.loss}`,
+		`plan ${plan}: ${figures.packed} requests packed one after the other, ${figures.boundaries} boundaries`,
+		formatTable(['server', 'card', 'layers', 'token capacity'], rows),
+	].join('\n');
 }
 
 /** `placement plan`: prints which layers each server of a fleet file would load. */
@@ -98,6 +113,6 @@
 	}
 
 	const model = createModel(fleet);
-	const plans = [...groupByZone(createServers(fleet))].map(([zone, servers]) => planZone(zone, servers, model, fleet.room));
+	const plans = [...groupByZone(createServers(fleet))].map(([zone, servers]) => planZone(zone, servers, model, fleet));
 	return success({zones: plans}, plans.map(plan => formatZone(plan)).join('\n\n'));
 }
--- a/src/placement/initial-placement.ts
+++ b/src/placement/initial-placement.ts
@@ -1,6 +1,6 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {
-	computeMaxLayers, computeTokenMegabytes, computeUsualRequestTokens, type AcceleratorType, type EngineModel,
+	computeMaxLayers, computeTokenCapacity, computeTokenMegabytes, computeUsualRequestTokens, type AcceleratorType, type EngineModel,
 } from '../pipelines/engine-model.js';
 import {getLayerCount, type LayerRange} from '../pipelines/layer-range.js';
 
@@ -10,7 +10,7 @@
 	readonly range: LayerRange;
 };
 
-type Member = {
+export type Member = {
 	readonly server: BackendServer;
 	readonly acceleratorType: AcceleratorType;
 };
@@ -19,7 +19,7 @@
 const searchSteps = 40;
 
 /** Returns the servers with a known accelerator type, fastest first. */
-function findMembers(servers: readonly BackendServer[], model: EngineModel): readonly Member[] {
+export function findMembers(servers: readonly BackendServer[], model: EngineModel): readonly Member[] {
 	const members = servers.flatMap(server => {
 		const acceleratorType = model.acceleratorTypes.get(server.card);
 		return acceleratorType ? [{server, acceleratorType}] : [];
@@ -42,13 +42,18 @@
 }
 
 /** Returns the token capacity for all slots of a server; more memory than that is of no use. */
-function computeMaxCapacity(model: EngineModel): number {
+export function computeMaxCapacity(model: EngineModel): number {
 	return computeTargetCapacity(model, 1);
 }
 
-/** Returns the largest token capacity, up to a target, that members can keep while they hold all layers; undefined if the weights do not fit. */
-function findAchievableCapacity(members: readonly Member[], model: EngineModel, target: number): number | undefined {
-	const doFit = (tokens: number) => members.reduce((sum, {acceleratorType}) => sum + computeLayersForCapacity(model, acceleratorType, tokens), 0) >= model.layers;
+/** Returns the token capacity of an accelerator that its slots can use. */
+export function computeUsefulCapacity(model: EngineModel, acceleratorType: AcceleratorType, layers: number): number {
+	return Math.min(computeTokenCapacity(model, acceleratorType, layers), computeMaxCapacity(model));
+}
+
+/** Returns the largest token capacity, up to a target, that members can keep while they hold a number of layers; undefined if the weights do not fit. */
+export function findAchievableCapacity(members: readonly Member[], model: EngineModel, target: number, layers = model.layers): number | undefined {
+	const doFit = (tokens: number) => members.reduce((sum, {acceleratorType}) => sum + computeLayersForCapacity(model, acceleratorType, tokens), 0) >= layers;
 	if (!doFit(0)) {
 		return undefined;
 	}
@@ -72,7 +77,7 @@
 }
 
 /** Assigns consecutive layers to members in order, to each as many as leave it the capacity. Removes the used members; stops when layers or members run out. */
-function assignLayers(members: Member[], range: LayerRange, model: EngineModel, capacity: number): readonly Placement[] {
+export function assignLayers(members: Member[], range: LayerRange, model: EngineModel, capacity: number): readonly Placement[] {
 	const placements: Placement[] = [];
 	let {from} = range;
 	while (from < range.to) {
--- a/src/placement/placement-controller.ts
+++ b/src/placement/placement-controller.ts
@@ -14,9 +14,11 @@
 import {type StageReporter} from '../pipelines/stage-reporter.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type TimerService} from '../time/timer-service.js';
-import {planInitialPlacement, computeTargetCapacity, type Placement} from './initial-placement.js';
+import {computeTargetCapacity, type Placement} from './initial-placement.js';
 import {OrderOutcome, type OrderSender} from './order-sender.js';
+import {type PlacementPlan} from './placement-plan.js';
 import {planRepair} from './repair-plan.js';
+import {computePlacementFigures, planZonePlacement} from './zone-placement.js';
 
 export type PlacementControllerDependencies = {
 	readonly lease: Lease;
@@ -62,8 +64,14 @@
 
 	/**
 	@param slotShare - fraction of a server's slots for whose requests its memory should have capacity
+	@param plan - how the initial ranges are planned
 	*/
-	constructor(private readonly dependencies: PlacementControllerDependencies, private readonly timings: PlacementTimings, private readonly slotShare: number) {}
+	constructor(
+		private readonly dependencies: PlacementControllerDependencies,
+		private readonly timings: PlacementTimings,
+		private readonly slotShare: number,
+		private readonly plan: PlacementPlan,
+	) {}
 
 	/** Compares the placement of all services with the wanted one, and sends the orders that are due. */
 	reconcile(): void {
@@ -135,20 +143,35 @@
 
 		const unplaced: BackendServer[] = [];
 		for (const [zone, members] of groupByZone(servers)) {
-			const placements = planInitialPlacement(members, model, computeTargetCapacity(model, this.slotShare));
-			if (placements.length === 0) {
+			if (!this.placeZone(members, model, now, `initial placement of zone ${zone}`)) {
 				unplaced.push(...members);
 			}
+		}
+
+		this.placeZone(unplaced, model, now, 'initial placement across zones');
+	}
 
-			this.startOrders(placements, model, now, `initial placement of zone ${zone}`);
+	/** Orders ranges for servers that have none; returns false if their memory cannot hold the model. */
+	private placeZone(servers: readonly BackendServer[], model: EngineModel, now: number, reason: string): boolean {
+		const {plan, placements} = planZonePlacement(servers, model, this.slotShare, this.plan);
+		if (placements.length === 0) {
+			return false;
 		}
 
-		this.startOrders(planInitialPlacement(unplaced, model, computeTargetCapacity(model, this.slotShare)), model, now, 'initial placement across zones');
+		const figures = computePlacementFigures(servers, placements, model);
+		this.dependencies.log.write('placement.planned', {
+			reason,
+			plan,
+			servers: servers.length,
+			...Object.fromEntries(Object.entries(figures).map(([name, value]) => [name, Math.round(value)])),
+		});
+		this.startOrders(placements, model, now, reason);
+		return true;
 	}
 
 	private repair(members: readonly BackendServer[], model: EngineModel, now: number): void {
 		if (members.every(server => !this.getTargetRange(server))) {
-			this.startOrders(planInitialPlacement(members, model, computeTargetCapacity(model, this.slotShare)), model, now, 'placement of an empty zone');
+			this.placeZone(members, model, now, 'placement of an empty zone');
 			return;
 		}
 
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -303,7 +303,7 @@
 		orderTimeout: placementSettings.order,
 		checkInterval: placementSettings.check,
 		refusalBackoff: placementSettings.refusal,
-	}, placementSettings.room);
+	}, placementSettings.room, placementSettings.plan);
 
 	const catalogReader = new CatalogReader(adapters.catalogDecoder, activeCatalog, log);
 	tables.onChange(TableName.Catalog, (table, from) => {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import {PlacementPlan} from '../placement/placement-plan.js';
 import {
 	decimalNumber, duration, ratio, size, wholeNumber,
 } from './quantity.js';
@@ -80,6 +81,8 @@
 		held_answer: size('256 kB'),
 	}).prefault({}),
 	placement: z.object({
+		/** How the initial ranges of the servers of a zone are planned. */
+		plan: z.enum(PlacementPlan).default(PlacementPlan.Balanced),
 		/** Fraction of a server's slots for whose requests its memory is to have token capacity. */
 		room: ratio(0.6),
 		/** Time without a newly listed server before the first placement. */
--- a/test/log-and-placement-commands.test.ts
+++ b/test/log-and-placement-commands.test.ts
@@ -74,7 +74,7 @@
 test('placement plan: the sample fleet, and a file that is not a fleet description', async t => {
 	const {code, text, data} = await planPlacement('samples/fleet.json');
 	t.is(code, ResultCode.Success);
-	t.regex(text, /^zone-a: \d+ usual requests at once/v);
+	t.regex(text, /^zone-a: \d+ usual requests at once at the scarcest layer, \d+ on average, bound \d+, loss \d+\n/v);
 	t.like(data, {zones: [{availabilityZone: 'zone-a'}, {availabilityZone: 'zone-b'}]});
 	const wrong = await planPlacement(save('{"model": {}}'));
 	t.is(wrong.code, ResultCode.UsageError);
