Hold retries back while stages are full, refuse what cannot start in time, and reserve capacity for urgent requests

Cause: a request that a full stage rejected was sent to the next full stage at once, which exhausted the retry budget; all routes waited for one constant; Retry-After was the same for all refused callers; less urgent requests filled the servers before urgent ones came.

Change: a retry is held back for at most 300 ms while more than a fifth of the latest attempts of this instance were rejected as full. A request waits for its caller's idle timeout less its latency target, limits.queue_wait (now 4 s) being an upper bound. A queued request is refused at once when those ahead of it need more than 1.5 times the time that it has, at the measured rate of starts. Retry-After follows from the same prediction, spread, the urgent first. PriorityReserves keeps the square root of the offered load of more urgent requests free, a quarter of the capacity at most.

--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -85,7 +85,7 @@
 	/** Returns the pipeline to use now; undefined if no usable servers with enough capacity cover all layers, or if the pipeline would exceed the bandwidth between zones. */
 	select(request: PipelineRequest, now: number): Pipeline | undefined {
 		const {model} = request;
-		const pipeline = findPipeline(this.findUsableServers(request, now), model.layers, this.createCosts(request, this.weights.maxOccupancy, now))?.pipeline;
+		const pipeline = findPipeline(this.findUsableServers(request, now), model.layers, this.createCosts(request, Math.min(this.weights.maxOccupancy, request.occupancyLimit ?? 1), now))?.pipeline;
 		const crossings = pipeline ? countCrossings(pipeline) : 0;
 		const bytes = crossings * request.tokens * model.activationBytes;
 		return crossings === 0 || this.dependencies.interzoneBandwidth.tryConsume(bytes, model.interzoneMegabits, now) ? pipeline : undefined;
--- a/src/relay/streams/stream-dispatcher.ts
+++ b/src/relay/streams/stream-dispatcher.ts
@@ -31,14 +31,21 @@
 	failForCapacity(reason: string): void;
 };
 
+/** Longest time in milliseconds for which a retry is held back after a rejection by a full stage. Streams that end meanwhile free capacity on most stages. */
+const maxHoldMs = 300;
+
 /** Starts a stream on a pipeline, or queues it until one has capacity. */
 export class StreamDispatcher {
 	private queueEntry?: TimerHandle;
 	private delay?: TimerHandle;
 	private latestOutcome?: StartOutcome;
+	private isArrivalRecorded = false;
+	/** Monotonic times in milliseconds. */
+	private sentAt?: number;
+	private rejectedAsFullAt?: number;
 
 	constructor(
-		private readonly dependencies: Pick<ExchangeDependencies, 'timers' | 'load'> & Pick<StreamExchangeDependencies, 'requestQueue' | 'limits'>,
+		private readonly dependencies: Pick<ExchangeDependencies, 'timers' | 'load' | 'metrics'> & Pick<StreamExchangeDependencies, 'requestQueue' | 'limits' | 'admission'>,
 		private readonly stream: DispatchedStream,
 		private readonly handler: DispatchHandler,
 	) {}
@@ -47,6 +54,7 @@
 	dispatch(): void {
 		const {dependencies: {requestQueue, limits, timers}, stream: {request, progress, executions}, handler} = this;
 		this.latestOutcome = undefined;
+		this.recordArrival();
 		// Those that wait come first.
 		if (!requestQueue.hasWaiting(request.priority) && this.tryStart() === StartOutcome.Started) {
 			return;
@@ -69,22 +77,61 @@
 		});
 	}
 
-	/** Removes the stream from the queue. */
-	cancel(): void {
+	/** Records that a full stage rejected the stream. */
+	recordFullStage(): void {
+		const {dependencies: {timers, admission}, stream: {request}} = this;
+		this.rejectedAsFullAt = timers.now();
+		admission?.rejections.recordRejected(request.service.name, this.rejectedAsFullAt);
+	}
+
+	/** Returns the milliseconds after which the caller may come back if the stream is refused now. */
+	computeRetryAfter(): number {
+		const {dependencies: {timers, limits, requestQueue, admission}, stream: {request, selector}} = this;
+		const now = timers.now();
+		return admission?.returnTimes.compute({
+			wait: requestQueue.predictWait(request.priority, selector.expectedTokens),
+			rank: admission.reserves.countMoreUrgent(request.service.name, request.priority, now),
+			remaining: request.deadline - now,
+		}) ?? limits.retryAfter;
+	}
+
+	/** Records the end of the stream, and removes it from the queue. */
+	end(): void {
+		const {dependencies: {timers, admission}, stream: {request}} = this;
 		this.delay?.cancel();
 		this.queueEntry?.cancel();
 		this.queueEntry = undefined;
+		if (this.sentAt !== undefined) {
+			admission?.reserves.recordEnd(request.service.name, request.priority, timers.now() - this.sentAt);
+		}
+	}
+
+	/** Records that the stream arrived, once. */
+	private recordArrival(): void {
+		const {dependencies: {timers, admission}, stream: {request}} = this;
+		if (!this.isArrivalRecorded) {
+			this.isArrivalRecorded = true;
+			admission?.reserves.recordArrival(request.service.name, request.priority, timers.now());
+		}
 	}
 
 	private enqueue(deadlines: ReturnType<typeof computeStreamDeadlines>): void {
-		const {dependencies: {requestQueue}, stream: {request, selector, log}, handler} = this;
+		const {dependencies: {requestQueue, metrics}, stream: {request, selector, log, executions}, handler} = this;
 		this.queueEntry = requestQueue.enqueue({
 			priority: request.priority,
 			arrivedAt: request.arrivedAt,
 			tokens: selector.expectedTokens,
+			...(request.workspace !== undefined && {workspace: request.workspace}),
+			mayUseReserve: this.mayUseReserve,
 			...deadlines,
 			tryStart: () => this.tryStart(),
 			...(selector.isLarge && {reserve: () => this.reserve()}),
+			...(!executions.mayHaveExecuted && {
+				onHopeless(waitMs: number) {
+					metrics.count('siskinnotch_refused_early', 1, {priority: String(request.priority)});
+					handler.failForCapacity(`no pipeline would have capacity in time: the requests ahead need ${Math.round(waitMs)} ms`);
+				},
+			}),
 			onTimeout: () => {
 				handler.failForCapacity(this.isRetryDenied ? 'the retry budget was exhausted' : 'no pipeline had capacity in time');
 			},
@@ -100,6 +147,19 @@
 		}
 	}
 
+	/** Whether the stream may fill what is reserved for more urgent requests. One that may have been executed has been accepted, so it goes on. */
+	private get mayUseReserve(): boolean {
+		const {executions, progress} = this.stream;
+		return executions.mayHaveExecuted || progress.hasDelivered;
+	}
+
+	/** Whether a retry is not worth its part of the budget yet, because a full stage rejected the stream and another one is likely to do so. */
+	private isHeldBack(now: number): boolean {
+		const {dependencies: {admission}, stream: {request, progress}} = this;
+		return this.rejectedAsFullAt !== undefined && !progress.hasDelivered && now - this.rejectedAsFullAt < maxHoldMs
+			&& (admission?.rejections.isLikely(request.service.name, now) ?? false);
+	}
+
 	/** Whether a pipeline had capacity and the retry budget was exhausted when the stream was last tried. */
 	private get isRetryDenied(): boolean {
 		return this.latestOutcome === StartOutcome.NoRetry;
@@ -115,10 +175,21 @@
 	}
 
 	private start(): StartOutcome {
-		const {dependencies: {timers}, stream: {selector}, handler} = this;
-		const pipeline = selector.select(timers.now());
+		const {dependencies: {timers, admission, metrics}, stream: {selector, request}, handler} = this;
+		const now = timers.now();
+		const labels = {priority: String(request.priority)};
+		if (this.isHeldBack(now)) {
+			metrics.count('siskinnotch_retries_held_back', 1, labels);
+			return StartOutcome.CapacityUnlikely;
+		}
+
+		const occupancyLimit = this.mayUseReserve ? 1 : admission?.reserves.getOccupancyLimit(request.service.name, request.priority, now) ?? 1;
+		selector.occupancyLimit = occupancyLimit;
+		const pipeline = selector.select(now);
+		// Attempts beside a running one use the reserve, since the caller has been accepted.
+		selector.occupancyLimit = undefined;
 		if (!pipeline) {
-			return selector.isRestricted ? StartOutcome.NoAllowedCapacity : StartOutcome.NoCapacity;
+			return selector.isRestricted ? StartOutcome.NoAllowedCapacity : (occupancyLimit < 1 ? StartOutcome.CapacityReserved : StartOutcome.NoCapacity);
 		}
 
 		// A retry stays queued until the retry budget allows it.
@@ -127,6 +198,8 @@
 		}
 
 		this.queueEntry = undefined;
+		this.sentAt ??= now;
+		admission?.rejections.recordSent(request.service.name, now);
 		handler.send(pipeline);
 		return StartOutcome.Started;
 	}
--- a/src/relay/streams/stream-exchange-dependencies.ts
+++ b/src/relay/streams/stream-exchange-dependencies.ts
@@ -1,3 +1,4 @@
+import {type StreamAdmission} from '../../admission/stream-admission.js';
 import {type BackendServer} from '../../pipelines/backend-server.js';
 import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
 import {type RequestQueue} from '../request-queue.js';
@@ -10,7 +11,7 @@
 	readonly lateRejectionThreshold: number;
 	/** Fraction of the latency target within which a request must be sent for its answer to be on time. */
 	readonly onTimeFraction: number;
-	/** Milliseconds from its arrival for which a request that has not been executed waits for a pipeline. */
+	/** Milliseconds from its arrival for which a request that has not been executed waits for a pipeline at most, whatever its route. */
 	readonly maxQueueTime: number;
 	/** Fraction of the caller's idle timeout for which an interrupted stream waits for another pipeline. */
 	readonly resumeWaitFraction: number;
@@ -23,6 +24,8 @@
 	readonly selector: PipelineSelector;
 	readonly requestQueue: RequestQueue;
 	readonly limits: StreamLimits;
+	/** Undefined if streams are admitted without regard to other priorities and to rejections of other streams. */
+	readonly admission?: StreamAdmission;
 	/** Called when a server rejects a request, with the number of its consecutive rejections. */
 	readonly onRejection: (server: BackendServer, rejections: number) => void;
 	/** Called when a server becomes suspected to be down, to notify the other instances. */
--- a/src/relay/streams/stream-exchange.ts
+++ b/src/relay/streams/stream-exchange.ts
@@ -64,7 +64,7 @@
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
 		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
 		this.attempts = new StreamAttempts(server => this.hasEnded(server), this.log);
-		this.failures = new StreamFailures(request, this.executions, streamDependencies.limits.retryAfter);
+		this.failures = new StreamFailures(request, this.executions, () => this.dispatcher.computeRetryAfter());
 		this.delivery = new StreamDelivery(dependencies, request, reply, this.progress);
 		const {progress, executions, crashEvidence, log, selector} = this;
 		this.sender = new StreamSender(dependencies, {
@@ -195,7 +195,7 @@
 	}
 
 	protected release(): void {
-		this.dispatcher.cancel();
+		this.dispatcher.end();
 		this.attempts.clear();
 	}
 
--- a/src/relay/streams/stream-failures.ts
+++ b/src/relay/streams/stream-failures.ts
@@ -9,15 +9,15 @@
 /** Creates the failures with which a stream ends. They say whether its request may have been executed. */
 export class StreamFailures {
 	/**
-	@param retryAfter - milliseconds after which a refused caller may retry
+	@param computeRetryAfter - returns the milliseconds after which a refused caller may retry
 	*/
-	constructor(private readonly request: RelayRequest, private readonly executions: ExecutionHistory, private readonly retryAfter: number) {}
+	constructor(private readonly request: RelayRequest, private readonly executions: ExecutionHistory, private readonly computeRetryAfter: () => number) {}
 
 	/** For a stream that finds no pipeline with capacity. */
 	createCapacityFailure(reason: string): Failure {
 		return this.executions.mayHaveExecuted
 			? this.createInterruption(reason)
-			: new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.retryAfter / millisecondsPerSecond);
+			: new Failure(ResultCode.NoPipeline, reason, Execution.NotRun, this.computeRetryAfter() / millisecondsPerSecond);
 	}
 
 	/** For a stream whose deadline has passed. */
--- a/src/relay/streams/stream-pipeline-selector.ts
+++ b/src/relay/streams/stream-pipeline-selector.ts
@@ -10,6 +10,8 @@
 
 /** Selects pipelines for one stream, without the stages that have already failed it. */
 export class StreamPipelineSelector {
+	/** Fraction of a server's capacity up to which the stream may fill it; 1 where undefined. */
+	occupancyLimit?: number;
 	/** Incarnation ids of stages that were found faulty during this stream. */
 	private readonly excluded = new Set<string>();
 	/** Incarnation ids of stages on which the stream went silent. */
@@ -102,7 +104,7 @@
 	private createRequest(excluded: ReadonlySet<string>): PipelineRequest {
 		const {request, model, expectedTokens: tokens, executions} = this;
 		return {
-			service: request.service.name, model, tokens, excluded, firstStageCandidates: executions.allowedIncarnations,
+			service: request.service.name, model, tokens, excluded, firstStageCandidates: executions.allowedIncarnations, occupancyLimit: this.occupancyLimit,
 		};
 	}
 }
--- a/src/relay/streams/stream-resumption.ts
+++ b/src/relay/streams/stream-resumption.ts
@@ -66,13 +66,17 @@
 	}
 
 	/** Handles an attempt that was not executed: sends the request along the next pipeline as soon as one has capacity and the retry budget allows it, unless another attempt is in progress. A reply that has begun can't be refused any more, so the number of its rejections is not limited. */
-	retryRejected({number}: StreamAttempt, reason: string, server: BackendServer): void {
+	retryRejected(attempt: StreamAttempt, reason: string, server: BackendServer): void {
 		const {attempts, reply, log, dispatcher} = this.stream;
 		this.rejectionCount++;
+		if (this.isRejectedAsFull(attempt)) {
+			dispatcher.recordFullStage();
+		}
+
 		const hasOther = attempts.newest !== undefined;
 		const isWithinLimit = this.rejectionCount <= this.dependencies.limits.maxRejections;
 		const isAllowed = hasOther || ((isWithinLimit || reply.isStarted) && this.remaining > 0);
-		log.logRejected(server, number, reason, isAllowed && !hasOther);
+		log.logRejected(server, attempt.number, reason, isAllowed && !hasOther);
 		if (hasOther) {
 			attempts.recordRejection(this.dependencies.timers.now());
 		} else if (!isAllowed) {
@@ -101,6 +105,12 @@
 		}
 	}
 
+	/** Whether a stage responded that it lacks capacity. A late rejection indicates a stage that is down, and an attempt without a response did not reach a stage. */
+	private isRejectedAsFull({response: {head}, lastReceivedAt}: StreamAttempt): boolean {
+		const {timers, limits} = this.dependencies;
+		return head !== undefined && !head.isLeaving && timers.now() - lastReceivedAt < limits.lateRejectionThreshold;
+	}
+
 	/** Milliseconds left until the deadline of the final reply. */
 	private get remaining(): number {
 		return this.stream.request.deadline - this.dependencies.timers.now();
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {type Agent} from 'node:http';
 import {type Logger} from 'winston';
+import {wireAdmission} from './admission-wiring.js';
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
@@ -245,6 +246,9 @@
 				getPeerTokens: (server, now) => peerLoads.getTokens(server, now),
 			}, selectionWeights),
 			requestQueue,
+			admission: wireAdmission(settings, {
+				instanceRegistry, activeCatalog, directory, random, timers, metrics,
+			}),
 			limits: {
 				maxRejections, lateRejectionThreshold: limits.stall / 2, onTimeFraction, maxQueueTime: limits.queue_wait, resumeWaitFraction, retryAfter: limits.come_back,
 			},
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -64,11 +64,11 @@
 		retry_window: duration('10 s'),
 		/** Time after which the backend servers abort work that depends on a lost stage. */
 		stall: duration('2 s'),
-		/** Longest time that a request waits for a pipeline, from its arrival. */
-		queue_wait: duration('1100 ms'),
+		/** Upper bound of the time that a request waits for a pipeline, from its arrival. The time itself follows from the limits of its route. */
+		queue_wait: duration('4 s'),
 		/** Maximum number of queued requests. */
 		queue_places: wholeNumber(200, 0, 100_000),
-		/** Retry-After of requests that find no pipeline. */
+		/** Retry-After of requests that find no pipeline where the time until there is capacity is not known. */
 		come_back: duration('1 s'),
 		/** Time limit for connecting to a backend server. */
 		connect: duration('300 ms'),
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -1,5 +1,6 @@
 import {sampleModel} from '../../harness/sample-model.js';
 import {RetryBudget} from '../../src/admission/retry-budget.js';
+import {type StreamAdmission} from '../../src/admission/stream-admission.js';
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
 import {type Backpressure} from '../../src/backpressure/backpressure.js';
@@ -193,7 +194,10 @@
 	/** The pipelines that the selector returns if it may not return the first one, in this order, where the route's limit of servers allows it. */
 	alternatives: readonly Pipeline[] = [];
 
-	constructor(route = sampleStreamRoute) {
+	/**
+	@param admission - undefined for a stream that is admitted without regard to others
+	*/
+	constructor(route = sampleStreamRoute, readonly admission?: StreamAdmission) {
 		super();
 		this.exchange = new StreamExchange(this.dependencies, this.createRequest(route), this.reply, {
 			model: sampleModel,
@@ -205,6 +209,7 @@
 				selectBusy: () => undefined,
 			} as unknown as PipelineSelector,
 			requestQueue: this.requestQueue,
+			admission,
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
 			},
