Select pipelines by predicted load, and spread the choices of instances

Instances that know the same chose the same stage, since each took the cheapest pipeline by loads that are 300 to 800 ms old. Loads are now predicted from the growth and age of what peers report and from rejections, prices are perturbed in proportion to free room, and while a zone's room is short, each instance starts only its share of it until the others learn of its starts.

--- a/src/peers/peer-loads.ts
+++ b/src/peers/peer-loads.ts
@@ -1,12 +1,24 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
+import {type PeerForecast} from '../scheduling/peer-forecast.js';
 import {getIdDigest, getServerDigest} from './id-digest.js';
 import {packedTokensUnit, type LoadReport} from './load-report.js';
 import {packCounts, unpackCounts} from './packed-counts.js';
 
+/** Tokens per millisecond that started and that ended between reports, smoothed. */
+type Change = {
+	readonly startRate: number;
+	readonly endRate: number;
+};
+
+/** What the other instances are known to hold on one server. */
+type Sum = {tokens: number; startRate: number; endRate: number};
+
 type StoredReport = Pick<LoadReport, 'instance' | 'availabilityZone' | 'tokens'> & {
 	/** Monotonic time in milliseconds. */
 	readonly measuredAt: number;
 	readonly tokensByServer: ReadonlyMap<string, number>;
+	/** How the tokens changed up to this report, by digest of the server. */
+	readonly changes: ReadonlyMap<string, Change>;
 };
 
 /** Durations in milliseconds. */
@@ -27,6 +39,10 @@
 const sumIntervalMs = 100;
 /** Unit in which the ages of reports are packed, in milliseconds. */
 const packedAgesUnit = 10;
+/** Weight of the latest change of a report. Rates are averaged over several reports, since an instance starts few requests between two of them. */
+const changeWeight = 0.4;
+/** Rate below which a change is forgotten, in tokens per millisecond. */
+const minRate = 0.01;
 /** Approximate characters of a report without its tokens. */
 const headCharacters = 45;
 
@@ -35,6 +51,27 @@
 	return instance ?? getIdDigest(`zone ${availabilityZone}`);
 }
 
+/** Returns how tokens change between an earlier report and a later one. */
+function computeChanges(earlier: StoredReport | undefined, tokens: ReadonlyMap<string, number>, measuredAt: number): ReadonlyMap<string, Change> {
+	const changes = new Map<string, Change>();
+	if (!earlier) {
+		return changes;
+	}
+
+	const elapsed = Math.max(1, measuredAt - earlier.measuredAt);
+	for (const digest of new Set([...tokens.keys(), ...earlier.tokensByServer.keys(), ...earlier.changes.keys()])) {
+		const gained = (tokens.get(digest) ?? 0) - (earlier.tokensByServer.get(digest) ?? 0);
+		const previous = earlier.changes.get(digest) ?? {startRate: 0, endRate: 0};
+		const startRate = (previous.startRate * (1 - changeWeight)) + (Math.max(0, gained) / elapsed * changeWeight);
+		const endRate = (previous.endRate * (1 - changeWeight)) + (Math.max(0, -gained) / elapsed * changeWeight);
+		if (startRate + endRate >= minRate) {
+			changes.set(digest, {startRate, endRate});
+		}
+	}
+
+	return changes;
+}
+
 /**
 The load that other instances put on backend servers.
 
@@ -42,7 +79,10 @@
 */
 export class PeerLoads {
 	private readonly reports = new Map<string, StoredReport>();
-	private sums = new Map<string, number>();
+	private sums = new Map<string, Sum>();
+	/** Mean age of the reports when the sums were computed. */
+	private meanAge = 0;
+	private reportingCount = 0;
 	private summedAt = Number.NEGATIVE_INFINITY;
 	private expiryCheckedAt = Number.NEGATIVE_INFINITY;
 	private readonly ownDigest: string;
@@ -57,7 +97,10 @@
 			const source = getSource(report);
 			const measuredAt = now - age;
 			if (this.isWanted(report) && measuredAt > (this.reports.get(source)?.measuredAt ?? Number.NEGATIVE_INFINITY)) {
-				this.reports.set(source, {...report, measuredAt, tokensByServer: unpackCounts(report.tokens, packedTokensUnit)});
+				const tokensByServer = unpackCounts(report.tokens, packedTokensUnit);
+				this.reports.set(source, {
+					...report, measuredAt, tokensByServer, changes: computeChanges(this.reports.get(source), tokensByServer, measuredAt),
+				});
 			}
 		}
 	}
@@ -68,6 +111,12 @@
 		return [...this.reports.values()].flatMap(({instance}) => instance ?? []);
 	}
 
+	/** Returns the number of other instances of the own availability zone whose load is known. */
+	countReporting(now: number): number {
+		this.updateSums(now);
+		return this.reportingCount;
+	}
+
 	/** Returns the ages of the known reports that an instance of a zone has use for, packed. */
 	packAges(recipientZone: string, now: number): string {
 		return packCounts(this.findReports(recipientZone, now).map(report => [getSource(report), now - report.measuredAt]), packedAgesUnit);
@@ -109,11 +158,16 @@
 
 	/** Returns the tokens that requests of the other instances hold on the server. */
 	getTokens(server: BackendServer, now: number): number {
-		if (now - this.summedAt >= sumIntervalMs) {
-			this.computeSums(now);
-		}
+		return this.getForecast(server, now).tokens;
+	}
 
-		return this.sums.get(getServerDigest(server)) ?? 0;
+	/** Returns the tokens that requests of the other instances hold on the server, how they change, and the age of the reports. */
+	getForecast(server: BackendServer, now: number): PeerForecast {
+		this.updateSums(now);
+		const {tokens, startRate, endRate} = this.sums.get(getServerDigest(server)) ?? {tokens: 0, startRate: 0, endRate: 0};
+		return {
+			tokens, startRate, endRate, age: this.meanAge + now - this.summedAt,
+		};
 	}
 
 	private isWanted({instance, availabilityZone}: Pick<LoadReport, 'instance' | 'availabilityZone'>): boolean {
@@ -140,21 +194,36 @@
 		return {availabilityZone: this.self.availabilityZone, age: Math.round(age / (neighbours.length + 1)), tokens: packCounts(tokens, packedTokensUnit)};
 	}
 
-	private computeSums(now: number): void {
+	private updateSums(now: number): void {
+		if (now - this.summedAt < sumIntervalMs) {
+			return;
+		}
+
 		this.removeExpired(now);
 		this.summedAt = now;
 		this.sums = new Map();
-		for (const {tokensByServer, measuredAt} of this.reports.values()) {
-			if (now - measuredAt > this.limits.maxLoadAge) {
-				continue;
+		const current = [...this.reports.values()].filter(({measuredAt}) => now - measuredAt <= this.limits.maxLoadAge);
+		this.reportingCount = current.filter(({instance}) => instance !== undefined).length;
+		this.meanAge = current.reduce((sum, {measuredAt}) => sum + now - measuredAt, 0) / Math.max(1, current.length);
+		for (const {tokensByServer, changes} of current) {
+			for (const [digest, count] of tokensByServer) {
+				this.findSum(digest).tokens += count;
 			}
 
-			for (const [digest, count] of tokensByServer) {
-				this.sums.set(digest, (this.sums.get(digest) ?? 0) + count);
+			for (const [digest, {startRate, endRate}] of changes) {
+				const sum = this.findSum(digest);
+				sum.startRate += startRate;
+				sum.endRate += endRate;
 			}
 		}
 	}
 
+	private findSum(digest: string): Sum {
+		const sum = this.sums.get(digest) ?? {tokens: 0, startRate: 0, endRate: 0};
+		this.sums.set(digest, sum);
+		return sum;
+	}
+
 	private removeExpired(now: number): void {
 		if (now - this.expiryCheckedAt < this.limits.expiryCheckInterval) {
 			return;
--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -1,6 +1,8 @@
 import {type Backpressure} from '../backpressure/backpressure.js';
+import {type LayerPrices} from '../scheduling/layer-prices.js';
+import {ReportedPrices} from '../scheduling/reported-prices.js';
 import {getIncarnationId, type BackendServer} from './backend-server.js';
-import {computeTokenCapacity, type EngineModel} from './engine-model.js';
+import {type EngineModel} from './engine-model.js';
 import {getLayerCount, type LayerRange} from './layer-range.js';
 import {type InterzoneBandwidthBudget} from './interzone-bandwidth-budget.js';
 import {findPipeline, type PipelineCosts} from './pipeline-finder.js';
@@ -55,6 +57,8 @@
 	readonly interzoneBandwidth: InterzoneBandwidthBudget;
 	/** Returns the tokens that requests of other instances are known to hold on a server. */
 	readonly getPeerTokens: (server: BackendServer, now: number) => number;
+	/** Prices the servers; where undefined, the known loads are taken as they are and the cheapest pipeline is always selected. */
+	readonly prices?: LayerPrices;
 };
 
 /** Groups servers by availability zone. */
@@ -80,12 +84,16 @@
 All servers share the bandwidth between availability zones, so a pipeline stays within one zone if a zone has all layers. Otherwise it crosses zones as far as the bandwidth budget allows.
 */
 export class PipelineSelector {
-	constructor(private readonly dependencies: PipelineSelectorDependencies, private readonly weights: SelectionWeights) {}
+	private readonly prices: LayerPrices;
+
+	constructor(private readonly dependencies: PipelineSelectorDependencies, private readonly weights: SelectionWeights) {
+		this.prices = dependencies.prices ?? new ReportedPrices(dependencies, weights);
+	}
 
 	/** Returns the pipeline to use now; undefined if no usable servers with enough capacity cover all layers, or if the pipeline would exceed the bandwidth between zones. */
 	select(request: PipelineRequest, now: number): Pipeline | undefined {
 		const {model} = request;
-		const pipeline = findPipeline(this.findUsableServers(request, now), model.layers, this.createCosts(request, this.weights.maxOccupancy, now))?.pipeline;
+		const pipeline = this.findCheapest(this.findUsableServers(request, now), request, this.weights.maxOccupancy, now);
 		const crossings = pipeline ? countCrossings(pipeline) : 0;
 		const bytes = crossings * request.tokens * model.activationBytes;
 		return crossings === 0 || this.dependencies.interzoneBandwidth.tryConsume(bytes, model.interzoneMegabits, now) ? pipeline : undefined;
@@ -100,7 +108,20 @@
 		const servers = this.findUsableServers(request, now);
 		return previous?.every(({server}) => servers.includes(server))
 			? previous
-			: findPipeline(servers, request.model.layers, this.createCosts(request, Number.POSITIVE_INFINITY, now))?.pipeline;
+			: this.findCheapest(servers, request, Number.POSITIVE_INFINITY, now);
+	}
+
+	private findCheapest(servers: readonly BackendServer[], request: PipelineRequest, maxOccupancy: number, now: number): Pipeline | undefined {
+		const computeLayerCost = this.prices.price(servers, request, maxOccupancy, now);
+		const priced = new Map<BackendServer, number>();
+		for (const server of servers) {
+			const cost = computeLayerCost(server);
+			if (cost < Number.POSITIVE_INFINITY) {
+				priced.set(server, cost);
+			}
+		}
+
+		return findPipeline([...priced.keys()], request.model.layers, this.createCosts(request, priced, now))?.pipeline;
 	}
 
 	private findUsableServers({service, excluded}: PipelineRequest, now: number): readonly BackendServer[] {
@@ -109,18 +130,22 @@
 			server.range !== undefined && !excluded.has(getIncarnationId(server)) && serverHealth.isUsable(server, now) && !backpressure.pauses.isPaused(server, now));
 	}
 
-	private createCosts({model, tokens, firstStageCandidates}: PipelineRequest, maxOccupancy: number, now: number): PipelineCosts {
+	private createCosts({model, firstStageCandidates}: PipelineRequest, layerCosts: ReadonlyMap<BackendServer, number>, now: number): PipelineCosts {
 		const fastest = model.layers * Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace));
-		const layerCosts = new Map<BackendServer, number>();
+		const allowedFirst = new Map<BackendServer, boolean>();
+		const isAllowedFirst = (server: BackendServer) => {
+			const isAllowed = allowedFirst.get(server) ?? this.isAllowedFirst(server, firstStageCandidates, now);
+			allowedFirst.set(server, isAllowed);
+			return isAllowed;
+		};
+
 		const computeStageCost = (server: BackendServer, range: LayerRange) => {
-			if (range.from === 0 && !this.isAllowedFirst(server, firstStageCandidates, now)) {
+			if (range.from === 0 && !isAllowedFirst(server)) {
 				return Number.POSITIVE_INFINITY;
 			}
 
-			const layerCost = layerCosts.get(server) ?? this.computeLayerCost(server, model, {tokens, maxOccupancy}, now);
-			layerCosts.set(server, layerCost);
 			const isRemote = range.from === 0 && server.availabilityZone !== this.dependencies.availabilityZone;
-			return (getLayerCount(range) * layerCost) + (isRemote ? fastest * this.weights.remoteZone : 0);
+			return (getLayerCount(range) * layerCosts.get(server)!) + (isRemote ? fastest * this.weights.remoteZone : 0);
 		};
 
 		return {computeStageCost, crossingCost: fastest * this.weights.crossing};
@@ -130,26 +155,4 @@
 	private isAllowedFirst(server: BackendServer, candidates: ReadonlySet<string> | undefined, now: number): boolean {
 		return (!candidates || candidates.has(getIncarnationId(server))) && this.dependencies.backpressure.limits.allows(server, now);
 	}
-
-	/** Returns the cost of one layer on a server; infinite if the tokens would exceed the occupancy, or the server could not hold them at all. */
-	private computeLayerCost(server: BackendServer, model: EngineModel, {tokens, maxOccupancy}: {tokens: number; maxOccupancy: number}, now: number): number {
-		const acceleratorType = model.acceleratorTypes.get(server.card);
-		if (!acceleratorType || !server.range) {
-			return Number.POSITIVE_INFINITY;
-		}
-
-		const capacity = computeTokenCapacity(model, acceleratorType, getLayerCount(server.range));
-		const occupancy = this.computeOccupancy(server, capacity, now);
-		return tokens > capacity || occupancy + (tokens / capacity) > maxOccupancy
-			? Number.POSITIVE_INFINITY
-			: acceleratorType.pace * this.dependencies.slowdowns.getFactor(server, now) * (1 + (this.weights.occupancyWeight * (occupancy ** 2)));
-	}
-
-	/** Returns the used fraction of a server's memory or slots, whichever is larger. */
-	private computeOccupancy(server: BackendServer, capacity: number, now: number): number {
-		const {load, getPeerTokens} = this.dependencies;
-		const memory = (load.getTokens(server) + getPeerTokens(server, now)) / capacity;
-		const reported = load.getReportedRequests(server, now, this.weights.maxLoadAge) ?? 0;
-		return Math.max(memory, Math.max(reported, load.getRequests(server)) / Math.max(1, server.slots));
-	}
 }
--- a/src/relay/streams/stage-failure-detector.ts
+++ b/src/relay/streams/stage-failure-detector.ts
@@ -1,4 +1,5 @@
 import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type EngineModel} from '../../pipelines/engine-model.js';
 import {type Pipeline} from '../../pipelines/pipeline.js';
 import {type ServerHealthTracker} from '../../pipelines/server-health-tracker.js';
 import {SuspicionCause} from '../../pipelines/suspicion-cause.js';
@@ -14,7 +15,7 @@
 
 /** Updates the health records of stages from the attempts of streams. */
 export class StageFailureDetector {
-	constructor(private readonly serverHealth: ServerHealthTracker, private readonly streamDependencies: StreamExchangeDependencies) {}
+	constructor(private readonly serverHealth: ServerHealthTracker, private readonly streamDependencies: StreamExchangeDependencies & {readonly model: EngineModel}) {}
 
 	/** Marks a stage as suspected, and notifies the other instances if it was not suspected before. */
 	suspect(server: BackendServer, cause: SuspicionCause, reason: string, now: number): void {
@@ -24,17 +25,20 @@
 	/**
 	Assesses a rejected attempt. A late rejection indicates a stage that is down, an early one a stage without capacity.
 
-	@param tookMs - milliseconds since the attempt was sent
+	@param rejected.tokens - tokens that the request was expected to hold when it ends
+	@param rejected.tookMs - milliseconds since the attempt was sent
 	@returns the stage that the response names as faulty, or the first stage if it names none
 	*/
-	assessRejection(head: ResponseHead, pipeline: Pipeline, tookMs: number, now: number): StageAssessment {
+	assessRejection(head: ResponseHead, {pipeline, tokens, tookMs}: {readonly pipeline: Pipeline; readonly tokens: number; readonly tookMs: number}, now: number): StageAssessment {
 		const named = pipeline.find(({server}) => server.address === head.faultyStageAddress)?.server;
 		const server = named ?? pipeline[0].server;
 		const reason = `${server.id} rejected the request with status ${head.status} after ${Math.round(tookMs)} ms`;
 		if (tookMs >= this.streamDependencies.limits.lateRejectionThreshold) {
 			this.suspectStage(server, {cause: SuspicionCause.Unresponsive, reason, isBlocking: named !== undefined}, now);
 		} else {
-			this.streamDependencies.onRejection(server, this.serverHealth.recordRejection(server, now));
+			this.streamDependencies.onRejection(server, this.serverHealth.recordRejection(server, now), {
+				server, pipeline, tokens, now, model: this.streamDependencies.model,
+			});
 		}
 
 		return {server, reason};
--- a/src/relay/streams/stream-conclusion.ts
+++ b/src/relay/streams/stream-conclusion.ts
@@ -84,10 +84,12 @@
 	}
 
 	private handleRejection(attempt: StreamAttempt): void {
-		const {executions, failureDetector, resumption} = this.stream;
+		const {executions, selector, failureDetector, resumption} = this.stream;
 		const now = this.dependencies.timers.now();
 		executions.revertStart(attempt.firstServer);
-		const {server, reason} = failureDetector.assessRejection(attempt.response.head!, attempt.pipeline, now - attempt.lastReceivedAt, now);
+		const {server, reason} = failureDetector.assessRejection(attempt.response.head!, {
+			pipeline: attempt.pipeline, tokens: selector.expectedTokens, tookMs: now - attempt.lastReceivedAt,
+		}, now);
 		resumption.retryRejected(attempt, reason, server);
 	}
 
--- a/src/relay/streams/stream-exchange-dependencies.ts
+++ b/src/relay/streams/stream-exchange-dependencies.ts
@@ -1,5 +1,6 @@
 import {type BackendServer} from '../../pipelines/backend-server.js';
 import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
+import {type FullStageRejection} from '../../scheduling/full-stage-rejection.js';
 import {type RequestQueue} from '../request-queue.js';
 
 /** Limits of stream exchanges. */
@@ -23,8 +24,8 @@
 	readonly selector: PipelineSelector;
 	readonly requestQueue: RequestQueue;
 	readonly limits: StreamLimits;
-	/** Called when a server rejects a request, with the number of its consecutive rejections. */
-	readonly onRejection: (server: BackendServer, rejections: number) => void;
+	/** Called when a server rejects a request because it is full, with the number of its consecutive rejections. */
+	readonly onRejection: (server: BackendServer, rejections: number, rejection: FullStageRejection) => void;
 	/** Called when a server becomes suspected to be down, to notify the other instances. */
 	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -21,7 +21,6 @@
 import {Metrics} from './observation/metrics.js';
 import {getIncarnationId, type BackendServer} from './pipelines/backend-server.js';
 import {InterzoneBandwidthBudget} from './pipelines/interzone-bandwidth-budget.js';
-import {PipelineSelector} from './pipelines/pipeline-selector.js';
 import {PlainServerSelector} from './pipelines/plain-server-selector.js';
 import {ServerDirectory} from './pipelines/server-directory.js';
 import {ServerHealthTracker} from './pipelines/server-health-tracker.js';
@@ -54,6 +53,7 @@
 import {type TimerService} from './time/timer-service.js';
 import {ConnectionPurpose} from './tunnels/connection-purpose.js';
 import {ConnectorAgent} from './tunnels/connector-agent.js';
+import {wireSelection} from './scheduling-wiring.js';
 import {wireTunnels} from './tunnel-wiring.js';
 
 /** Adapters to the platform that a pipeline router runs on. */
@@ -223,6 +223,10 @@
 		gossip.reportSuspicion(server, isBlocking, reason);
 	};
 
+	const selection = wireSelection(settings, {
+		directory, serverHealth, backpressure, load: serverLoad, slowdowns, availabilityZone: instance.availability_zone, peerLoads, random, metrics,
+		interzoneBandwidth: new InterzoneBandwidthBudget(interzoneBandwidthFraction, interzoneBurstMs, () => instanceRegistry.countSharing()),
+	}, selectionWeights);
 	const requestQueue = new RequestQueue(timers, {capacity: limits.queue_places, dispatchInterval: queueRetryIntervalMs});
 	const exchanges = new ExchangeRegistry(
 		exchangeDependencies,
@@ -234,22 +238,14 @@
 			limits: {maxBufferedBytes: limits.held_answer, responseTimeoutFraction: plainResponseTimeoutFraction},
 		},
 		{
-			selector: new PipelineSelector({
-				directory,
-				serverHealth,
-				backpressure,
-				load: serverLoad,
-				slowdowns,
-				availabilityZone: instance.availability_zone,
-				interzoneBandwidth: new InterzoneBandwidthBudget(interzoneBandwidthFraction, interzoneBurstMs, () => instanceRegistry.countSharing()),
-				getPeerTokens: (server, now) => peerLoads.getTokens(server, now),
-			}, selectionWeights),
+			selector: selection.selector,
 			requestQueue,
 			limits: {
 				maxRejections, lateRejectionThreshold: limits.stall / 2, onTimeFraction, maxQueueTime: limits.queue_wait, resumeWaitFraction, retryAfter: limits.come_back,
 			},
 			onSuspicion,
-			onRejection(server, rejections) {
+			onRejection(server, rejections, rejection) {
+				selection.recordRejection(rejection);
 				streamMonitor.recordRejections(server, rejections);
 			},
 		},
@@ -316,6 +312,7 @@
 			backpressure.limits.retain(directory.all(), timers.now());
 			serverLoad.retain(directory.all());
 			slowdowns.retain(directory.all());
+			selection.retain(directory.all());
 			paths.retain(new Set(directory.all().map(({address}) => address)));
 			requestQueue.dispatchReady();
 		},
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -79,6 +79,15 @@
 		/** Bytes of a plain response that are buffered until it is complete, so that another server can still be tried. */
 		held_answer: size('256 kB'),
 	}).prefault({}),
+	/** Selection of pipelines by predicted load. */
+	scheduling: z.object({
+		/** Whether loads are predicted and the choices of the instances are spread; otherwise each selects the cheapest pipeline by the known loads. */
+		enabled: z.stringbool().default(true),
+		/** Time within which the evidence of a rejection by a full server decays. */
+		rejection_memory: duration('1 s'),
+		/** Standard deviations of the change of a server's load since the reports that are kept free. */
+		margin: decimalNumber(1, 0, 10),
+	}).prefault({}),
 	placement: z.object({
 		/** Fraction of a server's slots for whose requests its memory is to have token capacity. */
 		room: ratio(0.6),
