--- a/src/relay/streams/stream-exchange-dependencies.ts
+++ b/src/relay/streams/stream-exchange-dependencies.ts
@@ -1,6 +1,7 @@
 import {type StreamAdmission} from '../../admission/stream-admission.js';
 import {type BackendServer} from '../../pipelines/backend-server.js';
 import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
+import {type FullStageRejection} from '../../scheduling/full-stage-rejection.js';
 import {type RequestQueue} from '../request-queue.js';
 
 /** Limits of stream exchanges. */
@@ -26,8 +27,8 @@
 	readonly limits: StreamLimits;
 	/** Undefined if streams are admitted without regard to other priorities and to rejections of other streams. */
 	readonly admission?: StreamAdmission;
-	/** Called when a server rejects a request, with the number of its consecutive rejections. */
-	readonly onRejection: (server: BackendServer, rejections: number) => void;
+	/** Called when a server rejects a request because it is full, with the number of its consecutive rejections. */
+	readonly onRejection: (server: BackendServer, rejections: number, rejection: FullStageRejection) => void;
 	/** Called when a server becomes suspected to be down, to notify the other instances. */
 	readonly onSuspicion: (server: BackendServer, isBlocking: boolean, reason: string) => void;
 };
