Size streams by the predicted length of their answers

Each stream counted as its prompt plus the configured mean answer from its start to its end, so long answers outgrew what was counted for them and streams were preempted. A stream now counts as its prompt plus what it has written plus the predicted rest; the load is updated at most twice a second (LoadHandle). The selector also gets the prompt tokens to read and the latency targets. Each end is recorded, complete or lost, with metrics and one answer.length line. Settings: [estimates] enabled, half_life.

--- a/src/pipelines/server-load.ts
+++ b/src/pipelines/server-load.ts
@@ -1,4 +1,5 @@
 import {getIncarnationId, type BackendServer} from './backend-server.js';
+import {type LoadHandle} from './load-handle.js';
 import {type Pipeline} from './pipeline.js';
 
 type Load = {
@@ -23,12 +24,8 @@
 	private readonly readings = new Map<string, StoredReading>();
 	private readonly reservedTokens = new Map<string, number>();
 
-	/**
-	Records that a request starts to use a pipeline.
-
-	@returns a function that records the end of the request; further calls have no effect
-	*/
-	start(pipeline: Pipeline, tokens: number): () => void {
+	/** Records that a request starts to use a pipeline. */
+	start(pipeline: Pipeline, tokens: number): LoadHandle {
 		const reading = this.readings.get(getIncarnationId(pipeline[0].server));
 		if (reading) {
 			reading.startedSince++;
@@ -37,26 +34,24 @@
 		return this.hold(pipeline, tokens);
 	}
 
-	/**
-	Records that a request continues to use a pipeline, after it was left out of the load for a moment.
-
-	@returns a function that records the end of the request; further calls have no effect
-	*/
-	hold(pipeline: Pipeline, tokens: number): () => void {
-		for (const {server} of pipeline) {
-			this.add(server, tokens, 1);
-		}
-
+	/** Records that a request continues to use a pipeline, after it was left out of the load for a moment. */
+	hold(pipeline: Pipeline, tokens: number): LoadHandle {
+		this.addAll(pipeline, tokens, 1);
+		let held = tokens;
 		let isRunning = true;
-		return () => {
-			if (!isRunning) {
-				return;
-			}
-
-			isRunning = false;
-			for (const {server} of pipeline) {
-				this.add(server, -tokens, -1);
-			}
+		return {
+			update: updated => {
+				if (isRunning) {
+					this.addAll(pipeline, updated - held, 0);
+					held = updated;
+				}
+			},
+			release: () => {
+				if (isRunning) {
+					isRunning = false;
+					this.addAll(pipeline, -held, -1);
+				}
+			},
 		};
 	}
 
@@ -129,6 +124,12 @@
 		}
 	}
 
+	private addAll(pipeline: Pipeline, tokens: number, requests: number): void {
+		for (const {server} of pipeline) {
+			this.add(server, tokens, requests);
+		}
+	}
+
 	private add(server: BackendServer, tokens: number, requests: number): void {
 		const incarnationId = getIncarnationId(server);
 		const load = this.loads.get(incarnationId) ?? {tokens: 0, requests: 0};
--- a/src/relay/plain/plain-attempts.ts
+++ b/src/relay/plain/plain-attempts.ts
@@ -174,6 +174,7 @@
 	/** Begins an attempt, which counts as an execution and in the load of its server from now on. */
 	private begin(server: BackendServer, number: number, handler: PlainAttemptHandler): PlainAttempt {
 		const {dependencies: {load, timers, limits}, crashEvidence, responseTimeout} = this;
+		const handle = load.start([{server, range: {from: 0, to: 0}}], 0);
 		const attempt = new PlainAttempt({
 			server,
 			number,
@@ -181,7 +182,9 @@
 			responseTimeout,
 			response: new ResponseBuffer(limits.maxBufferedBytes),
 			evidence: crashEvidence.beginAttempt(timers.now()),
-			releaseLoad: load.start([{server, range: {from: 0, to: 0}}], 0),
+			releaseLoad() {
+				handle.release();
+			},
 		}, handler);
 		this.executionCount++;
 		this.inProgress.add(attempt);
--- a/src/relay/streams/stream-attempt.ts
+++ b/src/relay/streams/stream-attempt.ts
@@ -1,4 +1,5 @@
 import {type BackendServer} from '../../pipelines/backend-server.js';
+import {type LoadHandle} from '../../pipelines/load-handle.js';
 import {type Pipeline} from '../../pipelines/pipeline.js';
 import {type AttemptCrashEvidence} from '../attempt-crash-evidence.js';
 import {type AttemptFailure} from '../attempt-failure.js';
@@ -26,8 +27,8 @@
 	readonly sentAt: number;
 	readonly response: StreamResponse;
 	readonly crashEvidence: AttemptCrashEvidence;
-	/** Holds the load of the attempt on its pipeline; returns a function that releases it. */
-	readonly holdLoad: () => () => void;
+	/** Holds the load of the attempt on its pipeline. */
+	readonly holdLoad: () => LoadHandle;
 };
 
 /** One attempt of a stream exchange: where it was sent, what it holds there, and what was received. */
@@ -35,7 +36,7 @@
 	/** Why another attempt was sent as well; undefined unless this one is silent. */
 	silenceReason?: string;
 	private running?: RunningAttempt;
-	private releaseLoad?: () => void;
+	private load?: LoadHandle;
 
 	constructor(private readonly fields: StreamAttemptStart, private readonly handler: StreamAttemptHandler) {
 		super();
@@ -77,9 +78,14 @@
 	}
 
 	/** Records the transmission of the attempt, and the start of its load. */
-	begin(running: RunningAttempt, releaseLoad: () => void): void {
+	begin(running: RunningAttempt, load: LoadHandle): void {
 		this.running = running;
-		this.releaseLoad = releaseLoad;
+		this.load = load;
+	}
+
+	/** Changes the tokens that the attempt is expected to hold. */
+	updateLoad(tokens: number): void {
+		this.load?.update(tokens);
 	}
 
 	/** Ends the transmission and the load; nothing is received any more. */
@@ -90,8 +96,8 @@
 
 	/** Ends the load. */
 	release(): void {
-		this.releaseLoad?.();
-		this.releaseLoad = undefined;
+		this.load?.release();
+		this.load = undefined;
 	}
 
 	/** Records that the attempt was lost, at a monotonic time in milliseconds. One that was silent before counts as silent only, since it is no further sign of a crash. */
@@ -105,9 +111,9 @@
 
 	/** Selects something while the load of this attempt does not count. */
 	selectWithoutLoad<T>(select: () => T): T {
-		this.releaseLoad?.();
+		this.load?.release();
 		const selected = select();
-		this.releaseLoad = this.fields.holdLoad();
+		this.load = this.fields.holdLoad();
 		return selected;
 	}
 
--- a/src/relay/streams/stream-exchange-dependencies.ts
+++ b/src/relay/streams/stream-exchange-dependencies.ts
@@ -1,3 +1,4 @@
+import {type AnswerRecorder} from '../../estimates/answer-recorder.js';
 import {type BackendServer} from '../../pipelines/backend-server.js';
 import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
 import {type RequestQueue} from '../request-queue.js';
@@ -22,6 +23,7 @@
 export type StreamExchangeDependencies = {
 	readonly selector: PipelineSelector;
 	readonly requestQueue: RequestQueue;
+	readonly answers: AnswerRecorder;
 	readonly limits: StreamLimits;
 	/** Called when a server rejects a request, with the number of its consecutive rejections. */
 	readonly onRejection: (server: BackendServer, rejections: number) => void;
--- a/src/relay/streams/stream-exchange.ts
+++ b/src/relay/streams/stream-exchange.ts
@@ -29,6 +29,7 @@
 import {StreamProgress} from './stream-progress.js';
 import {StreamResumption, type ResumptionHandler} from './stream-resumption.js';
 import {StreamSender} from './stream-sender.js';
+import {StreamTokens} from './stream-tokens.js';
 
 /**
 Exchange of a request to a service whose servers hold layer ranges. The request is sent along a pipeline and the response is a stream of events. If an attempt is interrupted, the stream resumes on another pipeline after the last event that the caller has received.
@@ -41,6 +42,7 @@
 	private readonly selector: StreamPipelineSelector;
 	private readonly executions: ExecutionHistory;
 	private readonly progress: StreamProgress;
+	private readonly tokens: StreamTokens;
 	private readonly log: StreamLog;
 	private readonly failureDetector: StageFailureDetector;
 	private readonly crashEvidence: CrashEvidence;
@@ -62,14 +64,19 @@
 		});
 		this.failureDetector = new StageFailureDetector(dependencies.serverHealth, streamDependencies);
 		this.executions = new ExecutionHistory(request.route.maxExecutions, server => !this.hasEnded(server));
-		this.selector = new StreamPipelineSelector(streamDependencies.selector, request, streamDependencies.model, this.executions);
+		const {answers, model} = streamDependencies;
+		this.tokens = new StreamTokens(answers, request, model, this.progress);
+		const {progress, executions, crashEvidence, log, tokens} = this;
+		this.selector = new StreamPipelineSelector(streamDependencies.selector, {
+			request, model, executions, progress, tokens,
+		});
 		this.attempts = new StreamAttempts(server => this.hasEnded(server), this.log);
 		this.failures = new StreamFailures(request, this.executions, streamDependencies.limits.retryAfter);
 		this.delivery = new StreamDelivery(dependencies, request, reply, this.progress);
-		const {progress, executions, crashEvidence, log, selector} = this;
 		this.sender = new StreamSender(dependencies, {
-			request, tokens: selector.expectedTokens, progress, executions, crashEvidence, log,
+			request, tokens, progress, executions, crashEvidence, log,
 		});
+		const {selector} = this;
 		const allDependencies = {...dependencies, ...streamDependencies};
 		const handler = this.createHandler();
 		this.dispatcher = new StreamDispatcher(allDependencies, {
@@ -150,6 +157,7 @@
 		if (events.length > 0) {
 			this.continueWith(attempt);
 			this.delivery.deliver(attempt, events);
+			this.sender.updateLoad(attempt, now);
 		}
 
 		if (fault !== undefined) {
@@ -195,6 +203,7 @@
 	}
 
 	protected release(): void {
+		this.tokens.recordEnd(false);
 		this.dispatcher.cancel();
 		this.attempts.clear();
 	}
@@ -220,6 +229,7 @@
 			tryAcquireRetry: urgency => this.tryAcquireRetry(urgency),
 			isUnfoundedRefusal: head => this.isUnfoundedRefusal(head),
 			complete: status => {
+				this.tokens.recordEnd(true);
 				this.complete(status);
 			},
 			send: pipeline => {
--- a/src/relay/streams/stream-pipeline-selector.ts
+++ b/src/relay/streams/stream-pipeline-selector.ts
@@ -4,10 +4,21 @@
 import {type Pipeline} from '../../pipelines/pipeline.js';
 import {type ExecutionHistory} from '../execution-history.js';
 import {type RelayRequest} from '../relay-request.js';
+import {type StreamProgress} from './stream-progress.js';
+import {type StreamTokens} from './stream-tokens.js';
 
 /** Multiple of the usual tokens above which a request counts as large. */
 const largeRequestMultiple = 1.5;
 
+/** What a selector needs to know of its stream. */
+export type SelectedStream = {
+	readonly request: RelayRequest;
+	readonly model: EngineModel;
+	readonly executions: ExecutionHistory;
+	readonly progress: StreamProgress;
+	readonly tokens: StreamTokens;
+};
+
 /** Selects pipelines for one stream, without the stages that have already failed it. */
 export class StreamPipelineSelector {
 	/** Incarnation ids of stages that were found faulty during this stream. */
@@ -19,31 +30,26 @@
 	/** The pipeline that the stream waits for, or last waited for. */
 	private awaited?: Pipeline;
 
-	constructor(
-		private readonly selector: PipelineSelector,
-		private readonly request: RelayRequest,
-		private readonly model: EngineModel,
-		private readonly executions: ExecutionHistory,
-	) {}
+	constructor(private readonly selector: PipelineSelector, private readonly stream: SelectedStream) {}
 
-	/** Tokens that the request is expected to hold. The caller's bound on the answer is far above the length of most answers. */
+	/** Tokens that the request is expected to hold when it ends. The caller's bound on the answer is far above the length of most answers. */
 	get expectedTokens(): number {
-		return this.request.promptTokens + Math.min(this.request.maxAnswerTokens, this.model.usualAnswer);
+		return this.stream.tokens.expected;
 	}
 
 	/** Whether the request needs so much capacity that it seldom fits beside usual ones. */
 	get isLarge(): boolean {
-		return this.expectedTokens > computeUsualRequestTokens(this.model) * largeRequestMultiple;
+		return this.expectedTokens > computeUsualRequestTokens(this.stream.model) * largeRequestMultiple;
 	}
 
 	/** Whether the stream may use fewer pipelines than another one with as many tokens. */
 	get isRestricted(): boolean {
-		return this.excluded.size > 0 || this.executions.allowedIncarnations !== undefined;
+		return this.excluded.size > 0 || this.stream.executions.allowedIncarnations !== undefined;
 	}
 
 	/** Whether the limit of the route leaves no first stage that is not excluded. */
 	get isExhausted(): boolean {
-		const allowed = this.executions.allowedIncarnations;
+		const allowed = this.stream.executions.allowedIncarnations;
 		return allowed !== undefined && [...allowed].every(incarnationId => this.excluded.has(incarnationId));
 	}
 
@@ -82,7 +88,7 @@
 
 	/** Selects the pipeline to wait for, although its stages may lack capacity now. */
 	selectBusy(now: number): Pipeline | undefined {
-		this.awaited = this.selector.selectBusy(this.createRequest(this.excluded), this.awaited, now);
+		this.awaited = this.selector.selectBusy(this.createRequest(this.excluded, now), this.awaited, now);
 		return this.awaited;
 	}
 
@@ -90,7 +96,7 @@
 	private selectWithout(excluded: ReadonlySet<string>, now: number): Pipeline | undefined {
 		const failed = [...this.failed].filter(incarnationId => !excluded.has(incarnationId));
 		for (const count of new Set([failed.length, Math.min(1, failed.length), 0])) {
-			const pipeline = this.selector.select(this.createRequest(new Set([...excluded, ...failed.slice(failed.length - count)])), now);
+			const pipeline = this.selector.select(this.createRequest(new Set([...excluded, ...failed.slice(failed.length - count)]), now), now);
 			if (pipeline) {
 				return pipeline;
 			}
@@ -99,10 +105,26 @@
 		return undefined;
 	}
 
-	private createRequest(excluded: ReadonlySet<string>): PipelineRequest {
-		const {request, model, expectedTokens: tokens, executions} = this;
+	private createRequest(excluded: ReadonlySet<string>, now: number): PipelineRequest {
+		const {request, model, tokens, executions} = this.stream;
 		return {
-			service: request.service.name, model, tokens, excluded, firstStageCandidates: executions.allowedIncarnations,
+			service: request.service.name,
+			model,
+			tokens: tokens.expected,
+			// A stream that resumes has its earlier events read again.
+			promptTokens: tokens.context,
+			latencyTarget: this.computeLatencyTarget(now),
+			eventGapTarget: request.route.eventGapTarget,
+			excluded,
+			firstStageCandidates: executions.allowedIncarnations,
 		};
 	}
+
+	/** Returns the milliseconds within which the next event is on time; undefined if it is late already. */
+	private computeLatencyTarget(now: number): number | undefined {
+		const {request: {route}, progress} = this.stream;
+		const limit = progress.hasDelivered ? route.eventGapTarget : route.latencyTarget;
+		const remaining = limit === undefined ? 0 : progress.lastDeliveredAt + limit - now;
+		return remaining > 0 ? remaining : undefined;
+	}
 }
--- a/src/relay/streams/stream-sender.ts
+++ b/src/relay/streams/stream-sender.ts
@@ -9,12 +9,15 @@
 import {type StreamLog} from './stream-log.js';
 import {type StreamProgress} from './stream-progress.js';
 import {StreamResponse} from './stream-response.js';
+import {type StreamTokens} from './stream-tokens.js';
+
+/** Milliseconds between two updates of the load of one stream. Loads are reported to other instances as often. */
+const loadUpdateInterval = 500;
 
 /** What a sender needs to know of its stream. */
 export type StreamSenderDependencies = {
 	readonly request: RelayRequest;
-	/** Tokens that the request is expected to hold on each stage. */
-	readonly tokens: number;
+	readonly tokens: StreamTokens;
 	readonly progress: StreamProgress;
 	readonly executions: ExecutionHistory;
 	readonly crashEvidence: CrashEvidence;
@@ -24,6 +27,7 @@
 /** Sends the attempts of one stream, and records where the request was sent. */
 export class StreamSender {
 	private readonly triedIncarnations = new Set<string>();
+	private loadUpdatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly dependencies: ExchangeDependencies, private readonly stream: StreamSenderDependencies) {}
 
@@ -47,19 +51,28 @@
 			sentAt: now,
 			response: new StreamResponse(progress.passed),
 			crashEvidence: crashEvidence.beginAttempt(now),
-			holdLoad: () => load.hold(pipeline, tokens),
+			holdLoad: () => load.hold(pipeline, tokens.expected),
 		}, handler);
-		const releaseLoad = load.start(pipeline, tokens);
+		const startedLoad = load.start(pipeline, tokens.expected);
+		this.loadUpdatedAt = now;
 		serverHealth.recordPipelineDispatch(pipeline, now);
 		backpressure.limits.recordRequest(server, now);
 		this.logSent(attempt, now);
 		const running = client.send({
 			request, server, pipeline, remaining: request.deadline - now, lastEventId: progress.lastEventId, needsNewConnection,
 		}, attempt);
-		attempt.begin(running, releaseLoad);
+		attempt.begin(running, startedLoad);
 		return attempt;
 	}
 
+	/** Updates the load of an attempt that received events, now that more of the answer is known. */
+	updateLoad(attempt: StreamAttempt, now: number): void {
+		if (now - this.loadUpdatedAt >= loadUpdateInterval) {
+			this.loadUpdatedAt = now;
+			attempt.updateLoad(this.stream.tokens.expected);
+		}
+	}
+
 	/** On a kept connection, a repeated response to an earlier attempt could not be told from the one to this attempt: both have the id of the request. */
 	private needsNewConnection([{server}]: Pipeline): boolean {
 		return !isRepeatable(this.stream.request.route) || this.triedIncarnations.has(getIncarnationId(server));
@@ -68,7 +81,7 @@
 	private logSent({pipeline, number}: StreamAttempt, now: number): void {
 		const {request, tokens, executions, log} = this.stream;
 		log.logSent(pipeline, {
-			tokens,
+			tokens: tokens.expected,
 			attempt: number,
 			countedServers: executions.countedServers,
 			uncountedServers: executions.uncountedServers,
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -12,6 +12,7 @@
 import {RequestAuthorizer} from './entry/request-authorizer.js';
 import {Router} from './entry/router.js';
 import {StatusServer} from './entry/status-server.js';
+import {wireEstimates} from './estimates-wiring.js';
 import {Lease} from './leases/lease.js';
 import {LeaseManager} from './leases/lease-manager.js';
 import {Lifecycle} from './lifecycle.js';
@@ -245,6 +246,7 @@
 				getPeerTokens: (server, now) => peerLoads.getTokens(server, now),
 			}, selectionWeights),
 			requestQueue,
+			answers: wireEstimates(settings, {metrics, log}),
 			limits: {
 				maxRejections, lateRejectionThreshold: limits.stall / 2, onTimeFraction, maxQueueTime: limits.queue_wait, resumeWaitFraction, retryAfter: limits.come_back,
 			},
--- a/src/settings/quantity.ts
+++ b/src/settings/quantity.ts
@@ -44,6 +44,11 @@
 		.transform(Number);
 }
 
+/** Schema of a switch, `yes` or `no`. */
+export function yesOrNo(defaultText: 'yes' | 'no') {
+	return z.enum(['yes', 'no'], {error: 'yes or no'}).default(defaultText).transform(text => text === 'yes');
+}
+
 /** Schema of a fraction from 0 to 1. */
 export function ratio(defaultValue: number) {
 	return decimalNumber(defaultValue, 0, 1);
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 import {
-	decimalNumber, duration, ratio, size, wholeNumber,
+	decimalNumber, duration, ratio, size, wholeNumber, yesOrNo,
 } from './quantity.js';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, {error: 'an IP address and a port, such as 10.1.0.40:8080'});
@@ -79,6 +79,13 @@
 		/** Bytes of a plain response that are buffered until it is complete, so that another server can still be tried. */
 		held_answer: size('256 kB'),
 	}).prefault({}),
+	/** Predicted lengths of answers. */
+	estimates: z.object({
+		/** Whether answers are predicted from earlier ones and from the callers' estimates, instead of from the configured mean. */
+		enabled: yesOrNo('yes'),
+		/** Further answers of its route after which an answer counts half. Not a time, so that a route keeps what it learned while it has few requests. */
+		half_life: wholeNumber(1000, 10, 1_000_000),
+	}).prefault({}),
 	placement: z.object({
 		/** Fraction of a server's slots for whose requests its memory is to have token capacity. */
 		room: ratio(0.6),
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -111,8 +111,8 @@
 	const pipeline = directory.all().filter(({availabilityZone}) => availabilityZone === 'zone-a').map(server => ({server, range: server.range!}));
 	const ends = Array.from({length: 50}, () => load.start(pipeline, 1000));
 	t.deepEqual(selectIds(), ['b1', 'b2', 'b3']);
-	for (const end of ends) {
-		end();
+	for (const load of ends) {
+		load.release();
 	}
 
 	t.deepEqual(selectIds(), ['a1', 'a2', 'a3']);
--- a/test/request-sizes-fleet.test.ts
+++ b/test/request-sizes-fleet.test.ts
@@ -115,6 +115,7 @@
 			model,
 			selector: this.selector,
 			requestQueue: this.requestQueue,
+			answers: this.fixture.answers,
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
 			},
--- a/test/request-sizes.test.ts
+++ b/test/request-sizes.test.ts
@@ -80,6 +80,7 @@
 			model: sampleModel,
 			selector: this.selector,
 			requestQueue: this.requestQueue,
+			answers: this.fixture.answers,
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
 			},
--- a/test/support/entry-exchange-fixture.ts
+++ b/test/support/entry-exchange-fixture.ts
@@ -100,6 +100,7 @@
 				select: () => this.pipeline,
 				selectBusy: () => undefined,
 			} as unknown as PipelineSelector,
+			answers: this.answers,
 			requestQueue: new RequestQueue(timers, {capacity: 10, dispatchInterval: 40}),
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -3,6 +3,9 @@
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
 import {type Backpressure} from '../../src/backpressure/backpressure.js';
+import {AnswerRecorder} from '../../src/estimates/answer-recorder.js';
+import {type AnswerEstimator} from '../../src/estimates/answer-estimator.js';
+import {ConfiguredAnswers} from '../../src/estimates/configured-answers.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {getIncarnationId} from '../../src/pipelines/backend-server.js';
 import {type Pipeline} from '../../src/pipelines/pipeline.js';
@@ -102,6 +105,8 @@
 	readonly directory: ServerDirectory;
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
+	/** Expects the configured mean answer, unless a fixture is given another estimator. */
+	readonly answers: AnswerRecorder;
 	readonly log = new RecordingLog(this.timers);
 	readonly retryBudget = new RetryBudget(0.2, 100, 10_000);
 	/** Prompt parts and fingerprints of requests that were shown to be sound. */
@@ -111,7 +116,7 @@
 	/** Fingerprints of requests that are suspects of crashes. */
 	readonly suspectedRequests = new Set<string>();
 
-	constructor() {
+	constructor(estimator: AnswerEstimator = new ConfiguredAnswers()) {
 		const {timers, load, log} = this;
 		this.serverHealth = new ServerHealthTracker({
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
@@ -149,6 +154,7 @@
 			metrics: new Metrics(),
 			log,
 		};
+		this.answers = new AnswerRecorder(estimator, this.dependencies.metrics, log);
 	}
 
 	/** Number of attempts that the exchange cancelled. */
@@ -193,9 +199,10 @@
 	/** The pipelines that the selector returns if it may not return the first one, in this order, where the route's limit of servers allows it. */
 	alternatives: readonly Pipeline[] = [];
 
-	constructor(route = sampleStreamRoute) {
-		super();
-		this.exchange = new StreamExchange(this.dependencies, this.createRequest(route), this.reply, {
+	constructor(route = sampleStreamRoute, {estimator, ...fields}: Partial<RelayRequest> & {readonly estimator?: AnswerEstimator} = {}) {
+		super(estimator);
+		this.exchange = new StreamExchange(this.dependencies, {...this.createRequest(route), ...fields}, this.reply, {
+			answers: this.answers,
 			model: sampleModel,
 			selector: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				select: (request: PipelineRequest) => {
