--- a/src/relay/streams/stream-exchange-dependencies.ts
+++ b/src/relay/streams/stream-exchange-dependencies.ts
@@ -1,4 +1,5 @@
 import {type StreamAdmission} from '../../admission/stream-admission.js';
+import {type AnswerRecorder} from '../../estimates/answer-recorder.js';
 import {type BackendServer} from '../../pipelines/backend-server.js';
 import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
 import {type FullStageRejection} from '../../scheduling/full-stage-rejection.js';
@@ -24,6 +25,7 @@
 export type StreamExchangeDependencies = {
 	readonly selector: PipelineSelector;
 	readonly requestQueue: RequestQueue;
+	readonly answers: AnswerRecorder;
 	readonly limits: StreamLimits;
 	/** Undefined if streams are admitted without regard to other priorities and to rejections of other streams. */
 	readonly admission?: StreamAdmission;
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 import {PlacementPlan} from '../placement/placement-plan.js';
 import {
-	decimalNumber, duration, ratio, size, wholeNumber,
+	decimalNumber, duration, ratio, size, wholeNumber, yesOrNo,
 } from './quantity.js';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, {error: 'an IP address and a port, such as 10.1.0.40:8080'});
@@ -83,12 +83,19 @@
 	/** Selection of pipelines by predicted load. */
 	scheduling: z.object({
 		/** Whether loads are predicted and the choices of the instances are spread; otherwise each selects the cheapest pipeline by the known loads. */
-		enabled: z.stringbool().default(true),
+		enabled: yesOrNo('yes'),
 		/** Time within which the evidence of a rejection by a full server decays. */
 		rejection_memory: duration('1 s'),
 		/** Standard deviations of the change of a server's load since the reports that are kept free. */
 		margin: decimalNumber(1, 0, 10),
 	}).prefault({}),
+	/** Predicted lengths of answers. */
+	estimates: z.object({
+		/** Whether answers are predicted from earlier ones and from the callers' estimates, instead of from the configured mean. */
+		enabled: yesOrNo('yes'),
+		/** Further answers of its route after which an answer counts half. Not a time, so that a route keeps what it learned while it has few requests. */
+		half_life: wholeNumber(1000, 10, 1_000_000),
+	}).prefault({}),
 	placement: z.object({
 		/** How the initial ranges of the servers of a zone are planned. */
 		plan: z.enum(PlacementPlan).default(PlacementPlan.Balanced),
--- a/test/selection-herding.test.ts
+++ b/test/selection-herding.test.ts
@@ -213,8 +213,8 @@
 
 			const ends = [instance.load.start(pipeline, promptTokens + answerTokens), total.start(pipeline, promptTokens + answerTokens)];
 			const end = () => {
-				for (const release of ends) {
-					release();
+				for (const load of ends) {
+					load.release();
 				}
 			};
 
--- a/test/stream-admission.test.ts
+++ b/test/stream-admission.test.ts
@@ -24,7 +24,7 @@
 
 // Guards against retries that are spent on one full stage after another while a burst fills all of them.
 test('a retry waits without spending the retry budget while full stages reject most attempts, but not for long', t => {
-	const fixture = new StreamExchangeFixture(sampleStreamRoute, createAdmission());
+	const fixture = new StreamExchangeFixture(sampleStreamRoute, {admission: createAdmission()});
 	fixture.pipeline = pipeline;
 	fixture.start();
 	fixture.admission!.rejections.recordSent(service, 0);
@@ -41,7 +41,7 @@
 
 // Guards against a fleet that serves single rejections later than before.
 test('a retry after a single rejection is sent at once', t => {
-	const fixture = new StreamExchangeFixture(sampleStreamRoute, createAdmission());
+	const fixture = new StreamExchangeFixture(sampleStreamRoute, {admission: createAdmission()});
 	fixture.pipeline = pipeline;
 	fixture.start();
 	fixture.latest.onHead({...sampleResponseHead, status: 503, isNotExecuted: true});
@@ -160,7 +160,7 @@
 	const admission = createAdmission(4);
 	admission.reserves.recordArrival(service, 0, 0);
 	admission.reserves.recordEnd(service, 0, 4000);
-	const fixture = new StreamExchangeFixture(sampleStreamRoute, admission);
+	const fixture = new StreamExchangeFixture(sampleStreamRoute, {admission});
 	fixture.pipeline = pipeline;
 	fixture.start();
 	t.is(fixture.pipelineRequests.at(-1)!.occupancyLimit, 0.75);
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -4,6 +4,9 @@
 import {RequestKind} from '../../src/catalog/request-kind.js';
 import {type Route} from '../../src/catalog/route.js';
 import {type Backpressure} from '../../src/backpressure/backpressure.js';
+import {AnswerRecorder} from '../../src/estimates/answer-recorder.js';
+import {type AnswerEstimator} from '../../src/estimates/answer-estimator.js';
+import {ConfiguredAnswers} from '../../src/estimates/configured-answers.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {getIncarnationId} from '../../src/pipelines/backend-server.js';
 import {type Pipeline} from '../../src/pipelines/pipeline.js';
@@ -103,6 +106,8 @@
 	readonly directory: ServerDirectory;
 	readonly load = new ServerLoad();
 	readonly dependencies: ExchangeDependencies;
+	/** Expects the configured mean answer, unless a fixture is given another estimator. */
+	readonly answers: AnswerRecorder;
 	readonly log = new RecordingLog(this.timers);
 	readonly retryBudget = new RetryBudget(0.2, 100, 10_000);
 	/** Prompt parts and fingerprints of requests that were shown to be sound. */
@@ -112,7 +117,7 @@
 	/** Fingerprints of requests that are suspects of crashes. */
 	readonly suspectedRequests = new Set<string>();
 
-	constructor() {
+	constructor(estimator: AnswerEstimator = new ConfiguredAnswers()) {
 		const {timers, load, log} = this;
 		this.serverHealth = new ServerHealthTracker({
 			suspicion: 2000, maxSuspicion: 8000, saturationBackoff: 250, trialPause: 700,
@@ -150,6 +155,7 @@
 			metrics: new Metrics(),
 			log,
 		};
+		this.answers = new AnswerRecorder(estimator, this.dependencies.metrics, log);
 	}
 
 	/** Number of attempts that the exchange cancelled. */
@@ -193,13 +199,16 @@
 	pipeline?: Pipeline;
 	/** The pipelines that the selector returns if it may not return the first one, in this order, where the route's limit of servers allows it. */
 	alternatives: readonly Pipeline[] = [];
+	readonly admission?: StreamAdmission;
 
 	/**
-	@param admission - undefined for a stream that is admitted without regard to others
+	@param options - fields of the request, the estimator, and the admission; a stream without one is admitted without regard to others
 	*/
-	constructor(route = sampleStreamRoute, readonly admission?: StreamAdmission) {
-		super();
-		this.exchange = new StreamExchange(this.dependencies, this.createRequest(route), this.reply, {
+	constructor(route = sampleStreamRoute, {estimator, admission, ...fields}: Partial<RelayRequest> & {readonly estimator?: AnswerEstimator; readonly admission?: StreamAdmission} = {}) {
+		super(estimator);
+		this.admission = admission;
+		this.exchange = new StreamExchange(this.dependencies, {...this.createRequest(route), ...fields}, this.reply, {
+			answers: this.answers,
 			model: sampleModel,
 			selector: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 				select: (request: PipelineRequest) => {
