Move loaded servers where a zone lacks capacity for long

Repair acts on missing layers, idle servers and overloaded servers only, so a zone that lost servers keeps a scarce layer although others have a surplus. planRebalance plans at most [placement] moves (2) servers at a time, under conditions for demand, duration, safety while weights load, and gain; the placement controller orders its moves under the lease.

--- a/src/placement/placement-controller.ts
+++ b/src/placement/placement-controller.ts
@@ -1,54 +1,17 @@
-import {type Backpressure} from '../backpressure/backpressure.js';
-import {type ActiveCatalog} from '../catalog/active-catalog.js';
 import {type Service} from '../catalog/service.js';
-import {type Lease} from '../leases/lease.js';
-import {type DecisionLog} from '../observation/decision-log.js';
-import {type Metrics} from '../observation/metrics.js';
 import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {isSameRange, getLayerCount, type LayerRange} from '../pipelines/layer-range.js';
 import {groupByZone} from '../pipelines/pipeline-selector.js';
-import {type ServerHealthTracker} from '../pipelines/server-health-tracker.js';
 import {QueryReason} from '../pipelines/query-reason.js';
-import {type ServerDirectory} from '../pipelines/server-directory.js';
-import {type StageReporter} from '../pipelines/stage-reporter.js';
 import {getErrorMessage} from '../results/to-failure.js';
-import {type TimerService} from '../time/timer-service.js';
 import {computeTargetCapacity, type Placement} from './initial-placement.js';
-import {OrderOutcome, type OrderSender} from './order-sender.js';
+import {OrderOutcome} from './order-sender.js';
+import {type PlacementControllerDependencies, type PlacementTimings} from './placement-controller-dependencies.js';
 import {type PlacementPlan} from './placement-plan.js';
 import {planRepair} from './repair-plan.js';
 import {computePlacementFigures, planZonePlacement} from './zone-placement.js';
 
-export type PlacementControllerDependencies = {
-	readonly lease: Lease;
-	readonly catalog: ActiveCatalog;
-	readonly directory: ServerDirectory;
-	readonly serverHealth: ServerHealthTracker;
-	readonly backpressure: Backpressure;
-	readonly reporter: StageReporter;
-	readonly sender: OrderSender;
-	readonly timers: TimerService;
-	readonly metrics: Metrics;
-	readonly log: DecisionLog;
-	/** Called when a server has loaded the ordered range, or at once if the order only drops layers. */
-	readonly onRangeConfirmed: (server: BackendServer, range: LayerRange) => void;
-};
-
-/** Timings of placement, in milliseconds. */
-export type PlacementTimings = {
-	/** Time without newly listed servers before the initial placement. */
-	readonly settlingTime: number;
-	/** How long a server without layers is held in reserve for uncovered layers before it adds capacity to others. */
-	readonly reserveTime: number;
-	/** How long a server that refused an order gets no further one. */
-	readonly refusalBackoff: number;
-	/** Interval between checks whether an order has been carried out. */
-	readonly checkInterval: number;
-	/** How long the result of an order may take in addition to the loading time. */
-	readonly orderTimeout: number;
-};
-
 type PendingOrder = {
 	readonly range: LayerRange;
 	/** Monotonic time in milliseconds at which the order times out. */
@@ -117,8 +80,8 @@
 			return;
 		}
 
-		for (const members of groupByZone(servers).values()) {
-			this.repair(members, model, now);
+		for (const [zone, members] of groupByZone(servers)) {
+			this.repair(`${name} in ${zone}`, members, model, now);
 		}
 	}
 
@@ -186,7 +149,8 @@
 		return true;
 	}
 
-	private repair(members: readonly BackendServer[], model: EngineModel, now: number): void {
+	/** @param zone - name of the service and the zone */
+	private repair(zone: string, members: readonly BackendServer[], model: EngineModel, now: number): void {
 		if (members.every(server => !this.getTargetRange(server))) {
 			this.placeZone(members, model, now, 'placement of an empty zone');
 			return;
@@ -196,6 +160,10 @@
 		const assignments = members.map(server => ({server, range: this.getTargetRange(server), isLoaded: !this.pending.has(getIncarnationId(server))}));
 		const moves = planRepair(assignments, model, {targetCapacity: computeTargetCapacity(model, this.slotShare), mayUseIdleServers});
 		this.startOrders(moves.filter(({server}) => this.mayOrder(server, now)), model, now, 'repair');
+		if (moves.length === 0) {
+			const available = this.dependencies.rebalancer.plan(zone, assignments, model, now).filter(({server}) => this.mayOrder(server, now));
+			this.startOrders(available, model, now, 'rebalance');
+		}
 	}
 
 	private mayOrder(server: BackendServer, now: number): boolean {
--- a/src/placement/strengthening-range.ts
+++ b/src/placement/strengthening-range.ts
@@ -5,6 +5,17 @@
 /** Divisor of the smallest capacity of a layer that gives the scale on which the weight of a layer falls. With a larger one, layers with slightly more capacity than the scarcest one count less. */
 const sharpness = 16;
 
+/** Returns the sum of the weights of the layers, which fall exponentially with their capacity, relative to a given capacity. The scarcest layers decide, also where several ranges are scarce and one move raises only one of them. */
+export function computeScarcity(capacities: readonly number[], least: number): number {
+	const scale = Math.max(1, least) / sharpness;
+	let weight = 0;
+	for (const capacity of capacities) {
+		weight += Math.exp((least - capacity) / scale);
+	}
+
+	return weight;
+}
+
 /**
 Returns the range for a further server that gives the layers with the least capacity the most.
 
@@ -27,12 +38,7 @@
 				continue;
 			}
 
-			let weight = 0;
-			for (let layer = from; layer < to; layer++) {
-				weight += Math.exp((least - capacities[layer]) / scale);
-			}
-
-			const gain = weight * (1 - Math.exp(-computeUsefulCapacity(model, acceleratorType, to - from) / scale));
+			const gain = computeScarcity(capacities.slice(from, to), least) * (1 - Math.exp(-computeUsefulCapacity(model, acceleratorType, to - from) / scale));
 			if (gain > largest) {
 				largest = gain;
 				best = {from, to};
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -32,6 +32,7 @@
 import {type StageReporter} from './pipelines/stage-reporter.js';
 import {type OrderSender} from './placement/order-sender.js';
 import {PlacementController} from './placement/placement-controller.js';
+import {ZoneRebalancer} from './placement/zone-rebalancer.js';
 import {GossipClients} from './peers/gossip-clients.js';
 import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
 import {Quarantine} from './quarantine/quarantine.js';
@@ -293,6 +294,9 @@
 		timers,
 		metrics,
 		log,
+		rebalancer: new ZoneRebalancer({
+			metrics, log, getTokens: (server, now) => serverLoad.getTokens(server) + peerLoads.getTokens(server, now),
+		}, placementSettings.moves),
 		onRangeConfirmed(server, range) {
 			directory.overrideRange(getIncarnationId(server), range);
 			gossip.reportRange(server, range);
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -85,6 +85,8 @@
 		plan: z.enum(PlacementPlan).default(PlacementPlan.Balanced),
 		/** Fraction of a server's slots for whose requests its memory is to have token capacity. */
 		room: ratio(0.6),
+		/** Most servers of a zone that are moved at a time when its demand lastingly comes near the capacity; 0 for none. */
+		moves: wholeNumber(2, 0, 16),
 		/** Time without a newly listed server before the first placement. */
 		settle: duration('1600 ms'),
 		/** Time for which an idle server is reserved for gaps before it strengthens other layers. */
