Test instances beside crowds of callers with unfinished and endless bodies

Cause: nothing bounds the bodies that a process receives, so callers that we do not control can exhaust its memory and descriptors. Change: process tests for both interfaces with 80 callers and four kinds of bodies, and one with more unfinished requests than descriptors.

--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -14,6 +14,7 @@
 import {StageSimulator} from '../../simulators/stage-simulator.js';
 import {StoreSimulator} from '../../simulators/store-simulator.js';
 import {type PartitionKind, writePartition} from './partition.js';
+import {countDescriptors, readPeakMemory} from './process-memory.js';
 import {StageHeartbeats} from './stage-heartbeats.js';
 
 /** A response as received by a caller. */
@@ -43,7 +44,6 @@
 const pollIntervalMs = 25;
 /** Observations in a row after which the router is taken for busy. */
 const busyObservations = 20;
-const bytesPerKilobyte = 1024;
 /** As the deployed router has it. */
 const heapLimit = '--max-old-space-size=200';
 const defaultStageCount = 4;
@@ -119,6 +119,8 @@
 	}
 
 	readonly timers = new ClockTimerService();
+	/** Largest number of descriptors that the router may open; undefined for the limit of this process. */
+	descriptorLimit?: number;
 	readonly store: StoreSimulator;
 	readonly stages: readonly StageSimulator[];
 	readonly records: readonly StageSimulator[];
@@ -204,7 +206,9 @@
 		const partitionModule = new URL('partition-process.js', import.meta.url).pathname;
 		// eslint-disable-next-line @typescript-eslint/naming-convention
 		const environment = {...process.env, SISKINNOTCH_NODE_FILE: this.settingsFile, PARTITION_FILE: this.partitionFile};
-		this.child = spawn(process.execPath, [heapLimit, '--import', partitionModule, program], {stdio: ['ignore', 'pipe', 'inherit'], env: environment});
+		const parameters = [process.execPath, heapLimit, '--import', partitionModule, program];
+		const [command, ...rest] = this.descriptorLimit === undefined ? parameters : ['sh', '-c', `ulimit -n ${this.descriptorLimit}; exec "$@"`, 'sh', ...parameters];
+		this.child = spawn(command, rest, {stdio: ['ignore', 'pipe', 'inherit'], env: environment});
 		createInterface({input: this.child.stdout!}).on('line', line => {
 			this.logLines.push(line);
 		});
@@ -213,8 +217,12 @@
 
 	/** Largest amount of memory that the router has used, in bytes. */
 	get peakMemory(): number {
-		const status = readFileSync(`/proc/${this.child!.pid}/status`, 'utf8');
-		return Number(/^VmHWM:\s+(?<kilobytes>\d+) kB$/mv.exec(status)!.groups!.kilobytes) * bytesPerKilobyte;
+		return readPeakMemory(this.child!.pid!);
+	}
+
+	/** Number of descriptors that the router has open. */
+	get descriptors(): number {
+		return countDescriptors(this.child!.pid!);
 	}
 
 	/** Waits until the router has computed without a pause for some time. */
