Count the memory of a stage by the layers that it runs

Cause: a request counted with all its tokens on a server although its pipeline ran only some of the server's layers; servers count tokens times layers. Change: ServerLoad weights tokens by the share of the server's layers that the stage runs.

--- a/src/pipelines/server-load.ts
+++ b/src/pipelines/server-load.ts
@@ -1,6 +1,7 @@
 import {getIncarnationId, type BackendServer} from './backend-server.js';
 import {type LoadHandle} from './load-handle.js';
-import {type Pipeline} from './pipeline.js';
+import {getLayerCount} from './layer-range.js';
+import {type Pipeline, type Stage} from './pipeline.js';
 
 type Load = {
 	/** Tokens that this instance's running requests are expected to hold. */
@@ -18,6 +19,12 @@
 /** A reading with its time and the requests of this instance that started since. */
 type StoredReading = LoadReading & {readonly readAt: number; startedSince: number};
 
+/** Returns the fraction of a server's layers that a stage runs. A token takes memory for these layers only. */
+function getUsedShare({server, range}: Stage): number {
+	const layers = server.range ? getLayerCount(server.range) : 0;
+	return layers > 0 ? Math.min(1, getLayerCount(range) / layers) : 1;
+}
+
 /** Tracks this instance's requests on each backend server, and the load that the servers report. */
 export class ServerLoad {
 	private readonly loads = new Map<string, Load>();
@@ -61,15 +68,11 @@
 	@returns a function that gives the capacity back; further calls have no effect
 	*/
 	reserve(pipeline: Pipeline, tokens: number): () => void {
-		const incarnationIds = pipeline.map(({server}) => getIncarnationId(server));
-		for (const incarnationId of incarnationIds) {
-			this.reservedTokens.set(incarnationId, (this.reservedTokens.get(incarnationId) ?? 0) + tokens);
-		}
-
+		this.addReserved(pipeline, tokens);
 		let isReserved = true;
 		return () => {
-			for (const incarnationId of isReserved ? incarnationIds : []) {
-				this.reservedTokens.set(incarnationId, (this.reservedTokens.get(incarnationId) ?? 0) - tokens);
+			if (isReserved) {
+				this.addReserved(pipeline, -tokens);
 			}
 
 			isReserved = false;
@@ -118,15 +121,22 @@
 		}
 
 		for (const [incarnationId, tokens] of this.reservedTokens) {
-			if (tokens === 0 && !listed.has(incarnationId)) {
+			if (tokens < 1 && !listed.has(incarnationId)) {
 				this.reservedTokens.delete(incarnationId);
 			}
 		}
 	}
 
+	private addReserved(pipeline: Pipeline, tokens: number): void {
+		for (const stage of pipeline) {
+			const incarnationId = getIncarnationId(stage.server);
+			this.reservedTokens.set(incarnationId, (this.reservedTokens.get(incarnationId) ?? 0) + (tokens * getUsedShare(stage)));
+		}
+	}
+
 	private addAll(pipeline: Pipeline, tokens: number, requests: number): void {
-		for (const {server} of pipeline) {
-			this.add(server, tokens, requests);
+		for (const stage of pipeline) {
+			this.add(stage.server, tokens * getUsedShare(stage), requests);
 		}
 	}
 
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -228,3 +228,17 @@
 
 	t.deepEqual(selected.toSorted(), ['a', 'a', 'a', 'b', 'b', 'b']);
 });
+
+// Guards against memory that counts as used although a pipeline runs only some layers of a server.
+test('a stage that runs half of the layers of a server counts half of the tokens there', t => {
+	const load = new ServerLoad();
+	const server = sampleServer('b1', 'large', {from: 0, to: 40});
+	const handle = load.start([{server, range: {from: 0, to: 20}}], 1000);
+	const release = load.reserve([{server, range: {from: 20, to: 40}}], 500);
+	t.is(load.getTokens(server), 750);
+	handle.update(2000);
+	t.is(load.getTokens(server), 1250);
+	handle.release();
+	release();
+	t.is(load.getTokens(server), 0);
+});
