Predict the duration of answers and learn its ratio per service

Durations were not predicted. predictTokenTime computes the time of a token from the model and this instance's load, and ServiceTimes corrects it by the ratio of actual to predicted times of the service. Complete answers that came along one pipeline are recorded, with metrics and fields of the answer.length line. Selection does not use it yet.

--- a/src/relay/streams/stream-sender.ts
+++ b/src/relay/streams/stream-sender.ts
@@ -53,6 +53,7 @@
 			crashEvidence: crashEvidence.beginAttempt(now),
 			holdLoad: () => load.hold(pipeline, tokens.expected),
 		}, handler);
+		tokens.recordSend(pipeline, load);
 		const startedLoad = load.start(pipeline, tokens.expected);
 		this.loadUpdatedAt = now;
 		serverHealth.recordPipelineDispatch(pipeline, now);
--- a/test/stream-tokens.test.ts
+++ b/test/stream-tokens.test.ts
@@ -69,11 +69,13 @@
 
 test('the length of each answer is recorded once, complete or lost', t => {
 	const complete = start({answerEstimate: 50});
-	receiveEvents(complete, 1, 20);
+	receiveEvents(complete, 1, 1);
+	complete.timers.advance(200);
+	receiveEvents(complete, 2, 20);
 	complete.latest.onEnd();
 	t.is(findLengthLines(complete).length, 1);
 	t.like(findLengthLines(complete)[0], {
-		isComplete: true, tokens: 60, callerEstimate: 50, configured: 203,
+		isComplete: true, tokens: 60, callerEstimate: 50, configured: 203, durationMs: 200, expectedMs: 140,
 	});
 	const error = complete.dependencies.metrics.getCount('siskinnotch_answer_error_tokens', {route: 'drafts', predictor: 'configured'});
 	t.true(Math.abs(error - (203 - 60)) < 0.5, `${error}`);
--- a/test/support/exchange-fixture.ts
+++ b/test/support/exchange-fixture.ts
@@ -7,6 +7,7 @@
 import {AnswerRecorder} from '../../src/estimates/answer-recorder.js';
 import {type AnswerEstimator} from '../../src/estimates/answer-estimator.js';
 import {ConfiguredAnswers} from '../../src/estimates/configured-answers.js';
+import {ServiceTimes} from '../../src/estimates/service-times.js';
 import {Metrics} from '../../src/observation/metrics.js';
 import {getIncarnationId} from '../../src/pipelines/backend-server.js';
 import {type Pipeline} from '../../src/pipelines/pipeline.js';
@@ -155,7 +156,7 @@
 			metrics: new Metrics(),
 			log,
 		};
-		this.answers = new AnswerRecorder(estimator, this.dependencies.metrics, log);
+		this.answers = new AnswerRecorder(estimator, new ServiceTimes({halfLife: 100, maxServices: 4}), this.dependencies.metrics, log);
 	}
 
 	/** Number of attempts that the exchange cancelled. */
