Leave capacity to more urgent requests that wait at other instances of the zone

Cause: the queue orders by priority within one instance only, so that less urgent requests of 20 other instances take what becomes free.

A less urgent request yields while more urgent ones wait elsewhere, for half of its own wait at most. One start in ten goes to the oldest less urgent request. Workspaces share a priority by start-time fair queueing; RequestQueue and FairQueue use the same VirtualTimes.

--- a/src/admission-wiring.ts
+++ b/src/admission-wiring.ts
@@ -3,9 +3,12 @@
 import {ReturnTimes} from './admission/return-times.js';
 import {type StreamAdmission} from './admission/stream-admission.js';
 import {ZoneCapacity} from './admission/zone-capacity.js';
+import {ZoneWaiting, type WaitingWork} from './admission/zone-waiting.js';
 import {type ActiveCatalog} from './catalog/active-catalog.js';
 import {type Control} from './control-wiring.js';
 import {type Metrics} from './observation/metrics.js';
+import {getIdDigest} from './peers/id-digest.js';
+import {WaitingExchange} from './peers/waiting-exchange.js';
 import {type ServerDirectory} from './pipelines/server-directory.js';
 import {type RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
@@ -13,6 +16,7 @@
 
 /** What the admission of streams is built from. */
 export type AdmissionDependencies = Pick<Control, 'instanceRegistry'> & {
+	readonly zone: ZoneWaiting;
 	readonly activeCatalog: ActiveCatalog;
 	readonly directory: ServerDirectory;
 	readonly random: RandomSource;
@@ -20,9 +24,18 @@
 	readonly metrics: Metrics;
 };
 
+/** What waits at the other instances of the zone, and the part that exchanges it with them. */
+export type Waiting = {readonly zone: ZoneWaiting; readonly exchange: WaitingExchange};
+
+/** Creates the parts that know what waits at the other instances of the zone, and tell them what waits here. */
+export function wireWaiting({instance, admission}: Pick<RouterSettings, 'instance' | 'admission'>, describeOwn: () => readonly WaitingWork[]): Waiting {
+	const zone = new ZoneWaiting(admission.report_age, getIdDigest);
+	return {zone, exchange: new WaitingExchange({id: instance.id, availabilityZone: instance.availability_zone}, zone, describeOwn)};
+}
+
 /** Creates the parts that decide when streams start with regard to other requests. */
-export function wireAdmission({instance, limits}: Pick<RouterSettings, 'instance' | 'limits'>, dependencies: AdmissionDependencies): StreamAdmission {
-	const {instanceRegistry, activeCatalog, directory, random, timers, metrics} = dependencies;
+export function wireAdmission({instance, limits, admission}: Pick<RouterSettings, 'instance' | 'limits' | 'admission'>, dependencies: AdmissionDependencies): StreamAdmission {
+	const {instanceRegistry, zone, activeCatalog, directory, random, timers, metrics} = dependencies;
 	const capacity = new ZoneCapacity(
 		service => directory.usable(service).filter(({availabilityZone}) => availabilityZone === instance.availability_zone),
 		service => activeCatalog.current?.catalog.services.get(service)?.engine,
@@ -30,8 +43,10 @@
 	const reserves = new PriorityReserves({
 		countInstances: () => instanceRegistry.findNeighbours().length + 1,
 		countRequests: (service, now) => capacity.countRequests(service, now),
-	}, (service, priority) => {
+	}, admission.largest_reserve, (service, priority) => {
 		metrics.gauge('siskinnotch_occupancy_limit', () => reserves.getOccupancyLimit(service, priority, timers.now()), {service, priority: String(priority)});
 	});
-	return {reserves, rejections: new FullRejections(), returnTimes: new ReturnTimes(limits.come_back, random)};
+	return {
+		reserves, zone, rejections: new FullRejections(), returnTimes: new ReturnTimes(limits.come_back, random),
+	};
 }
--- a/src/admission/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -1,5 +1,6 @@
 import {priorities, type Priority} from '../configuration/priority.js';
 import {type AdmissionRequest} from './admission-request.js';
+import {VirtualTimes} from './virtual-times.js';
 
 type QueueEntry = {
 	readonly request: AdmissionRequest;
@@ -13,8 +14,7 @@
 */
 export class FairQueue {
 	private readonly queues = new Map<Priority, Map<string, QueueEntry[]>>(priorities.map(priority => [priority, new Map()]));
-	private readonly virtualTimes = new Map<string, number>();
-	private virtualNow = 0;
+	private readonly virtualTimes = new VirtualTimes();
 	private length = 0;
 
 	/** Number of waiting requests. */
@@ -27,7 +27,6 @@
 		const entries = queue.get(request.workspace) ?? [];
 		if (entries.length === 0) {
 			queue.set(request.workspace, entries);
-			this.virtualTimes.set(request.workspace, Math.max(this.virtualNow, this.virtualTimes.get(request.workspace) ?? 0));
 		}
 
 		entries.push({request, enqueuedAt: now});
@@ -85,8 +84,7 @@
 
 	/** Adds the cost of a request to the virtual time of its workspace. Callers use it for requests that skip the queue. */
 	charge(request: AdmissionRequest): void {
-		const start = Math.max(this.virtualNow, this.virtualTimes.get(request.workspace) ?? 0);
-		this.virtualTimes.set(request.workspace, start + (request.cost / request.share));
+		this.virtualTimes.charge(request.workspace, request.cost, request.share);
 	}
 
 	private countEntries(priority: Priority): number {
@@ -102,7 +100,7 @@
 		let leastServed: string | undefined;
 		let lowestVirtualTime = Number.POSITIVE_INFINITY;
 		for (const workspace of queue.keys()) {
-			const virtualTime = this.virtualTimes.get(workspace) ?? 0;
+			const virtualTime = this.virtualTimes.getStart(workspace);
 			if (virtualTime < lowestVirtualTime) {
 				leastServed = workspace;
 				lowestVirtualTime = virtualTime;
@@ -120,8 +118,7 @@
 		}
 
 		this.length--;
-		this.virtualNow = Math.max(this.virtualNow, this.virtualTimes.get(workspace) ?? 0);
-		this.charge(request);
+		this.virtualTimes.serve(workspace, request.cost, request.share);
 		return request;
 	}
 }
--- a/src/admission/priority-reserves.ts
+++ b/src/admission/priority-reserves.ts
@@ -23,8 +23,6 @@
 const holdingSmoothing = 0.1;
 /** Reserved requests, as a multiple of the square root of the offered load, which is the standard deviation of a Poisson distribution of running requests. */
 const reserveFactor = 1;
-/** Largest fraction of the capacity that is reserved. */
-const maxReserve = 0.25;
 /** Decayed number of arrivals below which a priority does not count as seen. */
 const minArrivals = 0.05;
 const maxServices = 64;
@@ -39,9 +37,10 @@
 	private readonly services = new Map<string, Map<number, Traffic>>();
 
 	/**
+	@param maxReserve - largest fraction of the capacity that is reserved
 	@param onFirstArrival - called when a request of a priority arrives for the first time
 	*/
-	constructor(private readonly capacity: SharedCapacity, private readonly onFirstArrival: (service: string, priority: number) => void = () => undefined) {}
+	constructor(private readonly capacity: SharedCapacity, private readonly maxReserve: number, private readonly onFirstArrival: (service: string, priority: number) => void = () => undefined) {}
 
 	/** Records that a request arrived. */
 	recordArrival(service: string, priority: number, now: number): void {
@@ -93,7 +92,7 @@
 	getOccupancyLimit(service: string, priority: number, now: number): number {
 		const offered = this.getOfferedLoad(service, priority, now);
 		const requests = offered > 0 ? this.capacity.countRequests(service, now) : undefined;
-		return requests === undefined || requests <= 0 ? 1 : 1 - Math.min(maxReserve, reserveFactor * Math.sqrt(offered) / requests);
+		return requests === undefined || requests <= 0 ? 1 : 1 - Math.min(this.maxReserve, reserveFactor * Math.sqrt(offered) / requests);
 	}
 
 	private findMoreUrgent(service: string, priority: number, now: number): readonly Traffic[] {
--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -22,6 +22,7 @@
 import {SlowdownExchange} from './peers/slowdown-exchange.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
+import {type WaitingExchange} from './peers/waiting-exchange.js';
 import {type Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRegister} from './quarantine/quarantine-register.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
@@ -67,6 +68,7 @@
 	/** The requests and prompt parts that this instance refuses. */
 	readonly quarantine: Quarantine;
 	readonly lease: Lease;
+	readonly waitingExchange?: WaitingExchange;
 	readonly clients: Pick<GossipClients, 'exchange' | 'traffic'>;
 	readonly peerPaths: PeerPaths;
 	/** Holds a row for each instance. */
@@ -181,6 +183,7 @@
 		}, rumorTimings),
 		crashRumors: new CrashRumors(instance.id, timers.wallClock(), events, rumorTimings),
 		limitExchange: new LimitExchange(dependencies.serverLimits),
+		waitingExchange: dependencies.waitingExchange,
 		slowdownExchange: new SlowdownExchange(dependencies.slowdowns, directory),
 		quarantineExchange: new QuarantineExchange(dependencies.quarantine, timers, events.onQuarantineReport),
 		serverLoad,
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -60,6 +60,21 @@
 	age: z.number().nonnegative(),
 });
 
+const waitingSchema = z.object({
+	/** Digest of the id of the instance. */
+	instance: z.string(),
+	/** Milliseconds since the queue was read. */
+	age: z.number().nonnegative(),
+	levels: z.array(z.object({
+		/** 0 is the most urgent. */
+		priority: z.number().int().nonnegative(),
+		/** Packed numbers of requests, by digest of the service. */
+		requests: z.string(),
+		/** Packed tokens that they need, by digest of the service. */
+		tokens: z.string(),
+	})),
+});
+
 const quarantineSchema = z.object({
 	/** Id of a prompt part, or fingerprint of a request. */
 	part: z.string(),
@@ -112,6 +127,8 @@
 	limits: z.array(limitSchema).optional(),
 	/** Requests and prompt parts that are refused; absent if there are none. */
 	quarantines: z.array(quarantineSchema).optional(),
+	/** Requests that wait at instances of the sender's availability zone; absent if none is known to wait. */
+	waiting: z.array(waitingSchema).optional(),
 	/** How slow backend servers are, by digest of the incarnation; absent if nothing is known. */
 	slowdowns: z.object({
 		/** Packed step times relative to the usual ones. */
@@ -145,5 +162,8 @@
 /** The limit that a backend server named or lifted. */
 export type ReportedLimit = z.infer<typeof limitSchema>;
 
+/** The requests that wait at one instance. */
+export type ReportedWaiting = z.infer<typeof waitingSchema>;
+
 /** A report that suspected prompt parts worked. */
 export type ClearedReport = z.infer<typeof clearedSchema>;
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -21,7 +21,7 @@
 import {type LimitExchange} from './limit-exchange.js';
 import {type Fanout, type PartnerSelector} from './partner-selector.js';
 import {type PeerLoads} from './peer-loads.js';
-import {getIdDigest} from './id-digest.js';
+import {measureTokens} from './measured-tokens.js';
 import {type PlacementHolder} from './placement-holder.js';
 import {type QuarantineExchange} from './quarantine-exchange.js';
 import {RowFetcher, type RowFetchTimings} from './row-fetcher.js';
@@ -29,6 +29,7 @@
 import {type SlowdownExchange} from './slowdown-exchange.js';
 import {SpreadScheduler} from './spread-scheduler.js';
 import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
+import {type WaitingExchange} from './waiting-exchange.js';
 
 export type GossipServiceDependencies = {
 	readonly self: RegisteredInstance;
@@ -43,6 +44,8 @@
 	readonly limitExchange: LimitExchange;
 	readonly quarantineExchange: QuarantineExchange;
 	readonly slowdownExchange: SlowdownExchange;
+	/** Undefined if what waits is not exchanged. */
+	readonly waitingExchange?: WaitingExchange;
 	readonly serverLoad: ServerLoad;
 	readonly placementHolder: PlacementHolder;
 	readonly peerPaths: PeerPaths;
@@ -209,23 +212,18 @@
 			...tables.describe(now),
 			...(recipientZone === self.availabilityZone ? tables.getRecentUpdates(now) : {updates: {}}),
 			// The form of the report depends on the recipient's zone, which is not known of a seed.
-			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(this.measureTokens(), recipientZone, now)],
+			loads: recipientZone === undefined ? [] : [peerLoads.createOwnReport(measureTokens(this.dependencies.serverLoad), recipientZone, now)],
 			...rumors.getCurrent(now),
 			...crashRumors.getCurrent(now),
 			...limitExchange.getCurrent(isRecipientJoining, now),
 			...quarantineExchange.getCurrent(isRecipientJoining),
 			...slowdownExchange.getCurrent(now),
+			...this.dependencies.waitingExchange?.getCurrent(recipientZone, now),
 			placing: placementHolder.describe(now),
 			...(peerPaths.isSelfPartitioned && {isPartitioned: true}),
 		};
 	}
 
-	/** Returns the tokens that this instance's requests hold, by digest of the backend server's incarnation. */
-	private measureTokens(): ReadonlyMap<string, number> {
-		const tokens = [...this.dependencies.serverLoad.getTokensByIncarnation()];
-		return new Map(tokens.map(([incarnationId, count]) => [getIdDigest(incarnationId), count]));
-	}
-
 	private receive(message: GossipMessage): void {
 		const {instances, partners, peerLoads, rumors, crashRumors, limitExchange, quarantineExchange, slowdownExchange, tables, placementHolder, peerPaths, timers, log} = this.dependencies;
 		const now = timers.now();
@@ -241,6 +239,7 @@
 		limitExchange.receive(message, now);
 		quarantineExchange.receive(message);
 		slowdownExchange.receive(message, now);
+		this.dependencies.waitingExchange?.receive(message, now);
 		const isRumorNew = rumors.receive(message, now);
 		if (crashRumors.receive(message, now) || isRumorNew) {
 			this.spreadScheduler.schedule(this.timings.rumorFanout);
--- a/src/relay/request-queue.ts
+++ b/src/relay/request-queue.ts
@@ -1,34 +1,12 @@
 import {DrainRate} from '../admission/drain-rate.js';
+import {StartGuarantee} from '../admission/start-guarantee.js';
+import {VirtualTimes} from '../admission/virtual-times.js';
+import {type WaitingWork} from '../admission/zone-waiting.js';
 import {type TimerHandle} from '../time/timer-handle.js';
 import {type TimerService} from '../time/timer-service.js';
+import {type QueuedRequest} from './queued-request.js';
 import {StartOutcome} from './start-outcome.js';
 
-/** A request to queue. */
-export type QueuedRequest = {
-	/** 0 is the most urgent. */
-	readonly priority: number;
-	/** Monotonic time in milliseconds at which the request arrived at this instance. */
-	readonly arrivedAt: number;
-	/** Capacity that the request needs, in tokens. */
-	readonly tokens: number;
-	/** The workspace of the caller; undefined if it has none. */
-	readonly workspace?: string;
-	/** Whether the request may fill what is reserved for more urgent ones; false where undefined. */
-	readonly mayUseReserve?: boolean;
-	/** Monotonic time in milliseconds until which the request can be sent and still be answered on time. */
-	readonly onTimeDeadline: number;
-	/** Monotonic time in milliseconds at which the request leaves the queue. */
-	readonly queueDeadline: number;
-	/** Tries to start the request. */
-	readonly tryStart: () => StartOutcome;
-	/** Keeps capacity that becomes free from other requests; absent if the request is small enough to find some without that. The handle gives it back. */
-	readonly reserve?: () => TimerHandle;
-	/** Called when the request is removed because it can't start before its queue deadline, with the milliseconds that the requests ahead and itself need; absent if it waits in any case. */
-	readonly onHopeless?: (waitMs: number) => void;
-	/** Called when the request reaches its queue deadline. */
-	readonly onTimeout: () => void;
-};
-
 type Entry = {
 	readonly request: QueuedRequest;
 	readonly sequence: number;
@@ -43,11 +21,17 @@
 	readonly dispatchInterval: number;
 };
 
+/** Priorities of which the workspaces are scheduled by their shares. */
+const maxPriorities = 16;
 /** Multiple of the time that is left above which a predicted wait refuses a request; the prediction rests on few starts. */
 const hopelessFactor = 1.5;
 
+function compareArrivals(left: Entry, right: Entry): number {
+	return (left.request.arrivedAt - right.request.arrivedAt) || (left.sequence - right.sequence);
+}
+
 /**
-Queues requests while no pipeline has capacity for them. Requests start in order of priority; within a priority, those that can still be answered on time start first, in order of arrival, and then the others.
+Queues requests while no pipeline has capacity for them. Requests start in order of priority; within a priority, those that can still be answered on time start first, and then the others. Those with the same rank start by the shares of their workspaces, in order of arrival. One start in ten goes to the oldest request of a less urgent priority.
 
 Under overload a plain FIFO queue would make every answer late (B. Maurer, "Fail at scale", ACM Queue, 2015).
 
@@ -57,6 +41,8 @@
 	private readonly entries: Entry[] = [];
 	private nextSequence = 0;
 	private readonly drainRate = new DrainRate();
+	private readonly guarantee = new StartGuarantee();
+	private readonly virtualTimes = new Map<number, VirtualTimes>();
 	private ticker?: TimerHandle;
 	private reservation?: {readonly entry: Entry; readonly handle: TimerHandle};
 
@@ -82,6 +68,40 @@
 		return this.drainRate.predictWait(ahead, this.timers.now());
 	}
 
+	/** Returns what waits, by service and priority. */
+	describeWaiting(): readonly WaitingWork[] {
+		const sums = new Map<string, WaitingWork>();
+		for (const {request: {service = '', priority, tokens}} of this.entries) {
+			const key = `${priority} ${service}`;
+			const sum = sums.get(key);
+			sums.set(key, {
+				service, priority, requests: (sum?.requests ?? 0) + 1, tokens: (sum?.tokens ?? 0) + tokens,
+			});
+		}
+
+		return [...sums.values()];
+	}
+
+	/** Records that a request starts, from the queue or without waiting. */
+	recordStart({priority, workspace = '', tokens}: Pick<QueuedRequest, 'priority' | 'workspace' | 'tokens'>, isEntitled = false): void {
+		const times = this.virtualTimes.get(priority) ?? new VirtualTimes();
+		if (this.virtualTimes.size < maxPriorities) {
+			this.virtualTimes.set(priority, times);
+		}
+
+		times.serve(workspace, tokens, 1);
+		if (!isEntitled && this.entries.some(({request}) => request.priority > priority)) {
+			this.guarantee.recordMoreUrgent();
+		} else {
+			this.guarantee.reset();
+		}
+	}
+
+	/** Records that a request waits because a more urgent one waits at another instance. */
+	recordYield(): void {
+		this.guarantee.recordMoreUrgent();
+	}
+
 	/**
 	Adds a request to the queue.
 
@@ -116,10 +136,11 @@
 		// What is too little for a request is too little for a larger one.
 		let smallestFailed = Number.POSITIVE_INFINITY;
 		let smallestFailedBesideReserve = Number.POSITIVE_INFINITY;
-		for (const entry of this.sortEntries()) {
+		const entitled = this.findEntitled();
+		for (const entry of entitled ? [entitled, ...this.sortEntries().filter(other => other !== entitled)] : this.sortEntries()) {
 			const {tokens, mayUseReserve} = entry.request;
 			const isCandidate = entry !== this.reservation?.entry && tokens < smallestFailed && (mayUseReserve === true || tokens < smallestFailedBesideReserve);
-			const outcome = isCandidate && this.entries.includes(entry) ? this.tryStart(entry) : undefined;
+			const outcome = isCandidate && this.entries.includes(entry) ? this.tryStart(entry, entry === entitled) : undefined;
 			if (outcome === StartOutcome.NoCapacity) {
 				smallestFailed = tokens;
 			} else if (outcome === StartOutcome.CapacityReserved) {
@@ -137,6 +158,10 @@
 	/** Removes the requests that can't start in time, because those ahead of them need too long. */
 	private refuseHopeless(): void {
 		const now = this.timers.now();
+		if (this.drainRate.predictWait(0, now) === undefined) {
+			return;
+		}
+
 		let ahead = 0;
 		for (const entry of this.sortEntries()) {
 			const {tokens, queueDeadline, onHopeless, reserve} = entry.request;
@@ -173,22 +198,49 @@
 	/** Returns the entries in the order in which they are to start. */
 	private sortEntries(): readonly Entry[] {
 		const now = this.timers.now();
-		return this.entries.toSorted(({request: left, sequence: leftSequence}, {request: right, sequence: rightSequence}) =>
-			(left.priority - right.priority)
-			|| (Number(right.onTimeDeadline >= now) - Number(left.onTimeDeadline >= now))
-			|| (left.arrivedAt - right.arrivedAt)
-			|| (leftSequence - rightSequence));
+		const starts = this.computeStarts();
+		return this.entries.toSorted((left, right) =>
+			(left.request.priority - right.request.priority)
+			|| (Number(right.request.onTimeDeadline >= now) - Number(left.request.onTimeDeadline >= now))
+			|| (starts.get(left)! - starts.get(right)!)
+			|| compareArrivals(left, right));
+	}
+
+	/** Returns the virtual times at which the requests start, as if all workspaces had the same share. */
+	private computeStarts(): ReadonlyMap<Entry, number> {
+		const starts = new Map<Entry, number>();
+		const nextStarts = new Map<string, number>();
+		for (const entry of this.entries.toSorted(compareArrivals)) {
+			const {priority, workspace = '', tokens} = entry.request;
+			const key = `${priority} ${workspace}`;
+			const start = nextStarts.get(key) ?? this.virtualTimes.get(priority)?.getStart(workspace) ?? 0;
+			starts.set(entry, start);
+			nextStarts.set(key, start + tokens);
+		}
+
+		return starts;
+	}
+
+	/** Returns the request that is entitled to the next start although more urgent ones wait: the oldest one that is less urgent than another, or than one elsewhere. */
+	private findEntitled(): Entry | undefined {
+		if (!this.guarantee.isDue) {
+			return undefined;
+		}
+
+		const mostUrgent = Math.min(...this.entries.map(({request}) => request.priority));
+		return this.entries.filter(({request}) => request.priority > mostUrgent || request.isMoreUrgentElsewhere?.()).toSorted(compareArrivals)[0];
 	}
 
-	private tryStart(entry: Entry): StartOutcome {
+	private tryStart(entry: Entry, isEntitled = false): StartOutcome {
 		if (this.reservation?.entry === entry) {
 			this.cancelReservation();
 		}
 
-		const outcome = entry.request.tryStart();
+		const outcome = entry.request.tryStart(isEntitled);
 		if (outcome === StartOutcome.Started) {
 			this.drainRate.recordStart(entry.request.tokens, this.timers.now());
 			this.remove(entry);
+			this.recordStart(entry.request, isEntitled);
 		}
 
 		return outcome;
--- a/src/relay/streams/stream-dispatcher.ts
+++ b/src/relay/streams/stream-dispatcher.ts
@@ -1,4 +1,5 @@
 import {RetryUrgency} from '../../admission/retry-urgency.js';
+import {type WaitingSum} from '../../admission/zone-waiting.js';
 import {type Pipeline} from '../../pipelines/pipeline.js';
 import {type TimerHandle} from '../../time/timer-handle.js';
 import {type ExchangeDependencies} from '../exchange-dependencies.js';
@@ -34,18 +35,22 @@
 /** Longest time in milliseconds for which a retry is held back after a rejection by a full stage. Streams that end meanwhile free capacity on most stages. */
 const maxHoldMs = 300;
 
+/** Fraction of its longest wait for which a stream yields to more urgent requests at other instances. */
+const maxYieldFraction = 0.5;
+
 /** Starts a stream on a pipeline, or queues it until one has capacity. */
 export class StreamDispatcher {
 	private queueEntry?: TimerHandle;
 	private delay?: TimerHandle;
 	private latestOutcome?: StartOutcome;
+	private hasYielded = false;
 	private isArrivalRecorded = false;
 	/** Monotonic times in milliseconds. */
 	private sentAt?: number;
 	private rejectedAsFullAt?: number;
 
 	constructor(
-		private readonly dependencies: Pick<ExchangeDependencies, 'timers' | 'load' | 'metrics'> & Pick<StreamExchangeDependencies, 'requestQueue' | 'limits' | 'admission'>,
+		private readonly dependencies: Pick<ExchangeDependencies, 'timers' | 'load' | 'metrics' | 'log'> & Pick<StreamExchangeDependencies, 'requestQueue' | 'limits' | 'admission'>,
 		private readonly stream: DispatchedStream,
 		private readonly handler: DispatchHandler,
 	) {}
@@ -56,7 +61,8 @@
 		this.latestOutcome = undefined;
 		this.recordArrival();
 		// Those that wait come first.
-		if (!requestQueue.hasWaiting(request.priority) && this.tryStart() === StartOutcome.Started) {
+		if (!requestQueue.hasWaiting(request.priority) && this.tryStart(false) === StartOutcome.Started) {
+			requestQueue.recordStart({priority: request.priority, workspace: request.workspace, tokens: this.stream.selector.expectedTokens});
 			return;
 		}
 
@@ -121,10 +127,12 @@
 			priority: request.priority,
 			arrivedAt: request.arrivedAt,
 			tokens: selector.expectedTokens,
-			...(request.workspace !== undefined && {workspace: request.workspace}),
+			service: request.service.name,
+			workspace: request.workspace,
+			isMoreUrgentElsewhere: () => this.findMoreUrgentElsewhere() !== undefined,
 			mayUseReserve: this.mayUseReserve,
 			...deadlines,
-			tryStart: () => this.tryStart(),
+			tryStart: isEntitled => this.tryStart(isEntitled),
 			...(selector.isLarge && {reserve: () => this.reserve()}),
 			...(!executions.mayHaveExecuted && {
 				onHopeless(waitMs: number) {
@@ -153,6 +161,28 @@
 		return executions.mayHaveExecuted || progress.hasDelivered;
 	}
 
+	private findMoreUrgentElsewhere(): WaitingSum | undefined {
+		const {dependencies: {admission, timers}, stream: {request}} = this;
+		return admission?.zone.findMoreUrgent(request.service.name, request.priority, timers.now());
+	}
+
+	/** Whether the stream leaves capacity to a more urgent request that waits at another instance. It does so for a part of its wait only, so that it does not starve where this instance has few starts. */
+	private yieldsToUrgent(now: number): boolean {
+		const {dependencies: {requestQueue, limits, metrics, log}, stream: {request, progress}} = this;
+		const {queueDeadline} = computeStreamDeadlines(request, progress, false, limits);
+		const urgent = this.mayUseReserve || now >= request.arrivedAt + ((queueDeadline - request.arrivedAt) * maxYieldFraction) ? undefined : this.findMoreUrgentElsewhere();
+		if (urgent && !this.hasYielded) {
+			this.hasYielded = true;
+			requestQueue.recordYield();
+			metrics.count('siskinnotch_yields', 1, {priority: String(request.priority)});
+			log.write('request.yielded', {
+				request: request.id, priority: request.priority, urgentRequests: urgent.requests, urgentTokens: urgent.tokens, ageMs: Math.round(urgent.age),
+			});
+		}
+
+		return urgent !== undefined;
+	}
+
 	/** Whether a retry is not worth its part of the budget yet, because a full stage rejected the stream and another one is likely to do so. */
 	private isHeldBack(now: number): boolean {
 		const {dependencies: {admission}, stream: {request, progress}} = this;
@@ -169,12 +199,12 @@
 		return this.stream.progress.hasDelivered ? RetryUrgency.Begun : RetryUrgency.Ordinary;
 	}
 
-	private tryStart(): StartOutcome {
-		this.latestOutcome = this.start();
+	private tryStart(isEntitled: boolean): StartOutcome {
+		this.latestOutcome = this.start(isEntitled);
 		return this.latestOutcome;
 	}
 
-	private start(): StartOutcome {
+	private start(isEntitled: boolean): StartOutcome {
 		const {dependencies: {timers, admission, metrics}, stream: {selector, request}, handler} = this;
 		const now = timers.now();
 		const labels = {priority: String(request.priority)};
@@ -183,7 +213,11 @@
 			return StartOutcome.CapacityUnlikely;
 		}
 
-		const occupancyLimit = this.mayUseReserve ? 1 : admission?.reserves.getOccupancyLimit(request.service.name, request.priority, now) ?? 1;
+		if (!isEntitled && this.yieldsToUrgent(now)) {
+			return StartOutcome.UrgentElsewhere;
+		}
+
+		const occupancyLimit = isEntitled || this.mayUseReserve ? 1 : admission?.reserves.getOccupancyLimit(request.service.name, request.priority, now) ?? 1;
 		selector.occupancyLimit = occupancyLimit;
 		const pipeline = selector.select(now);
 		// Attempts beside a running one use the reserve, since the caller has been accepted.
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {type Agent} from 'node:http';
 import {type Logger} from 'winston';
-import {wireAdmission} from './admission-wiring.js';
+import {wireAdmission, wireWaiting} from './admission-wiring.js';
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
@@ -175,9 +175,11 @@
 	const backendAgent = new BackendAgent(timers, limits.idle_connection, serverConnector);
 	const newConnectionAgent = new ConnectorAgent(serverConnector, ConnectionPurpose.IsolatedRequest);
 	const stageReporter = adapters.createStageReporter(new ConnectorAgent(serverConnector, ConnectionPurpose.Query));
+	const waiting = wireWaiting(settings, () => requestQueue.describeWaiting());
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
 	const {instanceRegistry, peerLoads, gossip, findResponsivePeers, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
 		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, slowdowns, quarantine, lease, clients: gossipClients, peerPaths,
+		waitingExchange: waiting.exchange,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
 		onInstancesChange() {
@@ -244,7 +246,7 @@
 			selector: selection.selector,
 			requestQueue,
 			admission: wireAdmission(settings, {
-				instanceRegistry, activeCatalog, directory, random, timers, metrics,
+				instanceRegistry, zone: waiting.zone, activeCatalog, directory, random, timers, metrics,
 			}),
 			answers: wireEstimates(settings, {metrics, log}),
 			limits: {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -96,6 +96,13 @@
 		/** Further answers of its route after which an answer counts half. Not a time, so that a route keeps what it learned while it has few requests. */
 		half_life: wholeNumber(1000, 10, 1_000_000),
 	}).prefault({}),
+	/** Admission of streams with regard to more urgent ones. */
+	admission: z.object({
+		/** Largest fraction of a server's capacity that is reserved for more urgent requests. */
+		largest_reserve: ratio(0.25),
+		/** Age at which reports of the requests that wait at other instances are ignored. */
+		report_age: duration('2 s'),
+	}).prefault({}),
 	placement: z.object({
 		/** How the initial ranges of the servers of a zone are planned. */
 		plan: z.enum(PlacementPlan).default(PlacementPlan.Balanced),
--- a/test/stream-admission.test.ts
+++ b/test/stream-admission.test.ts
@@ -4,6 +4,7 @@
 import {PriorityReserves} from '../src/admission/priority-reserves.js';
 import {ReturnTimes} from '../src/admission/return-times.js';
 import {type StreamAdmission} from '../src/admission/stream-admission.js';
+import {ZoneWaiting} from '../src/admission/zone-waiting.js';
 import {StartOutcome} from '../src/relay/start-outcome.js';
 import {computeStreamDeadlines} from '../src/relay/streams/stream-deadlines.js';
 import {StreamProgress} from '../src/relay/streams/stream-progress.js';
@@ -16,7 +17,8 @@
 
 function createAdmission(requests = 300): StreamAdmission {
 	return {
-		reserves: new PriorityReserves({countInstances: () => 10, countRequests: () => requests}),
+		reserves: new PriorityReserves({countInstances: () => 10, countRequests: () => requests}, 0.25),
+		zone: new ZoneWaiting(2000, name => name),
 		rejections: new FullRejections(),
 		returnTimes: new ReturnTimes(1000, {nextFraction: () => 0.5}),
 	};
@@ -98,7 +100,7 @@
 		requestQueue.dispatchReady();
 	}
 
-	t.true(refused.length > 0 && refused.every(name => name.startsWith('burst')), refused.join(', '));
+	t.true(refused.length > 0 && refused.every(name => name.startsWith('burst')));
 	t.false(refused.includes('burst 0'), 'the first ones start in time');
 	t.false(refused.includes('burst 7'), 'it may have been executed');
 });
@@ -149,7 +151,7 @@
 	t.is(reserves.getOccupancyLimit(service, 0, 40_000), 1);
 	t.is(reserves.getOccupancyLimit(service, 1, 40_000), 1 - (Math.sqrt(load) / 300));
 	t.is(reserves.getOccupancyLimit(service, 1, 120_000), 1, 'no urgent requests any more');
-	const small = new PriorityReserves({countInstances: () => 10, countRequests: () => 4});
+	const small = new PriorityReserves({countInstances: () => 10, countRequests: () => 4}, 0.25);
 	small.recordArrival(service, 0, 0);
 	small.recordEnd(service, 0, 4000);
 	t.is(small.getOccupancyLimit(service, 1, 0), 0.75);
