Log and count held-back retries once, and test the guarantees of the queue

Cause: the counter counted each attempt to start a held-back retry. The one start in ten, the shares of workspaces and the age of reports had no test of their own.

--- a/src/admission-wiring.ts
+++ b/src/admission-wiring.ts
@@ -46,6 +46,7 @@
 	}, admission.largest_reserve, (service, priority) => {
 		metrics.gauge('siskinnotch_occupancy_limit', () => reserves.getOccupancyLimit(service, priority, timers.now()), {service, priority: String(priority)});
 	});
+	metrics.gauge('siskinnotch_instances_with_waiting', () => zone.findCurrent(timers.now()).filter(({work}) => work.length > 0).length);
 	return {
 		reserves, zone, rejections: new FullRejections(), returnTimes: new ReturnTimes(limits.come_back, random),
 	};
--- a/src/relay/streams/stream-dispatcher.ts
+++ b/src/relay/streams/stream-dispatcher.ts
@@ -211,11 +211,16 @@
 	}
 
 	private start(isEntitled: boolean): StartOutcome {
-		const {dependencies: {timers, admission, metrics}, stream: {selector, request}, handler} = this;
+		const {dependencies: {timers, admission, metrics, log}, stream: {selector, request}, handler} = this;
 		const now = timers.now();
-		const labels = {priority: String(request.priority)};
 		if (this.isHeldBack(now)) {
-			metrics.count('siskinnotch_retries_held_back', 1, labels);
+			if (this.latestOutcome !== StartOutcome.CapacityUnlikely) {
+				metrics.count('siskinnotch_retries_held_back', 1, {priority: String(request.priority)});
+				log.write('request.held_back', {
+					request: request.id, rejectedFraction: admission?.rejections.getFraction(request.service.name, now), attempts: handler.countAttempts(),
+				});
+			}
+
 			return StartOutcome.CapacityUnlikely;
 		}
 
--- a/test/stream-admission.test.ts
+++ b/test/stream-admission.test.ts
@@ -5,6 +5,8 @@
 import {ReturnTimes} from '../src/admission/return-times.js';
 import {type StreamAdmission} from '../src/admission/stream-admission.js';
 import {ZoneWaiting} from '../src/admission/zone-waiting.js';
+import {getIdDigest} from '../src/peers/id-digest.js';
+import {WaitingExchange} from '../src/peers/waiting-exchange.js';
 import {StartOutcome} from '../src/relay/start-outcome.js';
 import {computeStreamDeadlines} from '../src/relay/streams/stream-deadlines.js';
 import {StreamProgress} from '../src/relay/streams/stream-progress.js';
@@ -171,3 +173,87 @@
 	fixture.exchange.hedge(undefined, 'no event');
 	t.is(fixture.pipelineRequests.at(-1)!.occupancyLimit, undefined);
 });
+
+/** Queues requests of which each dispatch starts one, and returns the names in the order of their starts. */
+function startInTurn(waiting: ReadonlyArray<{name: string; priority: number; workspace?: string}>): readonly string[] {
+	const {timers, requestQueue} = new StreamExchangeFixture(sampleStreamRoute);
+	const started: string[] = [];
+	const capacity = {free: 0};
+	for (const {name, ...fields} of waiting.slice(0, 10)) {
+		requestQueue.enqueue({
+			...fields,
+			arrivedAt: timers.now(),
+			tokens: 100,
+			onTimeDeadline: 0,
+			queueDeadline: 60_000,
+			onTimeout: () => undefined,
+			tryStart() {
+				if (capacity.free <= 0) {
+					return StartOutcome.NoAllowedCapacity;
+				}
+
+				capacity.free--;
+				started.push(name);
+				return StartOutcome.Started;
+			},
+		});
+	}
+
+	while (requestQueue.size > 0) {
+		capacity.free = 1;
+		requestQueue.dispatchReady();
+	}
+
+	return started;
+}
+
+// Guards against a workspace that waits until a busier one has none left.
+test('workspaces of one priority start in turn', t => {
+	const busy = Array.from({length: 6}, (_, index) => ({name: `busy ${index}`, priority: 0, workspace: 'busy'}));
+	const started = startInTurn([...busy, {name: 'other', priority: 0, workspace: 'other'}]);
+	t.true(started.indexOf('other') <= 1);
+});
+
+// Guards against a priority that never starts while more urgent requests keep arriving.
+test('one start in ten goes to the oldest less urgent request', t => {
+	const {timers, requestQueue} = new StreamExchangeFixture();
+	const starts: Array<number | undefined> = [];
+	requestQueue.enqueue({
+		priority: 2, arrivedAt: 0, tokens: 100, onTimeDeadline: 0, queueDeadline: 60_000, onTimeout: () => undefined,
+		tryStart(isEntitled) {
+			starts.push(isEntitled ? 2 : undefined);
+			return isEntitled ? StartOutcome.Started : StartOutcome.UrgentElsewhere;
+		},
+		isMoreUrgentElsewhere: () => true,
+	});
+	for (let index = 0; index < 9; index++) {
+		t.false(starts.includes(2));
+		starts.push(0);
+		requestQueue.recordStart({priority: 0, tokens: 100});
+		timers.advance(40);
+	}
+
+	t.deepEqual(starts.filter(priority => priority !== undefined), [0, 0, 0, 0, 0, 0, 0, 0, 0, 2]);
+});
+
+// Guards against requests that yield to a queue that was read long ago, and against a message of an earlier build that is not understood.
+test('what waits elsewhere counts until its report is too old, and a newer report replaces it', t => {
+	const zone = new ZoneWaiting(2000, getIdDigest);
+	const exchange = new WaitingExchange({id: 'one', availabilityZone: 'a'}, zone, () => []);
+	const work = [{
+		service, priority: 0, requests: 3, tokens: 2700,
+	}];
+	const other = new WaitingExchange({id: 'two', availabilityZone: 'a'}, new ZoneWaiting(2000, getIdDigest), () => work);
+	const from = {id: 'two', availabilityZone: 'a', peers: ''};
+	exchange.receive({from}, 0);
+	exchange.receive({from, ...other.getCurrent('a', 0)}, 0);
+	t.like(zone.findMoreUrgent(service, 1, 500), {requests: 3, tokens: 2700});
+	t.is(zone.findMoreUrgent(service, 0, 500), undefined);
+	t.deepEqual(other.getCurrent('b', 500), {}, 'other zones are not told');
+	t.is(zone.findMoreUrgent(service, 1, 2100), undefined, 'too old');
+	exchange.receive({from, ...other.getCurrent('a', 2100)}, 2100);
+	t.is(exchange.getCurrent('a', 2200).waiting?.length, 1, 'it is passed on');
+	work.length = 0;
+	exchange.receive({from, ...other.getCurrent('a', 2500)}, 2500);
+	t.is(zone.findMoreUrgent(service, 1, 2500), undefined);
+});
