--- a/test/zone-admission.test.ts
+++ b/test/zone-admission.test.ts
@@ -69,6 +69,7 @@
 			model: sampleModel,
 			selector: this.createSelector(),
 			requestQueue: this.queue,
+			answers: this.fixture.answers,
 			admission: this.admission,
 			limits: {
 				maxRejections: 6, lateRejectionThreshold: 1000, onTimeFraction: 0.75, maxQueueTime: this.admission ? 4000 : 1100, resumeWaitFraction: 0.9, retryAfter: 1000,
