--- a/src/admission/priority-reserves.ts
+++ b/src/admission/priority-reserves.ts
@@ -23,8 +23,6 @@
 const holdingSmoothing = 0.1;
 /** Reserved requests, as a multiple of the square root of the offered load, which is the standard deviation of a Poisson distribution of running requests. */
 const reserveFactor = 1;
-/** Largest fraction of the capacity that is reserved. */
-const maxReserve = 0.25;
 /** Decayed number of arrivals below which a priority does not count as seen. */
 const minArrivals = 0.05;
 const maxServices = 64;
@@ -39,9 +37,10 @@
 	private readonly services = new Map<string, Map<number, Traffic>>();
 
 	/**
+	@param maxReserve - largest fraction of the capacity that is reserved
 	@param onFirstArrival - called when a request of a priority arrives for the first time
 	*/
-	constructor(private readonly capacity: SharedCapacity, private readonly onFirstArrival: (service: string, priority: number) => void = () => undefined) {}
+	constructor(private readonly capacity: SharedCapacity, private readonly maxReserve: number, private readonly onFirstArrival: (service: string, priority: number) => void = () => undefined) {}
 
 	/** Records that a request arrived. */
 	recordArrival(service: string, priority: number, now: number): void {
@@ -89,11 +88,23 @@
 		return load * this.capacity.countInstances();
 	}
 
-	/** Returns the fraction of a server's capacity up to which requests of a priority may fill it; 1 for the most urgent one. */
-	getOccupancyLimit(service: string, priority: number, now: number): number {
+	/**
+	Returns the fraction of a server's capacity up to which requests of a priority may fill it; 1 for the most urgent one.
+
+	@param isLate - whether the request can't be answered on time any more; it then leaves a reserve to those of its own priority as well, since a late answer is worth little and its capacity would make others late
+	*/
+	getOccupancyLimit(service: string, priority: number, now: number, isLate = false): number {
 		const offered = this.getOfferedLoad(service, priority, now);
+		if (isLate && offered > 0) {
+			return this.computeLimit(service, this.getOfferedLoad(service, priority + 1, now), now);
+		}
+
+		return this.computeLimit(service, offered, now);
+	}
+
+	private computeLimit(service: string, offered: number, now: number): number {
 		const requests = offered > 0 ? this.capacity.countRequests(service, now) : undefined;
-		return requests === undefined || requests <= 0 ? 1 : 1 - Math.min(maxReserve, reserveFactor * Math.sqrt(offered) / requests);
+		return requests === undefined || requests <= 0 ? 1 : 1 - Math.min(this.maxReserve, reserveFactor * Math.sqrt(offered) / requests);
 	}
 
 	private findMoreUrgent(service: string, priority: number, now: number): readonly Traffic[] {
