Let a refused instance ask the store less often, and the next one read in its place

An instance that the store refused asked again every 700 ms for each of its four tables, and instances whose copies became old joined it one after the other.

One state per process tells whether the store refuses the instance. While it does, one call at a time probes it, with exponential backoff and full jitter from store.retry_pause to store.max_retry_pause, and without waiting for a change. The tables of instance rows, quarantines and the lease make no other calls meanwhile. An instance without a copy probes quickly at first. A refused instance says so by gossip, so that the next ones in order read at once. Where the store refuses the first ones of a zone, further ones try one after the other.

--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -19,19 +19,22 @@
 import {PlacementHolder} from './peers/placement-holder.js';
 import {QuarantineExchange} from './peers/quarantine-exchange.js';
 import {ServerRumors} from './peers/server-rumors.js';
+import {StoreRefusalExchange} from './peers/store-refusal-exchange.js';
 import {SlowdownExchange} from './peers/slowdown-exchange.js';
 import {SuspicionQuorum} from './peers/suspicion-quorum.js';
 import {TableExchange} from './peers/table-exchange.js';
 import {type Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRegister} from './quarantine/quarantine-register.js';
+import {StoreAccess} from './replication/store-access.js';
 import {StoreReaderRole} from './replication/store-reader-role.js';
 import {TableCurrency} from './replication/table-currency.js';
 import {type TableFeed} from './replication/table-feed.js';
-import {TableName} from './replication/table-name.js';
+import {TableName, tableNames} from './replication/table-name.js';
 import {TableSet} from './replication/table-set.js';
 import {TableWatcher} from './replication/table-watcher.js';
 import {type RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
+import {GatedTable} from './store/gated-table.js';
 import {type Table} from './store/table.js';
 import {type PeerPaths} from './tunnels/peer-paths.js';
 import {type TimerService} from './time/timer-service.js';
@@ -51,6 +54,8 @@
 	readonly tableWatchers: readonly TableWatcher[];
 	/** Whether this instance is one of those that read the store in normal operation. */
 	readonly isStoreReader: () => boolean;
+	/** Whether the store refuses this instance. */
+	readonly storeAccess: StoreAccess;
 };
 
 /** What the control parts are built from. */
@@ -129,7 +134,11 @@
 /** Time after the start in which the other instances had no time to register, so that only the seeds read the store. */
 const registrationTimeMs = 3000;
 /** Durations in milliseconds by which further instances start to read the store when its readers stop. */
-const takeoverDelays = {takeoverStep: 100, maxTakeoverDelay: 1500};
+const takeoverDelays = {takeoverStep: 100, maxTakeoverDelay: 1500, refusedTakeoverStep: 500};
+/** Failed probes of an instance without a copy of a table that follow each other quickly. */
+const quickStoreAttempts = 5;
+/** Time for which an instance that the store refuses is not asked to read, in multiples of the longest pause between probes. An instance that still probes repeats its report earlier. */
+const refusalMemoryPauses = 6;
 /** Interval between checks whether this instance is to read a table. */
 const tableIdleIntervalMs = 250;
 /** Time without a message of any other instance after which this one reads the store itself. */
@@ -152,8 +161,28 @@
 	const bytesPerSecond = settings.peers.link * bytesPerMegabit * settings.peers.link_share;
 	const tables = new TableSet(log);
 	const peerLoads = new PeerLoads(self, peerLoadLimits);
-	const instanceRegistry = new InstanceRegistry(self, {
-		table: dependencies.instanceTable, timers, log, onChange() {
+	const refusals = new StoreRefusalExchange(self, timers, store.max_retry_pause * refusalMemoryPauses, now => {
+		storeAccess.expectAnswer(now);
+		// An instance that does not read the store may have a row to write, and a probe is due by then.
+		timers.after(store.retry_pause, () => {
+			instanceRegistry.retryOwnRow();
+		});
+	});
+	const storeAccess: StoreAccess = new StoreAccess(random, {retryPause: store.retry_pause, maxRetryPause: store.max_retry_pause, quickAttempts: quickStoreAttempts}, {
+		isLackingCopy: () => tableNames.some(name => !tables.get(name).position),
+		onChange(isRefused, now) {
+			if (refusals.recordOwn(isRefused, now)) {
+				log.write(isRefused ? 'store.refused' : 'store.served', {});
+				gossip.reportStoreAccess();
+			}
+
+			if (!isRefused) {
+				instanceRegistry.retryOwnRow();
+			}
+		},
+	});
+	const instanceRegistry: InstanceRegistry = new InstanceRegistry(self, {
+		table: new GatedTable(dependencies.instanceTable, storeAccess, timers), timers, log, onChange() {
 			events.onInstancesChange(instanceRegistry.all());
 		},
 	}, registryTimings);
@@ -161,12 +190,12 @@
 		instanceRegistry.update(table);
 	});
 	const quarantineRegister = new QuarantineRegister({
-		table: dependencies.quarantineTable, timers, random, log, countInstances: () => instanceRegistry.all().length, onQuarantine: events.onQuarantine,
+		table: new GatedTable(dependencies.quarantineTable, storeAccess, timers), timers, random, log, countInstances: () => instanceRegistry.all().length, onQuarantine: events.onQuarantine,
 	}, quarantineTimings);
 	tables.onChange(TableName.Quarantine, table => {
 		quarantineRegister.update(table);
 	});
-	const tableExchange = new TableExchange(tables);
+	const tableExchange = new TableExchange(tables, refusals);
 	const partners = new PartnerSelector(self, random);
 	const gossip = new GossipService({
 		self,
@@ -212,17 +241,18 @@
 		return peerLoads.getReportingInstances(now);
 	};
 
-	const isStoreReader = () => readerRole.isReader(findNeighbours(), instanceRegistry.countAvailabilityZones());
+	const describeZone = () => ({neighbours: findNeighbours(), zones: instanceRegistry.countAvailabilityZones(), refused: refusals.findRefused(timers.now())});
+	const isStoreReader = () => readerRole.isReader(describeZone());
 	const isWithoutPeers = () => gossip.peerHeardAt > Number.NEGATIVE_INFINITY && timers.now() - gossip.peerHeardAt > peerSilenceMs;
 	const createTableWatcher = (name: TableName, {wait, pauseAfterCall}: TablePolling) => new TableWatcher(name, {
 		feed: dependencies.feeds[name],
 		tables,
+		access: storeAccess,
 		timers,
 		metrics,
 		log,
 		mayRead: () => isWithoutPeers() || readerRole.mayRead({
-			neighbours: findNeighbours(),
-			zones: instanceRegistry.countAvailabilityZones(),
+			...describeZone(),
 			age: timers.now() - tables.get(name).confirmation.confirmedAt,
 			takeoverAge: wait + slowTableThresholdMs + spreadTimeMs,
 			uptime: timers.now() - startedAt,
@@ -231,7 +261,7 @@
 			gossip.reportTableChange(name, previous);
 		},
 	}, {
-		wait, pauseAfterCall, retryPause: store.retry_pause, slowThreshold: slowTableThresholdMs, idleInterval: tableIdleIntervalMs,
+		wait, pauseAfterCall, slowThreshold: slowTableThresholdMs, idleInterval: tableIdleIntervalMs,
 	});
 	const tableWatchers = [
 		createTableWatcher(TableName.Catalog, {wait: store.configuration_wait, pauseAfterCall: 0}),
@@ -249,5 +279,6 @@
 		quarantineRegister,
 		tableWatchers,
 		isStoreReader,
+		storeAccess,
 	};
 }
--- a/src/entry/instance-registry.ts
+++ b/src/entry/instance-registry.ts
@@ -3,6 +3,7 @@
 import {type ReplicatedTable} from '../replication/replicated-table.js';
 import {getErrorMessage} from '../results/to-failure.js';
 import {type Table} from '../store/table.js';
+import {type TimerHandle} from '../time/timer-handle.js';
 import {type TimerService} from '../time/timer-service.js';
 
 const instanceRowSchema = z.object({availabilityZone: z.string(), peers: z.string()});
@@ -50,6 +51,7 @@
 	private readonly expiredRows = new Map<string, string>();
 	private ownRowVersion = 0;
 	private isOwnRowWritten = false;
+	private retryTimer?: TimerHandle;
 	/** Era of the store in which the own row was last seen. */
 	private ownRowEra?: number;
 	private hasTable = false;
@@ -136,6 +138,15 @@
 		this.restoreOwnRow(keys.has(this.self.id), table.position?.era);
 	}
 
+	/** Writes the own row now if that has failed so far, since the store serves this instance again. */
+	retryOwnRow(): void {
+		if (this.retryTimer && !this.isOwnRowWritten) {
+			this.retryTimer.cancel();
+			this.retryTimer = undefined;
+			void this.refreshOwnRow();
+		}
+	}
+
 	/** Replaces the own row by one that says that this instance has stopped. */
 	async retire(): Promise<void> {
 		await this.writeOwnRow('');
@@ -172,7 +183,8 @@
 		} catch (error) {
 			log.write('members.not_refreshed', {reason: getErrorMessage(error)});
 			if (value !== '' && !this.isOwnRowWritten) {
-				timers.after(this.timings.retryPause, () => {
+				this.retryTimer?.cancel();
+				this.retryTimer = timers.after(this.timings.retryPause, () => {
 					void this.refreshOwnRow();
 				});
 			}
--- a/src/peers/gossip-message.ts
+++ b/src/peers/gossip-message.ts
@@ -67,6 +67,17 @@
 	expiresAt: z.number(),
 });
 
+const storeAccessSchema = z.object({
+	/** Digest of the id of the instance. */
+	instance: z.string(),
+	/** Rises with each report of the instance. */
+	number: z.number(),
+	/** Whether the store refuses the instance. */
+	isRefused: z.boolean(),
+	/** Milliseconds since the instance reported it. */
+	age: z.number().nonnegative(),
+});
+
 const instanceSchema = z.object({id: z.string(), availabilityZone: z.string(), peers: z.string()});
 
 const tableStatusSchema = z.object({
@@ -119,6 +130,8 @@
 		/** Packed ages of these in milliseconds. */
 		ages: z.string(),
 	}).optional(),
+	/** Instances of the sender's availability zone that the store refuses, or serves again; absent if there are none, and in messages to other zones. */
+	storeAccess: z.array(storeAccessSchema).optional(),
 	/** Whether the sender reaches no backend server itself; absent if it does. */
 	isPartitioned: z.boolean().optional(),
 	/** The newest sign of the holder of the placement lease; undefined if none is known. */
--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -72,7 +72,6 @@
 
 /** Instances of other availability zones that are contacted in a round at most. */
 const maxFarContacts = 2;
-
 /** Instances of other availability zones that the holder of the placement lease contacts in each round. */
 const holderFanout: Fanout = {near: 0, far: 2};
 
@@ -85,7 +84,6 @@
 	/** Ids of the instances to which a message is in flight; they get no second one meanwhile. */
 	private readonly contacting = new Set<string>();
 	private heardAt = Number.NEGATIVE_INFINITY;
-
 	private readonly rowFetcher: RowFetcher;
 	private readonly spreadScheduler: SpreadScheduler;
 	private readonly clearedAnswers: ClearedAnswers;
@@ -126,15 +124,13 @@
 
 	/** Reports to the other instances that a backend server loaded a range by order. */
 	reportRange(server: BackendServer, range: LayerRange): void {
-		const {rumors, timers} = this.dependencies;
-		rumors.addRange(server, range, timers.now());
+		this.dependencies.rumors.addRange(server, range, this.dependencies.timers.now());
 		this.spreadScheduler.schedule(this.timings.rumorFanout);
 	}
 
 	/** Reports to the other instances that this one saw a backend server crash. */
 	reportCrash(report: CrashReport): void {
-		const {crashRumors, timers} = this.dependencies;
-		crashRumors.addCrash(report, timers.now());
+		this.dependencies.crashRumors.addCrash(report, this.dependencies.timers.now());
 		this.spreadScheduler.schedule(this.timings.rumorFanout);
 	}
 
@@ -148,6 +144,11 @@
 		this.spreadScheduler.schedule(this.timings.rumorFanout);
 	}
 
+	/** Tells the other instances that the store refuses this one or serves it again. */
+	reportStoreAccess(): void {
+		this.spreadScheduler.schedule(this.timings.rumorFanout);
+	}
+
 	/** Passes a change of a table on to the other instances. */
 	reportTableChange(name: TableName, previous: TablePosition | undefined): void {
 		this.dependencies.tables.recordChange(name, previous, this.dependencies.timers.now());
@@ -166,14 +167,13 @@
 
 	exchange(message: GossipMessage): GossipMessage {
 		const {self, tables, peerLoads, timers} = this.dependencies;
-		const isNear = message.from.availabilityZone === self.availabilityZone;
 		this.receive(message);
 		const {from, reportAges = ''} = message;
 		const {furtherUpdates, ...answer} = this.createMessage(from.availabilityZone, message.wantsRows);
 		return {
 			...answer,
 			loads: [...answer.loads, ...peerLoads.selectReports(from.availabilityZone, reportAges, timers.now())],
-			...(isNear || message.wantsRows ? tables.getMissingUpdates(message, timers.now()) : {updates: {}}),
+			...(from.availabilityZone === self.availabilityZone || message.wantsRows ? tables.getMissingUpdates(message, timers.now()) : {updates: {}}),
 		};
 	}
 
--- a/src/peers/table-exchange.ts
+++ b/src/peers/table-exchange.ts
@@ -8,6 +8,7 @@
 import {type PackedRow} from './packed-row.js';
 import {packUpdate, unpackUpdate} from './packed-update.js';
 import {RowPacking} from './row-packing.js';
+import {type StoreRefusalExchange} from './store-refusal-exchange.js';
 import {type ByTable, divideByBuild, joinTables} from './table-fields.js';
 
 type TableStatus = NonNullable<GossipMessage['tables'][TableName.Catalog]>;
@@ -33,7 +34,7 @@
 
 /** What a message changed. */
 type TableReceipt = {
-	/** Whether rows changed. */
+	/** Whether rows changed, or what is known of the instances that the store refuses. */
 	readonly isChanged: boolean;
 	/** Whether the sender has rows that this instance still lacks. */
 	readonly isBehind: boolean;
@@ -78,7 +79,7 @@
 	/** Whether the last packed rows could be unpacked, so that the next ones may be deltas. */
 	private isDeltaUsable = true;
 
-	constructor(private readonly tables: TableSet) {}
+	constructor(private readonly tables: TableSet, private readonly refusals: StoreRefusalExchange) {}
 
 	/** Remembers a change, so that it is sent with the next messages. */
 	recordChange(name: TableName, since: TablePosition | undefined, now: number): void {
@@ -109,8 +110,8 @@
 		return {tables: original, ...(further && {furtherTables: further})};
 	}
 
-	/** Returns the recent small changes, for instances whose copies are not known. */
-	getRecentUpdates(now: number): UpdateFields {
+	/** Returns what an instance of the own availability zone is sent unasked: the recent small changes, and which instances the store refuses. */
+	getRecentUpdates(now: number): UpdateFields & Pick<GossipMessage, 'storeAccess'> {
 		const updates: ByTable<TableUpdate> = {};
 		for (const {name, since, at} of this.recentChanges) {
 			const update = now - at <= unaskedSendMs && !updates[name] ? this.tables.get(name).getChangesSince(since) : undefined;
@@ -119,7 +120,7 @@
 			}
 		}
 
-		return toUpdateFields(updates);
+		return {...toUpdateFields(updates), ...this.refusals.getCurrent(now)};
 	}
 
 	/** How this instance wants large rows. */
@@ -155,7 +156,7 @@
 	receive(message: GossipMessage, now: number): TableReceipt {
 		const statuses = joinTables({original: message.tables, further: message.furtherTables});
 		const updates = joinTables({original: message.updates, further: message.furtherUpdates});
-		let isChanged = false;
+		let isChanged = this.refusals.receive(message, now);
 		let isBehind = false;
 		let unpackingError: string | undefined;
 		for (const name of tableNames) {
--- a/src/replication/table-watcher.ts
+++ b/src/replication/table-watcher.ts
@@ -4,6 +4,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {UpdateResult} from './replicated-table.js';
 import {isLargeRow} from './row-history.js';
+import {type StoreAccess, type StoreCall} from './store-access.js';
 import {type TableFeed} from './table-feed.js';
 import {type TableName} from './table-name.js';
 import {type TablePosition} from './table-position.js';
@@ -13,6 +14,8 @@
 export type TableWatcherDependencies = {
 	readonly feed: TableFeed;
 	readonly tables: TableSet;
+	/** Whether the store refuses this instance. */
+	readonly access: StoreAccess;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
@@ -28,17 +31,17 @@
 	readonly wait: number;
 	/** Pause after a call, so that several changes in quick succession are read together. */
 	readonly pauseAfterCall: number;
-	/** Pause after a failure, so that an outage does not cause a retry storm. */
-	readonly retryPause: number;
 	/** An answer that exceeds the wait by more than this counts as an outage. */
 	readonly slowThreshold: number;
-	/** Interval between checks whether this instance is to read the table. */
+	/** Interval between checks whether this instance is to read the table, and whether the store may be called. */
 	readonly idleInterval: number;
 };
 
 /** Copies a table of the store into this instance's set, with one call at a time. */
 export class TableWatcher {
 	private lastOutageAt = Number.NEGATIVE_INFINITY;
+	/** Failures in a row of calls that were made because the store answered others. The cause may lie in this table alone. */
+	private ownFailures = 0;
 	private readonly dependencyMonitor: DependencyMonitor;
 
 	constructor(private readonly name: TableName, private readonly dependencies: TableWatcherDependencies, private readonly timings: TableWatcherTimings) {
@@ -58,40 +61,51 @@
 
 	/** Reads once if this instance is to read the table; returns the pause that follows. */
 	private async step(): Promise<number> {
-		const {mayRead} = this.dependencies;
-		const {idleInterval, pauseAfterCall, retryPause} = this.timings;
-		if (!mayRead()) {
+		const {mayRead, access, timers} = this.dependencies;
+		const {idleInterval, pauseAfterCall} = this.timings;
+		const call = mayRead() ? access.begin(timers.now()) : undefined;
+		if (!call) {
 			return idleInterval;
 		}
 
-		return await this.readOnce() ? pauseAfterCall : retryPause;
+		if (await this.readOnce(call)) {
+			this.ownFailures = 0;
+			return pauseAfterCall;
+		}
+
+		this.ownFailures += call.isProbe ? 0 : 1;
+		return this.ownFailures > 1 ? Math.max(idleInterval, access.computePause(this.ownFailures - 1)) : idleInterval;
 	}
 
-	private async readOnce(): Promise<boolean> {
-		const {timers, metrics} = this.dependencies;
-		const requestedAt = timers.now();
+	private async readOnce(call: StoreCall): Promise<boolean> {
+		const {access, timers, metrics} = this.dependencies;
 		metrics.count('siskinnotch_table_reads', 1, {table: this.name});
 		try {
-			this.apply(await this.fetchUpdate(), requestedAt);
+			// The answer to a probe comes at once, so that the other tables need not wait for a change of this one.
+			const wait = call.isProbe ? 0 : this.timings.wait;
+			const update = await this.fetchUpdate(wait);
+			access.recordAnswer(call, timers.now());
+			this.apply(update, {requestedAt: call.startedAt, wait});
 			return true;
 		} catch (error) {
 			this.lastOutageAt = timers.now();
+			access.recordFailure(call, this.lastOutageAt);
 			metrics.count('siskinnotch_table_failures', 1, {table: this.name});
 			this.dependencyMonitor.recordFailure(error);
 			return false;
 		}
 	}
 
-	private async fetchUpdate(): Promise<TableUpdate> {
+	private async fetchUpdate(wait: number): Promise<TableUpdate> {
 		const {feed, tables} = this.dependencies;
 		const {position} = tables.get(this.name);
-		const changes = position && await feed.follow(position, this.timings.wait);
+		const changes = position && await feed.follow(position, wait);
 		return changes ?? feed.read();
 	}
 
-	private apply(update: TableUpdate, requestedAt: number): void {
+	private apply(update: TableUpdate, {requestedAt, wait}: {readonly requestedAt: number; readonly wait: number}): void {
 		const {tables, timers, metrics, onChange} = this.dependencies;
-		const {wait, slowThreshold} = this.timings;
+		const {slowThreshold} = this.timings;
 		const now = timers.now();
 		const previous = tables.get(this.name).position;
 		const isHistoryReplaced = previous !== undefined && update.position.era > previous.era;
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -52,6 +52,7 @@
 import {TableName} from './replication/table-name.js';
 import {RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
+import {GatedTable} from './store/gated-table.js';
 import {type Table} from './store/table.js';
 import {type TimerService} from './time/timer-service.js';
 import {ConnectionPurpose} from './tunnels/connection-purpose.js';
@@ -176,7 +177,7 @@
 	const newConnectionAgent = new ConnectorAgent(serverConnector, ConnectionPurpose.IsolatedRequest);
 	const stageReporter = adapters.createStageReporter(new ConnectorAgent(serverConnector, ConnectionPurpose.Query));
 	const lease = new Lease(`${instance.id}/${randomUUID()}`, placementSettings.lease);
-	const {instanceRegistry, peerLoads, gossip, findResponsivePeers, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader} = wireControl(settings, {
+	const {instanceRegistry, peerLoads, gossip, findResponsivePeers, tables, catalogCurrency, quarantineRegister, tableWatchers, isStoreReader, storeAccess} = wireControl(settings, {
 		timers, log, metrics, random, directory, serverHealth, serverLoad, serverLimits: backpressure.limits, slowdowns, quarantine, lease, clients: gossipClients, peerPaths,
 		instanceTable: adapters.instanceTable, quarantineTable: adapters.quarantineTable, feeds: adapters.feeds,
 	}, {
@@ -284,7 +285,7 @@
 		onSuspicion,
 	}, streamMonitorTimings);
 
-	const leaseManager = new LeaseManager('placement', lease, {table: adapters.leaseTable, timers, log: createPartLog(logger, 'leases')});
+	const leaseManager = new LeaseManager('placement', lease, {table: new GatedTable(adapters.leaseTable, storeAccess, timers), timers, log: createPartLog(logger, 'leases')});
 	const placementController = new PlacementController({
 		lease,
 		catalog: activeCatalog,
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -54,8 +54,10 @@
 		list_pause: duration('400 ms'),
 		/** Time after an outage of the store until servers whose entries expired meanwhile are listed again. */
 		return_grace: duration('2200 ms'),
-		/** Pause after a failed request, so that an outage does not cause a burst of requests. */
+		/** Bound of the random pause after the first failed request, so that an outage does not cause a burst of requests. It doubles with each further failure. */
 		retry_pause: duration('700 ms'),
+		/** Largest bound of that pause. */
+		max_retry_pause: duration('5 s'),
 	}),
 	limits: z.object({
 		/** Retries allowed per request, within `retry_window`. */
--- a/test/packed-rows.test.ts
+++ b/test/packed-rows.test.ts
@@ -1,13 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
-import {TableExchange} from '../src/peers/table-exchange.js';
 import {type GossipMessage} from '../src/peers/gossip-message.js';
 import {packRow, unpackRow} from '../src/peers/packed-row.js';
 import {RowPacking} from '../src/peers/row-packing.js';
 import {TableName} from '../src/replication/table-name.js';
 import {TableSet} from '../src/replication/table-set.js';
 import {applyTextDelta, createTextDelta} from '../src/replication/text-delta.js';
-import {RecordingLog} from './support/sample-fleet.js';
+import {createTableExchange, RecordingLog} from './support/sample-fleet.js';
 import {seed} from './support/seed.js';
 
 const objects = Array.from({length: 400}, (_, index) => `{"name":"route-${index}","timeout":20000}`);
@@ -20,7 +19,7 @@
 /** The copies of one instance, which exchanges rows of one table with others. */
 class Copies {
 	readonly tables = new TableSet(new RecordingLog());
-	readonly exchange = new TableExchange(this.tables);
+	readonly exchange = createTableExchange(this.tables);
 
 	constructor(private readonly id: string) {}
 
--- a/test/server-list.test.ts
+++ b/test/server-list.test.ts
@@ -13,7 +13,7 @@
 import {type HttpClient, type PlatformResponse} from '../src/store/http-client.js';
 import {PlatformError} from '../src/store/platform-error.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
-import {RecordingLog} from './support/sample-fleet.js';
+import {createStoreAccess, RecordingLog} from './support/sample-fleet.js';
 
 function row(key: string, transaction: number, state = 'ready'): StoreRow {
 	const entry = {
@@ -67,9 +67,9 @@
 		});
 		new TableWatcher(TableName.Servers, {
 			feed: new StoreFeed(new StoreClient(this.http as unknown as HttpClient), 'servers'), // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			tables, timers: this.timers, metrics: new Metrics(), log: new RecordingLog(), mayRead: () => true, onChange() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			tables, timers: this.timers, metrics: new Metrics(), log: new RecordingLog(), access: createStoreAccess(), mayRead: () => true, onChange() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		}, {
-			wait: 500, pauseAfterCall: 50, retryPause: 200, slowThreshold: 400, idleInterval: 50,
+			wait: 500, pauseAfterCall: 50, slowThreshold: 400, idleInterval: 50,
 		}).start();
 	}
 
--- a/test/table-convergence.test.ts
+++ b/test/table-convergence.test.ts
@@ -1,11 +1,10 @@
 import test from 'ava';
 import {gossipMessageSchema, type GossipMessage} from '../src/peers/gossip-message.js';
-import {TableExchange} from '../src/peers/table-exchange.js';
 import {TableName} from '../src/replication/table-name.js';
 import {TableSet} from '../src/replication/table-set.js';
 import {RandomSource} from '../src/routing/random-source.js';
 import {ControlFleet} from './support/control-fleet.js';
-import {RecordingLog} from './support/sample-fleet.js';
+import {createTableExchange, RecordingLog} from './support/sample-fleet.js';
 
 const never = Number.NEGATIVE_INFINITY;
 const runs = 200;
@@ -45,7 +44,7 @@
 
 class Instance {
 	readonly tables = new TableSet(new RecordingLog());
-	readonly exchange = new TableExchange(this.tables);
+	readonly exchange = createTableExchange(this.tables);
 
 	constructor(readonly id: string, readonly isOldBuild: boolean) {}
 
--- a/test/table-watcher.test.ts
+++ b/test/table-watcher.test.ts
@@ -7,7 +7,7 @@
 import {type TableUpdate} from '../src/replication/table-update.js';
 import {TableWatcher} from '../src/replication/table-watcher.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
-import {RecordingLog} from './support/sample-fleet.js';
+import {createStoreAccess, RecordingLog} from './support/sample-fleet.js';
 
 /** A feed whose answers the store sends at once, and whose transfer takes long. */
 class SlowFeed extends TableFeed {
@@ -32,9 +32,9 @@
 	const timers = new ManualTimerService();
 	const tables = new TableSet(new RecordingLog());
 	new TableWatcher(TableName.Catalog, {
-		feed: new SlowFeed(timers, 4000), tables, timers, metrics: new Metrics(), log: new RecordingLog(), mayRead: () => true, onChange: () => undefined,
+		feed: new SlowFeed(timers, 4000), tables, timers, metrics: new Metrics(), log: new RecordingLog(), access: createStoreAccess(), mayRead: () => true, onChange: () => undefined,
 	}, {
-		wait: 2400, pauseAfterCall: 0, retryPause: 500, slowThreshold: 400, idleInterval: 250,
+		wait: 2400, pauseAfterCall: 0, slowThreshold: 400, idleInterval: 250,
 	}).start();
 	await setImmediate();
 	for (let passed = 0; passed < 4000; passed += 100) {
