Share one end listener among the requests of a connection

Each request that waits for its reply listened for the end of its connection, so that a caller that sent 11 requests without waiting for replies made the runtime warn of a leak of listeners. The requests of a connection share one listener now.

A test with 20 requests at once printed MaxListenersExceededWarning before the change and none after it; 20 requests one after the other never did.

--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {listenForEnd} from '../network/end-listeners.js';
 import {afterRestOfRequest} from '../network/rest-of-request.js';
 import {CallerReply} from '../relay/caller-reply.js';
 import {type Failure} from '../results/failure.js';
@@ -101,9 +102,9 @@
 			}
 		};
 
-		socket.once('end', close);
+		const stopListening = listenForEnd(socket, close);
 		this.response.once('close', () => {
-			socket.off('end', close);
+			stopListening();
 			notify();
 		});
 	}
