Bound the memory of bodies and the connections of callers in both interfaces

Cause: a buffer for each body doubled up to the limit of one body. Nothing bounded their sum, what was read of refused bodies, or the number of connections, so 80 callers with unfinished bodies took 455 MB of a router and ended an instance of the own interface. Change: BodyBudget shares [limits] body_memory among the bodies of a process and refuses slow bodies first, then the largest (408 BodyTooSlow, 503 BodyMemoryShort, both not run). Blocks of bounded size replace the doubling buffer and raw-body. The rest of a refused request is read within bounds of bytes, pieces and time. Connections are bounded by the descriptor limit; the oldest one with an incomplete request makes room.

--- /dev/null
+++ b/src/body-wiring.ts
@@ -0,0 +1,32 @@
+import {BodyBudget} from './network/body-budget.js';
+import {BodyReceiver, type BodyReceiverDependencies} from './network/body-receiver.js';
+import {findDescriptorLimit, findMemoryLimit} from './network/process-limits.js';
+
+/** Settings of the reception of bodies; 0 to derive a value from the limits of the process. */
+export type BodyLimits = {
+	/** Bytes for all bodies. */
+	readonly body_memory: number;
+	/** Descriptors that the process may open. */
+	readonly open_files: number;
+};
+
+/** Fraction of the memory limit for bodies: 26 MB where the heap may have 200 MB. The runtime frees the buffers of received bytes late, so a crowd of callers occupied up to 60 MB beside its bodies; with 0.18 an instance of the own interface reached 230 MB. */
+const memoryFraction = 0.1;
+/** Two bodies of the largest size that a configuration usually allows, each with its copy. */
+const minMemory = 16_777_216;
+/** Descriptors for files and listeners; a quarter where a process may open few. */
+const reservedDescriptors = 200;
+const maxReservedFraction = 0.25;
+/** Fraction of the other descriptors for callers; each may need a connection to a server. */
+const callerFraction = 0.5;
+
+/** Creates the reception of all bodies of a process. */
+export function wireBodies(limits: BodyLimits, dependencies: Omit<BodyReceiverDependencies, 'budget' | 'maxConnections'>): BodyReceiver {
+	const descriptors = limits.open_files > 0 ? limits.open_files : findDescriptorLimit();
+	const budget = new BodyBudget(limits.body_memory > 0 ? limits.body_memory : Math.max(minMemory, findMemoryLimit() * memoryFraction));
+	const maxConnections = Math.floor((descriptors - Math.min(reservedDescriptors, descriptors * maxReservedFraction)) * callerFraction);
+	dependencies.metrics.gauge('siskinnotch_body_memory_used', () => budget.usedBytes);
+	dependencies.metrics.gauge('siskinnotch_body_memory', () => budget.capacity);
+	dependencies.metrics.gauge('siskinnotch_bodies_receiving', () => budget.receivingBodies);
+	return new BodyReceiver({...dependencies, budget, maxConnections});
+}
--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -1,12 +1,11 @@
 import {randomUUID} from 'node:crypto';
 import {type Context} from 'koa';
-import getRawBody from 'raw-body';
 import * as z from 'zod';
 import {type Operation, type Service, type Workspace} from '../configuration/sheet-row.js';
 import {Execution} from '../results/execution.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
-import {getErrorMessage} from '../results/to-failure.js';
+import {getErrorMessage, toFailure} from '../results/to-failure.js';
 import {readDeadline, readIdempotencyKey, readPriority} from './caller-headers.js';
 import {type CallerLimits, type CallerDependencies} from './caller-dependencies.js';
 import {ChatExchange} from './chat-exchange.js';
@@ -16,6 +15,8 @@
 const operationPathSchema = z.object({service: z.string(), operation: z.string()});
 const actionPathSchema = z.object({key: z.string()});
 const requestIdHeader = 'x-request-id';
+/** Memory of a character of a decoded body at most. */
+const bytesPerCharacter = 2;
 /** Short, because another instance can accept the request at once. */
 const drainingRetrySeconds = 0.2;
 
@@ -151,7 +152,7 @@
 	/** Reads the body until the deadline, a monotonic time in milliseconds. */
 	private async readBody(context: Context, deadline: number): Promise<string> {
 		const {timers} = this.dependencies;
-		const body = await timers.withTimeout(this.receiveBody(context), deadline - timers.now(), createLateFailure);
+		const body = await this.receiveBody(context, deadline);
 		// The caller may have left before the request was read.
 		await timers.handleInput();
 		if (context.req.socket.destroyed || context.req.socket.readableEnded) {
@@ -170,15 +171,17 @@
 		return body;
 	}
 
-	private async receiveBody(context: Context): Promise<string> {
+	private async receiveBody(context: Context, deadline: number): Promise<string> {
+		const {timers, bodies} = this.dependencies;
+		const reception = bodies.receive(context.req, context.res, () => this.limits.maxBodyBytes);
 		try {
-			return await getRawBody(context.req, {limit: this.limits.maxBodyBytes, length: context.req.headers['content-length'], encoding: 'utf8'});
+			const bytes = await timers.withTimeout(reception.read(), deadline - timers.now(), createLateFailure);
+			reception.hold(bytes.length * bytesPerCharacter);
+			return new TextDecoder().decode(bytes);
 		} catch (error) {
-			// The rest of the body would keep the caller from reading the refusal.
-			context.req.resume();
-			const isTooLarge = typeof error === 'object' && error !== null && 'type' in error && error.type === 'entity.too.large';
-			const code = isTooLarge ? ResultCode.BodyTooLarge : ResultCode.BodyMalformed;
-			throw new Failure(code, isTooLarge ? `the body is larger than ${this.limits.maxBodyBytes} bytes` : 'the body was not received completely');
+			reception.end();
+			const failure = toFailure(error);
+			throw failure.code === ResultCode.CallerGone ? new Failure(ResultCode.BodyMalformed, 'the body was not received completely') : failure;
 		}
 	}
 }
--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -3,7 +3,7 @@
 import Koa, {type Context} from 'koa';
 import {CallerServer} from '../network/caller-server.js';
 import {listen} from '../network/listen.js';
-import {afterRestOfRequest} from '../network/rest-of-request.js';
+import {afterRestOfRequest, limitRestOfRequest} from '../network/rest-of-request.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {getErrorMessage, toFailure} from '../results/to-failure.js';
@@ -12,6 +12,9 @@
 import {type CallerLimits, type CallerDependencies} from './caller-dependencies.js';
 import {executionHeader, createErrorBody, getHttpStatus} from './error-body.js';
 
+/** Failures after which the rest of the request is of no use, so that its connection is closed. */
+const closingCodes: ReadonlySet<ResultCode> = new Set([ResultCode.BodyTooLarge, ResultCode.BodyTooSlow, ResultCode.BodyMemoryShort]);
+
 /** The HTTP interface for callers: OpenAI's chat completions and models, plain services, health and metrics. */
 export class CallerInterface {
 	private readonly server: CallerServer;
@@ -34,6 +37,7 @@
 		this.server = new CallerServer({headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.headersTimeoutMs * 2, connectionsCheckingInterval: 1000}, (request, response) => {
 			void handle(request, response);
 		}, new CallerConnectionLog(metrics, log), timers);
+		this.server.limitConnections(dependencies.bodies.maxConnections);
 		this.server.on('connection', socket => {
 			this.sockets.add(socket);
 			socket.setNoDelay(true);
@@ -113,6 +117,8 @@
 			this.sendError(context, toFailure(error));
 			if (context.response.get('connection') === 'close' || !context.res.shouldKeepAlive) {
 				this.endAfterRequest(context);
+			} else {
+				limitRestOfRequest(context.req, this.dependencies.timers);
 			}
 		}
 	}
@@ -142,7 +148,7 @@
 			context.set('retry-after', String(failure.retryAfterSeconds));
 		}
 
-		if (failure.code === ResultCode.BodyTooLarge) {
+		if (closingCodes.has(failure.code)) {
 			context.set('connection', 'close');
 		}
 	}
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -1,11 +1,11 @@
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type CallerLimits} from '../catalog/caller-limits.js';
 import {type Lifecycle} from '../lifecycle.js';
-import {ByteBuffer} from '../network/byte-buffer.js';
+import {type BodyReceiver} from '../network/body-receiver.js';
 import {CallerServer} from '../network/caller-server.js';
 import {findRequestHeadFault} from '../network/head-faults.js';
 import {listen} from '../network/listen.js';
+import {limitRestOfRequest} from '../network/rest-of-request.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type CrashGuard} from '../quarantine/crash-guard.js';
@@ -27,6 +27,7 @@
 /** Dependencies of an entry server. */
 export type EntryServerDependencies = {
 	readonly authorizer: RequestAuthorizer;
+	readonly bodies: BodyReceiver;
 	readonly catalogCurrency: TableCurrency;
 	readonly codec: ExchangeCodec;
 	readonly exchanges: ExchangeRegistry;
@@ -60,6 +61,7 @@
 		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
 		}, new ConnectionLog(codec, metrics, log), timers);
+		this.server.limitConnections(dependencies.bodies.maxConnections);
 	}
 
 	/** Starts accepting connections. Rejects if the address cannot be bound. */
@@ -126,6 +128,7 @@
 			shouldCloseConnection: () => dependencies.lifecycle.isDraining,
 			timers: dependencies.timers,
 		});
+		const reception = dependencies.bodies.receive(message, response, () => this.maxBodyBytes);
 		try {
 			this.checkAcceptsRequests();
 			this.checkHead(message);
@@ -134,7 +137,7 @@
 				arrivedAt, patience: callerHeaders.timeout, findRouteTimeout: () => dependencies.authorizer.findTimeout(authorizationRequest),
 			});
 			await this.authorizer.authorize(authorizationRequest, arrivedAt, callerHeaders.timeout);
-			const body = await deadline.limit(async () => this.readBody(message, deadline));
+			const body = await deadline.limit(async () => reception.read());
 			// The caller may have left before the request was read.
 			await dependencies.timers.handleInput();
 			// The catalog may have changed while the body was received.
@@ -185,6 +188,7 @@
 				fingerprint,
 			}, reply);
 		} catch (error) {
+			reception.end();
 			this.refuse(reply, callerHeaders.id, toFailure(error), message);
 		}
 	}
@@ -230,36 +234,6 @@
 			reply.abort();
 		}
 
-		message.resume();
-	}
-
-	private async readBody(message: IncomingMessage, deadline: ReceptionDeadline): Promise<Uint8Array> {
-		const body = new ByteBuffer();
-		if (Number(message.headers['content-length'] ?? 0) > this.maxBodyBytes) {
-			throw new Failure(ResultCode.BodyTooLarge, `the request body exceeds ${this.maxBodyBytes} bytes`);
-		}
-
-		try {
-			// Destroying the message would close the connection before the refusal is sent.
-			for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-				body.append(chunk);
-				if (body.length > this.maxBodyBytes || deadline.isOver) {
-					break;
-				}
-			}
-		} catch (error) {
-			throw new Failure(ResultCode.CallerGone, `the request body was not received: ${toFailure(error).message}`, Execution.NotRun);
-		}
-
-		if (deadline.isOver) {
-			// The rest must not be taken for another request.
-			message.resume();
-		}
-
-		if (body.length > this.maxBodyBytes) {
-			throw new Failure(ResultCode.BodyTooLarge, `the request body exceeds ${this.maxBodyBytes} bytes`);
-		}
-
-		return body.take();
+		limitRestOfRequest(message, this.dependencies.timers);
 	}
 }
--- /dev/null
+++ b/src/network/body-receiver.ts
@@ -0,0 +1,88 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type DecisionLog} from '../observation/decision-log.js';
+import {type Metrics} from '../observation/metrics.js';
+import {type TimerService} from '../time/timer-service.js';
+import {BlockPool} from './block-pool.js';
+import {type BodyBudget, type BodyDecision} from './body-budget.js';
+import {BodyReception} from './body-reception.js';
+
+/** What the reception of all bodies of a process depends on. */
+export type BodyReceiverDependencies = {
+	readonly budget: BodyBudget;
+	/** Connections of callers that may be open at a time. */
+	readonly maxConnections: number;
+	readonly timers: TimerService;
+	readonly metrics: Metrics;
+	readonly log: DecisionLog;
+};
+
+const checkIntervalMs = 1000;
+
+/** Receives the bodies of all requests of a process within one budget. */
+export class BodyReceiver {
+	private readonly pool = new BlockPool();
+	private isChecking = false;
+
+	constructor(private readonly dependencies: BodyReceiverDependencies) {}
+
+	/** Connections of callers that may be open at a time. */
+	get maxConnections(): number {
+		return this.dependencies.maxConnections;
+	}
+
+	/**
+	Prepares the reception of a body, which ends with the response at the latest.
+
+	@param findLimit - returns the largest body in bytes
+	*/
+	receive(message: IncomingMessage, response: ServerResponse, findLimit: () => number): BodyReception {
+		const {budget, timers} = this.dependencies;
+		const reception = new BodyReception(message, findLimit, {
+			budget,
+			pool: this.pool,
+			now: () => timers.now(),
+			apply: decisions => {
+				this.apply(decisions);
+			},
+		});
+		response.once('close', () => {
+			reception.end();
+		});
+		this.scheduleCheck();
+		return reception;
+	}
+
+	private apply(decisions: readonly BodyDecision[]): void {
+		const {budget, metrics, log, timers} = this.dependencies;
+		for (const {claim, refusal} of decisions) {
+			metrics.count('siskinnotch_bodies_refused', 1, {reason: refusal});
+			log.warn('body.refused', {
+				reason: refusal,
+				bytes: claim.bytes,
+				recentBytes: claim.progress.getRecentBytes(timers.now()),
+				pieces: claim.progress.pieces,
+				usedBytes: budget.usedBytes,
+				capacity: budget.capacity,
+				receiving: budget.receivingBodies,
+			});
+			claim.refuse(refusal);
+		}
+	}
+
+	/** Looks for slow bodies from time to time while any are being received. */
+	private scheduleCheck(): void {
+		if (this.isChecking) {
+			return;
+		}
+
+		this.isChecking = true;
+		const {budget, timers} = this.dependencies;
+		timers.after(checkIntervalMs, () => {
+			this.isChecking = false;
+			this.apply(budget.findSlow(timers.now()));
+			if (budget.receivingBodies > 0) {
+				this.scheduleCheck();
+			}
+		});
+	}
+}
--- /dev/null
+++ b/src/network/body-reception.ts
@@ -0,0 +1,161 @@
+import {type IncomingMessage} from 'node:http';
+import {Execution} from '../results/execution.js';
+import {Failure} from '../results/failure.js';
+import {ResultCode} from '../results/result-code.js';
+import {BlockBuffer} from './block-buffer.js';
+import {type BodyBudget, BodyClaim, type BodyDecision} from './body-budget.js';
+import {type BlockPool} from './block-pool.js';
+import {BodyRefusal} from './body-refusal.js';
+
+/** What the reception of a body depends on. */
+export type BodyReceptionDependencies = {
+	readonly budget: BodyBudget;
+	readonly pool: BlockPool;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Refuses the bodies of decisions. */
+	readonly apply: (decisions: readonly BodyDecision[]) => void;
+};
+
+const statements: Readonly<Record<BodyRefusal, string>> = {
+	[BodyRefusal.Stalled]: 'nothing of the request body arrived for too long',
+	[BodyRefusal.Slow]: 'the request body arrives too slowly while memory is short',
+	[BodyRefusal.Memory]: 'the memory for request bodies is used up',
+	[BodyRefusal.Pieces]: 'too many request bodies arrive in very small pieces',
+};
+
+function createFailure(refusal: BodyRefusal): Failure {
+	const isSlow = refusal === BodyRefusal.Stalled || refusal === BodyRefusal.Slow;
+	return new Failure(isSlow ? ResultCode.BodyTooSlow : ResultCode.BodyMemoryShort, statements[refusal], Execution.NotRun);
+}
+
+/** Receives the body of one request within the budget of the process. */
+export class BodyReception {
+	private readonly buffer: BlockBuffer;
+	private readonly claim: BodyClaim;
+	private isFragmented = false;
+	/** Rejects the reading in progress; undefined if there is none. */
+	private reject?: (failure: Failure) => void;
+	private readonly announced?: number;
+
+	/**
+	@param findLimit - returns the largest body in bytes, which a configuration may change while the body arrives
+	*/
+	constructor(private readonly message: IncomingMessage, private readonly findLimit: () => number, private readonly dependencies: BodyReceptionDependencies) {
+		const header = message.headers['content-length'];
+		this.announced = header === undefined ? undefined : Number(header);
+		this.buffer = new BlockBuffer(dependencies.pool, this.announced);
+		this.claim = new BodyClaim(dependencies.now(), refusal => {
+			this.fail(createFailure(refusal));
+		});
+	}
+
+	/**
+	Receives the body. It counts until the reception is ended.
+
+	@throws Failure BodyTooLarge, BodyTooSlow, BodyMemoryShort, or CallerGone if the connection is lost
+	*/
+	async read(): Promise<Uint8Array> {
+		const {message, announced, dependencies, claim} = this;
+		if (announced !== undefined && announced > this.findLimit()) {
+			throw this.createTooLarge();
+		}
+
+		dependencies.budget.add(claim);
+		return new Promise((resolve, reject) => {
+			const lose = () => {
+				this.fail(new Failure(ResultCode.CallerGone, 'the request body was not received', Execution.NotRun));
+			};
+
+			this.reject = reject;
+			if (message.destroyed) {
+				lose();
+				return;
+			}
+
+			message.on('data', (piece: Uint8Array) => {
+				this.add(piece);
+			});
+			message.once('error', lose);
+			message.once('close', lose);
+			message.once('end', () => {
+				if (this.reject) {
+					const bytes = this.take();
+					if (bytes !== undefined) {
+						resolve(bytes);
+					}
+				}
+			});
+		});
+	}
+
+	/** Counts a number of bytes for what was made of the body. */
+	hold(bytes: number): void {
+		this.dependencies.apply(this.dependencies.budget.resize(this.claim, bytes, this.dependencies.now()));
+	}
+
+	/** Ends the reception, or the use of the body. */
+	end(): void {
+		this.reject = undefined;
+		this.buffer.clear();
+		this.dependencies.budget.release(this.claim);
+	}
+
+	private add(piece: Uint8Array): void {
+		if (!this.reject) {
+			return;
+		}
+
+		const {buffer, claim, dependencies} = this;
+		if (buffer.length + piece.length > this.findLimit()) {
+			this.fail(this.createTooLarge());
+			return;
+		}
+
+		claim.progress.add(piece.length, dependencies.now());
+		if (!this.isFragmented && claim.progress.isFragmented) {
+			this.isFragmented = true;
+			const decision = dependencies.budget.findExcessPieces();
+			dependencies.apply(decision ? [decision] : []);
+		}
+
+		const capacity = buffer.computeCapacity(piece.length);
+		if (capacity > claim.bytes) {
+			this.hold(capacity);
+		}
+
+		if (this.isReading) {
+			buffer.append(piece);
+		}
+	}
+
+	/** Returns the complete body; undefined if there is no memory to join its blocks. */
+	private take(): Uint8Array | undefined {
+		const {length} = this.buffer;
+		this.hold(this.claim.bytes + length);
+		if (!this.isReading) {
+			return undefined;
+		}
+
+		this.reject = undefined;
+		this.dependencies.budget.finish(this.claim);
+		const bytes = this.buffer.take();
+		this.hold(bytes.length);
+		return bytes;
+	}
+
+	/** Whether the body has been neither refused nor received. */
+	private get isReading(): boolean {
+		return this.reject !== undefined;
+	}
+
+	private createTooLarge(): Failure {
+		return new Failure(ResultCode.BodyTooLarge, `the request body exceeds ${this.findLimit()} bytes`, Execution.NotRun);
+	}
+
+	private fail(failure: Failure): void {
+		const {reject} = this;
+		this.end();
+		reject?.(failure);
+	}
+}
--- /dev/null
+++ b/src/network/body-refusal.ts
@@ -0,0 +1,11 @@
+/** Why a body is refused although it is within the limits of the configuration. */
+export enum BodyRefusal {
+	/** Nothing of it has arrived for a long time. */
+	Stalled = 'stalled',
+	/** It arrives slowly while memory is short. */
+	Slow = 'slow',
+	/** It is the largest of those that are being received while memory is short. */
+	Memory = 'memory',
+	/** Like others at the time it arrives in many small pieces, each of which takes processing time. */
+	Pieces = 'pieces',
+}
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -31,6 +31,7 @@
 export class CallerServer extends Server {
 	private readonly tracked = new Map<Duplex, CallerConnection>();
 	private openedConnections = 0;
+	private connectionLimit = Number.POSITIVE_INFINITY;
 
 	constructor(options: ServerOptions, listener: (message: IncomingMessage, response: ServerResponse) => void, private readonly observer: ConnectionObserver, private readonly timers: TimerService) {
 		super(options);
@@ -54,6 +55,11 @@
 		return [...this.tracked.values()].reduce((sum, {openReplies}) => sum + openReplies, 0);
 	}
 
+	/** Sets the number of connections that may be open at a time. A connection beyond them takes the place of the oldest one whose request has not arrived completely, or of an idle one. */
+	limitConnections(limit: number): void {
+		this.connectionLimit = limit;
+	}
+
 	/** Also called by the runtime when the server stops listening. */
 	override closeIdleConnections(): void {
 		void this.closeIdle();
@@ -83,12 +89,31 @@
 
 	private track(socket: Socket): void {
 		this.openedConnections++;
-		this.tracked.set(socket, new CallerConnection(socket, this.observer));
+		if (this.tracked.size >= this.connectionLimit) {
+			this.makeRoom();
+		}
+
+		const connection = new CallerConnection(socket, this.observer);
+		this.tracked.set(socket, connection);
+		if (this.tracked.size > this.connectionLimit) {
+			connection.end(ConnectionEndCause.Excess);
+		}
+
 		socket.once('close', () => {
 			this.tracked.delete(socket);
 		});
 	}
 
+	/** Ends the connection that is most likely of no use: none of its requests is being carried out. */
+	private makeRoom(): void {
+		const connections = [...this.tracked.entries()];
+		const [socket, connection] = connections.find(([, {isReceived, awaitsReplyToInput}]) => !isReceived && awaitsReplyToInput) ?? connections.find(([, {isIdle}]) => isIdle) ?? [];
+		if (socket && connection) {
+			this.tracked.delete(socket);
+			connection.end(ConnectionEndCause.Excess);
+		}
+	}
+
 	/** Refuses malformed input, and a request that is late, unless the rest of it had arrived. */
 	private async handleInputError(error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
 		const connection = this.tracked.get(socket);
--- a/src/network/connection-end-cause.ts
+++ b/src/network/connection-end-cause.ts
@@ -8,6 +8,8 @@
 	Malformed = 'malformed',
 	/** A request did not arrive completely in time. */
 	Timeout = 'timeout',
+	/** More connections were open than the process has descriptors for. */
+	Excess = 'excess',
 	/** The connection failed, such as by a reset. */
 	Failed = 'failed',
 }
--- a/src/network/rest-of-request.ts
+++ b/src/network/rest-of-request.ts
@@ -1,27 +1,59 @@
 import {type IncomingMessage} from 'node:http';
 import {type TimerService} from '../time/timer-service.js';
 
-/** Longest time in milliseconds for which the rest of a request is read. */
+/** Longest time in milliseconds for which the rest of a request is read before its connection is closed. */
 const maxRestMs = 1000;
+/** Longest time in milliseconds for which the rest of a request is read on a connection that is kept. */
+const maxKeptRestMs = 10_000;
+/** Bytes of the rest of a request that are read. Callers that write their whole body before they read need them to get the refusal. */
+const maxRestBytes = 16_777_216;
+/** Pieces of the rest that are read; each takes processing time, whatever its size. */
+const maxRestPieces = 32_768;
 
-/** Calls back once the rest of a request has been read, or its connection has closed, or after a second. A connection that is closed with input unread is reset, and its caller could lose a reply that it has not read yet. */
-export function afterRestOfRequest(message: IncomingMessage, timers: TimerService, callback: () => void): void {
+/** Reads and discards the rest of a request within bounds. */
+function discardRest(message: IncomingMessage, timers: TimerService, maxMs: number, callback: () => void): void {
 	if (message.complete || message.destroyed) {
 		callback();
 		return;
 	}
 
 	let isOver = false;
+	let bytes = 0;
+	let pieces = 0;
+	const count = (piece: Uint8Array) => {
+		bytes += piece.length;
+		pieces++;
+		if (bytes > maxRestBytes || pieces > maxRestPieces) {
+			finish();
+		}
+	};
+
 	const finish = () => {
 		if (!isOver) {
 			isOver = true;
+			message.off('data', count);
 			timeout.cancel();
 			callback();
 		}
 	};
 
-	const timeout = timers.after(maxRestMs, finish);
+	const timeout = timers.after(maxMs, finish);
 	message.once('end', finish);
 	message.once('close', finish);
+	message.on('data', count);
 	message.resume();
 }
+
+/** Calls back once the rest of a request has been read, or its connection has closed, or after a second or many bytes. A connection that is closed with input unread is reset, and its caller could lose a reply that it has not read yet. */
+export function afterRestOfRequest(message: IncomingMessage, timers: TimerService, callback: () => void): void {
+	discardRest(message, timers, maxRestMs, callback);
+}
+
+/** Discards the rest of a refused request whose connection is kept. Closes the connection if the rest does not end soon. */
+export function limitRestOfRequest(message: IncomingMessage, timers: TimerService): void {
+	discardRest(message, timers, maxKeptRestMs, () => {
+		if (!message.complete) {
+			message.socket.destroy();
+		}
+	});
+}
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -4,6 +4,7 @@
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
+import {wireBodies} from './body-wiring.js';
 import {ActiveCatalog} from './catalog/active-catalog.js';
 import {type CatalogDecoder} from './catalog/catalog-decoder.js';
 import {CatalogReader} from './catalog/catalog-reader.js';
@@ -328,7 +329,8 @@
 	});
 
 	const entryServer = new EntryServer({
-		authorizer: new RequestAuthorizer(activeCatalog, random), catalogCurrency, codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
+		authorizer: new RequestAuthorizer(activeCatalog, random), bodies: wireBodies(limits, {timers, metrics, log}),
+		catalogCurrency, codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
 	});
 	const statusServer = new StatusServer(adapters.readinessPath, (): boolean => router.isReady, metrics);
 	metrics.gauge('siskinnotch_log_lines_dropped', countDroppedLines);
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -78,6 +78,10 @@
 		prompt_quarantine: duration('30 min'),
 		/** Bytes of a plain response that are buffered until it is complete, so that another server can still be tried. */
 		held_answer: size('256 kB'),
+		/** Bytes of memory for the bodies of all requests; 0 for a part of the memory limit of the process. */
+		body_memory: size('0 B'),
+		/** Descriptors that the process may open; 0 for the limit of the process. */
+		open_files: wholeNumber(0, 0, 10_000_000),
 	}).prefault({}),
 	placement: z.object({
 		/** Fraction of a server's slots for whose requests its memory is to have token capacity. */
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -25,6 +25,8 @@
 	secrets: z.strictObject({peers: secret, operators: secret}),
 	limits: z.strictObject({
 		body: size('1 MB'),
+		body_memory: size('0 B'), // eslint-disable-line @typescript-eslint/naming-convention
+		open_files: wholeNumber(0, 0, 10_000_000), // eslint-disable-line @typescript-eslint/naming-convention
 		headers: duration('5 s'),
 		streams: wholeNumber(512, 1, 100_000),
 		queue: wholeNumber(256, 0, 100_000),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -4,6 +4,7 @@
 import {HttpModelEngine} from './backends/http-model-engine.js';
 import {HttpPlainService} from './backends/http-plain-service.js';
 import {LoadPoller} from './backends/load-poller.js';
+import {wireBodies} from './body-wiring.js';
 import {CallerAuthenticator} from './callers/caller-authenticator.js';
 import {CallerInterface} from './callers/caller-interface.js';
 import {CompletionService} from './completions/completion-service.js';
@@ -20,6 +21,7 @@
 import {OrderDispatcher} from './leases/order-dispatcher.js';
 import {Lifecycle} from './lifecycle.js';
 import {Membership} from './membership/membership.js';
+import {DecisionLog} from './observation/decision-log.js';
 import {Invariants} from './observation/invariants.js';
 import {createLog, createPartLog} from './observation/log.js';
 import {Metrics} from './observation/metrics.js';
@@ -56,6 +58,8 @@
 const leaseDurationMs = 6000;
 /** Retries that are allowed regardless of the number of requests. */
 const minRetries = 10;
+/** Lines about refused bodies. */
+const bodyLogRate = {perSecond: 2, burst: 10};
 /** Seeds of the random source are below this number. */
 const randomSeedRange = 0x7F_FF_FF_FF;
 
@@ -139,8 +143,9 @@
 		aliveCount: membership.countAlive(),
 		lastContactAt: membership.getLastAcknowledgedAt(),
 	}), timers);
+	const bodies = wireBodies(limits, {timers, metrics, log: new DecisionLog(createPartLog(log, 'bodies'), timers, bodyLogRate)});
 	const callers = new CallerInterface({maxBodyBytes: limits.body, headersTimeoutMs: limits.headers, maxDeadlineMs: limits.deadline}, {
-		authenticator, completions, plainDispatcher, actionExecutor, timers, tracing, metrics, invariants, lifecycle, log: createPartLog(log, 'callers'),
+		authenticator, bodies, completions, plainDispatcher, actionExecutor, timers, tracing, metrics, invariants, lifecycle, log: createPartLog(log, 'callers'),
 	});
 	const peerRequestHandler = new PeerRequestHandler({
 		self: {id: instance.id, address: instance.peers}, membership, peers, configurationWatcher, activeConfiguration, fleet, timers,
--- a/test/body-crowds-process.test.ts
+++ b/test/body-crowds-process.test.ts
@@ -1,7 +1,9 @@
 import process from 'node:process';
 import test, {type ExecutionContext} from 'ava';
 import {getApiKey} from '../harness/sheet-text.js';
-import {BodyCrowd, BodyKind, bodyLimit, lockCrowds} from './support/body-crowd.js';
+import {
+	BodyCrowd, BodyKind, bodyLimit, lockCrowds,
+} from './support/body-crowd.js';
 import {countDescriptors, readPeakMemory} from './support/process-memory.js';
 import {createSiteConfiguration, RouterProcess} from './support/router-process.js';
 import {startCluster} from './support/start-cluster.js';
