--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -81,6 +81,10 @@
 		prompt_quarantine: duration('30 min'),
 		/** Bytes of a plain response that are buffered until it is complete, so that another server can still be tried. */
 		held_answer: size('256 kB'),
+		/** Bytes of memory for the bodies of all requests; 0 for a part of the memory limit of the process. */
+		body_memory: size('0 B'),
+		/** Descriptors that the process may open; 0 for the limit of the process. */
+		open_files: wholeNumber(0, 0, 10_000_000),
 	}).prefault({}),
 	/** Selection of pipelines by predicted load. */
 	scheduling: z.object({
