Let the servers of the selection test hold tokens by the layers that they run

Cause: the stand-in for servers in selection-herding counted all tokens of a request on each server, which the product no longer does. Change: the stand-in counts by layers; crowd, burst and the bound of 3 in 100 are unchanged.

--- a/test/selection-herding.test.ts
+++ b/test/selection-herding.test.ts
@@ -5,7 +5,7 @@
 import {InterzoneBandwidthBudget} from '../src/pipelines/interzone-bandwidth-budget.js';
 import {getLayerCount} from '../src/pipelines/layer-range.js';
 import {PipelineSelector} from '../src/pipelines/pipeline-selector.js';
-import {type Pipeline} from '../src/pipelines/pipeline.js';
+import {type Pipeline, type Stage} from '../src/pipelines/pipeline.js';
 import {ServerDirectory} from '../src/pipelines/server-directory.js';
 import {ServerHealthTracker} from '../src/pipelines/server-health-tracker.js';
 import {ServerLoad} from '../src/pipelines/server-load.js';
@@ -78,7 +78,7 @@
 
 	/** Returns the first stage that has no room; undefined if the request starts. */
 	tryStart(pipeline: Pipeline, answer: number, end: () => void, now: number): BackendServer | undefined {
-		const position = pipeline.findIndex(({server}) => (this.held.get(server.id) ?? 0) + promptTokens > getCapacity(server));
+		const position = pipeline.findIndex(stage => (this.held.get(stage.server.id) ?? 0) + (promptTokens * getUsedShare(stage)) > getCapacity(stage.server));
 		if (position !== -1) {
 			this.rejectedAt[position] = (this.rejectedAt[position] ?? 0) + 1;
 			return pipeline[position].server;
@@ -92,7 +92,7 @@
 			const step = model.stepTime + (model.stepTimePerRequest * (this.requests.get(server.id) ?? 0)) + (model.stepTimePerThousandTokens * (this.held.get(server.id) ?? 0) / 1000);
 			prefillMs += share * readFactor * promptTokens / model.prefillRate;
 			tokenMs += share * pace * step;
-			this.held.set(server.id, (this.held.get(server.id) ?? 0) + promptTokens);
+			this.held.set(server.id, (this.held.get(server.id) ?? 0) + (promptTokens * getUsedShare({server, range})));
 			this.requests.set(server.id, (this.requests.get(server.id) ?? 0) + 1);
 		}
 
@@ -108,7 +108,7 @@
 		this.requests.clear();
 		for (const request of this.running) {
 			const written = Math.max(0, (now - request.startedAt - request.prefillMs) / request.tokenMs);
-			const isPreempted = request.pipeline.some(({server}) => (this.held.get(server.id) ?? 0) + promptTokens + written > getCapacity(server));
+			const isPreempted = request.pipeline.some(stage => (this.held.get(stage.server.id) ?? 0) + ((promptTokens + written) * getUsedShare(stage)) > getCapacity(stage.server));
 			if (written >= request.answer || isPreempted) {
 				this.preempted += isPreempted ? 1 : 0;
 				this.running.delete(request);
@@ -116,14 +116,20 @@
 				continue;
 			}
 
-			for (const {server} of request.pipeline) {
-				this.held.set(server.id, (this.held.get(server.id) ?? 0) + promptTokens + written);
+			for (const stage of request.pipeline) {
+				const {server} = stage;
+				this.held.set(server.id, (this.held.get(server.id) ?? 0) + ((promptTokens + written) * getUsedShare(stage)));
 				this.requests.set(server.id, (this.requests.get(server.id) ?? 0) + 1);
 			}
 		}
 	}
 }
 
+/** A server holds the tokens of a request only for the layers that the request runs there. */
+function getUsedShare({server, range}: Stage): number {
+	return getLayerCount(range) / getLayerCount(server.range!);
+}
+
 function getCapacity({card, range}: BackendServer): number {
 	return computeTokenCapacity(model, model.acceleratorTypes.get(card)!, getLayerCount(range!));
 }
