--- a/src/peers/waiting-exchange.ts
+++ b/src/peers/waiting-exchange.ts
@@ -5,8 +5,8 @@
 import {packCounts, unpackCounts} from './packed-counts.js';
 import {transitAllowanceMs} from './table-exchange.js';
 
-/** Reports of other instances that a message carries at most; with the fanout of a round they reach a zone within a second. */
-const maxRelayedReports = 8;
+/** Reports of other instances that a message carries at most. A report takes some 90 bytes for each priority, and the bytes of gossip are limited. */
+const maxRelayedReports = 4;
 /** Priorities of which a report names the waiting requests at most, the most urgent first. */
 const maxPriorities = 4;
 /** Services of which a report names the waiting requests of a priority at most. */
