Explain the selection of a pipeline, and count starts by server

PipelineSelector.explain returns the candidates, their predicted memory and times, and what excludes each.

--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -1,8 +1,11 @@
 import {type Backpressure} from '../backpressure/backpressure.js';
-import {type LayerPrices} from '../scheduling/layer-prices.js';
+import {type LayerPrices, type PriceOptions} from '../scheduling/layer-prices.js';
+import {sumPredictedTokens, type MemoryForecast} from '../scheduling/occupancy-forecast.js';
+import {areOnTime, predictStageTimes, predictTimes} from '../scheduling/predicted-times.js';
+import {Exclusion, type SelectionExplanation} from '../scheduling/selection-explanation.js';
 import {ReportedPrices} from '../scheduling/reported-prices.js';
 import {getIncarnationId, type BackendServer} from './backend-server.js';
-import {type EngineModel} from './engine-model.js';
+import {computeUsualRequestTokens, type EngineModel} from './engine-model.js';
 import {getLayerCount, type LayerRange} from './layer-range.js';
 import {type InterzoneBandwidthBudget} from './interzone-bandwidth-budget.js';
 import {findPipeline, type PipelineCosts} from './pipeline-finder.js';
@@ -61,6 +64,9 @@
 	readonly prices?: LayerPrices;
 };
 
+/** Network delay between availability zones in milliseconds; an assumption, since nothing measures it. */
+const zoneDelayMs = 5;
+
 /** Groups servers by availability zone. */
 export function groupByZone(servers: readonly BackendServer[]): ReadonlyMap<string, readonly BackendServer[]> {
 	const zones = new Map<string, BackendServer[]>();
@@ -93,7 +99,7 @@
 	/** Returns the pipeline to use now; undefined if no usable servers with enough capacity cover all layers, or if the pipeline would exceed the bandwidth between zones. */
 	select(request: PipelineRequest, now: number): Pipeline | undefined {
 		const {model} = request;
-		const pipeline = this.findCheapest(this.findUsableServers(request, now), request, this.weights.maxOccupancy, now);
+		const pipeline = this.findCheapest(this.findUsableServers(request, now), request, {maxOccupancy: this.weights.maxOccupancy}, now);
 		const crossings = pipeline ? countCrossings(pipeline) : 0;
 		const bytes = crossings * request.tokens * model.activationBytes;
 		return crossings === 0 || this.dependencies.interzoneBandwidth.tryConsume(bytes, model.interzoneMegabits, now) ? pipeline : undefined;
@@ -108,11 +114,11 @@
 		const servers = this.findUsableServers(request, now);
 		return previous?.every(({server}) => servers.includes(server))
 			? previous
-			: this.findCheapest(servers, request, Number.POSITIVE_INFINITY, now);
+			: this.findCheapest(servers, request, {maxOccupancy: Number.POSITIVE_INFINITY}, now);
 	}
 
-	private findCheapest(servers: readonly BackendServer[], request: PipelineRequest, maxOccupancy: number, now: number): Pipeline | undefined {
-		const computeLayerCost = this.prices.price(servers, request, maxOccupancy, now);
+	private findCheapest(servers: readonly BackendServer[], request: PipelineRequest, options: PriceOptions, now: number): Pipeline | undefined {
+		const computeLayerCost = this.prices.price(servers, request, options, now);
 		const priced = new Map<BackendServer, number>();
 		for (const server of servers) {
 			const cost = computeLayerCost(server);
@@ -124,6 +130,58 @@
 		return findPipeline([...priced.keys()], request.model.layers, this.createCosts(request, priced, now))?.pipeline;
 	}
 
+	/** Returns where a request would go now, and why, without any side effects. */
+	explain(request: PipelineRequest, now: number): SelectionExplanation {
+		const {directory, serverHealth, backpressure, load, slowdowns, availabilityZone} = this.dependencies;
+		const {model, tokens, promptTokens = model.usualPrompt, occupancyLimit = 1} = request;
+		const options = {maxOccupancy: this.weights.maxOccupancy, isExplanation: true};
+		const usable = this.findUsableServers(request, now);
+		const computeLayerCost = this.prices.price(usable, request, options, now);
+		const predictPace = (server: BackendServer) => {
+			const memory = this.prices.predictMemory(server, request, now);
+			const held = memory ? memory.own + memory.peers + memory.growth : load.getTokens(server);
+			return {requests: Math.max(load.getRequests(server), held / computeUsualRequestTokens(model)), tokens: held, slowdown: slowdowns.getFactor(server, now)};
+		};
+
+		const findExclusion = (server: BackendServer, memory: MemoryForecast | undefined): Exclusion | undefined => {
+			if (request.excluded.has(getIncarnationId(server))) {
+				return Exclusion.Request;
+			}
+
+			if (!server.range || !model.acceleratorTypes.has(server.card)) {
+				return Exclusion.Layers;
+			}
+
+			if (!usable.includes(server)) {
+				return serverHealth.isUsable(server, now) && backpressure.pauses.isPaused(server, now) ? Exclusion.Pause : Exclusion.Health;
+			}
+
+			if (computeLayerCost(server) === Number.POSITIVE_INFINITY) {
+				return memory && sumPredictedTokens(memory) + tokens <= memory.capacity * occupancyLimit ? Exclusion.Share : Exclusion.Memory;
+			}
+
+			return server.range.from === 0 && !this.isAllowedFirst(server, request.firstStageCandidates, now) ? Exclusion.FirstStage : undefined;
+		};
+
+		const candidates = directory.usable(request.service).map(server => {
+			const {id, range} = server;
+			const memory = this.prices.predictMemory(server, request, now);
+			const times = range && predictStageTimes({server, range}, model, promptTokens, predictPace(server));
+			return {
+				server: id, availabilityZone: server.availabilityZone, range, memory, limit: memory && memory.capacity * occupancyLimit, times, exclusion: findExclusion(server, memory),
+			};
+		});
+		const chosen = this.findCheapest(usable, request, options, now);
+		const networkDelay = chosen && chosen[0].server.availabilityZone !== availabilityZone ? zoneDelayMs : 0;
+		const times = chosen && predictTimes(chosen, request, networkDelay, ({server}) => predictPace(server));
+		return {
+			candidates: candidates.toSorted((left, right) => (left.range?.from ?? 0) - (right.range?.from ?? 0)),
+			chosen: chosen?.map(({server, range}) => ({server: server.id, range})),
+			times,
+			isOnTime: times && areOnTime(times, request),
+		};
+	}
+
 	private findUsableServers({service, excluded}: PipelineRequest, now: number): readonly BackendServer[] {
 		const {directory, serverHealth, backpressure} = this.dependencies;
 		return directory.usable(service).filter(server =>
--- a/src/scheduling-wiring.ts
+++ b/src/scheduling-wiring.ts
@@ -33,8 +33,9 @@
 	const forecast = new OccupancyForecast({
 		load, fullStages, getPeerForecast: (server, now) => peerLoads.getForecast(server, now),
 	}, scheduling.margin);
+	const shares = new StartShares(random);
 	const prices = new PredictedPrices({
-		load, slowdowns, forecast, random, shares: new StartShares(random), countInstances: now => peerLoads.countReporting(now) + 1,
+		load, slowdowns, forecast, random, shares, countInstances: now => peerLoads.countReporting(now) + 1,
 	}, weights);
 	const selector = new PipelineSelector({
 		...dependencies,
@@ -50,6 +51,7 @@
 		},
 		retain(servers) {
 			fullStages.retain(servers);
+			shares.retain(servers);
 		},
 	};
 }
--- a/src/scheduling/predicted-prices.ts
+++ b/src/scheduling/predicted-prices.ts
@@ -6,7 +6,7 @@
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {type FullStageRejection} from './full-stage-rejection.js';
 import {LayerRoom} from './layer-room.js';
-import {LayerPrices, type LayerCost} from './layer-prices.js';
+import {LayerPrices, type LayerCost, type PriceOptions} from './layer-prices.js';
 import {type StartShares} from './start-shares.js';
 import {sumPredictedTokens, type MemoryForecast, type OccupancyForecast} from './occupancy-forecast.js';
 
@@ -37,11 +37,16 @@
 type Pricing = {
 	readonly request: PipelineRequest;
 	readonly maxOccupancy: number;
+	readonly isExplanation: boolean;
 	readonly crowding: number;
 	readonly fastestPace: number;
 	readonly now: number;
 };
 
+function getZoneKey(service: string, zone: string): string {
+	return `${service} ${zone}`;
+}
+
 /**
 Prices layers by the load that servers are predicted to have, and spreads the choices of the instances.
 
@@ -55,11 +60,11 @@
 		super();
 	}
 
-	price(servers: readonly BackendServer[], request: PipelineRequest, maxOccupancy: number, now: number): LayerCost {
+	price(servers: readonly BackendServer[], request: PipelineRequest, {maxOccupancy, isExplanation = false}: PriceOptions, now: number): LayerCost {
 		const {forecast} = this.dependencies;
 		const {model, tokens} = request;
 		const pricing: Pricing = {
-			request, maxOccupancy, crowding: this.computeCrowding(now), fastestPace: Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace)), now,
+			request, maxOccupancy, isExplanation, crowding: this.computeCrowding(now), fastestPace: Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace)), now,
 		};
 		const memories = new Map<BackendServer, MemoryForecast>();
 		for (const server of servers) {
@@ -69,23 +74,28 @@
 			}
 		}
 
-		const closedZones = pricing.crowding > 0 && Number.isFinite(maxOccupancy) ? this.findClosedZones(memories, request, now) : undefined;
+		const closedZones = pricing.crowding > 0 && Number.isFinite(maxOccupancy) ? this.findClosedZones(memories, pricing) : undefined;
 		return server => {
 			const memory = memories.get(server);
 			return !memory || closedZones?.has(server.availabilityZone) ? Number.POSITIVE_INFINITY : this.computeLayerCost(server, memory, pricing);
 		};
 	}
 
+	predictMemory(server: BackendServer, {model, tokens}: PipelineRequest, now: number): MemoryForecast | undefined {
+		return this.dependencies.forecast.predict(server, model, tokens, now);
+	}
+
 	/** Records that a server rejected a request for lack of memory. */
 	recordRejection({server, model, tokens, now}: FullStageRejection): void {
 		// A server accepts a request whose prompt fits, so it only lacks room for the prompt.
 		const needed = Math.max(tokens / 2, tokens - model.usualAnswer);
-		this.shortAt.set(server.availabilityZone, now);
+		const key = getZoneKey(server.service, server.availabilityZone);
+		this.shortAt.set(key, now);
 		this.dependencies.forecast.recordRejection(server, model, needed, now);
-		this.dependencies.shares.recordRejection(server.availabilityZone, tokens, now);
+		this.dependencies.shares.recordRejection(key, tokens, now);
 	}
 
-	private computeLayerCost(server: BackendServer, memory: MemoryForecast, {request, maxOccupancy, crowding, fastestPace, now}: Pricing): number {
+	private computeLayerCost(server: BackendServer, memory: MemoryForecast, {request, maxOccupancy, isExplanation, crowding, fastestPace, now}: Pricing): number {
 		const {model, tokens, occupancyLimit = 1} = request;
 		const {capacity, margin} = memory;
 		const predicted = sumPredictedTokens(memory);
@@ -100,18 +110,21 @@
 			return cost;
 		}
 
-		const spread = fastestPace * spreadWeight * (Math.log((limit - predicted) / tokens) + this.drawGumbel());
+		const spread = fastestPace * spreadWeight * (Math.log((limit - predicted) / tokens) + (isExplanation ? 0 : this.drawGumbel()));
 		return cost - (crowding * spread);
 	}
 
 	/** Returns the zones in which room is short and this instance has taken its share of it. */
-	private findClosedZones(memories: ReadonlyMap<BackendServer, MemoryForecast>, {model, tokens, occupancyLimit = 1}: PipelineRequest, now: number): ReadonlySet<string> {
+	private findClosedZones(memories: ReadonlyMap<BackendServer, MemoryForecast>, {request, isExplanation, now}: Pricing): ReadonlySet<string> {
 		const {shares, countInstances} = this.dependencies;
+		const {service, model, tokens, occupancyLimit = 1} = request;
+		const instances = countInstances(now);
 		const closed = new Set<string>();
 		for (const [zone, members] of groupByZone([...memories.keys()])) {
 			const room = new LayerRoom(model.layers);
 			const futureRoom = new LayerRoom(model.layers);
-			let ownTokens = 0;
+			const ownTokens = new Map<BackendServer, number>();
+			const key = getZoneKey(service, zone);
 			let age = 0;
 			let started = 0;
 			for (const server of members) {
@@ -119,20 +132,24 @@
 				const free = (memory.capacity * occupancyLimit) - memory.own - memory.peers - memory.unknown;
 				room.add(server.range!, Math.max(0, free - memory.growth - memory.margin));
 				futureRoom.add(server.range!, Math.max(0, free + memory.ended));
-				started += server.range!.from === 0 ? memory.started : 0;
-				ownTokens += server.range!.from === 0 ? memory.own : 0;
+				if (server.range!.from === 0) {
+					started += memory.started;
+					ownTokens.set(server, memory.own);
+				}
+
 				age = memory.age;
 			}
 
 			const zoneRoom = {
-				tokens: futureRoom.scarcest, ownTokens, instances: countInstances(now), age,
+				tokens: futureRoom.scarcest, ownTokens, instances, age,
 			};
-			const isAllowed = shares.allows(zone, zoneRoom, tokens, now);
-			if (room.scarcest < tokens * shortRequests || futureRoom.scarcest < started * shortStarts) {
-				this.shortAt.set(zone, now);
+			const isAllowed = isExplanation ? shares.wouldAllow(key, zoneRoom, tokens) : shares.allows(key, zoneRoom, tokens, now);
+			const isShort = room.scarcest < tokens * shortRequests || futureRoom.scarcest < started * shortStarts;
+			if (isShort && !isExplanation) {
+				this.shortAt.set(key, now);
 			}
 
-			if (!isAllowed && now - (this.shortAt.get(zone) ?? Number.NEGATIVE_INFINITY) <= shortageMemoryMs) {
+			if (!isAllowed && (isShort || now - (this.shortAt.get(key) ?? Number.NEGATIVE_INFINITY) <= shortageMemoryMs)) {
 				closed.add(zone);
 			}
 		}
--- a/src/scheduling/reported-prices.ts
+++ b/src/scheduling/reported-prices.ts
@@ -4,7 +4,7 @@
 import {type PipelineRequest, type SelectionWeights} from '../pipelines/pipeline-selector.js';
 import {type ServerLoad} from '../pipelines/server-load.js';
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
-import {LayerPrices, type LayerCost} from './layer-prices.js';
+import {LayerPrices, type LayerCost, type PriceOptions} from './layer-prices.js';
 
 /** Prices layers by the loads that are known, as if they were current. The same for all instances that know the same. */
 export class ReportedPrices extends LayerPrices {
@@ -19,10 +19,14 @@
 		super();
 	}
 
-	price(_servers: readonly BackendServer[], request: PipelineRequest, maxOccupancy: number, now: number): LayerCost {
+	price(_servers: readonly BackendServer[], request: PipelineRequest, {maxOccupancy}: PriceOptions, now: number): LayerCost {
 		return server => this.computeLayerCost(server, request, maxOccupancy, now);
 	}
 
+	predictMemory(): undefined {
+		return undefined;
+	}
+
 	private computeLayerCost(server: BackendServer, {model, tokens}: PipelineRequest, maxOccupancy: number, now: number): number {
 		const acceleratorType = model.acceleratorTypes.get(server.card);
 		if (!acceleratorType || !server.range) {
--- a/src/scheduling/start-shares.ts
+++ b/src/scheduling/start-shares.ts
@@ -1,11 +1,12 @@
+import {getIncarnationId, type BackendServer} from '../pipelines/backend-server.js';
 import {type RandomSource} from '../routing/random-source.js';
 
 /** What limits the starts of this instance in one availability zone. */
 export type ZoneRoom = {
 	/** Tokens that fit at the scarcest layer until the starts of this window are reported. */
 	readonly tokens: number;
-	/** Tokens that this instance's requests hold there. */
-	readonly ownTokens: number;
+	/** Tokens that this instance's requests hold on the usable servers of the first layer, by server. */
+	readonly ownTokens: ReadonlyMap<BackendServer, number>;
 	/** Number of instances that share the room. */
 	readonly instances: number;
 	/** Milliseconds until others know of a start. */
@@ -15,7 +16,8 @@
 /** The latest starts of this instance in one zone. */
 type Starts = {
 	readonly recent: Array<{readonly tokens: number; readonly startedAt: number}>;
-	ownTokens: number;
+	/** Last known tokens of this instance's requests, by incarnation id. A server that a request excludes keeps its entry. */
+	readonly ownTokens: Map<string, number>;
 	/** Random part of a request, which rounds the share up or down. */
 	rounding: number;
 	roundedAt: number;
@@ -36,9 +38,13 @@
 
 	/** Records what this instance's requests hold in a zone, and returns whether one with a number of tokens may start there. */
 	allows(zone: string, room: ZoneRoom, tokens: number, now: number): boolean {
-		const starts = this.update(zone, room, now);
-		const started = starts.recent.reduce((sum, start) => sum + start.tokens, 0);
-		return (started + (starts.rounding * tokens)) * room.instances <= room.tokens;
+		return this.fits(this.update(zone, room, now), room, tokens);
+	}
+
+	/** The same as `allows`, without recording anything. */
+	wouldAllow(zone: string, room: ZoneRoom, tokens: number): boolean {
+		const starts = this.zones.get(zone);
+		return !starts || this.fits(starts, room, tokens);
 	}
 
 	/** Counts a rejected start, so that its retry does not take more than the share either. */
@@ -46,22 +52,44 @@
 		this.zones.get(zone)?.recent.push({tokens, startedAt: now});
 	}
 
+	/** Removes the entries of servers that are no longer listed. */
+	retain(servers: Iterable<BackendServer>): void {
+		const listed = new Set([...servers].map(server => getIncarnationId(server)));
+		for (const {ownTokens} of this.zones.values()) {
+			for (const id of ownTokens.keys()) {
+				if (!listed.has(id)) {
+					ownTokens.delete(id);
+				}
+			}
+		}
+	}
+
+	private fits({recent, rounding}: Starts, room: ZoneRoom, tokens: number): boolean {
+		const started = recent.reduce((sum, start) => sum + start.tokens, 0);
+		return (started + (rounding * tokens)) * room.instances <= room.tokens;
+	}
+
 	private update(zone: string, {ownTokens, age}: ZoneRoom, now: number): Starts {
 		const window = Math.max(minWindowMs, age);
 		const starts = this.zones.get(zone) ?? {
-			recent: [], ownTokens, rounding: this.random.nextFraction(), roundedAt: now,
+			recent: [], ownTokens: new Map<string, number>(), rounding: this.random.nextFraction(), roundedAt: now,
 		};
 		this.zones.set(zone, starts);
 		while (starts.recent.length > 0 && now - starts.recent[0].startedAt > window) {
 			starts.recent.shift();
 		}
 
-		const hasStarted = ownTokens > starts.ownTokens;
-		if (hasStarted) {
-			starts.recent.push({tokens: ownTokens - starts.ownTokens, startedAt: now});
+		let hasStarted = false;
+		for (const [server, tokens] of ownTokens) {
+			const id = getIncarnationId(server);
+			const gained = tokens - (starts.ownTokens.get(id) ?? 0);
+			starts.ownTokens.set(id, tokens);
+			if (gained > 0) {
+				starts.recent.push({tokens: gained, startedAt: now});
+				hasStarted = true;
+			}
 		}
 
-		starts.ownTokens = ownTokens;
 		if (hasStarted || now - starts.roundedAt >= window) {
 			starts.rounding = this.random.nextFraction();
 			starts.roundedAt = now;
