--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -1,7 +1,9 @@
 import {type Backpressure} from '../backpressure/backpressure.js';
 import {type LayerPrices, type PriceOptions} from '../scheduling/layer-prices.js';
 import {sumPredictedTokens, type MemoryForecast} from '../scheduling/occupancy-forecast.js';
-import {areOnTime, predictStageTimes, predictTimes} from '../scheduling/predicted-times.js';
+import {
+	areOnTime, predictStageTimes, predictTimes, type PredictedTimes, type ServerPace,
+} from '../scheduling/predicted-times.js';
 import {Exclusion, type SelectionExplanation} from '../scheduling/selection-explanation.js';
 import {ReportedPrices} from '../scheduling/reported-prices.js';
 import {getIncarnationId, type BackendServer} from './backend-server.js';
@@ -99,7 +101,7 @@
 	/** Returns the pipeline to use now; undefined if no usable servers with enough capacity cover all layers, or if the pipeline would exceed the bandwidth between zones. */
 	select(request: PipelineRequest, now: number): Pipeline | undefined {
 		const {model} = request;
-		const pipeline = this.findCheapest(this.findUsableServers(request, now), request, {maxOccupancy: this.weights.maxOccupancy}, now);
+		const pipeline = this.findTimely(this.findUsableServers(request, now), request, {maxOccupancy: this.weights.maxOccupancy}, now);
 		const crossings = pipeline ? countCrossings(pipeline) : 0;
 		const bytes = crossings * request.tokens * model.activationBytes;
 		return crossings === 0 || this.dependencies.interzoneBandwidth.tryConsume(bytes, model.interzoneMegabits, now) ? pipeline : undefined;
@@ -117,32 +119,13 @@
 			: this.findCheapest(servers, request, {maxOccupancy: Number.POSITIVE_INFINITY}, now);
 	}
 
-	private findCheapest(servers: readonly BackendServer[], request: PipelineRequest, options: PriceOptions, now: number): Pipeline | undefined {
-		const computeLayerCost = this.prices.price(servers, request, options, now);
-		const priced = new Map<BackendServer, number>();
-		for (const server of servers) {
-			const cost = computeLayerCost(server);
-			if (cost < Number.POSITIVE_INFINITY) {
-				priced.set(server, cost);
-			}
-		}
-
-		return findPipeline([...priced.keys()], request.model.layers, this.createCosts(request, priced, now))?.pipeline;
-	}
-
 	/** Returns where a request would go now, and why, without any side effects. */
 	explain(request: PipelineRequest, now: number): SelectionExplanation {
-		const {directory, serverHealth, backpressure, load, slowdowns, availabilityZone} = this.dependencies;
+		const {directory, serverHealth, backpressure} = this.dependencies;
 		const {model, tokens, promptTokens = model.usualPrompt, occupancyLimit = 1} = request;
 		const options = {maxOccupancy: this.weights.maxOccupancy, isExplanation: true};
 		const usable = this.findUsableServers(request, now);
 		const computeLayerCost = this.prices.price(usable, request, options, now);
-		const predictPace = (server: BackendServer) => {
-			const memory = this.prices.predictMemory(server, request, now);
-			const held = memory ? memory.own + memory.peers + memory.growth : load.getTokens(server);
-			return {requests: Math.max(load.getRequests(server), held / computeUsualRequestTokens(model)), tokens: held, slowdown: slowdowns.getFactor(server, now)};
-		};
-
 		const findExclusion = (server: BackendServer, memory: MemoryForecast | undefined): Exclusion | undefined => {
 			if (request.excluded.has(getIncarnationId(server))) {
 				return Exclusion.Request;
@@ -166,14 +149,13 @@
 		const candidates = directory.usable(request.service).map(server => {
 			const {id, range} = server;
 			const memory = this.prices.predictMemory(server, request, now);
-			const times = range && predictStageTimes({server, range}, model, promptTokens, predictPace(server));
+			const times = range && predictStageTimes({server, range}, model, promptTokens, this.predictPace(server, request, now));
 			return {
 				server: id, availabilityZone: server.availabilityZone, range, memory, limit: memory && memory.capacity * occupancyLimit, times, exclusion: findExclusion(server, memory),
 			};
 		});
-		const chosen = this.findCheapest(usable, request, options, now);
-		const networkDelay = chosen && chosen[0].server.availabilityZone !== availabilityZone ? zoneDelayMs : 0;
-		const times = chosen && predictTimes(chosen, request, networkDelay, ({server}) => predictPace(server));
+		const chosen = this.findTimely(usable, request, options, now);
+		const times = chosen && this.predictTimes(chosen, request, now);
 		return {
 			candidates: candidates.toSorted((left, right) => (left.range?.from ?? 0) - (right.range?.from ?? 0)),
 			chosen: chosen?.map(({server, range}) => ({server: server.id, range})),
@@ -182,6 +164,44 @@
 		};
 	}
 
+	/** Returns the cheapest pipeline, or, if its times are predicted to be late, the fastest one if that is earlier. */
+	private findTimely(servers: readonly BackendServer[], request: PipelineRequest, options: PriceOptions, now: number): Pipeline | undefined {
+		const cheapest = this.findCheapest(servers, request, options, now);
+		if (!this.dependencies.prices || !cheapest || areOnTime(this.predictTimes(cheapest, request, now), request)) {
+			return cheapest;
+		}
+
+		const fastest = this.findCheapest(servers, request, {...options, isFastest: true}, now);
+		return fastest && this.predictTimes(fastest, request, now).firstEventMs < this.predictTimes(cheapest, request, now).firstEventMs ? fastest : cheapest;
+	}
+
+	private findCheapest(servers: readonly BackendServer[], request: PipelineRequest, options: PriceOptions, now: number): Pipeline | undefined {
+		const computeLayerCost = this.prices.price(servers, request, options, now);
+		const priced = new Map<BackendServer, number>();
+		for (const server of servers) {
+			const cost = computeLayerCost(server);
+			if (cost < Number.POSITIVE_INFINITY) {
+				priced.set(server, cost);
+			}
+		}
+
+		return findPipeline([...priced.keys()], request.model.layers, this.createCosts(request, priced, now))?.pipeline;
+	}
+
+	private predictTimes(pipeline: Pipeline, request: PipelineRequest, now: number): PredictedTimes {
+		const networkDelay = pipeline[0].server.availabilityZone === this.dependencies.availabilityZone ? 0 : zoneDelayMs;
+		return predictTimes(pipeline, request, networkDelay, ({server}) => this.predictPace(server, request, now));
+	}
+
+	private predictPace(server: BackendServer, request: PipelineRequest, now: number): ServerPace {
+		const {load, slowdowns} = this.dependencies;
+		const memory = this.prices.predictMemory(server, request, now);
+		const tokens = memory ? Math.max(0, memory.own + memory.peers + memory.growth) : load.getTokens(server);
+		return {
+			requests: Math.max(load.getRequests(server), tokens / computeUsualRequestTokens(request.model)), tokens, slowdown: slowdowns.getFactor(server, now),
+		};
+	}
+
 	private findUsableServers({service, excluded}: PipelineRequest, now: number): readonly BackendServer[] {
 		const {directory, serverHealth, backpressure} = this.dependencies;
 		return directory.usable(service).filter(server =>
--- a/src/scheduling/layer-prices.ts
+++ b/src/scheduling/layer-prices.ts
@@ -1,6 +1,6 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {type MemoryForecast} from './occupancy-forecast.js';
 import {type PipelineRequest} from '../pipelines/pipeline-selector.js';
+import {type MemoryForecast} from './occupancy-forecast.js';
 
 /** Returns the cost of one layer on a server; infinite if the server has no room for the request. */
 export type LayerCost = (server: BackendServer) => number;
@@ -9,6 +9,8 @@
 export type PriceOptions = {
 	/** Fraction of the capacity that may be used; infinite where the request is to wait for room. */
 	readonly maxOccupancy: number;
+	/** Whether only the speed of the servers counts. */
+	readonly isFastest?: boolean;
 	/** Whether nothing is to be sent: prices are then not perturbed, and nothing is recorded. */
 	readonly isExplanation?: boolean;
 };
--- a/src/scheduling/predicted-prices.ts
+++ b/src/scheduling/predicted-prices.ts
@@ -38,6 +38,7 @@
 	readonly request: PipelineRequest;
 	readonly maxOccupancy: number;
 	readonly isExplanation: boolean;
+	readonly isFastest: boolean;
 	readonly crowding: number;
 	readonly fastestPace: number;
 	readonly now: number;
@@ -60,11 +61,11 @@
 		super();
 	}
 
-	price(servers: readonly BackendServer[], request: PipelineRequest, {maxOccupancy, isExplanation = false}: PriceOptions, now: number): LayerCost {
+	price(servers: readonly BackendServer[], request: PipelineRequest, {maxOccupancy, isExplanation = false, isFastest = false}: PriceOptions, now: number): LayerCost {
 		const {forecast} = this.dependencies;
 		const {model, tokens} = request;
 		const pricing: Pricing = {
-			request, maxOccupancy, isExplanation, crowding: this.computeCrowding(now), fastestPace: Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace)), now,
+			request, maxOccupancy, isExplanation, crowding: this.computeCrowding(now), isFastest, fastestPace: Math.min(...[...model.acceleratorTypes.values()].map(({pace}) => pace)), now,
 		};
 		const memories = new Map<BackendServer, MemoryForecast>();
 		for (const server of servers) {
@@ -95,7 +96,7 @@
 		this.dependencies.shares.recordRejection(key, tokens, now);
 	}
 
-	private computeLayerCost(server: BackendServer, memory: MemoryForecast, {request, maxOccupancy, isExplanation, crowding, fastestPace, now}: Pricing): number {
+	private computeLayerCost(server: BackendServer, memory: MemoryForecast, {request, maxOccupancy, isExplanation, isFastest, crowding, fastestPace, now}: Pricing): number {
 		const {model, tokens, occupancyLimit = 1} = request;
 		const {capacity, margin} = memory;
 		const predicted = sumPredictedTokens(memory);
@@ -106,7 +107,7 @@
 		}
 
 		const cost = model.acceleratorTypes.get(server.card)!.pace * this.dependencies.slowdowns.getFactor(server, now) * (1 + (this.weights.occupancyWeight * (occupancy ** 2)));
-		if (crowding === 0 || !Number.isFinite(limit)) {
+		if (isFastest || crowding === 0 || !Number.isFinite(limit)) {
 			return cost;
 		}
 
--- a/src/scheduling/predicted-times.ts
+++ b/src/scheduling/predicted-times.ts
@@ -39,7 +39,8 @@
 
 @param getPace - returns the load of a stage's server
 */
-export function predictTimes(pipeline: Pipeline, {model, promptTokens = model.usualPrompt}: Pick<PipelineRequest, 'model' | 'promptTokens'>, networkDelay: number, getPace: (stage: Stage) => ServerPace): PredictedTimes {
+export function predictTimes(pipeline: Pipeline, request: Pick<PipelineRequest, 'model' | 'promptTokens'>, networkDelay: number, getPace: (stage: Stage) => ServerPace): PredictedTimes {
+	const {model, promptTokens = model.usualPrompt} = request;
 	let firstEventMs = networkDelay;
 	let eventGapMs = 0;
 	for (const stage of pipeline) {
@@ -52,6 +53,7 @@
 }
 
 /** Whether the first event and the pauses of a pipeline are on time for a request. */
-export function areOnTime({firstEventMs, eventGapMs}: PredictedTimes, {latencyTarget = Number.POSITIVE_INFINITY, eventGapTarget = Number.POSITIVE_INFINITY}: Pick<PipelineRequest, 'latencyTarget' | 'eventGapTarget'>): boolean {
+export function areOnTime({firstEventMs, eventGapMs}: PredictedTimes, request: Pick<PipelineRequest, 'latencyTarget' | 'eventGapTarget'>): boolean {
+	const {latencyTarget = Number.POSITIVE_INFINITY, eventGapTarget = Number.POSITIVE_INFINITY} = request;
 	return firstEventMs <= latencyTarget && eventGapMs <= eventGapTarget;
 }
