Refuse responses with status 000 in orders, queries and the own interface

Cause: the runtime passes HTTP/1.1 000 on as status 0, which is neither a success nor a server error: an order counted as refused, and loads, states and cache events of the own interface were read from such responses. Change: HttpFetch and sendJsonRequest reject responses whose head findResponseHeadFault rejects.

--- a/src/backends/http-request.ts
+++ b/src/backends/http-request.ts
@@ -1,5 +1,6 @@
 import {Agent} from 'node:http';
 import got, {type CancelableRequest, type Response} from 'got';
+import {findResponseHeadFault} from '../network/head-faults.js';
 import {limitInterimResponses} from '../network/limit-interim-responses.js';
 import {PieceLimit} from '../network/piece-limit.js';
 import {type TimerService} from '../time/timer-service.js';
@@ -35,9 +36,9 @@
 	return call;
 }
 
-/** Sends a JSON request once over a new connection. Rejects after the timeout and on any connection failure, but not on an error status. */
+/** Sends a JSON request once over a new connection. Rejects after the timeout, on any connection failure and if the head of the response is not valid HTTP, but not on an error status. */
 export async function sendJsonRequest(timers: TimerService, {url, timeout, body}: JsonRequest): Promise<Response<string>> {
-	return timers.runWithTimeout(timeout, async signal => limitResponse(got(url, {
+	const response = await timers.runWithTimeout(timeout, async signal => limitResponse(got(url, {
 		method: body === undefined ? 'GET' : 'POST',
 		json: body,
 		agent: {http: new Agent({keepAlive: false})},
@@ -45,4 +46,10 @@
 		throwHttpErrors: false,
 		signal,
 	})));
+	const fault = findResponseHeadFault(response);
+	if (fault !== undefined) {
+		throw new Error(fault);
+	}
+
+	return response;
 }
--- a/src/store/http-fetch.ts
+++ b/src/store/http-fetch.ts
@@ -2,6 +2,7 @@
 import get from 'simple-get';
 import {ByteBuffer} from '../network/byte-buffer.js';
 import {isDelimitedByConnection, wasClosedByPeer, watchConnectionEnd} from '../network/connection-end.js';
+import {findResponseHeadFault} from '../network/head-faults.js';
 import {limitInterimResponses} from '../network/limit-interim-responses.js';
 import {PieceLimit} from '../network/piece-limit.js';
 
@@ -37,6 +38,14 @@
 
 /** Collects the body of a response; a body that is too long closes its connection. */
 function collect(response: IncomingMessage, {onData, maxBodyBytes = defaultMaxBodyBytes}: FetchOptions, {resolve, reject}: Settlement): void {
+	const fault = findResponseHeadFault(response);
+	if (fault !== undefined) {
+		// The runtime passes on statuses that do not exist, such as 000.
+		response.on('error', reject);
+		response.destroy(new Error(fault));
+		return;
+	}
+
 	const body = new ByteBuffer();
 	const pieceLimit = new PieceLimit();
 	response.on('data', (chunk: Uint8Array) => {
