--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -5,10 +5,11 @@
 import {hideBin} from 'yargs/helpers';
 import {ResultCode} from '../results/result-code.js';
 import {
-	createKey, drainInstance, explainRoute, listInstances, listWorkspaces, lookUpAction, showUsage,
+	createKey, drainInstance, listInstances, listWorkspaces, lookUpAction, showUsage,
 } from './instance-commands.js';
 import {explainRequest} from './log-commands.js';
 import {type CommandResult, failure, print} from './output.js';
+import {explainRequestRoute} from './selection-command.js';
 import {planPlacement} from './placement-commands.js';
 import {
 	checkSheet, diffSheet, showHistory, showSheet, submitSheet,
@@ -89,11 +90,20 @@
 		.demandCommand(1, 'name an instance command'))
 	.command('route', 'explain routes', route => route
 		.command(
-			'explain MODEL',
+			'explain ROUTE',
 			'print the route that a request would take now, and why',
-			command => command.positional('MODEL', {type: 'string', demandOption: true}).example('$0 route explain findings', ''),
+			command => command
+				.positional('ROUTE', {type: 'string', demandOption: true, describe: 'name of a route; of a model on the own interface'})
+				.option('prompt-tokens', {type: 'number', describe: 'tokens of the prompt'})
+				.option('answer-tokens', {type: 'number', describe: 'tokens of the answer'})
+				.option('workspace', {type: 'string', describe: 'workspace, whose priority applies'})
+				.example('$0 route explain findings', '')
+				.example('$0 route explain drafts --prompt-tokens 4000 --workspace north', ''),
 			async argv => {
-				finish(await explainRoute(getConnectionOptions(argv), argv.MODEL), argv);
+				const {ROUTE: route, promptTokens, answerTokens, workspace} = argv;
+				finish(await explainRequestRoute(getConnectionOptions(argv), {
+					route, promptTokens, answerTokens, workspace,
+				}), argv);
 			},
 		)
 		.demandCommand(1, 'name a route command'))
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -8,6 +8,7 @@
 import {type GossipClients} from '../peers/gossip-clients.js';
 import {type GossipService} from '../peers/gossip-service.js';
 import {type RetryLoans} from '../peers/retry-loans.js';
+import {type SelectionRequestHandler} from '../peers/selection-request-handler.js';
 import {type PlacementController} from '../placement/placement-controller.js';
 import {type CrashGuard} from '../quarantine/crash-guard.js';
 import {type ExchangeRegistry} from '../relay/exchange-registry.js';
@@ -42,6 +43,7 @@
 	readonly gossip: GossipService;
 	readonly gossipClients: GossipClients;
 	readonly retryLender: RetryLoans;
+	readonly selections: SelectionRequestHandler;
 	readonly ownPaths: OwnPaths;
 	readonly tunnelServer: TunnelServer;
 	readonly lease: Lease;
--- a/src/peers/gossip-clients.ts
+++ b/src/peers/gossip-clients.ts
@@ -12,6 +12,7 @@
 import {
 	createGossipProcedures, loanAnswerSchema, type GossipProcedures, type GossipReceiver, type LoanCall, type RetryLender,
 } from './gossip-procedures.js';
+import {type SelectionRequestHandler} from './selection-request-handler.js';
 
 /** Time for which an idle connection of another instance is kept; instances contact each other in random order. */
 const idleConnectionMs = 60_000;
@@ -27,6 +28,8 @@
 	readonly gossip: GossipReceiver;
 	readonly retryLender: RetryLender;
 	readonly tunnelServer: Pick<TunnelServer, 'accept'>;
+	/** Answers operators; undefined if none are to be answered. */
+	readonly selections?: SelectionRequestHandler;
 };
 
 /** Sends and receives the calls between pipeline routers over tRPC and HTTP. */
@@ -42,8 +45,12 @@
 	constructor(private readonly timers: TimerService, private readonly timeout: number) {}
 
 	/** Starts to answer other instances; rejects if the address is unavailable. */
-	async listen(host: string, port: number, {gossip, retryLender, tunnelServer}: PeerReceivers): Promise<void> {
-		this.server = createServer(createHTTPHandler({router: createGossipProcedures(gossip, retryLender), maxBodySize: maxMessageBytes}));
+	async listen(host: string, port: number, {gossip, retryLender, tunnelServer, selections}: PeerReceivers): Promise<void> {
+		this.server = createServer(createHTTPHandler({
+			router: createGossipProcedures(gossip, retryLender, selections),
+			createContext: ({req: request}) => ({authorization: request.headers.authorization}),
+			maxBodySize: maxMessageBytes,
+		}));
 		this.server.keepAliveTimeout = idleConnectionMs;
 		this.server.on('connect', (request, socket) => {
 			void tunnelServer.accept(request, socket);
--- a/src/peers/gossip-procedures.ts
+++ b/src/peers/gossip-procedures.ts
@@ -1,6 +1,7 @@
-import {initTRPC} from '@trpc/server';
+import {initTRPC, TRPCError} from '@trpc/server';
 import * as z from 'zod';
 import {gossipMessageSchema, type GossipMessage} from './gossip-message.js';
+import {type SelectionRequestHandler} from './selection-request-handler.js';
 
 /** Longest lifetime of a loan in milliseconds, since a lender does without its retries for that time. */
 const maxLoanLifetimeMs = 10_000;
@@ -30,13 +31,27 @@
 	lend(call: LoanCall): number;
 };
 
-const trpc = initTRPC.create();
+const selectionQuerySchema = z.object({
+	route: z.string(),
+	promptTokens: z.number().int().nonnegative().optional(),
+	answerTokens: z.number().int().nonnegative().optional(),
+	workspace: z.string().optional(),
+});
+
+const trpc = initTRPC.context<{readonly authorization?: string}>().create();
 
-/** Creates the procedures that pipeline routers offer to each other. */
-export function createGossipProcedures(receiver: GossipReceiver, lender: RetryLender) {
+/** Creates the procedures that pipeline routers offer to each other, and to operators. */
+export function createGossipProcedures(receiver: GossipReceiver, lender: RetryLender, selections?: SelectionRequestHandler) {
 	return trpc.router({
 		exchange: trpc.procedure.input(gossipMessageSchema).mutation(({input}) => receiver.exchange(input)),
 		lendRetries: trpc.procedure.input(loanRequestSchema).mutation(({input}) => ({retries: lender.lend(input)})),
+		explainSelection: trpc.procedure.input(selectionQuerySchema).query(async ({ctx, input}) => {
+			if (!selections?.isOperator(ctx.authorization)) {
+				throw new TRPCError({code: 'UNAUTHORIZED', message: 'the operator secret is wrong'});
+			}
+
+			return selections.explain(input);
+		}),
 	});
 }
 
--- a/src/peers/operator-request-handler.ts
+++ b/src/peers/operator-request-handler.ts
@@ -40,7 +40,7 @@
 };
 
 /** Runs an operation and converts what it throws to a failure. */
-async function toReply<Value>(operation: () => Promise<Value> | Value): Promise<Reply<Value>> {
+export async function toReply<Value>(operation: () => Promise<Value> | Value): Promise<Reply<Value>> {
 	try {
 		return {value: await operation()};
 	} catch (error) {
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -36,6 +36,7 @@
 import {PlacementController} from './placement/placement-controller.js';
 import {ZoneRebalancer} from './placement/zone-rebalancer.js';
 import {GossipClients} from './peers/gossip-clients.js';
+import {SelectionRequestHandler} from './peers/selection-request-handler.js';
 import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {wireCrashGuard} from './quarantine-wiring.js';
@@ -234,6 +235,9 @@
 		directory, serverHealth, backpressure, load: serverLoad, slowdowns, availabilityZone: instance.availability_zone, peerLoads, random, metrics,
 		interzoneBandwidth: new InterzoneBandwidthBudget(interzoneBandwidthFraction, interzoneBurstMs, () => instanceRegistry.countSharing()),
 	}, selectionWeights);
+	const admission = wireAdmission(settings, {
+		instanceRegistry, zone: waiting.zone, activeCatalog, directory, random, timers, metrics,
+	});
 	const requestQueue = new RequestQueue(timers, {capacity: limits.queue_places, dispatchInterval: queueRetryIntervalMs});
 	const exchanges = new ExchangeRegistry(
 		exchangeDependencies,
@@ -247,9 +251,7 @@
 		{
 			selector: selection.selector,
 			requestQueue,
-			admission: wireAdmission(settings, {
-				instanceRegistry, zone: waiting.zone, activeCatalog, directory, random, timers, metrics,
-			}),
+			admission,
 			answers: wireEstimates(settings, {metrics, log}),
 			limits: {
 				maxRejections, lateRejectionThreshold: limits.stall / 2, onTimeFraction, maxQueueTime: limits.queue_wait, resumeWaitFraction, retryAfter: limits.come_back,
@@ -353,9 +355,13 @@
 	metrics.gauge('siskinnotch_servers_suspected', () => serverHealth.countSuspected(timers.now()));
 	metrics.gauge('siskinnotch_servers_limited', () => backpressure.limits.size);
 	new CounterLog(loggedCounters, metrics, log).start(timers, counterLogIntervalMs);
+	const selections = new SelectionRequestHandler({
+		secret: settings.secrets.operators, activeCatalog, selector: selection.selector, timers,
+		getOccupancyLimit: (service, priority, now) => admission.reserves.getOccupancyLimit(service, priority, now),
+	});
 	const router: Router = new Router(settings, {
 		timers, log, metrics, lifecycle, entryServer, statusServer, exchanges, streamMonitor, crashGuard, activeCatalog, tableWatchers, isStoreReader,
-		directory, instanceRegistry, gossip, gossipClients, retryLender: retries.loans, ownPaths, tunnelServer, lease, leaseManager, placementController,
+		directory, instanceRegistry, gossip, gossipClients, selections, retryLender: retries.loans, ownPaths, tunnelServer, lease, leaseManager, placementController,
 	});
 	return router;
 }
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -34,6 +34,10 @@
 		/** Fraction of the link for messages to and from other instances. */
 		link_share: ratio(0.0034),
 	}).prefault({}),
+	secrets: z.object({
+		/** Secret of the operators' commands; empty if this instance answers none. */
+		operators: z.string().default(''),
+	}).prefault({}),
 	store: z.object({
 		address,
 		/** Time limit of a request to the store. */
