--- a/src/command/selection-command.ts
+++ b/src/command/selection-command.ts
@@ -2,6 +2,7 @@
 import {type GossipProcedures} from '../peers/gossip-procedures.js';
 import {type RouteSelection, type SelectionQuery} from '../peers/selection-request-handler.js';
 import {ResultCode} from '../results/result-code.js';
+import {sumPredictedTokens} from '../scheduling/occupancy-forecast.js';
 import {callInstance, type ConnectionOptions, toCommandResult} from './connection.js';
 import {explainRoute} from './instance-commands.js';
 import {
@@ -21,7 +22,7 @@
 		availabilityZone,
 		formatTime(times?.firstEventMs),
 		formatTime(times?.eventGapMs),
-		memory ? Math.round(memory.own + memory.peers + memory.growth) : '-',
+		memory ? Math.round(sumPredictedTokens(memory)) : '-',
 		limit === undefined ? '-' : Math.round(limit),
 		memory ? Math.round(memory.capacity) : '-',
 		exclusion ?? '-',
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -93,11 +93,8 @@
 	/** Selection of pipelines by predicted load. */
 	scheduling: z.object({
 		/** Whether loads are predicted and the choices of the instances are spread; otherwise each selects the cheapest pipeline by the known loads. */
-<<<<<<< HEAD
 		enabled: yesOrNo('yes'),
-=======
 		enabled: z.union([z.boolean(), z.stringbool()]).default(true),
->>>>>>> fefbe65 (Use the fastest pipeline where the cheapest is late, and describe the selection)
 		/** Time within which the evidence of a rejection by a full server decays. */
 		rejection_memory: duration('1 s'),
 		/** Standard deviations of the change of a server's load since the reports that are kept free. */
