--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -94,7 +94,6 @@
 	scheduling: z.object({
 		/** Whether loads are predicted and the choices of the instances are spread; otherwise each selects the cheapest pipeline by the known loads. */
 		enabled: yesOrNo('yes'),
-		enabled: z.union([z.boolean(), z.stringbool()]).default(true),
 		/** Time within which the evidence of a rejection by a full server decays. */
 		rejection_memory: duration('1 s'),
 		/** Standard deviations of the change of a server's load since the reports that are kept free. */
