--- a/src/estimates/length-priors.ts
+++ b/src/estimates/length-priors.ts
@@ -1,7 +1,7 @@
 import {lengthBuckets, ratioBuckets, type LogBuckets} from './log-buckets.js';
 import {SurvivalCurve} from './survival-curve.js';
 
-/** Standard deviation of the natural logarithm of answer lengths that is assumed without observations. The lengths then have a standard deviation of 0.8 of their mean, as measured on two deployments. */
+/** Standard deviation of the natural logarithm of answer lengths that is assumed without observations. The lengths then have a standard deviation of 0.8 of their mean. */
 const lengthDeviation = 0.7;
 /** Standard deviation of the natural logarithm of the ratio of actual to estimated length that is assumed without observations. */
 const ratioDeviation = 0.8;
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -1,13 +1,10 @@
 import {randomUUID} from 'node:crypto';
-import {type Agent} from 'node:http';
-import {type Logger} from 'winston';
 import {wireAdmission, wireWaiting} from './admission-wiring.js';
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
 import {wireBodies} from './body-wiring.js';
 import {ActiveCatalog} from './catalog/active-catalog.js';
-import {type CatalogDecoder} from './catalog/catalog-decoder.js';
 import {CatalogReader} from './catalog/catalog-reader.js';
 import {wireControl} from './control-wiring.js';
 import {EntryServer} from './entry/entry-server.js';
@@ -16,81 +13,40 @@
 import {StatusServer} from './entry/status-server.js';
 import {wireEstimates} from './estimates-wiring.js';
 import {Lease} from './leases/lease.js';
-import {LeaseManager} from './leases/lease-manager.js';
 import {Lifecycle} from './lifecycle.js';
-import {type DecisionLog} from './observation/decision-log.js';
 import {CounterLog} from './observation/counter-log.js';
-import {createPartLog} from './observation/log.js';
 import {Metrics} from './observation/metrics.js';
-import {getIncarnationId, type BackendServer} from './pipelines/backend-server.js';
+import {type BackendServer} from './pipelines/backend-server.js';
 import {InterzoneBandwidthBudget} from './pipelines/interzone-bandwidth-budget.js';
 import {PlainServerSelector} from './pipelines/plain-server-selector.js';
 import {ServerDirectory} from './pipelines/server-directory.js';
 import {ServerHealthTracker} from './pipelines/server-health-tracker.js';
-import {type ServerDecoder} from './pipelines/server-decoder.js';
 import {ServerListReader} from './pipelines/server-list-reader.js';
 import {ServerLoad} from './pipelines/server-load.js';
 import {ServerSlowdowns} from './pipelines/server-slowdowns.js';
-import {type StageReporter} from './pipelines/stage-reporter.js';
-import {type OrderSender} from './placement/order-sender.js';
-import {PlacementController} from './placement/placement-controller.js';
-import {ZoneRebalancer} from './placement/zone-rebalancer.js';
 import {GossipClients} from './peers/gossip-clients.js';
 import {SelectionRequestHandler} from './peers/selection-request-handler.js';
 import {QuarantineOrigin} from './quarantine/quarantine-origin.js';
+import {wirePlacement} from './placement-wiring.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {wireCrashGuard} from './quarantine-wiring.js';
+import {type PlatformAdapters, type RouterEnvironment} from './platform-adapters.js';
 import {wireRetries} from './retry-wiring.js';
 import {BackendAgent} from './relay/backend-agent.js';
 import {BackendClient} from './relay/backend-client.js';
-import {type ExchangeCodec} from './relay/exchange-codec.js';
 import {type ExchangeDependencies} from './relay/exchange-dependencies.js';
 import {ExchangeRegistry} from './relay/exchange-registry.js';
-import {QueryBudget} from './relay/streams/query-budget.js';
 import {RequestQueue} from './relay/request-queue.js';
-import {SlowdownPoller} from './relay/streams/slowdown-poller.js';
-import {StreamMonitor} from './relay/streams/stream-monitor.js';
-import {type TableFeed} from './replication/table-feed.js';
 import {TableName} from './replication/table-name.js';
 import {RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
 import {GatedTable} from './store/gated-table.js';
-import {type Table} from './store/table.js';
-import {type TimerService} from './time/timer-service.js';
 import {ConnectionPurpose} from './tunnels/connection-purpose.js';
 import {ConnectorAgent} from './tunnels/connector-agent.js';
 import {wireSelection} from './scheduling-wiring.js';
+import {wireStreamMonitor} from './stream-monitor-wiring.js';
 import {wireTunnels} from './tunnel-wiring.js';
 
-/** Adapters to the platform that a pipeline router runs on. */
-export type PlatformAdapters = {
-	/** Holds the row of the placement lease. */
-	readonly leaseTable: Table;
-	/** Holds a row for each instance. */
-	readonly instanceTable: Table;
-	/** Holds a row for each request and prompt part under quarantine. */
-	readonly quarantineTable: Table;
-	readonly feeds: Readonly<Record<TableName, TableFeed>>;
-	readonly catalogDecoder: CatalogDecoder;
-	readonly serverDecoder: ServerDecoder;
-	/** Creates the part that sends placement orders, over connections of the agent. */
-	readonly createOrderSender: (agent: Agent) => OrderSender;
-	/** Creates the part that queries backend servers, over connections of the agent. */
-	readonly createStageReporter: (agent: Agent) => StageReporter;
-	readonly codec: ExchangeCodec;
-	/** Path that the load balancer polls for readiness. */
-	readonly readinessPath: string;
-};
-
-/** Services of the process that a pipeline router shares with its platform adapters. */
-export type RouterEnvironment = {
-	readonly timers: TimerService;
-	readonly log: DecisionLog;
-	readonly logger: Logger;
-	/** Returns the number of log lines dropped so far because their reader did not keep up. */
-	readonly countDroppedLines: () => number;
-};
-
 /** Seeds of the random source are below this number. */
 const randomSeedRange = 0x7F_FF_FF_FF;
 /** Durations in milliseconds. */
@@ -117,22 +73,8 @@
 const onTimeFraction = 0.75;
 /** Fraction of the caller's idle timeout for which an interrupted stream waits for another pipeline. */
 const resumeWaitFraction = 0.9;
-/** Durations in milliseconds; `rejectionThreshold` is a count. */
-const streamMonitorTimings = {
-	checkInterval: 100,
-	rejectionThreshold: 4,
-	healthCheckInterval: 1500,
-	slownessThreshold: 250,
-	blockedQueryThreshold: 330,
-	silenceTimeout: 1300,
-	blockedQueryInterval: 300,
-};
 /** Age at which the slowdown factor that a server reported is ignored. */
 const slowdownExpiryMs = 3000;
-/** Age from which the slowdown factor of a server is queried again. */
-const slowdownQueryIntervalMs = 1500;
-/** Limits of queries for slowdown factors; `burst` in milliseconds. */
-const slowdownQueryLimits = {perServerAndSecond: 1, burst: 1000, minBurst: 3};
 /** Time limit of a request to another instance. */
 const gossipTimeoutMs = 400;
 /** Fraction of the latency target after which an unresponsive server is abandoned for another one. */
@@ -263,23 +205,14 @@
 			},
 		},
 	);
-	const slowdownPoller = new SlowdownPoller({
+	const streamMonitor = wireStreamMonitor({
+		exchanges,
 		reporter: stageReporter,
 		serverHealth,
 		backpressure,
 		serverSlowdowns: slowdowns,
-		budget: new QueryBudget(slowdownQueryLimits, () => ({servers: directory.all().length, instances: instanceRegistry.countSharing()})),
-		random,
-		timers,
-		metrics,
-		log,
-	}, slowdownQueryIntervalMs);
-	const streamMonitor = new StreamMonitor({
-		exchanges, reporter: stageReporter,
-		serverHealth,
-		backpressure,
-		slowdownPoller,
 		directory,
+		random,
 		timers,
 		metrics,
 		log,
@@ -288,11 +221,11 @@
 		checkPath: async ({address}) => serverConnector.isPathBroken(address),
 		getHealthPath: service => activeCatalog.current?.catalog.services.get(service)?.healthPath ?? '/',
 		onSuspicion,
-	}, streamMonitorTimings);
-
-	const leaseManager = new LeaseManager('placement', lease, {table: new GatedTable(adapters.leaseTable, storeAccess, timers), timers, log: createPartLog(logger, 'leases')});
-	const placementController = new PlacementController({
+		countInstances: () => instanceRegistry.countSharing(),
+	});
+	const {leaseManager, placementController} = wirePlacement(settings, {
 		lease,
+		leaseTable: new GatedTable(adapters.leaseTable, storeAccess, timers),
 		catalog: activeCatalog,
 		directory,
 		serverHealth,
@@ -302,20 +235,12 @@
 		timers,
 		metrics,
 		log,
-		rebalancer: new ZoneRebalancer({
-			metrics, log, getTokens: (server, now) => serverLoad.getTokens(server) + peerLoads.getTokens(server, now),
-		}, placementSettings.moves),
-		onRangeConfirmed(server, range) {
-			directory.overrideRange(getIncarnationId(server), range);
+		logger,
+		getTokens: (server, now) => serverLoad.getTokens(server) + peerLoads.getTokens(server, now),
+		reportRange(server, range) {
 			gossip.reportRange(server, range);
 		},
-	}, {
-		settlingTime: placementSettings.settle,
-		reserveTime: placementSettings.spare,
-		orderTimeout: placementSettings.order,
-		checkInterval: placementSettings.check,
-		refusalBackoff: placementSettings.refusal,
-	}, placementSettings.room, placementSettings.plan);
+	});
 
 	const catalogReader = new CatalogReader(adapters.catalogDecoder, activeCatalog, log);
 	tables.onChange(TableName.Catalog, (table, from) => {
--- a/src/scheduling/predicted-prices.ts
+++ b/src/scheduling/predicted-prices.ts
@@ -16,7 +16,7 @@
 const spreadWeight = 0.5;
 /** Number of requests like the one to place below which the room at a zone's scarcest layer is short. */
 const shortRequests = 5;
-/** The same as a multiple of what others have probably started since their reports. With 1.5, full stages rejected 10 in 100 arrivals of a sudden burst in test/selection-herding.test.ts, with 2 it was 2 in 100. */
+/** The same as a multiple of what others have probably started since their reports: in a sudden burst, they start more than the reports show. */
 const shortStarts = 2;
 /** Time for which room counts as short afterwards, since requests wait then. */
 const shortageMemoryMs = 300;
