--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -40,6 +40,8 @@
 	readonly departure?: AbortSignal;
 };
 
+/** The secret of operators in the settings of these routers. */
+export const operatorSecret = 'secret-of-operators';
 const conditionTimeoutMs = 15_000;
 const pollIntervalMs = 25;
 /** Observations in a row after which the router is taken for busy. */
@@ -188,6 +190,8 @@
 			`metrics = ${here}:${await freePort()}`,
 			'[seeds]',
 			`peers = ${here}:${first.ports.peers}`,
+			'[secrets]',
+			`operators = ${operatorSecret}`,
 			'[store]',
 			`address = ${here}:${first.ports.store}`,
 			'list_pause = 50 ms',
@@ -245,6 +249,11 @@
 		return this.child!.exitCode === null && this.child!.signalCode === null;
 	}
 
+	/** Address on which the router accepts operators and other instances. */
+	get peersAddress(): string {
+		return `127.0.0.1:${this.ports.peers}`;
+	}
+
 	/** Port on which the router accepts callers. */
 	get callersPort(): number {
 		return this.ports.callers;
