--- a/src/control-wiring.ts
+++ b/src/control-wiring.ts
@@ -35,7 +35,7 @@
 import {TableWatcher} from './replication/table-watcher.js';
 import {type RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
-import {GatedTable} from './store/gated-table.js';
+import {CircuitBreakerTable} from './store/circuit-breaker-table.js';
 import {type Table} from './store/table.js';
 import {type PeerPaths} from './tunnels/peer-paths.js';
 import {type TimerService} from './time/timer-service.js';
@@ -184,7 +184,7 @@
 		},
 	});
 	const instanceRegistry: InstanceRegistry = new InstanceRegistry(self, {
-		table: new GatedTable(dependencies.instanceTable, storeAccess, timers), timers, log, onChange() {
+		table: new CircuitBreakerTable(dependencies.instanceTable, storeAccess, timers), timers, log, onChange() {
 			events.onInstancesChange(instanceRegistry.all());
 		},
 	}, registryTimings);
@@ -192,7 +192,7 @@
 		instanceRegistry.update(table);
 	});
 	const quarantineRegister = new QuarantineRegister({
-		table: new GatedTable(dependencies.quarantineTable, storeAccess, timers), timers, random, log, countInstances: () => instanceRegistry.all().length, onQuarantine: events.onQuarantine,
+		table: new CircuitBreakerTable(dependencies.quarantineTable, storeAccess, timers), timers, random, log, countInstances: () => instanceRegistry.all().length, onQuarantine: events.onQuarantine,
 	}, quarantineTimings);
 	tables.onChange(TableName.Quarantine, table => {
 		quarantineRegister.update(table);
--- a/src/network/body-refusal.ts
+++ b/src/network/body-refusal.ts
@@ -2,9 +2,9 @@
 export enum BodyRefusal {
 	/** Nothing of it has arrived for a long time. */
 	Stalled = 'stalled',
-	/** It arrives slowly while memory is short. */
+	/** A body that arrives slowly while memory is short. */
 	Slow = 'slow',
-	/** It is the largest of those that are being received while memory is short. */
+	/** The largest of the bodies that are being received while memory is short. */
 	Memory = 'memory',
 	/** Like others at the time it arrives in many small pieces, each of which takes processing time. */
 	Pieces = 'pieces',
--- a/src/relay/plain/plain-exchange.ts
+++ b/src/relay/plain/plain-exchange.ts
@@ -111,7 +111,7 @@
 		this.endAttempt(attempt);
 		this.attempts.recordFailure(attempt, failure);
 		if (this.delivery.chosen) {
-			this.failInterrupted(failure);
+			this.failWith(new Failure(ResultCode.BackendFailed, `the response was interrupted: ${failure.detail}`, Execution.Unknown));
 			return;
 		}
 
@@ -217,11 +217,6 @@
 		this.complete(head!.status);
 	}
 
-	/** Ends the reply after the chosen response was interrupted. */
-	private failInterrupted({detail}: AttemptFailure): void {
-		this.failWith(new Failure(ResultCode.BackendFailed, `the response was interrupted: ${detail}`, Execution.Unknown));
-	}
-
 	/** Passes on the response of a dropped attempt, if there is one, because those beside it have none in time. */
 	private tryDeliverFallback(): boolean {
 		const {available} = this.delivery;
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -40,7 +40,7 @@
 import {TableName} from './replication/table-name.js';
 import {RandomSource} from './routing/random-source.js';
 import {type RouterSettings} from './settings/router-settings.js';
-import {GatedTable} from './store/gated-table.js';
+import {CircuitBreakerTable} from './store/circuit-breaker-table.js';
 import {ConnectionPurpose} from './tunnels/connection-purpose.js';
 import {ConnectorAgent} from './tunnels/connector-agent.js';
 import {wireSelection} from './scheduling-wiring.js';
@@ -225,7 +225,7 @@
 	});
 	const {leaseManager, placementController} = wirePlacement(settings, {
 		lease,
-		leaseTable: new GatedTable(adapters.leaseTable, storeAccess, timers),
+		leaseTable: new CircuitBreakerTable(adapters.leaseTable, storeAccess, timers),
 		catalog: activeCatalog,
 		directory,
 		serverHealth,
--- a/src/scheduling/selection-explanation.ts
+++ b/src/scheduling/selection-explanation.ts
@@ -6,13 +6,13 @@
 export enum Exclusion {
 	/** The request has failed there, or its route allows other servers only. */
 	Request = 'excluded by the request',
-	/** It has no layers loaded, or its accelerator type is unknown. */
+	/** No layers are loaded, or the accelerator type is unknown. */
 	Layers = 'no layers',
-	/** It is suspected or has rejected requests. */
+	/** The server is suspected or has rejected requests. */
 	Health = 'suspected or saturated',
-	/** It asked for a pause. */
+	/** The server asked for a pause. */
 	Pause = 'paused',
-	/** It may not get the request as the first stage. */
+	/** The request may not begin on the server. */
 	FirstStage = 'limit of the first stage',
 	/** The request does not fit within the part of its memory that may be used. */
 	Memory = 'no free memory',
--- a/src/store/gated-table.ts
+++ b/src/store/circuit-breaker-table.ts
@@ -7,7 +7,7 @@
 import {type TransactionResult} from './transaction-result.js';
 
 /** A table that makes no calls while the store refuses this instance, except for a probe when one is due. Other calls fail at once and have no effect. */
-export class GatedTable extends Table {
+export class CircuitBreakerTable extends Table {
 	constructor(private readonly table: Table, private readonly access: StoreAccess, private readonly timers: TimerService) {
 		super();
 	}
