--- a/src/body-wiring.ts
+++ b/src/body-wiring.ts
@@ -10,7 +10,7 @@
 	readonly open_files: number;
 };
 
-/** Fraction of the memory limit for bodies: 26 MB where the heap may have 200 MB. The runtime frees the buffers of received bytes late, so a crowd of callers occupied up to 60 MB beside its bodies; with 0.18 an instance of the own interface reached 230 MB. */
+/** Fraction of the memory limit for bodies: 26 MB where the heap may have 200 MB. The runtime frees the buffers of received bytes late, so many callers at once occupy far more than their bodies. */
 const memoryFraction = 0.1;
 /** Two bodies of the largest size that a configuration usually allows, each with its copy. */
 const minMemory = 16_777_216;
