--- a/review/lib-2/router.js
+++ b/review/lib-2/router.js
@@ -76,6 +76,16 @@
 	return {command: find('run').split(' '), template: readFileSync(path.join(root, find('template')), 'utf8')};
 }
 
+/** Processes that were started and have not ended. */
+const running = new Set();
+
+/** Ends all processes that were started. */
+export function endAll() {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+}
+
 /** One machine of the deployment with its process, started with the command and the template of the deploy file. */
 export class Router {
 	child = undefined;
@@ -105,6 +115,11 @@
 			stdio: ['ignore', 'pipe', 'pipe'],
 			env: {PATH: process.env.PATH, HOME: process.env.HOME, SISKINNOTCH_NODE_FILE: this.settingsFile},
 		});
+		const {child} = this;
+		running.add(child);
+		child.once('exit', () => {
+			running.delete(child);
+		});
 		this.child.stdout.pipe(this.log, {end: false});
 		this.child.stderr.pipe(this.log, {end: false});
 	}
