Review: stand-ins take ports that no outgoing connection gets

Suspected and not shown: a port that an outgoing connection took between the search and the use.

Ports are now taken below the range of outgoing connections and none is given twice (lib-2/ports.js), and a machine that is not ready is reported with its last log lines.

--- a/review/lib-2/model-replica.js
+++ b/review/lib-2/model-replica.js
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {now, sleep} from './clock.js';
+import {findPort} from './ports.js';
 
 const reportLagMs = 200;
 
@@ -90,6 +91,7 @@
 	}
 
 	async listen() {
+		this.port ??= await findPort('127.0.0.1');
 		this.server = createServer((message, response) => {
 			this.handle(message, response);
 		});
@@ -103,9 +105,8 @@
 		});
 		await new Promise((resolve, reject) => {
 			this.server.once('error', reject);
-			this.server.listen(this.port ?? 0, '127.0.0.1', resolve);
+			this.server.listen(this.port, '127.0.0.1', resolve);
 		});
-		this.port = this.server.address().port;
 		this.born = Date.now();
 		this.isAlive = true;
 	}
--- a/review/lib-2/plain-replica.js
+++ b/review/lib-2/plain-replica.js
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {now, sleep} from './clock.js';
+import {findPort} from './ports.js';
 
 async function readBody(message) {
 	const chunks = [];
@@ -67,13 +68,14 @@
 		});
 	}
 
-	async listen(host = '127.0.0.1', port = 0) {
+	async listen(host = '127.0.0.1', wanted = undefined) {
+		const port = wanted ?? await findPort(host);
 		await new Promise((resolve, reject) => {
 			this.server.once('error', reject);
 			this.server.listen(port, host, resolve);
 		});
 		this.host = host;
-		this.port = this.server.address().port;
+		this.port = port;
 	}
 
 	/** Ends the process of the replica: its connections are reset and its address refuses new ones. */
--- a/review/lib-2/router.js
+++ b/review/lib-2/router.js
@@ -4,44 +4,17 @@
 	createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {request as startRequest} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {waitUntil} from './clock.js';
+import {findPort, isFree} from './ports.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const metricsPort = 9464;
 const maxMachines = 16;
-
-async function findFreePort(host) {
-	const server = createServer();
-	await new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(0, host, resolve);
-	});
-	const {port} = server.address();
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
-
-/** Whether a port of a loopback address is free. */
-async function isFree(host, port) {
-	const server = createServer();
-	return new Promise(resolve => {
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, host, () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
-}
+const maxLastLines = 20;
 
 /** Finds loopback addresses, one for each machine, whose port of the metrics is free. */
 async function findHosts(count) {
@@ -89,6 +62,8 @@
 /** One machine of the deployment with its process, started with the command and the template of the deploy file. */
 export class Router {
 	child = undefined;
+	/** What the process last wrote. */
+	lastLines = [];
 
 	constructor({
 		name, host, fields, folder, descriptors,
@@ -120,6 +95,12 @@
 		child.once('exit', () => {
 			running.delete(child);
 		});
+		for (const stream of [child.stdout, child.stderr]) {
+			stream.on('data', chunk => {
+				this.lastLines = [...this.lastLines, ...String(chunk).split('\n')].slice(-maxLastLines);
+			});
+		}
+
 		this.child.stdout.pipe(this.log, {end: false});
 		this.child.stderr.pipe(this.log, {end: false});
 	}
@@ -143,10 +124,16 @@
 
 	/** Waits until the machine says that it is ready. */
 	async waitUntilReady() {
-		await waitUntil(async () => {
-			const status = await this.fetchReadiness();
-			return status === 200;
-		}, `${this.name} is ready`);
+		try {
+			await waitUntil(async () => {
+				const status = await this.fetchReadiness();
+				return status === 200;
+			}, `${this.name} is ready`);
+		} catch (error) {
+			const state = this.isRunning ? 'runs' : `has ended with ${this.child.exitCode ?? this.child.signalCode}`;
+			const text = `${error.message}; its process ${state}; its last lines:`;
+			throw new Error([text, ...this.lastLines].join('\n'), {cause: error});
+		}
 	}
 
 	async fetchReadiness() {
@@ -184,7 +171,7 @@
 		for (const [index, host] of hosts.entries()) {
 			const addresses = {};
 			for (const name of ['frontendAddress', 'readinessAddress', 'controlPlane']) {
-				addresses[name] = `${host}:${await findFreePort(host)}`; // eslint-disable-line no-await-in-loop
+				addresses[name] = `${host}:${await findPort(host)}`; // eslint-disable-line no-await-in-loop
 			}
 
 			machines.push({host, addresses, name: `edge-${zones[index]}-${index + 1}`});
--- a/review/lib-2/store.js
+++ b/review/lib-2/store.js
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {now, sleep} from './clock.js';
+import {findPort} from './ports.js';
 
 /** Rows of one answer at most, and bytes. */
 const maxRows = 500;
@@ -44,10 +45,12 @@
 	}
 
 	async listen(host = '127.0.0.1') {
-		await new Promise(resolve => {
-			this.server.listen(0, host, resolve);
+		const port = await findPort(host);
+		await new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(port, host, resolve);
 		});
-		this.address = `${host}:${this.server.address().port}`;
+		this.address = `${host}:${port}`;
 	}
 
 	close() {
