--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -123,6 +123,8 @@
 	readonly timers = new ClockTimerService();
 	/** Largest number of descriptors that the router may open; undefined for the limit of this process. */
 	descriptorLimit?: number;
+	/** Whether to run the bundle of the deployment, which needs less memory than the modules. It can't be partitioned. */
+	isBundled = false;
 	readonly store: StoreSimulator;
 	readonly stages: readonly StageSimulator[];
 	readonly records: readonly StageSimulator[];
@@ -206,11 +208,11 @@
 
 	/** Starts the router and waits until it is ready. */
 	async startRouter(): Promise<void> {
-		const program = new URL('../../platform/main.js', import.meta.url).pathname;
-		const partitionModule = new URL('partition-process.js', import.meta.url).pathname;
+		const modules = ['--import', new URL('partition-process.js', import.meta.url).pathname, new URL('../../platform/main.js', import.meta.url).pathname];
+		const program = this.isBundled ? [new URL('../../../target/start.cjs', import.meta.url).pathname] : modules;
 		// eslint-disable-next-line @typescript-eslint/naming-convention
 		const environment = {...process.env, SISKINNOTCH_NODE_FILE: this.settingsFile, PARTITION_FILE: this.partitionFile};
-		const parameters = [process.execPath, heapLimit, '--import', partitionModule, program];
+		const parameters = [process.execPath, heapLimit, ...program];
 		const [command, ...rest] = this.descriptorLimit === undefined ? parameters : ['sh', '-c', `ulimit -n ${this.descriptorLimit}; exec "$@"`, 'sh', ...parameters];
 		this.child = spawn(command, rest, {stdio: ['ignore', 'pipe', 'inherit'], env: environment});
 		createInterface({input: this.child.stdout!}).on('line', line => {
