Give shared types of the pipeline selection and of the gossip files of their own

PipelineRequest and SelectionWeights stood in the module of the selector, which imports the modules that use them, and transitAllowanceMs in that of the table exchange. Both import circles are gone. No behaviour changes.

--- a/src/peers/gossip-service.ts
+++ b/src/peers/gossip-service.ts
@@ -28,7 +28,8 @@
 import {type ServerRumors} from './server-rumors.js';
 import {type SlowdownExchange} from './slowdown-exchange.js';
 import {SpreadScheduler} from './spread-scheduler.js';
-import {transitAllowanceMs, type TableExchange} from './table-exchange.js';
+import {type TableExchange} from './table-exchange.js';
+import {transitAllowanceMs} from './transit-allowance.js';
 import {type WaitingExchange} from './waiting-exchange.js';
 
 export type GossipServiceDependencies = {
--- a/src/peers/limit-exchange.ts
+++ b/src/peers/limit-exchange.ts
@@ -1,6 +1,6 @@
 import {type KnownLimit, type ServerLimits} from '../backpressure/server-limits.js';
 import {type GossipMessage, type ReportedLimit} from './gossip-message.js';
-import {transitAllowanceMs} from './table-exchange.js';
+import {transitAllowanceMs} from './transit-allowance.js';
 import {takeInTurn} from './take-in-turn.js';
 
 /** Time after a change for which each message carries it, in milliseconds. */
--- a/src/peers/selection-request-handler.ts
+++ b/src/peers/selection-request-handler.ts
@@ -1,5 +1,6 @@
 import {type ActiveCatalog} from '../catalog/active-catalog.js';
-import {type PipelineRequest, type PipelineSelector} from '../pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../pipelines/pipeline-request.js';
+import {type PipelineSelector} from '../pipelines/pipeline-selector.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {type SelectionExplanation} from '../scheduling/selection-explanation.js';
--- a/src/peers/slowdown-exchange.ts
+++ b/src/peers/slowdown-exchange.ts
@@ -3,7 +3,7 @@
 import {type GossipMessage} from './gossip-message.js';
 import {getIdDigest, getServerDigest} from './id-digest.js';
 import {packCounts, unpackCounts} from './packed-counts.js';
-import {transitAllowanceMs} from './table-exchange.js';
+import {transitAllowanceMs} from './transit-allowance.js';
 
 /** Units in which factors and ages (in milliseconds) are packed. */
 const factorUnit = 0.1;
--- a/src/peers/store-refusal-exchange.ts
+++ b/src/peers/store-refusal-exchange.ts
@@ -1,7 +1,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {type GossipMessage} from './gossip-message.js';
 import {getIdDigest} from './id-digest.js';
-import {transitAllowanceMs} from './table-exchange.js';
+import {transitAllowanceMs} from './transit-allowance.js';
 
 type AccessState = {
 	/** Rises with each report of the instance. */
--- a/src/peers/table-exchange.ts
+++ b/src/peers/table-exchange.ts
@@ -10,6 +10,7 @@
 import {RowPacking} from './row-packing.js';
 import {type StoreRefusalExchange} from './store-refusal-exchange.js';
 import {type ByTable, divideByBuild, joinTables} from './table-fields.js';
+import {transitAllowanceMs} from './transit-allowance.js';
 
 type TableStatus = NonNullable<GossipMessage['tables'][TableName.Catalog]>;
 
@@ -50,8 +51,6 @@
 	readonly from: string;
 };
 
-/** Time that a message may take, in milliseconds. It is added to the ages in a message, since information that passes through many instances would otherwise never age. */
-export const transitAllowanceMs = 100;
 /** Time for which a change is sent unasked, in milliseconds; later it is only sent to instances that lack it. */
 const unaskedSendMs = 1500;
 /** Characters of an update that is sent unasked; a larger one is fetched by those that lack it. */
--- a/src/peers/waiting-exchange.ts
+++ b/src/peers/waiting-exchange.ts
@@ -3,7 +3,7 @@
 import {getIdDigest} from './id-digest.js';
 import {packedTokensUnit} from './load-report.js';
 import {packCounts, unpackCounts} from './packed-counts.js';
-import {transitAllowanceMs} from './table-exchange.js';
+import {transitAllowanceMs} from './transit-allowance.js';
 
 /** Reports of other instances that a message carries at most. A report takes some 90 bytes for each priority, and the bytes of gossip are limited. */
 const maxRelayedReports = 4;
--- a/src/pipelines/pipeline-selector.ts
+++ b/src/pipelines/pipeline-selector.ts
@@ -11,46 +11,14 @@
 import {getLayerCount, type LayerRange} from './layer-range.js';
 import {type InterzoneBandwidthBudget} from './interzone-bandwidth-budget.js';
 import {findPipeline, type PipelineCosts} from './pipeline-finder.js';
+import {type PipelineRequest} from './pipeline-request.js';
 import {type Pipeline} from './pipeline.js';
+import {type SelectionWeights} from './selection-weights.js';
 import {type ServerHealthTracker} from './server-health-tracker.js';
 import {type ServerDirectory} from './server-directory.js';
 import {type ServerSlowdowns} from './server-slowdowns.js';
 import {type ServerLoad} from './server-load.js';
 
-/** The requirements of a request on its pipeline. */
-export type PipelineRequest = {
-	readonly service: string;
-	readonly model: EngineModel;
-	/** Tokens that the request is expected to hold when it ends. */
-	readonly tokens: number;
-	/** Prompt tokens, which are read before the first event; undefined if they are not known. */
-	readonly promptTokens?: number;
-	/** Milliseconds from now within which the first event is on time; undefined if that does not matter any more. */
-	readonly latencyTarget?: number;
-	/** Longest pause in milliseconds between events that is on time; undefined if there is none. */
-	readonly eventGapTarget?: number;
-	/** Fraction of a server's capacity up to which the request may fill it; 1 where undefined. */
-	readonly occupancyLimit?: number;
-	/** Incarnation ids of servers that must not be used. */
-	readonly excluded: ReadonlySet<string>;
-	/** Incarnation ids of the servers allowed as first stage; any server is where undefined. */
-	readonly firstStageCandidates?: ReadonlySet<string>;
-};
-
-/** Weights and limits of the pipeline selection. Costs are relative to running all layers on the fastest accelerator type. */
-export type SelectionWeights = {
-	/** Cost of starting in another availability zone. */
-	readonly remoteZone: number;
-	/** Cost of each transfer from one availability zone to another. */
-	readonly crossing: number;
-	/** Largest occupancy up to which a server gets new requests, as a fraction of its capacity. */
-	readonly maxOccupancy: number;
-	/** Factor by which the squared occupancy of a server raises the cost of its stage. */
-	readonly occupancyWeight: number;
-	/** Milliseconds after which the load that a server reported is ignored. */
-	readonly maxLoadAge: number;
-};
-
 export type PipelineSelectorDependencies = {
 	readonly directory: ServerDirectory;
 	readonly serverHealth: ServerHealthTracker;
--- a/src/relay/streams/stream-pipeline-selector.ts
+++ b/src/relay/streams/stream-pipeline-selector.ts
@@ -1,6 +1,7 @@
 import {getIncarnationId, type BackendServer} from '../../pipelines/backend-server.js';
 import {computeUsualRequestTokens, type EngineModel} from '../../pipelines/engine-model.js';
-import {type PipelineRequest, type PipelineSelector} from '../../pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../../pipelines/pipeline-request.js';
+import {type PipelineSelector} from '../../pipelines/pipeline-selector.js';
 import {type Pipeline} from '../../pipelines/pipeline.js';
 import {type ExecutionHistory} from '../execution-history.js';
 import {type RelayRequest} from '../relay-request.js';
--- a/src/scheduling-wiring.ts
+++ b/src/scheduling-wiring.ts
@@ -1,5 +1,6 @@
 import {type Metrics} from './observation/metrics.js';
-import {PipelineSelector, type PipelineSelectorDependencies, type SelectionWeights} from './pipelines/pipeline-selector.js';
+import {PipelineSelector, type PipelineSelectorDependencies} from './pipelines/pipeline-selector.js';
+import {type SelectionWeights} from './pipelines/selection-weights.js';
 import {type BackendServer} from './pipelines/backend-server.js';
 import {type PeerLoads} from './peers/peer-loads.js';
 import {type RandomSource} from './routing/random-source.js';
--- a/src/scheduling/layer-prices.ts
+++ b/src/scheduling/layer-prices.ts
@@ -1,5 +1,5 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {type PipelineRequest} from '../pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../pipelines/pipeline-request.js';
 import {type MemoryForecast} from './occupancy-forecast.js';
 
 /** Returns the cost of one layer on a server; infinite if the server has no room for the request. */
--- a/src/scheduling/predicted-prices.ts
+++ b/src/scheduling/predicted-prices.ts
@@ -1,5 +1,7 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
-import {groupByZone, type PipelineRequest, type SelectionWeights} from '../pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../pipelines/pipeline-request.js';
+import {groupByZone} from '../pipelines/pipeline-selector.js';
+import {type SelectionWeights} from '../pipelines/selection-weights.js';
 import {type ServerLoad} from '../pipelines/server-load.js';
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
 import {type RandomSource} from '../routing/random-source.js';
--- a/src/scheduling/predicted-times.ts
+++ b/src/scheduling/predicted-times.ts
@@ -1,7 +1,7 @@
 import {type EngineModel} from '../pipelines/engine-model.js';
 import {getLayerCount} from '../pipelines/layer-range.js';
 import {type Pipeline, type Stage} from '../pipelines/pipeline.js';
-import {type PipelineRequest} from '../pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../pipelines/pipeline-request.js';
 
 /** The predicted times of a stage or of a whole pipeline, in milliseconds. */
 export type PredictedTimes = {
--- a/src/scheduling/reported-prices.ts
+++ b/src/scheduling/reported-prices.ts
@@ -1,7 +1,8 @@
 import {type BackendServer} from '../pipelines/backend-server.js';
 import {computeTokenCapacity} from '../pipelines/engine-model.js';
 import {getLayerCount} from '../pipelines/layer-range.js';
-import {type PipelineRequest, type SelectionWeights} from '../pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../pipelines/pipeline-request.js';
+import {type SelectionWeights} from '../pipelines/selection-weights.js';
 import {type ServerLoad} from '../pipelines/server-load.js';
 import {type ServerSlowdowns} from '../pipelines/server-slowdowns.js';
 import {LayerPrices, type LayerCost, type PriceOptions} from './layer-prices.js';
--- a/test/route-explain.test.ts
+++ b/test/route-explain.test.ts
@@ -8,7 +8,7 @@
 import {listen} from '../src/network/listen.js';
 import {createGossipProcedures} from '../src/peers/gossip-procedures.js';
 import {SelectionRequestHandler} from '../src/peers/selection-request-handler.js';
-import {type PipelineRequest} from '../src/pipelines/pipeline-selector.js';
+import {type PipelineRequest} from '../src/pipelines/pipeline-request.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {Exclusion, type SelectionExplanation} from '../src/scheduling/selection-explanation.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
