Network: a request whose connection has closed is forgotten at once

Cause: the response closes before the message does. Its listener ended the reception, so that the loss of the connection had nothing left to reject, and the reading never settled.

Change: the listener rejects a reading in progress.

Result: test/abandoned-requests.test.ts fails before (1 request pending a second after the reset) and passes.

--- a/src/network/body-receiver.ts
+++ b/src/network/body-receiver.ts
@@ -46,7 +46,7 @@
 			},
 		});
 		response.once('close', () => {
-			reception.end();
+			reception.lose();
 		});
 		this.scheduleCheck();
 		return reception;
--- a/src/network/body-reception.ts
+++ b/src/network/body-reception.ts
@@ -64,7 +64,7 @@
 		dependencies.budget.add(claim);
 		return new Promise((resolve, reject) => {
 			const lose = () => {
-				this.fail(new Failure(ResultCode.CallerGone, 'the request body was not received', Execution.NotRun));
+				this.lose();
 			};
 
 			this.reject = reject;
@@ -94,6 +94,11 @@
 		this.dependencies.apply(this.dependencies.budget.resize(this.claim, bytes, this.dependencies.now()));
 	}
 
+	/** Ends the reception, or the use of the body, because the connection has closed. A reading in progress is rejected, since nothing else would end it before its deadline. */
+	lose(): void {
+		this.fail(new Failure(ResultCode.CallerGone, 'the request body was not received', Execution.NotRun));
+	}
+
 	/** Ends the reception, or the use of the body. */
 	end(): void {
 		this.reject = undefined;
