Network: names for what is counted beyond bodies

BodyReceiver becomes CallerIntake, BodyBudget RequestBudget, BodyClaim MemoryClaim, and the functions that read the rest of a refused request become RestReader, which the intake owns. No behaviour changes.

--- a/src/callers/caller-dependencies.ts
+++ b/src/callers/caller-dependencies.ts
@@ -2,7 +2,7 @@
 import {type ActionExecutor} from '../actions/action-executor.js';
 import {type CompletionService} from '../completions/completion-service.js';
 import {type Lifecycle} from '../lifecycle.js';
-import {type BodyReceiver} from '../network/body-receiver.js';
+import {type CallerIntake} from '../network/caller-intake.js';
 import {type Invariants} from '../observation/invariants.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type Tracing} from '../observation/tracing.js';
@@ -23,7 +23,7 @@
 /** What the caller interface and its handlers depend on. */
 export type CallerDependencies = {
 	readonly authenticator: CallerAuthenticator;
-	readonly bodies: BodyReceiver;
+	readonly intake: CallerIntake;
 	readonly completions: CompletionService;
 	readonly plainDispatcher: PlainDispatcher;
 	readonly actionExecutor: ActionExecutor;
--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -3,7 +3,6 @@
 import Koa, {type Context} from 'koa';
 import {CallerServer} from '../network/caller-server.js';
 import {listen} from '../network/listen.js';
-import {afterRestOfRequest, limitRestOfRequest} from '../network/rest-of-request.js';
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {getErrorMessage, toFailure} from '../results/to-failure.js';
@@ -33,11 +32,11 @@
 			throw new Failure(ResultCode.PathUnknown, 'see the README for the paths and methods offered');
 		});
 		const handle = app.callback();
-		const {metrics, log, timers} = dependencies;
+		const {metrics, log, intake} = dependencies;
 		this.server = new CallerServer({headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.headersTimeoutMs * 2, connectionsCheckingInterval: 1000}, (request, response) => {
 			void handle(request, response);
-		}, new CallerConnectionLog(metrics, log), timers);
-		this.server.limitConnections(dependencies.bodies.maxConnections);
+		}, new CallerConnectionLog(metrics, log), intake.timers);
+		this.server.limitConnections(intake.maxConnections);
 		this.server.on('connection', socket => {
 			this.sockets.add(socket);
 			socket.setNoDelay(true);
@@ -118,7 +117,7 @@
 			if (context.response.get('connection') === 'close' || !context.res.shouldKeepAlive) {
 				this.endAfterRequest(context);
 			} else {
-				limitRestOfRequest(context.req, this.dependencies.timers);
+				this.dependencies.intake.rests.limitRest(context.req);
 			}
 		}
 	}
@@ -130,7 +129,7 @@
 		context.respond = false;
 		context.length = new TextEncoder().encode(body).length;
 		res.write(body);
-		afterRestOfRequest(req, this.dependencies.timers, () => {
+		this.dependencies.intake.rests.afterRest(req, () => {
 			res.end();
 		});
 	}
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -1,11 +1,10 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type CallerLimits} from '../catalog/caller-limits.js';
 import {type Lifecycle} from '../lifecycle.js';
-import {type BodyReceiver} from '../network/body-receiver.js';
+import {type CallerIntake} from '../network/caller-intake.js';
 import {CallerServer} from '../network/caller-server.js';
 import {findRequestHeadFault} from '../network/head-faults.js';
 import {listen} from '../network/listen.js';
-import {limitRestOfRequest} from '../network/rest-of-request.js';
 import {type DecisionLog} from '../observation/decision-log.js';
 import {type Metrics} from '../observation/metrics.js';
 import {type CrashGuard} from '../quarantine/crash-guard.js';
@@ -27,7 +26,7 @@
 /** Dependencies of an entry server. */
 export type EntryServerDependencies = {
 	readonly authorizer: RequestAuthorizer;
-	readonly bodies: BodyReceiver;
+	readonly intake: CallerIntake;
 	readonly catalogCurrency: TableCurrency;
 	readonly codec: ExchangeCodec;
 	readonly exchanges: ExchangeRegistry;
@@ -57,11 +56,11 @@
 
 	constructor(private readonly dependencies: EntryServerDependencies) {
 		this.authorizer = new CarefulAuthorizer(dependencies);
-		const {codec, timers, metrics, log} = dependencies;
+		const {codec, intake, metrics, log} = dependencies;
 		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
-		}, new ConnectionLog(codec, metrics, log), timers);
-		this.server.limitConnections(dependencies.bodies.maxConnections);
+		}, new ConnectionLog(codec, metrics, log), intake.timers);
+		this.server.limitConnections(intake.maxConnections);
 	}
 
 	/** Starts accepting connections. Rejects if the address cannot be bound. */
@@ -115,7 +114,7 @@
 	/** Replies to a request whose handling threw. It ends alone, and neither the process nor the other requests with it. */
 	private failUnexpectedly(error: unknown, message: IncomingMessage, response: ServerResponse): void {
 		const failure = new Failure(ResultCode.InternalError, getErrorMessage(error), Execution.Unknown);
-		const reply = new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => true, timers: this.dependencies.timers});
+		const reply = new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => true, rests: this.dependencies.intake.rests});
 		this.refuse(reply, '', failure, message);
 	}
 
@@ -126,9 +125,9 @@
 		const reply = new HttpCallerReply(message, response, {
 			getReplyHeaders: () => dependencies.codec.encodeReplyHeaders(callerHeaders.id),
 			shouldCloseConnection: () => dependencies.lifecycle.isDraining,
-			timers: dependencies.timers,
+			rests: dependencies.intake.rests,
 		});
-		const reception = dependencies.bodies.receive(message, response, () => this.maxBodyBytes);
+		const reception = dependencies.intake.receive(message, response, () => this.maxBodyBytes);
 		try {
 			this.checkAcceptsRequests();
 			this.checkHead(message);
@@ -234,6 +233,6 @@
 			reply.abort();
 		}
 
-		limitRestOfRequest(message, this.dependencies.timers);
+		this.dependencies.intake.rests.limitRest(message);
 	}
 }
--- a/src/entry/http-caller-reply.ts
+++ b/src/entry/http-caller-reply.ts
@@ -1,12 +1,11 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {listenForEnd} from '../network/end-listeners.js';
-import {afterRestOfRequest} from '../network/rest-of-request.js';
+import {type RestReader} from '../network/rest-reader.js';
 import {CallerReply} from '../relay/caller-reply.js';
 import {type Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {resultTable} from '../results/result-table.js';
-import {type TimerService} from '../time/timer-service.js';
 
 /** The version of HTTP without chunks, in which the end of the connection may delimit a body. */
 const unchunkedVersion = '1.0';
@@ -29,7 +28,7 @@
 	readonly getReplyHeaders: () => string[];
 	/** Whether to close the connection after the reply. */
 	readonly shouldCloseConnection: () => boolean;
-	readonly timers: TimerService;
+	readonly rests: RestReader;
 };
 
 /** Writes the reply to a caller as an HTTP response. */
@@ -131,7 +130,7 @@
 		}
 
 		this.response.write(body);
-		afterRestOfRequest(this.message, this.options.timers, () => {
+		this.options.rests.afterRest(this.message, () => {
 			this.response.end();
 		});
 	}
--- a/src/body-wiring.ts
+++ b/src/intake-wiring.ts
@@ -1,5 +1,5 @@
-import {BodyBudget} from './network/body-budget.js';
-import {BodyReceiver, type BodyReceiverDependencies} from './network/body-receiver.js';
+import {RequestBudget} from './network/request-budget.js';
+import {CallerIntake, type CallerIntakeDependencies} from './network/caller-intake.js';
 import {findDescriptorLimit, findMemoryLimit} from './network/process-limits.js';
 
 /** Settings of the reception of bodies; 0 to derive a value from the limits of the process. */
@@ -21,12 +21,12 @@
 const callerFraction = 0.5;
 
 /** Creates the reception of all bodies of a process. */
-export function wireBodies(limits: BodyLimits, dependencies: Omit<BodyReceiverDependencies, 'budget' | 'maxConnections'>): BodyReceiver {
+export function wireIntake(limits: BodyLimits, dependencies: Omit<CallerIntakeDependencies, 'budget' | 'maxConnections'>): CallerIntake {
 	const descriptors = limits.open_files > 0 ? limits.open_files : findDescriptorLimit();
-	const budget = new BodyBudget(limits.body_memory > 0 ? limits.body_memory : Math.max(minMemory, findMemoryLimit() * memoryFraction));
+	const budget = new RequestBudget(limits.body_memory > 0 ? limits.body_memory : Math.max(minMemory, findMemoryLimit() * memoryFraction));
 	const maxConnections = Math.floor((descriptors - Math.min(reservedDescriptors, descriptors * maxReservedFraction)) * callerFraction);
 	dependencies.metrics.gauge('siskinnotch_body_memory_used', () => budget.usedBytes);
 	dependencies.metrics.gauge('siskinnotch_body_memory', () => budget.capacity);
 	dependencies.metrics.gauge('siskinnotch_bodies_receiving', () => budget.receivingBodies);
-	return new BodyReceiver({...dependencies, budget, maxConnections});
+	return new CallerIntake({...dependencies, budget, maxConnections});
 }
--- a/src/network/body-reception.ts
+++ b/src/network/body-reception.ts
@@ -3,36 +3,36 @@
 import {Failure} from '../results/failure.js';
 import {ResultCode} from '../results/result-code.js';
 import {BlockBuffer} from './block-buffer.js';
-import {type BodyBudget, BodyClaim, type BodyDecision} from './body-budget.js';
+import {type RequestBudget, MemoryClaim, type RequestDecision} from './request-budget.js';
 import {type BlockPool} from './block-pool.js';
-import {BodyRefusal} from './body-refusal.js';
+import {RequestRefusal} from './request-refusal.js';
 
 /** What the reception of a body depends on. */
 export type BodyReceptionDependencies = {
-	readonly budget: BodyBudget;
+	readonly budget: RequestBudget;
 	readonly pool: BlockPool;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	/** Refuses the bodies of decisions. */
-	readonly apply: (decisions: readonly BodyDecision[]) => void;
+	readonly apply: (decisions: readonly RequestDecision[]) => void;
 };
 
-const statements: Readonly<Record<BodyRefusal, string>> = {
-	[BodyRefusal.Stalled]: 'nothing of the request body arrived for too long',
-	[BodyRefusal.Slow]: 'the request body arrives too slowly while memory is short',
-	[BodyRefusal.Memory]: 'the memory for request bodies is used up',
-	[BodyRefusal.Pieces]: 'too many request bodies arrive in very small pieces',
+const statements: Readonly<Record<RequestRefusal, string>> = {
+	[RequestRefusal.Stalled]: 'nothing of the request body arrived for too long',
+	[RequestRefusal.Slow]: 'the request body arrives too slowly while memory is short',
+	[RequestRefusal.Memory]: 'the memory for request bodies is used up',
+	[RequestRefusal.Pieces]: 'too many request bodies arrive in very small pieces',
 };
 
-function createFailure(refusal: BodyRefusal): Failure {
-	const isSlow = refusal === BodyRefusal.Stalled || refusal === BodyRefusal.Slow;
+function createFailure(refusal: RequestRefusal): Failure {
+	const isSlow = refusal === RequestRefusal.Stalled || refusal === RequestRefusal.Slow;
 	return new Failure(isSlow ? ResultCode.BodyTooSlow : ResultCode.BodyMemoryShort, statements[refusal], Execution.NotRun);
 }
 
 /** Receives the body of one request within the budget of the process. */
 export class BodyReception {
 	private readonly buffer: BlockBuffer;
-	private readonly claim: BodyClaim;
+	private readonly claim: MemoryClaim;
 	private isFragmented = false;
 	/** Rejects the reading in progress; undefined if there is none. */
 	private reject?: (failure: Failure) => void;
@@ -45,7 +45,7 @@
 		const header = message.headers['content-length'];
 		this.announced = header === undefined ? undefined : Number(header);
 		this.buffer = new BlockBuffer(dependencies.pool, this.announced);
-		this.claim = new BodyClaim(dependencies.now(), refusal => {
+		this.claim = new MemoryClaim(dependencies.now(), refusal => {
 			this.fail(createFailure(refusal));
 		});
 	}
--- a/src/network/body-receiver.ts
+++ b/src/network/caller-intake.ts
@@ -3,12 +3,14 @@
 import {type Metrics} from '../observation/metrics.js';
 import {type TimerService} from '../time/timer-service.js';
 import {BlockPool} from './block-pool.js';
-import {type BodyBudget, type BodyDecision} from './body-budget.js';
 import {BodyReception} from './body-reception.js';
+import {type RequestBudget, type MemoryClaim, type RequestDecision} from './request-budget.js';
+import {type RequestRefusal} from './request-refusal.js';
+import {RestReader} from './rest-reader.js';
 
-/** What the reception of all bodies of a process depends on. */
-export type BodyReceiverDependencies = {
-	readonly budget: BodyBudget;
+/** What the intake of a process depends on. */
+export type CallerIntakeDependencies = {
+	readonly budget: RequestBudget;
 	/** Connections of callers that may be open at a time. */
 	readonly maxConnections: number;
 	readonly timers: TimerService;
@@ -18,18 +20,25 @@
 
 const checkIntervalMs = 1000;
 
-/** Receives the bodies of all requests of a process within one budget. */
-export class BodyReceiver {
+/** Receives what callers send to a process within the bounds of the process. */
+export class CallerIntake {
+	readonly rests: RestReader;
 	private readonly pool = new BlockPool();
 	private isChecking = false;
 
-	constructor(private readonly dependencies: BodyReceiverDependencies) {}
+	constructor(private readonly dependencies: CallerIntakeDependencies) {
+		this.rests = new RestReader(dependencies.timers);
+	}
 
 	/** Connections of callers that may be open at a time. */
 	get maxConnections(): number {
 		return this.dependencies.maxConnections;
 	}
 
+	get timers(): TimerService {
+		return this.dependencies.timers;
+	}
+
 	/**
 	Prepares the reception of a body, which ends with the response at the latest.
 
@@ -52,23 +61,27 @@
 		return reception;
 	}
 
-	private apply(decisions: readonly BodyDecision[]): void {
-		const {budget, metrics, log, timers} = this.dependencies;
-		for (const {claim, refusal} of decisions) {
-			metrics.count('siskinnotch_bodies_refused', 1, {reason: refusal});
-			log.warn('body.refused', {
-				reason: refusal,
-				bytes: claim.bytes,
-				recentBytes: claim.progress.getRecentBytes(timers.now()),
-				pieces: claim.progress.pieces,
-				usedBytes: budget.usedBytes,
-				capacity: budget.capacity,
-				receiving: budget.receivingBodies,
-			});
-			claim.refuse(refusal);
+	private apply(decisions: readonly RequestDecision[]): void {
+		for (const decision of decisions) {
+			this.recordRefusal(decision);
+			decision.claim.refuse(decision.refusal);
 		}
 	}
 
+	private recordRefusal({claim, refusal}: {readonly claim: MemoryClaim; readonly refusal: RequestRefusal}): void {
+		const {budget, metrics, log, timers} = this.dependencies;
+		metrics.count('siskinnotch_bodies_refused', 1, {reason: refusal});
+		log.warn('body.refused', {
+			reason: refusal,
+			bytes: claim.bytes,
+			recentBytes: claim.progress.getRecentBytes(timers.now()),
+			pieces: claim.progress.pieces,
+			usedBytes: budget.usedBytes,
+			capacity: budget.capacity,
+			receiving: budget.receivingBodies,
+		});
+	}
+
 	/** Looks for slow bodies from time to time while any are being received. */
 	private scheduleCheck(): void {
 		if (this.isChecking) {
--- a/src/network/connection-end-cause.ts
+++ b/src/network/connection-end-cause.ts
@@ -8,7 +8,7 @@
 	Malformed = 'malformed',
 	/** A request did not arrive completely in time. */
 	Timeout = 'timeout',
-	/** More connections were open than the process has descriptors for. */
+	/** More connections were open than the process has descriptors and memory for. */
 	Excess = 'excess',
 	/** The connection failed, such as by a reset. */
 	Failed = 'failed',
--- a/src/network/body-budget.ts
+++ b/src/network/request-budget.ts
@@ -1,5 +1,5 @@
 import {BodyProgress} from './body-progress.js';
-import {BodyRefusal} from './body-refusal.js';
+import {RequestRefusal} from './request-refusal.js';
 
 /** Fraction of the budget from which slow bodies are refused without being asked for their memory. */
 const scarceFraction = 0.5;
@@ -7,24 +7,24 @@
 const maxFragmented = 2;
 
 /** A body of a request, from its first byte until the exchange of the request ends. */
-export class BodyClaim {
+export class MemoryClaim {
 	/** Bytes of memory that the body occupies. */
 	bytes = 0;
 	readonly progress: BodyProgress;
 
-	constructor(startedAt: number, readonly refuse: (refusal: BodyRefusal) => void) {
+	constructor(startedAt: number, readonly refuse: (refusal: RequestRefusal) => void) {
 		this.progress = new BodyProgress(startedAt);
 	}
 }
 
 /** A body that is to be refused, and why. */
-export type BodyDecision = {
-	readonly claim: BodyClaim;
-	readonly refusal: BodyRefusal;
+export type RequestDecision = {
+	readonly claim: MemoryClaim;
+	readonly refusal: RequestRefusal;
 };
 
 /** Returns the first of those claims, of which there is one at least, that have the greatest value. */
-function findGreatest(claims: readonly BodyClaim[], getValue: (claim: BodyClaim) => number): BodyClaim {
+function findGreatest(claims: readonly MemoryClaim[], getValue: (claim: MemoryClaim) => number): MemoryClaim {
 	let greatest = claims[0];
 	for (const claim of claims) {
 		if (getValue(claim) > getValue(greatest)) {
@@ -36,9 +36,9 @@
 }
 
 /** Shares a number of bytes among the bodies of all requests of a process, and decides which bodies to refuse. Bodies that are complete keep their share until they are released. Times are monotonic, in milliseconds. */
-export class BodyBudget {
-	private readonly receiving = new Set<BodyClaim>();
-	private readonly complete = new Set<BodyClaim>();
+export class RequestBudget {
+	private readonly receiving = new Set<MemoryClaim>();
+	private readonly complete = new Set<MemoryClaim>();
 	private used = 0;
 
 	/**
@@ -57,19 +57,19 @@
 	}
 
 	/** Adds a body that is about to be received. */
-	add(claim: BodyClaim): void {
+	add(claim: MemoryClaim): void {
 		this.receiving.add(claim);
 	}
 
 	/** Changes the memory that a body occupies. Returns the bodies that have to be refused, and released, for it; perhaps itself. */
-	resize(claim: BodyClaim, bytes: number, now: number): readonly BodyDecision[] {
+	resize(claim: MemoryClaim, bytes: number, now: number): readonly RequestDecision[] {
 		if (!this.receiving.has(claim) && !this.complete.has(claim)) {
 			return [];
 		}
 
 		this.used += bytes - claim.bytes;
 		claim.bytes = bytes;
-		const decisions: BodyDecision[] = [];
+		const decisions: RequestDecision[] = [];
 		let excess = this.used - this.capacity;
 		const candidates = new Set(excess > 0 ? this.receiving : []);
 		while (excess > 0 && candidates.size > 0) {
@@ -83,31 +83,31 @@
 	}
 
 	/** Returns the body that has to be refused because too many arrive in many small pieces; undefined if none. */
-	findExcessPieces(): BodyDecision | undefined {
+	findExcessPieces(): RequestDecision | undefined {
 		const fragmented = [...this.receiving].filter(({progress}) => progress.isFragmented);
 		if (fragmented.length <= maxFragmented) {
 			return undefined;
 		}
 
-		return {claim: findGreatest(fragmented, ({progress}) => progress.pieces), refusal: BodyRefusal.Pieces};
+		return {claim: findGreatest(fragmented, ({progress}) => progress.pieces), refusal: RequestRefusal.Pieces};
 	}
 
 	/** Returns the bodies that have stalled, and those that are slow while memory is scarce. */
-	findSlow(now: number): readonly BodyDecision[] {
+	findSlow(now: number): readonly RequestDecision[] {
 		const isScarce = this.used > this.capacity * scarceFraction;
 		return [...this.receiving].filter(({progress}) => progress.isStalled(now) || (isScarce && progress.isSlow(now)))
-			.map(claim => ({claim, refusal: claim.progress.isStalled(now) ? BodyRefusal.Stalled : BodyRefusal.Slow}));
+			.map(claim => ({claim, refusal: claim.progress.isStalled(now) ? RequestRefusal.Stalled : RequestRefusal.Slow}));
 	}
 
 	/** Records that a body has been received. It can't be refused for memory any more. */
-	finish(claim: BodyClaim): void {
+	finish(claim: MemoryClaim): void {
 		if (this.receiving.delete(claim)) {
 			this.complete.add(claim);
 		}
 	}
 
 	/** Returns the memory of a body to the budget. */
-	release(claim: BodyClaim): void {
+	release(claim: MemoryClaim): void {
 		if (this.receiving.delete(claim) || this.complete.delete(claim)) {
 			this.used -= claim.bytes;
 			claim.bytes = 0;
@@ -115,12 +115,12 @@
 	}
 
 	/** Chooses the slowest of the slow bodies, or the largest body where none is slow. */
-	private chooseForMemory(candidates: ReadonlySet<BodyClaim>, now: number): BodyDecision {
+	private chooseForMemory(candidates: ReadonlySet<MemoryClaim>, now: number): RequestDecision {
 		const slow = [...candidates].filter(({progress, bytes}) => bytes > 0 && progress.isSlow(now));
 		if (slow.length > 0) {
-			return {claim: findGreatest(slow, ({progress}) => -progress.getRecentBytes(now)), refusal: BodyRefusal.Slow};
+			return {claim: findGreatest(slow, ({progress}) => -progress.getRecentBytes(now)), refusal: RequestRefusal.Slow};
 		}
 
-		return {claim: findGreatest([...candidates], ({bytes}) => bytes), refusal: BodyRefusal.Memory};
+		return {claim: findGreatest([...candidates], ({bytes}) => bytes), refusal: RequestRefusal.Memory};
 	}
 }
--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -3,7 +3,7 @@
 import {type Backpressure} from './backpressure/backpressure.js';
 import {ServerLimits} from './backpressure/server-limits.js';
 import {ServerPauses} from './backpressure/server-pauses.js';
-import {wireBodies} from './body-wiring.js';
+import {wireIntake} from './intake-wiring.js';
 import {ActiveCatalog} from './catalog/active-catalog.js';
 import {CatalogReader} from './catalog/catalog-reader.js';
 import {wireControl} from './control-wiring.js';
@@ -266,7 +266,7 @@
 	});
 
 	const entryServer = new EntryServer({
-		authorizer: new RequestAuthorizer(activeCatalog, random), bodies: wireBodies(limits, {timers, metrics, log}),
+		authorizer: new RequestAuthorizer(activeCatalog, random), intake: wireIntake(limits, {timers, metrics, log}),
 		catalogCurrency, codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
 	});
 	const statusServer = new StatusServer(adapters.readinessPath, (): boolean => router.isReady, metrics);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -4,7 +4,7 @@
 import {HttpModelEngine} from './backends/http-model-engine.js';
 import {HttpPlainService} from './backends/http-plain-service.js';
 import {LoadPoller} from './backends/load-poller.js';
-import {wireBodies} from './body-wiring.js';
+import {wireIntake} from './intake-wiring.js';
 import {CallerAuthenticator} from './callers/caller-authenticator.js';
 import {CallerInterface} from './callers/caller-interface.js';
 import {CompletionService} from './completions/completion-service.js';
@@ -143,9 +143,9 @@
 		aliveCount: membership.countAlive(),
 		lastContactAt: membership.getLastAcknowledgedAt(),
 	}), timers);
-	const bodies = wireBodies(limits, {timers, metrics, log: new DecisionLog(createPartLog(log, 'bodies'), timers, bodyLogRate)});
+	const intake = wireIntake(limits, {timers, metrics, log: new DecisionLog(createPartLog(log, 'bodies'), timers, bodyLogRate)});
 	const callers = new CallerInterface({maxBodyBytes: limits.body, headersTimeoutMs: limits.headers, maxDeadlineMs: limits.deadline}, {
-		authenticator, bodies, completions, plainDispatcher, actionExecutor, timers, tracing, metrics, invariants, lifecycle, log: createPartLog(log, 'callers'),
+		authenticator, intake, completions, plainDispatcher, actionExecutor, timers, tracing, metrics, invariants, lifecycle, log: createPartLog(log, 'callers'),
 	});
 	const peerRequestHandler = new PeerRequestHandler({
 		self: {id: instance.id, address: instance.peers}, membership, peers, configurationWatcher, activeConfiguration, fleet, timers,
--- a/test/caller-departure.test.ts
+++ b/test/caller-departure.test.ts
@@ -7,6 +7,7 @@
 import {freePort} from '../harness/ports.js';
 import {getApiKey} from '../harness/sheet-text.js';
 import {HttpCallerReply} from '../src/entry/http-caller-reply.js';
+import {RestReader} from '../src/network/rest-reader.js';
 import {listen} from '../src/network/listen.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {CallerEntry} from './support/caller-entry.js';
@@ -42,7 +43,7 @@
 	});
 	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
 	const [message, response] = await arrived;
-	return {caller, message, reply: new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, timers})};
+	return {caller, message, reply: new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, rests: new RestReader(timers)})};
 }
 
 // Guards against work that goes on because a caller that has stopped reading closes its connection: what it did not read keeps this end open.
--- a/test/entry-server.test.ts
+++ b/test/entry-server.test.ts
@@ -11,7 +11,7 @@
 import {Failure} from '../src/results/failure.js';
 import {ResultCode} from '../src/results/result-code.js';
 import {ManualTimerService} from '../src/time/manual-timer-service.js';
-import {createBodyReceiver} from './support/body-receiver.js';
+import {createCallerIntake} from './support/caller-intake.js';
 import {EntryFixture, type EntryOptions} from './support/entry-fixture.js';
 import {RecordingLog} from './support/sample-fleet.js';
 
@@ -28,7 +28,7 @@
 		markHeadRead = resolve;
 	});
 	const server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-		bodies: createBodyReceiver(timers),
+		intake: createCallerIntake(timers),
 		authorizer: {
 			authorize() {
 				markHeadRead();
--- a/test/incomplete-replies.test.ts
+++ b/test/incomplete-replies.test.ts
@@ -4,6 +4,7 @@
 import {connect, createServer as createTcpServer, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {HttpCallerReply} from '../src/entry/http-caller-reply.js';
+import {RestReader} from '../src/network/rest-reader.js';
 import {listen} from '../src/network/listen.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {getListeningPort} from '../simulators/json-server.js';
@@ -21,7 +22,7 @@
 /** Sends a request in a version of HTTP to a server that replies with the function; returns what arrives until the connection ends. */
 async function receiveReply(t: ExecutionContext, version: string, write: (reply: HttpCallerReply) => Promise<void>): Promise<ReceivedReply> {
 	const server = createServer((message, response) => {
-		void write(new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, timers}));
+		void write(new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, rests: new RestReader(timers)}));
 	});
 	await listen(server, '127.0.0.1', 0);
 	t.teardown(() => {
--- a/test/body-budget.test.ts
+++ b/test/request-budget.test.ts
@@ -3,12 +3,12 @@
 import fc from 'fast-check';
 import {BlockBuffer} from '../src/network/block-buffer.js';
 import {BlockPool} from '../src/network/block-pool.js';
-import {BodyBudget, BodyClaim} from '../src/network/body-budget.js';
-import {BodyRefusal} from '../src/network/body-refusal.js';
+import {RequestBudget, MemoryClaim} from '../src/network/request-budget.js';
+import {RequestRefusal} from '../src/network/request-refusal.js';
 import {EntryFixture} from './support/entry-fixture.js';
 
-function addClaim(budget: BodyBudget, bytes: number, startedAt: number): BodyClaim {
-	const claim = new BodyClaim(startedAt, () => undefined);
+function addClaim(budget: RequestBudget, bytes: number, startedAt: number): MemoryClaim {
+	const claim = new MemoryClaim(startedAt, () => undefined);
 	budget.add(claim);
 	claim.progress.add(bytes, startedAt);
 	budget.resize(claim, bytes, startedAt);
@@ -17,23 +17,23 @@
 
 // Guards against ordinary requests that are refused in place of those that use up the memory.
 test('when the budget is short, slow bodies are refused first, then the largest', t => {
-	const budget = new BodyBudget(1000);
+	const budget = new RequestBudget(1000);
 	const slow = addClaim(budget, 100, 0);
 	const large = addClaim(budget, 600, 5000);
 	const small = addClaim(budget, 200, 5000);
 	t.deepEqual(budget.resize(small, 250, 5000), []);
-	t.deepEqual(budget.resize(small, 350, 5000), [{claim: slow, refusal: BodyRefusal.Slow}]);
+	t.deepEqual(budget.resize(small, 350, 5000), [{claim: slow, refusal: RequestRefusal.Slow}]);
 	budget.release(slow);
-	t.deepEqual(budget.resize(small, 450, 5000), [{claim: large, refusal: BodyRefusal.Memory}]);
+	t.deepEqual(budget.resize(small, 450, 5000), [{claim: large, refusal: RequestRefusal.Memory}]);
 	budget.release(large);
 	budget.finish(small);
 	const newest = addClaim(budget, 100, 6000);
-	t.deepEqual(budget.resize(newest, 700, 6000), [{claim: newest, refusal: BodyRefusal.Memory}], 'a complete body is not refused');
+	t.deepEqual(budget.resize(newest, 700, 6000), [{claim: newest, refusal: RequestRefusal.Memory}], 'a complete body is not refused');
 });
 
 // Guards against slow but steady bodies that are refused although nobody needs their memory.
 test('a slow body is refused when memory is scarce only, a stalled one always', t => {
-	const budget = new BodyBudget(1000);
+	const budget = new RequestBudget(1000);
 	const slow = addClaim(budget, 10, 0);
 	for (let now = 1000; now <= 20_000; now += 1000) {
 		slow.progress.add(1, now);
@@ -41,8 +41,8 @@
 	}
 
 	addClaim(budget, 600, 20_000);
-	t.deepEqual(budget.findSlow(20_000), [{claim: slow, refusal: BodyRefusal.Slow}]);
-	t.like(budget.findSlow(30_000), [{claim: slow, refusal: BodyRefusal.Stalled}]);
+	t.deepEqual(budget.findSlow(20_000), [{claim: slow, refusal: RequestRefusal.Slow}]);
+	t.like(budget.findSlow(30_000), [{claim: slow, refusal: RequestRefusal.Stalled}]);
 });
 
 // Guards against bytes that are lost or reordered between blocks, and against capacity that is not counted.
--- a/test/support/caller-entry.ts
+++ b/test/support/caller-entry.ts
@@ -30,7 +30,7 @@
 import {Fleet} from '../../src/routing/fleet.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {ManualTimerService} from '../../src/time/manual-timer-service.js';
-import {createBodyReceiver} from './body-receiver.js';
+import {createCallerIntake} from './caller-intake.js';
 import {FakeTable} from './fake-table.js';
 import {silentLog} from './silent-log.js';
 
@@ -174,7 +174,7 @@
 			authenticator: new CallerAuthenticator(activeConfiguration, freshness, () => ({
 				peerCount: membership.all().length, aliveCount: membership.countAlive(), lastContactAt: membership.getLastAcknowledgedAt(),
 			}), timers),
-			bodies: createBodyReceiver(timers),
+			intake: createCallerIntake(timers),
 			completions: {
 				start: (_request: unknown, sink: CompletionSink) => {
 					this.startedRequests++;
--- /dev/null
+++ b/test/support/caller-intake.ts
@@ -0,0 +1,12 @@
+import {CallerIntake} from '../../src/network/caller-intake.js';
+import {RequestBudget} from '../../src/network/request-budget.js';
+import {Metrics} from '../../src/observation/metrics.js';
+import {type TimerService} from '../../src/time/timer-service.js';
+import {RecordingLog} from './sample-fleet.js';
+
+/** Creates the intake of a process with a budget in bytes for requests. */
+export function createCallerIntake(timers: TimerService, capacity = 48_000_000): CallerIntake {
+	return new CallerIntake({
+		budget: new RequestBudget(capacity), maxConnections: 1000, timers, metrics: new Metrics(), log: new RecordingLog(),
+	});
+}
--- a/test/support/entry-exchange-fixture.ts
+++ b/test/support/entry-exchange-fixture.ts
@@ -20,7 +20,7 @@
 import {type CurrencyReport} from '../../src/replication/table-currency.js';
 import {RandomSource} from '../../src/routing/random-source.js';
 import {ClockTimerService} from '../../src/time/clock-timer-service.js';
-import {createBodyReceiver} from './body-receiver.js';
+import {createCallerIntake} from './caller-intake.js';
 import {ExchangeFixture} from './exchange-fixture.js';
 import {createCatalog, createRoute} from './sample-catalog.js';
 import {sampleServer} from './sample-fleet.js';
@@ -110,7 +110,7 @@
 			onSuspicion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		});
 		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			bodies: createBodyReceiver(timers),
+			intake: createCallerIntake(timers),
 			authorizer: new RequestAuthorizer(activeCatalog, random),
 			catalogCurrency: {describe: () => this.currency},
 			codec: new PlatformCodec(),
--- a/test/support/entry-fixture.ts
+++ b/test/support/entry-fixture.ts
@@ -9,7 +9,7 @@
 import {type CallerReply} from '../../src/relay/caller-reply.js';
 import {type CallerHeaders} from '../../src/relay/exchange-codec.js';
 import {ClockTimerService} from '../../src/time/clock-timer-service.js';
-import {createBodyReceiver} from './body-receiver.js';
+import {createCallerIntake} from './caller-intake.js';
 import {RecordingLog} from './sample-fleet.js';
 
 /** What an entry server is tested with. */
@@ -66,7 +66,7 @@
 	private constructor(readonly port: number, {answer, decode, encodeReply, isBehind = false, authorize}: EntryOptions) {
 		const {timers, metrics, log, lifecycle} = this;
 		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			bodies: createBodyReceiver(timers),
+			intake: createCallerIntake(timers),
 			authorizer: {
 				authorize() {
 					authorize?.();
--- a/test/uncertain-refusal.test.ts
+++ b/test/uncertain-refusal.test.ts
@@ -11,7 +11,7 @@
 import {type CurrencyReport} from '../src/replication/table-currency.js';
 import {RandomSource} from '../src/routing/random-source.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
-import {createBodyReceiver} from './support/body-receiver.js';
+import {createCallerIntake} from './support/caller-intake.js';
 import {RecordingLog} from './support/sample-fleet.js';
 import {createCatalog, createRoute} from './support/sample-catalog.js';
 
@@ -42,7 +42,7 @@
 	private constructor(private readonly port: number) {
 		this.catalog.apply(createCatalog(1, [createRoute('/old/')]), 'store');
 		this.server = new EntryServer({ // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			bodies: createBodyReceiver(timers),
+			intake: createCallerIntake(timers),
 			authorizer: new RequestAuthorizer(this.catalog, new RandomSource(1)),
 			catalogCurrency: {describe: () => this.currency},
 			codec: {
