Settings: the memory and the descriptors of the machine reach the process

A process in a machine of 112 MB planned with the heap limit of 260 MB and with its own limit of descriptors, since nothing passed on what the platform says. Connections were bounded by descriptors alone: 1,300 of which nothing but a head had come need some 40 MB.

--- a/src/router-wiring.ts
+++ b/src/router-wiring.ts
@@ -80,6 +80,8 @@
 /** Fraction of the latency target after which an unresponsive server is abandoned for another one. */
 const plainResponseTimeoutFraction = 0.8;
 /** Counters whose growth is logged: what an instance asks of the backend servers and of other instances. */
+/** Memory in bytes of a router without callers. */
+const baseMemory = 76_000_000;
 const loggedCounters = new Set(['siskinnotch_connections', 'siskinnotch_server_queries', 'siskinnotch_tunnels_opened', 'siskinnotch_gossip_calls', 'siskinnotch_loan_requests']);
 const counterLogIntervalMs = 2000;
 /** Creates a pipeline router and everything that it consists of. */
@@ -266,7 +268,7 @@
 	});
 
 	const entryServer = new EntryServer({
-		authorizer: new RequestAuthorizer(activeCatalog, random), intake: wireIntake(limits, {timers, metrics, log}),
+		authorizer: new RequestAuthorizer(activeCatalog, random), intake: wireIntake(limits, baseMemory, {timers, metrics, log}),
 		catalogCurrency, codec: adapters.codec, exchanges, crashGuard, lifecycle, timers, metrics, log,
 	});
 	const statusServer = new StatusServer(adapters.readinessPath, (): boolean => router.isReady, metrics);
--- a/src/settings/quantity.ts
+++ b/src/settings/quantity.ts
@@ -28,6 +28,16 @@
 	return quantityWithUnit(sizeUnits, '64 kB', defaultText);
 }
 
+/** Schema of a size that may be blank, with or without a unit, as a template leaves it where it has no value; parsed to bytes, 0 if blank. */
+export function optionalSize() {
+	return z.preprocess(text => typeof text === 'string' && /^\s*[A-Za-z]*\s*$/v.test(text) ? undefined : text, size('0 B'));
+}
+
+/** Schema of an integer up to a maximum that may be blank; 0 if blank. */
+export function optionalWholeNumber(maximum: number) {
+	return z.preprocess(text => text === '' ? undefined : text, wholeNumber(0, 0, maximum));
+}
+
 /** Schema of an integer between a minimum and a maximum, both inclusive. */
 export function wholeNumber(defaultValue: number, minimum: number, maximum: number) {
 	return z.string()
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 import {PlacementPlan} from '../placement/placement-plan.js';
 import {
-	decimalNumber, duration, ratio, size, wholeNumber, yesOrNo,
+	decimalNumber, duration, optionalSize, optionalWholeNumber, ratio, size, wholeNumber, yesOrNo,
 } from './quantity.js';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, {error: 'an IP address and a port, such as 10.1.0.40:8080'});
@@ -85,10 +85,12 @@
 		prompt_quarantine: duration('30 min'),
 		/** Bytes of a plain response that are buffered until it is complete, so that another server can still be tried. */
 		held_answer: size('256 kB'),
-		/** Bytes of memory for the bodies of all requests; 0 for a part of the memory limit of the process. */
+		/** Memory that the process may occupy; 0 or blank for the limit of the process. */
+		memory: optionalSize(),
+		/** Bytes of memory for all requests; 0 for a part of `memory`. */
 		body_memory: size('0 B'),
-		/** Descriptors that the process may open; 0 for the limit of the process. */
-		open_files: wholeNumber(0, 0, 10_000_000),
+		/** Descriptors that the process may open; 0 or blank for the limit of the process. */
+		open_files: optionalWholeNumber(10_000_000),
 	}).prefault({}),
 	/** Selection of pipelines by predicted load. */
 	scheduling: z.object({
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -2,7 +2,7 @@
 import {LogFormat} from '../observation/log.js';
 import {RoutePolicyKind} from '../routing/route-policy-kind.js';
 import {
-	duration, ratio, size, wholeNumber,
+	duration, optionalSize, optionalWholeNumber, ratio, size, wholeNumber,
 } from './quantity.js';
 
 const address = z.string().regex(/^[\w.\-]+:\d{1,5}$/v, 'an address such as 10.0.0.7:8080');
@@ -25,8 +25,9 @@
 	secrets: z.strictObject({peers: secret, operators: secret}),
 	limits: z.strictObject({
 		body: size('1 MB'),
+		memory: optionalSize(),
 		body_memory: size('0 B'), // eslint-disable-line @typescript-eslint/naming-convention
-		open_files: wholeNumber(0, 0, 10_000_000), // eslint-disable-line @typescript-eslint/naming-convention
+		open_files: optionalWholeNumber(10_000_000), // eslint-disable-line @typescript-eslint/naming-convention
 		headers: duration('5 s'),
 		streams: wholeNumber(512, 1, 100_000),
 		queue: wholeNumber(256, 0, 100_000),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -58,6 +58,8 @@
 const leaseDurationMs = 6000;
 /** Retries that are allowed regardless of the number of requests. */
 const minRetries = 10;
+/** Memory in bytes of an instance without callers. */
+const baseMemory = 110_000_000;
 /** Lines about refused bodies. */
 const bodyLogRate = {perSecond: 2, burst: 10};
 /** Seeds of the random source are below this number. */
@@ -143,7 +145,7 @@
 		aliveCount: membership.countAlive(),
 		lastContactAt: membership.getLastAcknowledgedAt(),
 	}), timers);
-	const intake = wireIntake(limits, {timers, metrics, log: new DecisionLog(createPartLog(log, 'bodies'), timers, bodyLogRate)});
+	const intake = wireIntake(limits, baseMemory, {timers, metrics, log: new DecisionLog(createPartLog(log, 'bodies'), timers, bodyLogRate)});
 	const callers = new CallerInterface({maxBodyBytes: limits.body, headersTimeoutMs: limits.headers, maxDeadlineMs: limits.deadline}, {
 		authenticator, intake, completions, plainDispatcher, actionExecutor, timers, tracing, metrics, invariants, lifecycle, log: createPartLog(log, 'callers'),
 	});
