--- a/src/callers/caller-interface.ts
+++ b/src/callers/caller-interface.ts
@@ -35,8 +35,7 @@
 		const {metrics, log, intake} = dependencies;
 		this.server = new CallerServer({headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.headersTimeoutMs * 2, connectionsCheckingInterval: 1000}, (request, response) => {
 			void handle(request, response);
-		}, new CallerConnectionLog(metrics, log), intake.timers);
-		this.server.limitConnections(intake.maxConnections);
+		}, new CallerConnectionLog(metrics, log), intake);
 		this.server.on('connection', socket => {
 			this.sockets.add(socket);
 			socket.setNoDelay(true);
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -59,8 +59,7 @@
 		const {codec, intake, metrics, log} = dependencies;
 		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
-		}, new ConnectionLog(codec, metrics, log), intake.timers);
-		this.server.limitConnections(intake.maxConnections);
+		}, new ConnectionLog(codec, metrics, log), intake);
 	}
 
 	/** Starts accepting connections. Rejects if the address cannot be bound. */
--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {type ConnectionEndCause} from './connection-end-cause.js';
+import {type ConnectionInput} from './connection-input.js';
 import {type ConnectionObserver} from './connection-observer.js';
 import {ReplyLoss} from './reply-loss.js';
 
@@ -22,6 +23,7 @@
 	private newest?: IncomingMessage;
 	/** Bytes that had been read when the last reply had left and the last request had been read. */
 	private bytesBefore = 0;
+	private input?: ConnectionInput;
 
 	constructor(private readonly socket: Socket, private readonly observer: ConnectionObserver) {
 		socket.once('close', () => {
@@ -36,7 +38,12 @@
 
 	/** Whether the last reply has left and nothing of a further request has been read. Before its first request a connection is not idle. */
 	get isIdle(): boolean {
-		return !this.socket.destroyed && this.isReceived && this.replies.size === 0 && this.socket.bytesRead === this.bytesBefore;
+		return !this.socket.destroyed && this.isReceived && this.replies.size === 0 && this.socket.bytesRead === this.bytesBefore && !this.isInputWaiting;
+	}
+
+	/** Whether input may have arrived that was not parsed. */
+	get isInputWaiting(): boolean {
+		return this.input?.isWaiting ?? false;
 	}
 
 	/** Number of requests whose heads were read. */
@@ -55,6 +62,11 @@
 		return response === undefined || (others.length === 0 && !this.isReceived && !response.headersSent);
 	}
 
+	/** Sets the input that the requests of the connection are parsed from. */
+	attachInput(input: ConnectionInput): void {
+		this.input = input;
+	}
+
 	/**
 	Records a request whose head was read.
 
@@ -64,6 +76,7 @@
 		this.requests++;
 		this.newest = message;
 		this.replies.set(response, message);
+		this.observeInput(message, response);
 		// A refused body may be read later than the refusal leaves.
 		message.once('close', () => {
 			this.bytesBefore = this.socket.bytesRead;
@@ -89,6 +102,18 @@
 		this.socket.destroy(error);
 	}
 
+	/** Tells the input what has become of it. */
+	private observeInput(message: IncomingMessage, response: ServerResponse): void {
+		const {input} = this;
+		input?.recordRequest();
+		message.once('close', () => {
+			input?.recordComplete();
+		});
+		response.once('close', () => {
+			input?.proceed();
+		});
+	}
+
 	/** Keeps an idle connection for as long as its last reply has promised. The runtime has set the idle time that is in force now. */
 	private keepPromise(idleTime: number): void {
 		const {timeout = 0} = this.socket;
--- a/src/network/caller-intake.ts
+++ b/src/network/caller-intake.ts
@@ -4,6 +4,7 @@
 import {type TimerService} from '../time/timer-service.js';
 import {BlockPool} from './block-pool.js';
 import {BodyReception} from './body-reception.js';
+import {type InputScheduler} from './input-scheduler.js';
 import {type RequestBudget, type MemoryClaim, type RequestDecision} from './request-budget.js';
 import {type RequestRefusal} from './request-refusal.js';
 import {RestReader} from './rest-reader.js';
@@ -11,6 +12,7 @@
 /** What the intake of a process depends on. */
 export type CallerIntakeDependencies = {
 	readonly budget: RequestBudget;
+	readonly scheduler: InputScheduler;
 	/** Connections of callers that may be open at a time. */
 	readonly maxConnections: number;
 	readonly timers: TimerService;
@@ -35,6 +37,11 @@
 		return this.dependencies.maxConnections;
 	}
 
+	/** Schedules the input of all connections. */
+	get scheduler(): InputScheduler {
+		return this.dependencies.scheduler;
+	}
+
 	get timers(): TimerService {
 		return this.dependencies.timers;
 	}
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -3,13 +3,16 @@
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
-import {type TimerService} from '../time/timer-service.js';
 import {CallerConnection} from './caller-connection.js';
+import {type CallerIntake} from './caller-intake.js';
 import {ConnectionEndCause} from './connection-end-cause.js';
+import {ConnectionInput} from './connection-input.js';
 import {type ConnectionObserver} from './connection-observer.js';
 
 /** Duration of two turns of the event loop from which the process may have stood still. */
 const stallThresholdMs = 20;
+/** Requests of one connection that are carried out at a time; further ones are parsed when replies have left. */
+const maxOpenReplies = 64;
 const badRequest = 400;
 const requestTimeout = 408;
 /** Statuses of input that is refused before it is a request, by the code of the runtime's error. */
@@ -23,6 +26,9 @@
 	return inputStatuses.get(error.code ?? '') ?? badRequest;
 }
 
+/** Handles a request whose head was read. */
+type RequestHandler = (message: IncomingMessage, response: ServerResponse) => void;
+
 /**
 An HTTP server for callers that reports connections that it ends and replies that are lost.
 
@@ -31,16 +37,14 @@
 export class CallerServer extends Server {
 	private readonly tracked = new Map<Duplex, CallerConnection>();
 	private openedConnections = 0;
-	private connectionLimit = Number.POSITIVE_INFINITY;
 
-	constructor(options: ServerOptions, listener: (message: IncomingMessage, response: ServerResponse) => void, private readonly observer: ConnectionObserver, private readonly timers: TimerService) {
+	constructor(options: ServerOptions, handle: RequestHandler, private readonly observer: ConnectionObserver, private readonly intake: CallerIntake) {
 		super(options);
 		this.on('connection', socket => {
 			this.track(socket);
 		});
 		this.on('request', (message, response) => {
-			this.tracked.get(message.socket)?.add(message, response, this.keepAliveTimeout);
-			listener(message, response);
+			this.acceptRequest(message, response, handle);
 		});
 		this.on('timeout', (socket: Socket) => {
 			void this.endIdle([this.tracked.get(socket)], ConnectionEndCause.Idle);
@@ -55,11 +59,6 @@
 		return [...this.tracked.values()].reduce((sum, {openReplies}) => sum + openReplies, 0);
 	}
 
-	/** Sets the number of connections that may be open at a time. A connection beyond them takes the place of the oldest one whose request has not arrived completely, or of an idle one. */
-	limitConnections(limit: number): void {
-		this.connectionLimit = limit;
-	}
-
 	/** Also called by the runtime when the server stops listening. */
 	override closeIdleConnections(): void {
 		void this.closeIdle();
@@ -73,13 +72,14 @@
 	/** Handles input that has arrived. Resolves to whether more connections may be waiting: callers had opened some, of which the runtime accepts one in each turn of the event loop, or the process stood still meanwhile. */
 	async acceptArrived(): Promise<boolean> {
 		const openedBefore = this.openedConnections;
-		const startedAt = this.timers.now();
-		await this.timers.handleInput();
-		return this.openedConnections > openedBefore || this.timers.now() - startedAt >= stallThresholdMs;
+		const {timers} = this.intake;
+		const startedAt = timers.now();
+		await timers.handleInput();
+		return this.openedConnections > openedBefore || timers.now() - startedAt >= stallThresholdMs;
 	}
 
 	private async endIdle(connections: ReadonlyArray<CallerConnection | undefined>, cause: ConnectionEndCause): Promise<void> {
-		await this.timers.handleInput();
+		await this.intake.timers.handleInput();
 		for (const connection of connections) {
 			if (connection?.isIdle) {
 				connection.end(cause);
@@ -87,15 +87,18 @@
 		}
 	}
 
+	/** Accepts a connection. One beyond the limit takes the place of the oldest one whose request has not arrived completely, or of an idle one. */
 	private track(socket: Socket): void {
 		this.openedConnections++;
-		if (this.tracked.size >= this.connectionLimit) {
+		const {maxConnections} = this.intake;
+		if (this.tracked.size >= maxConnections) {
 			this.makeRoom();
 		}
 
 		const connection = new CallerConnection(socket, this.observer);
+		connection.attachInput(this.createInput(socket, connection));
 		this.tracked.set(socket, connection);
-		if (this.tracked.size > this.connectionLimit) {
+		if (this.tracked.size > maxConnections) {
 			connection.end(ConnectionEndCause.Excess);
 		}
 
@@ -104,6 +107,27 @@
 		});
 	}
 
+	private createInput(socket: Socket, connection: CallerConnection): ConnectionInput {
+		const input = new ConnectionInput(socket, {
+			scheduler: this.intake.scheduler,
+			takesRequests: () => connection.openReplies < maxOpenReplies,
+		});
+		socket.once('close', () => {
+			input.end();
+		});
+		return input;
+	}
+
+	private acceptRequest(message: IncomingMessage, response: ServerResponse, handle: RequestHandler): void {
+		const connection = this.tracked.get(message.socket);
+		if (!connection || message.socket.destroyed) {
+			return;
+		}
+
+		connection.add(message, response, this.keepAliveTimeout);
+		handle(message, response);
+	}
+
 	/** Ends the connection that is most likely of no use: none of its requests is being carried out. */
 	private makeRoom(): void {
 		const connections = [...this.tracked.entries()];
@@ -119,8 +143,8 @@
 		const connection = this.tracked.get(socket);
 		if (connection && getInputStatus(error) === requestTimeout) {
 			const {receivedRequests, isReceived} = connection;
-			await this.timers.handleInput();
-			if (connection.receivedRequests > receivedRequests || (connection.isReceived && !isReceived)) {
+			await this.intake.timers.handleInput();
+			if (connection.receivedRequests > receivedRequests || (connection.isReceived && !isReceived) || connection.isInputWaiting) {
 				return;
 			}
 		}
--- /dev/null
+++ b/src/network/connection-input.ts
@@ -0,0 +1,127 @@
+import {Buffer} from 'node:buffer';
+import {Socket} from 'node:net';
+import {computeSliceWork, findSlice} from './input-slice.js';
+import {type InputScheduler} from './input-scheduler.js';
+import {InputSource} from './input-source.js';
+import {startReading, stopReading} from './read-control.js';
+
+/** What the input of a connection depends on. */
+export type ConnectionInputDependencies = {
+	readonly scheduler: InputScheduler;
+	/** Whether the connection takes a further request. */
+	readonly takesRequests: () => boolean;
+};
+
+/** Work of a request, whatever its length, in units of the work of one line. */
+const requestWork = 256;
+
+/** Hands the input of a connection to the runtime's parser, in slices and when the scheduler has work left for it. */
+export class ConnectionInput extends InputSource {
+	private held?: Uint8Array;
+	/** Offset in the held bytes from which they are not parsed. */
+	private offset = 0;
+	private recentWork = 0;
+	private completeRequests = 0;
+	private sliceWork = 0;
+
+	constructor(private readonly socket: Socket, private readonly dependencies: ConnectionInputDependencies) {
+		super();
+		// A listener of its own makes the runtime parse what the socket emits instead of reading the connection itself.
+		socket.on('data', () => undefined);
+		socket.on('resume', () => {
+			dependencies.scheduler.proceed(this);
+		});
+		socket.push = (chunk: unknown) => chunk instanceof Uint8Array ? this.receive(chunk) : Socket.prototype.push.call(socket, chunk);
+		socket._read = () => {
+			this.read();
+		};
+
+		dependencies.scheduler.add(this);
+	}
+
+	get heldBytes(): number {
+		return this.held === undefined ? 0 : this.held.length - this.offset;
+	}
+
+	get isReady(): boolean {
+		const {socket} = this;
+		return !socket.destroyed && !socket.isPaused() && socket.readableLength === 0 && this.dependencies.takesRequests();
+	}
+
+	get work(): number {
+		return this.recentWork;
+	}
+
+	get hasCompleted(): boolean {
+		return this.completeRequests > 0;
+	}
+
+	get hasBegun(): boolean {
+		return this.socket.bytesRead > 0;
+	}
+
+	/** Whether bytes may have arrived that were not parsed. */
+	get isWaiting(): boolean {
+		return this.heldBytes > 0 || this.dependencies.scheduler.isStopped(this);
+	}
+
+	advance(): number {
+		const held = this.held!;
+		const slice = findSlice(held, this.offset);
+		this.offset += slice.bytes.length;
+		if (this.offset === held.length) {
+			this.held = undefined;
+		}
+
+		this.sliceWork = computeSliceWork(slice);
+		this.recentWork += this.sliceWork;
+		Socket.prototype.push.call(this.socket, slice.bytes);
+		return this.sliceWork;
+	}
+
+	stopReading(): void {
+		stopReading(this.socket);
+	}
+
+	startReading(): void {
+		startReading(this.socket);
+	}
+
+	/** Goes on with held bytes, if any, once the connection takes a further request. */
+	proceed(): void {
+		this.dependencies.scheduler.proceed(this);
+	}
+
+	/** Records that the head of a request is complete. */
+	recordRequest(): void {
+		this.sliceWork += requestWork;
+	}
+
+	/** Records that a request has arrived completely. */
+	recordComplete(): void {
+		this.recentWork = 0;
+		this.completeRequests++;
+	}
+
+	/** Releases everything when the connection has closed. */
+	end(): void {
+		this.held = undefined;
+		this.offset = 0;
+		this.dependencies.scheduler.remove(this);
+	}
+
+	private receive(chunk: Uint8Array): boolean {
+		this.held = this.held === undefined ? chunk : Buffer.concat([this.held.subarray(this.offset), chunk]);
+		this.offset = 0;
+		return this.dependencies.scheduler.receive(this);
+	}
+
+	/** Called when the stream wants bytes. */
+	private read(): void {
+		if (this.heldBytes > 0) {
+			this.proceed();
+		} else if (!this.dependencies.scheduler.isStopped(this)) {
+			this.startReading();
+		}
+	}
+}
--- a/src/network/memory-plan.ts
+++ b/src/network/memory-plan.ts
@@ -14,14 +14,20 @@
 	readonly requestBytes: number;
 	/** Connections that may be open at a time. */
 	readonly connections: number;
+	/** Bytes that may wait for a later turn of the event loop. */
+	readonly heldBytes: number;
 };
 
 /** Fractions of the memory that is not occupied without callers. The rest is for garbage between two collections. */
 const requestFraction = 0.15;
 const connectionFraction = 0.3;
+const heldFraction = 0.02;
 const minSpareBytes = 16_777_216;
 /** A body of the largest size that a configuration usually allows, with its copy. */
 const minRequestBytes = 9_437_184;
+/** Enough for reads of several connections. */
+const minHeldBytes = 1_048_576;
+const maxHeldBytes = 4_194_304;
 /** Memory of a connection beside its requests. */
 const connectionBytes = 16_384;
 const minConnections = 32;
@@ -31,6 +37,10 @@
 /** Fraction of the other descriptors for callers; each may need a connection to a server. */
 const callerFraction = 0.5;
 
+function clamp(value: number, minimum: number, maximum: number): number {
+	return Math.min(maximum, Math.max(minimum, value));
+}
+
 /** Divides the resources of a process. */
 export function planMemory({memory, baseMemory, descriptors}: ProcessResources): MemoryPlan {
 	const spare = Math.max(minSpareBytes, memory - baseMemory);
@@ -38,5 +48,6 @@
 	return {
 		requestBytes: Math.max(minRequestBytes, spare * requestFraction),
 		connections: Math.floor(Math.min(callerDescriptors, Math.max(minConnections, spare * connectionFraction / connectionBytes))),
+		heldBytes: clamp(spare * heldFraction, minHeldBytes, maxHeldBytes),
 	};
 }
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -91,6 +91,8 @@
 		body_memory: size('0 B'),
 		/** Descriptors that the process may open; 0 or blank for the limit of the process. */
 		open_files: optionalWholeNumber(10_000_000),
+		/** Work of parsing callers' input in one turn of the event loop, in units of the work of one line. */
+		turn_work: wholeNumber(4096, 64, 1_000_000),
 	}).prefault({}),
 	/** Selection of pipelines by predicted load. */
 	scheduling: z.object({
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -28,6 +28,7 @@
 		memory: optionalSize(),
 		body_memory: size('0 B'), // eslint-disable-line @typescript-eslint/naming-convention
 		open_files: optionalWholeNumber(10_000_000), // eslint-disable-line @typescript-eslint/naming-convention
+		turn_work: wholeNumber(4096, 64, 1_000_000), // eslint-disable-line @typescript-eslint/naming-convention
 		headers: duration('5 s'),
 		streams: wholeNumber(512, 1, 100_000),
 		queue: wholeNumber(256, 0, 100_000),
--- a/test/caller-connections.test.ts
+++ b/test/caller-connections.test.ts
@@ -11,6 +11,7 @@
 import {type CallerReply} from '../src/relay/caller-reply.js';
 import {ClockTimerService} from '../src/time/clock-timer-service.js';
 import {type TimerService} from '../src/time/timer-service.js';
+import {createCallerIntake} from './support/caller-intake.js';
 import {EntryFixture, type CallerSocket} from './support/entry-fixture.js';
 import {RecordingLog} from './support/sample-fleet.js';
 
@@ -208,7 +209,7 @@
 	const observer = new ConnectionLog(new PlatformCodec(), new Metrics(), new RecordingLog());
 	const server = new CallerServer({headersTimeout: 500, requestTimeout: 1000, connectionsCheckingInterval: 100}, (_message, response) => {
 		response.end('read');
-	}, observer, timers);
+	}, observer, createCallerIntake(timers));
 	const port = await freePort();
 	await listen(server, '127.0.0.1', port);
 	const socket = connect(port, '127.0.0.1');
