--- a/src/callers/caller-handlers.ts
+++ b/src/callers/caller-handlers.ts
@@ -173,7 +173,7 @@
 
 	private async receiveBody(context: Context, deadline: number): Promise<string> {
 		const {timers, intake} = this.dependencies;
-		const reception = intake.receive(context.req, context.res, () => this.limits.maxBodyBytes);
+		const reception = intake.receive(context.req, () => this.limits.maxBodyBytes);
 		try {
 			const bytes = await timers.withTimeout(reception.read(), deadline - timers.now(), createLateFailure);
 			reception.hold(bytes.length * bytesPerCharacter);
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -126,7 +126,7 @@
 			shouldCloseConnection: () => dependencies.lifecycle.isDraining,
 			rests: dependencies.intake.rests,
 		});
-		const reception = dependencies.intake.receive(message, response, () => this.maxBodyBytes);
+		const reception = dependencies.intake.receive(message, () => this.maxBodyBytes);
 		try {
 			this.checkAcceptsRequests();
 			this.checkHead(message);
--- a/src/intake-wiring.ts
+++ b/src/intake-wiring.ts
@@ -32,7 +32,7 @@
 	const {metrics} = dependencies;
 	metrics.gauge('siskinnotch_body_memory_used', () => budget.usedBytes);
 	metrics.gauge('siskinnotch_body_memory', () => budget.capacity);
-	metrics.gauge('siskinnotch_bodies_receiving', () => budget.receivingBodies);
+	metrics.gauge('siskinnotch_bodies_receiving', () => budget.receivingClaims);
 	metrics.gauge('siskinnotch_caller_connections_limit', () => plan.connections);
 	metrics.gauge('siskinnotch_input_held', () => scheduler.heldBytes);
 	metrics.gauge('siskinnotch_connections_unread', () => scheduler.stoppedSources);
--- a/src/network/body-reception.ts
+++ b/src/network/body-reception.ts
@@ -5,12 +5,15 @@
 import {BlockBuffer} from './block-buffer.js';
 import {type RequestBudget, MemoryClaim, type RequestDecision} from './request-budget.js';
 import {type BlockPool} from './block-pool.js';
+import {type RequestMemory} from './request-memory.js';
 import {RequestRefusal} from './request-refusal.js';
 
 /** What the reception of a body depends on. */
 export type BodyReceptionDependencies = {
 	readonly budget: RequestBudget;
 	readonly pool: BlockPool;
+	/** The memory of the request without its body. */
+	readonly memory: RequestMemory;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
 	/** Refuses the bodies of decisions. */
@@ -20,7 +23,7 @@
 const statements: Readonly<Record<RequestRefusal, string>> = {
 	[RequestRefusal.Stalled]: 'nothing of the request body arrived for too long',
 	[RequestRefusal.Slow]: 'the request body arrives too slowly while memory is short',
-	[RequestRefusal.Memory]: 'the memory for request bodies is used up',
+	[RequestRefusal.Memory]: 'the memory for requests is used up',
 	[RequestRefusal.Pieces]: 'too many request bodies arrive in very small pieces',
 };
 
@@ -46,7 +49,7 @@
 		this.announced = header === undefined ? undefined : Number(header);
 		this.buffer = new BlockBuffer(dependencies.pool, this.announced);
 		this.claim = new MemoryClaim(dependencies.now(), refusal => {
-			this.fail(createFailure(refusal));
+			this.refuse(refusal);
 		});
 	}
 
@@ -61,6 +64,10 @@
 			throw this.createTooLarge();
 		}
 
+		if (dependencies.memory.refusedFor !== undefined) {
+			throw createFailure(dependencies.memory.refusedFor);
+		}
+
 		dependencies.budget.add(claim);
 		return new Promise((resolve, reject) => {
 			const lose = () => {
@@ -89,6 +96,11 @@
 		});
 	}
 
+	/** Refuses the body. */
+	refuse(refusal: RequestRefusal): void {
+		this.fail(createFailure(refusal));
+	}
+
 	/** Counts a number of bytes for what was made of the body. */
 	hold(bytes: number): void {
 		this.dependencies.apply(this.dependencies.budget.resize(this.claim, bytes, this.dependencies.now()));
--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -1,9 +1,10 @@
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {type ConnectionEndCause} from './connection-end-cause.js';
 import {type ConnectionInput} from './connection-input.js';
 import {type ConnectionObserver} from './connection-observer.js';
 import {ReplyLoss} from './reply-loss.js';
+import {type RequestMemory} from './request-memory.js';
 
 function describeLoss(response: ServerResponse): ReplyLoss {
 	if (!response.headersSent) {
@@ -24,6 +25,8 @@
 	/** Bytes that had been read when the last reply had left and the last request had been read. */
 	private bytesBefore = 0;
 	private input?: ConnectionInput;
+	/** Memory of the requests whose replies have not closed. */
+	private readonly memories = new Set<RequestMemory>();
 
 	constructor(private readonly socket: Socket, private readonly observer: ConnectionObserver) {
 		socket.once('close', () => {
@@ -94,6 +97,16 @@
 		});
 	}
 
+	/** Releases the memory of a request when its reply closes, or the connection does: a reply that waits for earlier ones has no connection, and does not close with it. */
+	endWith(response: ServerResponse, memory: RequestMemory): void {
+		this.memories.add(memory);
+		response.once('close', () => {
+			if (this.memories.delete(memory)) {
+				memory.end();
+			}
+		});
+	}
+
 	/** Ends the connection at once. */
 	end(cause: ConnectionEndCause, error?: Error): void {
 		this.observer.recordEnd({
@@ -106,6 +119,11 @@
 	private observeInput(message: IncomingMessage, response: ServerResponse): void {
 		const {input} = this;
 		input?.recordRequest();
+		message.push = (chunk: unknown) => {
+			input?.recordOutput();
+			return IncomingMessage.prototype.push.call(message, chunk);
+		};
+
 		message.once('close', () => {
 			input?.recordComplete();
 		});
@@ -128,5 +146,10 @@
 		}
 
 		this.replies.clear();
+		for (const memory of this.memories) {
+			memory.end();
+		}
+
+		this.memories.clear();
 	}
 }
--- a/src/network/caller-intake.ts
+++ b/src/network/caller-intake.ts
@@ -5,9 +5,11 @@
 import {BlockPool} from './block-pool.js';
 import {BodyReception} from './body-reception.js';
 import {type InputScheduler} from './input-scheduler.js';
-import {type RequestBudget, type MemoryClaim, type RequestDecision} from './request-budget.js';
+import {type RequestBudget, MemoryClaim, type RequestDecision} from './request-budget.js';
+import {computeRequestMemory, RequestMemory} from './request-memory.js';
 import {type RequestRefusal} from './request-refusal.js';
 import {RestReader} from './rest-reader.js';
+import {InputMemory} from './input-memory.js';
 
 /** What the intake of a process depends on. */
 export type CallerIntakeDependencies = {
@@ -21,11 +23,14 @@
 };
 
 const checkIntervalMs = 1000;
+/** Time in milliseconds after which the connection of a request that was refused for its memory is closed, also if its caller has not read the reply. */
+const maxRefusalMs = 1000;
 
 /** Receives what callers send to a process within the bounds of the process. */
 export class CallerIntake {
 	readonly rests: RestReader;
 	private readonly pool = new BlockPool();
+	private readonly memories = new WeakMap<IncomingMessage, RequestMemory>();
 	private isChecking = false;
 
 	constructor(private readonly dependencies: CallerIntakeDependencies) {
@@ -47,27 +52,84 @@
 	}
 
 	/**
-	Prepares the reception of a body, which ends with the response at the latest.
+	Prepares the reception of the body of a request whose memory is counted. It ends with the reply at the latest.
 
 	@param findLimit - returns the largest body in bytes
 	*/
-	receive(message: IncomingMessage, response: ServerResponse, findLimit: () => number): BodyReception {
+	receive(message: IncomingMessage, findLimit: () => number): BodyReception {
 		const {budget, timers} = this.dependencies;
+		const memory = this.memories.get(message)!;
 		const reception = new BodyReception(message, findLimit, {
 			budget,
 			pool: this.pool,
+			memory,
 			now: () => timers.now(),
 			apply: decisions => {
 				this.apply(decisions);
 			},
 		});
-		response.once('close', () => {
-			reception.lose();
+		memory.attach({
+			refuse(refusal) {
+				reception.refuse(refusal);
+			},
+			end() {
+				reception.lose();
+			},
 		});
 		this.scheduleCheck();
 		return reception;
 	}
 
+	/**
+	Counts the memory of a request without its body until it ends.
+
+	@param mayReply - returns whether a reply to the request would be sent at once
+	@param close - closes the connection; called if the memory is needed before the request has arrived and no reply can be sent
+	*/
+	admit(message: IncomingMessage, mayReply: () => boolean, close: () => void): RequestMemory {
+		const {budget, timers} = this.dependencies;
+		const claim: MemoryClaim = new MemoryClaim(timers.now(), refusal => {
+			budget.refuse(claim);
+			memory.refuse(refusal, mayReply() && budget.mayReply);
+			memory.closeWith(timers.after(maxRefusalMs, close));
+		}, {isPaced: false, isComplete: () => message.complete});
+		const memory = new RequestMemory(close, () => {
+			budget.release(claim);
+		});
+		this.memories.set(message, memory);
+		budget.add(claim);
+		this.resize(claim, computeRequestMemory(message));
+		return memory;
+	}
+
+	/**
+	Counts the memory of input that is no request yet.
+
+	@param refuse - called if the memory is needed
+	*/
+	createInputMemory(refuse: () => void): InputMemory {
+		const {budget} = this.dependencies;
+		return new InputMemory({
+			create: this.createInputClaim.bind(this, refuse),
+			resize: this.resize.bind(this),
+			release: budget.release.bind(budget),
+		});
+	}
+
+	private createInputClaim(refuse: () => void): MemoryClaim {
+		const {budget, timers} = this.dependencies;
+		const claim = new MemoryClaim(timers.now(), () => {
+			budget.refuse(claim);
+			refuse();
+		}, {isPaced: false});
+		budget.add(claim);
+		return claim;
+	}
+
+	private resize(claim: MemoryClaim, bytes: number): void {
+		this.apply(this.dependencies.budget.resize(claim, bytes, this.dependencies.timers.now()));
+	}
+
 	private apply(decisions: readonly RequestDecision[]): void {
 		for (const decision of decisions) {
 			this.recordRefusal(decision);
@@ -85,7 +147,7 @@
 			pieces: claim.progress.pieces,
 			usedBytes: budget.usedBytes,
 			capacity: budget.capacity,
-			receiving: budget.receivingBodies,
+			receiving: budget.receivingClaims,
 		});
 	}
 
@@ -100,7 +162,7 @@
 		timers.after(checkIntervalMs, () => {
 			this.isChecking = false;
 			this.apply(budget.findSlow(timers.now()));
-			if (budget.receivingBodies > 0) {
+			if (budget.receivingClaims > 0) {
 				this.scheduleCheck();
 			}
 		});
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -108,12 +108,19 @@
 	}
 
 	private createInput(socket: Socket, connection: CallerConnection): ConnectionInput {
+		const memory = this.intake.createInputMemory(() => {
+			connection.end(ConnectionEndCause.Memory);
+		});
 		const input = new ConnectionInput(socket, {
 			scheduler: this.intake.scheduler,
 			takesRequests: () => connection.openReplies < maxOpenReplies,
+			recordMemory(bytes) {
+				memory.set(bytes);
+			},
 		});
 		socket.once('close', () => {
 			input.end();
+			memory.release();
 		});
 		return input;
 	}
@@ -125,7 +132,15 @@
 		}
 
 		connection.add(message, response, this.keepAliveTimeout);
-		handle(message, response);
+		const memory = this.intake.admit(message, () => connection.awaitsReplyToInput, () => {
+			if (!message.socket.destroyed) {
+				connection.end(ConnectionEndCause.Memory);
+			}
+		});
+		connection.endWith(response, memory);
+		if (!message.socket.destroyed) {
+			handle(message, response);
+		}
 	}
 
 	/** Ends the connection that is most likely of no use: none of its requests is being carried out. */
--- a/src/network/connection-end-cause.ts
+++ b/src/network/connection-end-cause.ts
@@ -10,6 +10,8 @@
 	Timeout = 'timeout',
 	/** More connections were open than the process has descriptors and memory for. */
 	Excess = 'excess',
+	/** What had arrived of a request needs memory that is short. */
+	Memory = 'memory',
 	/** The connection failed, such as by a reset. */
 	Failed = 'failed',
 }
--- a/src/network/connection-input.ts
+++ b/src/network/connection-input.ts
@@ -4,12 +4,15 @@
 import {type InputScheduler} from './input-scheduler.js';
 import {InputSource} from './input-source.js';
 import {startReading, stopReading} from './read-control.js';
+import {computeHeadMemory} from './request-memory.js';
 
 /** What the input of a connection depends on. */
 export type ConnectionInputDependencies = {
 	readonly scheduler: InputScheduler;
 	/** Whether the connection takes a further request. */
 	readonly takesRequests: () => boolean;
+	/** Records the memory in bytes of input that has become neither a request nor a part of a body. */
+	readonly recordMemory: (bytes: number) => void;
 };
 
 /** Work of a request, whatever its length, in units of the work of one line. */
@@ -20,6 +23,10 @@
 	private held?: Uint8Array;
 	/** Offset in the held bytes from which they are not parsed. */
 	private offset = 0;
+	private isBlocked = false;
+	/** Bytes and lines that were parsed and have become neither a request nor a part of a body. */
+	private pendingBytes = 0;
+	private pendingLines = 0;
 	private recentWork = 0;
 	private completeRequests = 0;
 	private sliceWork = 0;
@@ -75,7 +82,10 @@
 
 		this.sliceWork = computeSliceWork(slice);
 		this.recentWork += this.sliceWork;
+		this.pendingBytes += slice.bytes.length;
+		this.pendingLines += slice.lines;
 		Socket.prototype.push.call(this.socket, slice.bytes);
+		this.recordMemory();
 		return this.sliceWork;
 	}
 
@@ -87,14 +97,26 @@
 		startReading(this.socket);
 	}
 
+	setBlocked(isBlocked: boolean): void {
+		this.isBlocked = isBlocked;
+		this.recordMemory();
+	}
+
 	/** Goes on with held bytes, if any, once the connection takes a further request. */
 	proceed(): void {
 		this.dependencies.scheduler.proceed(this);
 	}
 
-	/** Records that the head of a request is complete. */
+	/** Records that the head of a request is complete; what was parsed for it counts as memory of the request. */
 	recordRequest(): void {
 		this.sliceWork += requestWork;
+		this.recordOutput();
+	}
+
+	/** Records that what was parsed has left the parser. */
+	recordOutput(): void {
+		this.pendingBytes = 0;
+		this.pendingLines = 0;
 	}
 
 	/** Records that a request has arrived completely. */
@@ -124,4 +146,8 @@
 			this.startReading();
 		}
 	}
+
+	private recordMemory(): void {
+		this.dependencies.recordMemory(computeHeadMemory(this.pendingBytes, this.pendingLines) + (this.isBlocked ? this.held?.length ?? 0 : 0));
+	}
 }
--- a/src/network/input-scheduler.ts
+++ b/src/network/input-scheduler.ts
@@ -136,8 +136,9 @@
 		this.isStopping = this.stopped.size > 0;
 	}
 
-	/** Queues a connection with held bytes. Bytes that can't be parsed are no reason to stop other connections. */
+	/** Queues a connection with held bytes. Bytes that can't be parsed are no reason to stop other connections; they count as memory of their own. */
 	private wait(source: InputSource): void {
+		source.setBlocked(!source.isReady);
 		this.count(source);
 		if (source.isReady) {
 			this.waiting.add(source);
--- a/src/network/input-source.ts
+++ b/src/network/input-source.ts
@@ -26,4 +26,7 @@
 
 	/** Reads from the connection again. */
 	abstract startReading(): void;
+
+	/** Counts the held bytes as memory of the connection while they can't be parsed, or no longer. */
+	abstract setBlocked(isBlocked: boolean): void;
 }
--- a/test/input-scheduler.test.ts
+++ b/test/input-scheduler.test.ts
@@ -17,6 +17,7 @@
 	work = 0;
 	isReady = true;
 	isReading = true;
+	blockedBytes = 0;
 	hasCompleted = false;
 	hasBegun = false;
 
@@ -38,6 +39,10 @@
 	startReading(): void {
 		this.isReading = true;
 	}
+
+	setBlocked(isBlocked: boolean): void {
+		this.blockedBytes = isBlocked ? this.heldBytes : 0;
+	}
 }
 
 /** An event loop: a poll in which connections that are read deliver what they have, and what was deferred. */
@@ -130,7 +135,7 @@
 }
 
 // Guards against connections whose input can't be parsed that keep all others from being read.
-test('connections that are blocked stop no others', t => {
+test('connections that are blocked stop no others, and their bytes count as memory', t => {
 	const loop = new FakeLoop();
 	const blocked = Array.from({length: 20}, () => loop.open(readBytes));
 	for (const source of blocked) {
@@ -138,6 +143,7 @@
 	}
 
 	loop.turn();
+	t.is(blocked.reduce((sum, {blockedBytes}) => sum + blockedBytes, 0), 20 * readBytes);
 	const ordinary = loop.open(500);
 	loop.turn();
 	t.true(loop.isDone(ordinary));
@@ -148,6 +154,7 @@
 	}
 
 	t.true(loop.isDone(blocked[0]));
+	t.is(blocked[0].blockedBytes, 0);
 	t.is(blocked[1].heldBytes, readBytes);
 });
 
