Network: the rests of refused requests are bounded in sum

Cause: each refused request was read for up to 1 s and 16.8 MB, all at once, and the memory of discarded bytes is freed late; up to 128 free blocks were kept beyond the budget.

Change: 16 rests are read at a time, and none while more than half of the budget is used; blocks in use and free ones share the budget.

--- a/src/network/caller-intake.ts
+++ b/src/network/caller-intake.ts
@@ -29,12 +29,13 @@
 /** Receives what callers send to a process within the bounds of the process. */
 export class CallerIntake {
 	readonly rests: RestReader;
-	private readonly pool = new BlockPool();
+	private readonly pool: BlockPool;
 	private readonly memories = new WeakMap<IncomingMessage, RequestMemory>();
 	private isChecking = false;
 
 	constructor(private readonly dependencies: CallerIntakeDependencies) {
-		this.rests = new RestReader(dependencies.timers);
+		this.rests = new RestReader(dependencies.timers, () => dependencies.budget.isScarce);
+		this.pool = new BlockPool(dependencies.budget.capacity);
 	}
 
 	/** Connections of callers that may be open at a time. */
--- a/src/network/rest-reader.ts
+++ b/src/network/rest-reader.ts
@@ -9,12 +9,19 @@
 const maxRestBytes = 16_777_216;
 /** Pieces of the rest that are read; each takes processing time, whatever its size. */
 const maxRestPieces = 32_768;
+/** Requests whose rest is read at a time. */
+const maxRests = 16;
 
-/** Reads and discards the rests of refused requests within bounds. */
+/** Reads and discards the rests of refused requests, each within bounds, a few at a time, and none while memory is scarce: the memory of discarded bytes is freed late. */
 export class RestReader {
-	constructor(private readonly timers: TimerService) {}
+	private reading = 0;
 
-	/** Calls back once the rest of a request has been read, or its connection has closed, or after a second or many bytes. A connection that is closed with input unread is reset, and its caller could lose a reply that it has not read yet. */
+	/**
+	@param isMemoryScarce - whether the memory for requests is nearly used up
+	*/
+	constructor(private readonly timers: TimerService, private readonly isMemoryScarce: () => boolean) {}
+
+	/** Calls back once the rest of a request has been read, or its connection has closed, or after a second or many bytes, or at once if many rests are being read or memory is scarce. A connection that is closed with input unread is reset, and its caller could lose a reply that it has not read yet. */
 	afterRest(message: IncomingMessage, callback: () => void): void {
 		this.discard(message, maxRestMs, callback);
 	}
@@ -29,18 +36,19 @@
 	}
 
 	private discard(message: IncomingMessage, maxMs: number, callback: () => void): void {
-		if (message.complete || message.destroyed) {
+		if (message.complete || message.destroyed || this.reading >= maxRests || this.isMemoryScarce()) {
 			callback();
 			return;
 		}
 
+		this.reading++;
 		let isOver = false;
 		let bytes = 0;
 		let pieces = 0;
 		const count = (piece: Uint8Array) => {
 			bytes += piece.length;
 			pieces++;
-			if (bytes > maxRestBytes || pieces > maxRestPieces) {
+			if (bytes > maxRestBytes || pieces > maxRestPieces || this.isMemoryScarce()) {
 				finish();
 			}
 		};
@@ -48,6 +56,7 @@
 		const finish = () => {
 			if (!isOver) {
 				isOver = true;
+				this.reading--;
 				message.off('data', count);
 				timeout.cancel();
 				callback();
--- a/test/caller-departure.test.ts
+++ b/test/caller-departure.test.ts
@@ -43,7 +43,7 @@
 	});
 	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
 	const [message, response] = await arrived;
-	return {caller, message, reply: new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, rests: new RestReader(timers)})};
+	return {caller, message, reply: new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, rests: new RestReader(timers, () => false)})};
 }
 
 // Guards against work that goes on because a caller that has stopped reading closes its connection: what it did not read keeps this end open.
--- a/test/incomplete-replies.test.ts
+++ b/test/incomplete-replies.test.ts
@@ -22,7 +22,7 @@
 /** Sends a request in a version of HTTP to a server that replies with the function; returns what arrives until the connection ends. */
 async function receiveReply(t: ExecutionContext, version: string, write: (reply: HttpCallerReply) => Promise<void>): Promise<ReceivedReply> {
 	const server = createServer((message, response) => {
-		void write(new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, rests: new RestReader(timers)}));
+		void write(new HttpCallerReply(message, response, {getReplyHeaders: () => [], shouldCloseConnection: () => false, rests: new RestReader(timers, () => false)}));
 	});
 	await listen(server, '127.0.0.1', 0);
 	t.teardown(() => {
--- a/test/request-budget.test.ts
+++ b/test/request-budget.test.ts
@@ -48,7 +48,7 @@
 // Guards against bytes that are lost or reordered between blocks, and against capacity that is not counted.
 test('the bytes of a body are kept whatever its pieces and its announced length', t => {
 	fc.assert(fc.property(fc.array(fc.nat(100_000), {maxLength: 12}), fc.option(fc.nat(400_000), {nil: undefined}), (sizes, announced) => {
-		const buffer = new BlockBuffer(new BlockPool(), announced);
+		const buffer = new BlockBuffer(new BlockPool(1_000_000), announced);
 		const pieces = sizes.map((size, index) => Buffer.alloc(size, index + 1));
 		for (const piece of pieces) {
 			const capacity = buffer.computeCapacity(piece.length);
