Network: replies that are not read are bounded in sum

Each reply was bounded, by the buffers of the relay or 4 MB in the own interface; 1,300 callers that read nothing brought the router to 294 MB, with the requests behind.

Change: four times a second, if the unsent bytes of all replies exceed a tenth of what the machine has for callers, the connections with most of them close (cause unread).

--- a/src/intake-wiring.ts
+++ b/src/intake-wiring.ts
@@ -37,6 +37,6 @@
 	metrics.gauge('siskinnotch_input_held', () => scheduler.heldBytes);
 	metrics.gauge('siskinnotch_connections_unread', () => scheduler.stoppedSources);
 	return new CallerIntake({
-		...dependencies, budget, scheduler, maxConnections: plan.connections,
+		...dependencies, budget, scheduler, maxConnections: plan.connections, maxUnsentBytes: plan.unsentBytes,
 	});
 }
--- a/src/network/caller-connection.ts
+++ b/src/network/caller-connection.ts
@@ -49,6 +49,16 @@
 		return this.input?.isWaiting ?? false;
 	}
 
+	/** Bytes of replies that were not handed to the system. */
+	get unsentBytes(): number {
+		let bytes = 0;
+		for (const response of this.replies.keys()) {
+			bytes += response.writableLength;
+		}
+
+		return bytes;
+	}
+
 	/** Number of requests whose heads were read. */
 	get receivedRequests(): number {
 		return this.requests;
--- a/src/network/caller-intake.ts
+++ b/src/network/caller-intake.ts
@@ -17,6 +17,8 @@
 	readonly scheduler: InputScheduler;
 	/** Connections of callers that may be open at a time. */
 	readonly maxConnections: number;
+	/** Bytes of all replies that may wait for their callers to read. */
+	readonly maxUnsentBytes: number;
 	readonly timers: TimerService;
 	readonly metrics: Metrics;
 	readonly log: DecisionLog;
@@ -43,6 +45,11 @@
 		return this.dependencies.maxConnections;
 	}
 
+	/** Bytes of all replies that may wait for their callers to read. */
+	get maxUnsentBytes(): number {
+		return this.dependencies.maxUnsentBytes;
+	}
+
 	/** Schedules the input of all connections. */
 	get scheduler(): InputScheduler {
 		return this.dependencies.scheduler;
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -8,9 +8,12 @@
 import {ConnectionEndCause} from './connection-end-cause.js';
 import {ConnectionInput} from './connection-input.js';
 import {type ConnectionObserver} from './connection-observer.js';
+import {chooseUnread} from './unread-replies.js';
 
 /** Duration of two turns of the event loop from which the process may have stood still. */
 const stallThresholdMs = 20;
+/** Interval in milliseconds between checks of the replies that their callers don't read. */
+const unreadCheckIntervalMs = 250;
 /** Requests of one connection that are carried out at a time; further ones are parsed when replies have left. */
 const maxOpenReplies = 64;
 const badRequest = 400;
@@ -37,6 +40,7 @@
 export class CallerServer extends Server {
 	private readonly tracked = new Map<Duplex, CallerConnection>();
 	private openedConnections = 0;
+	private isCheckingReplies = false;
 
 	constructor(options: ServerOptions, handle: RequestHandler, private readonly observer: ConnectionObserver, private readonly intake: CallerIntake) {
 		super(options);
@@ -139,10 +143,31 @@
 		});
 		connection.endWith(response, memory);
 		if (!message.socket.destroyed) {
+			this.scheduleReplyCheck();
 			handle(message, response);
 		}
 	}
 
+	/** Looks from time to time, while there are replies, for callers that don't read theirs. */
+	private scheduleReplyCheck(): void {
+		if (this.isCheckingReplies) {
+			return;
+		}
+
+		this.isCheckingReplies = true;
+		this.intake.timers.after(unreadCheckIntervalMs, () => {
+			this.isCheckingReplies = false;
+			const connections = [...this.tracked.values()].filter(({openReplies}) => openReplies > 0);
+			for (const connection of chooseUnread(connections, this.intake.maxUnsentBytes)) {
+				connection.end(ConnectionEndCause.Unread);
+			}
+
+			if (connections.length > 0) {
+				this.scheduleReplyCheck();
+			}
+		});
+	}
+
 	/** Ends the connection that is most likely of no use: none of its requests is being carried out. */
 	private makeRoom(): void {
 		const connections = [...this.tracked.entries()];
--- a/src/network/connection-end-cause.ts
+++ b/src/network/connection-end-cause.ts
@@ -12,6 +12,8 @@
 	Excess = 'excess',
 	/** What had arrived of a request needs memory that is short. */
 	Memory = 'memory',
+	/** Its caller reads too little of its replies while the memory for replies is short. */
+	Unread = 'unread',
 	/** The connection failed, such as by a reset. */
 	Failed = 'failed',
 }
--- a/src/network/memory-plan.ts
+++ b/src/network/memory-plan.ts
@@ -16,12 +16,15 @@
 	readonly connections: number;
 	/** Bytes that may wait for a later turn of the event loop. */
 	readonly heldBytes: number;
+	/** Bytes of all replies that may wait for their callers to read. */
+	readonly unsentBytes: number;
 };
 
 /** Fractions of the memory that is not occupied without callers. The rest is for garbage between two collections. */
 const requestFraction = 0.15;
 const connectionFraction = 0.3;
 const heldFraction = 0.02;
+const unsentFraction = 0.1;
 const minSpareBytes = 16_777_216;
 /** A body of the largest size that a configuration usually allows, with its copy. */
 const minRequestBytes = 9_437_184;
@@ -49,5 +52,6 @@
 		requestBytes: Math.max(minRequestBytes, spare * requestFraction),
 		connections: Math.floor(Math.min(callerDescriptors, Math.max(minConnections, spare * connectionFraction / connectionBytes))),
 		heldBytes: clamp(spare * heldFraction, minHeldBytes, maxHeldBytes),
+		unsentBytes: spare * unsentFraction,
 	};
 }
--- a/test/input-scheduler.test.ts
+++ b/test/input-scheduler.test.ts
@@ -5,6 +5,7 @@
 import {findSlice} from '../src/network/input-slice.js';
 import {InputSource} from '../src/network/input-source.js';
 import {planMemory} from '../src/network/memory-plan.js';
+import {chooseUnread} from '../src/network/unread-replies.js';
 
 const readBytes = 65_536;
 const limits = {turnWork: 1000, heldBytes: 262_144};
@@ -178,8 +179,16 @@
 	const baseMemory = 76_000_000;
 	for (const memory of [112_000_000, 160_000_000, 202_000_000, 350_000_000, 602_000_000]) {
 		const plan = planMemory({memory, baseMemory, descriptors: 4100});
-		t.true(plan.requestBytes + (plan.connections * 16_384) + plan.heldBytes < memory - baseMemory, `${memory} bytes`);
+		t.true(plan.requestBytes + (plan.connections * 16_384) + plan.heldBytes + plan.unsentBytes < memory - baseMemory, `${memory} bytes`);
 	}
 
 	t.is(planMemory({memory: 602_000_000, baseMemory, descriptors: 4100}).connections, 1950);
 });
+
+// Guards against replies that nobody reads and that fill the memory, and against ordinary callers who are closed in their place.
+test('of the replies that are not read, the largest give way', t => {
+	const connections = [300, 0, 900, 100].map(unsentBytes => ({unsentBytes}));
+	t.deepEqual(chooseUnread(connections, 1300), []);
+	t.deepEqual(chooseUnread(connections, 1000), [connections[2]]);
+	t.deepEqual(chooseUnread(connections, 200), [connections[2], connections[0]]);
+});
--- a/test/support/caller-intake.ts
+++ b/test/support/caller-intake.ts
@@ -12,6 +12,6 @@
 		afterInput(callback, 1);
 	});
 	return new CallerIntake({
-		budget: new RequestBudget(capacity), scheduler, maxConnections: 1000, timers, metrics: new Metrics(), log: new RecordingLog(),
+		budget: new RequestBudget(capacity), scheduler, maxConnections: 1000, maxUnsentBytes: 20_000_000, timers, metrics: new Metrics(), log: new RecordingLog(),
 	});
 }
