Memory: the young generation of the heap does not grow on small machines

The crowds of test/caller-crowds-process.test.ts needed 107 to 165 MB of 112 MB with the other bounds in place: V8 lets its young generation grow to 32 MB and more of garbage before it collects.

Change: it stays as it is while the process starts, and grows later only where the process may occupy 320 MB or more.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -3,8 +3,12 @@
 const {existsSync, readFileSync, writeFileSync} = require('node:fs');
 const path = require('node:path');
 const process = require('node:process');
+const {setFlagsFromString} = require('node:v8');
 const {Script} = require('node:vm');
 
+// While the router starts, the young generation of the heap must not grow beyond what the smallest machine has room for. The router lets it grow later on a larger one.
+setFlagsFromString('--semi-space-growth-factor=1');
+
 const bundle = path.join(__dirname, 'siskinnotch.cjs');
 const cache = path.join(__dirname, 'siskinnotch.cache');
 const isWriting = process.argv.includes('--write-code-cache');
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -2,11 +2,11 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {stopYoungGeneration} from './network/process-limits.js';
 import {ResultCode} from './results/result-code.js';
 import {getErrorMessage} from './results/to-failure.js';
 import {SettingsError} from './settings/settings-error.js';
 import {readSettings} from './settings/settings-reader.js';
-import {wire} from './wiring.js';
 
 const {settings: file, check} = await yargs(hideBin(process.argv))
 	.scriptName('siskinnotchd')
@@ -24,6 +24,9 @@
 		process.exit(ResultCode.Success);
 	}
 
+	// While the other modules load, the young generation of the heap must not grow beyond what a small machine has room for.
+	stopYoungGeneration();
+	const {wire} = await import('./wiring.js');
 	const instance = wire(settings);
 	await instance.start();
 	const stop = () => {
--- a/src/intake-wiring.ts
+++ b/src/intake-wiring.ts
@@ -1,7 +1,7 @@
 import {CallerIntake, type CallerIntakeDependencies} from './network/caller-intake.js';
 import {InputScheduler} from './network/input-scheduler.js';
 import {planMemory} from './network/memory-plan.js';
-import {findDescriptorLimit, findMemoryLimit} from './network/process-limits.js';
+import {findDescriptorLimit, findMemoryLimit, limitYoungGeneration} from './network/process-limits.js';
 import {RequestBudget} from './network/request-budget.js';
 import {afterInput} from './time/deferred-call.js';
 
@@ -20,6 +20,7 @@
 /** Creates the intake of a process, which occupies a number of bytes without callers. */
 export function wireIntake(limits: IntakeLimits, baseMemory: number, dependencies: Pick<CallerIntakeDependencies, 'timers' | 'metrics' | 'log'>): CallerIntake {
 	const memory = limits.memory > 0 ? limits.memory : findMemoryLimit();
+	limitYoungGeneration(memory);
 	const plan = planMemory({
 		memory,
 		baseMemory,
--- a/src/network/process-limits.ts
+++ b/src/network/process-limits.ts
@@ -1,7 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {totalmem} from 'node:os';
 import process from 'node:process';
-import {getHeapStatistics} from 'node:v8';
+import {getHeapStatistics, setFlagsFromString} from 'node:v8';
 
 /** Descriptors of a process where the system does not tell. */
 const defaultDescriptors = 1024;
@@ -21,3 +21,23 @@
 		return defaultDescriptors;
 	}
 }
+
+/** Growth of the young generation of the heap where memory is plentiful, as the runtime has it, and where it is not. */
+const youngGenerationGrowth = 2;
+const noGrowth = 1;
+/** Memory in bytes from which the young generation may grow: by default up to 48 MB of garbage before it is collected. */
+const minGrowthMemory = 320_000_000;
+
+function setYoungGenerationGrowth(growth: number): void {
+	setFlagsFromString(`--semi-space-growth-factor=${growth}`);
+}
+
+/** Keeps the young generation of the heap at its present size. */
+export function stopYoungGeneration(): void {
+	setYoungGenerationGrowth(noGrowth);
+}
+
+/** Lets the young generation of the heap grow if the process may occupy enough memory. */
+export function limitYoungGeneration(memory: number): void {
+	setYoungGenerationGrowth(memory < minGrowthMemory ? noGrowth : youngGenerationGrowth);
+}
