Network: the configured size of heads is in force, and each reply is counted

The server allowed heads of 65,536 bytes whatever the configuration says, and a request with an unknown expectation was answered by the runtime without being counted.

Change: maxHeaderBytes applies to connections opened after its configuration; such requests are answered with 417 as before, on the way of all others.

Result: a single request with the largest field or number of fields inside 16,384 bytes is served on the smallest machine (test/caller-crowds-process.test.ts).

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -37,7 +37,8 @@
 	readonly log: DecisionLog;
 };
 
-const maxHeaderBytes = 65_536;
+/** In force until the first catalog is applied. */
+const defaultMaxHeaderBytes = 65_536;
 /** Priorities run from 0, the most urgent, to this value. */
 const lowestPriority = 9;
 /** Sent as Retry-After while draining; short, because another instance can accept the request at once. */
@@ -57,7 +58,7 @@
 	constructor(private readonly dependencies: EntryServerDependencies) {
 		this.authorizer = new CarefulAuthorizer(dependencies);
 		const {codec, intake, metrics, log} = dependencies;
-		this.server = new CallerServer({maxHeaderSize: maxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
+		this.server = new CallerServer({maxHeaderSize: defaultMaxHeaderBytes, noDelay: true, keepAlive: true}, (message, response) => {
 			void this.handleRequest(message, response);
 		}, new ConnectionLog(codec, metrics, log), intake);
 	}
@@ -70,6 +71,7 @@
 	/** Applies the limits of a catalog. */
 	setLimits(limits: CallerLimits): void {
 		this.maxBodyBytes = limits.maxBodyBytes;
+		this.server.maxHeaderSize = limits.maxHeaderBytes;
 		this.server.headersTimeout = limits.headerTimeout;
 		this.server.keepAliveTimeout = limits.idleTimeout;
 	}
--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -18,6 +18,7 @@
 const maxOpenReplies = 64;
 const badRequest = 400;
 const requestTimeout = 408;
+const expectationFailed = 417;
 /** Statuses of input that is refused before it is a request, by the code of the runtime's error. */
 const inputStatuses: ReadonlyMap<string, number> = new Map([
 	['HPE_HEADER_OVERFLOW', 431],
@@ -32,12 +33,20 @@
 /** Handles a request whose head was read. */
 type RequestHandler = (message: IncomingMessage, response: ServerResponse) => void;
 
+/** Replies to a request that expects what the server does not offer, as the runtime does. */
+function refuseExpectation(_message: IncomingMessage, response: ServerResponse): void {
+	response.writeHead(expectationFailed);
+	response.end();
+}
+
 /**
 An HTTP server for callers that reports connections that it ends and replies that are lost.
 
 It ends a connection as idle, or as too late with a request, only after it has read the input that had arrived: a process that stood still notices the time before the request.
 */
 export class CallerServer extends Server {
+	/** Largest head of a request in bytes; the runtime reads it for each new connection. */
+	declare maxHeaderSize: number;
 	private readonly tracked = new Map<Duplex, CallerConnection>();
 	private openedConnections = 0;
 	private isCheckingReplies = false;
@@ -50,6 +59,9 @@
 		this.on('request', (message, response) => {
 			this.acceptRequest(message, response, handle);
 		});
+		this.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
+			this.acceptRequest(message, response, refuseExpectation);
+		});
 		this.on('timeout', (socket: Socket) => {
 			void this.endIdle([this.tracked.get(socket)], ConnectionEndCause.Idle);
 		});
