Network: many requests one behind the other lose no replies to a planned stop

Cause: a request took so much of a turn's work that replies came before the others were parsed; the runtime then reads no further, and a connection that closes with input unread is reset. Large replies of one such caller also exceeded the bound for unread ones.

Change: a request costs 32 instead of 256 lines, 256 instead of 64 are carried out at a time, unread replies have 0.15 of the spare memory. A connection that closes after its last reply while input may be unread discards that first, for 1 s and 1 MB at most.

--- a/src/network/caller-server.ts
+++ b/src/network/caller-server.ts
@@ -15,7 +15,7 @@
 /** Interval in milliseconds between checks of the replies that their callers don't read. */
 const unreadCheckIntervalMs = 250;
 /** Requests of one connection that are carried out at a time; further ones are parsed when replies have left. */
-const maxOpenReplies = 64;
+const maxOpenReplies = 256;
 const badRequest = 400;
 const requestTimeout = 408;
 const expectationFailed = 417;
@@ -130,6 +130,10 @@
 		const input = new ConnectionInput(socket, {
 			scheduler: this.intake.scheduler,
 			takesRequests: () => connection.openReplies < maxOpenReplies,
+			hasOpenReplies: () => connection.openReplies > 0,
+			after: (delay, callback) => {
+				this.intake.timers.after(delay, callback);
+			},
 			recordMemory(bytes) {
 				memory.set(bytes);
 			},
--- a/src/network/connection-input.ts
+++ b/src/network/connection-input.ts
@@ -11,12 +11,20 @@
 	readonly scheduler: InputScheduler;
 	/** Whether the connection takes a further request. */
 	readonly takesRequests: () => boolean;
+	/** Whether requests wait for replies. */
+	readonly hasOpenReplies: () => boolean;
+	/** Sets a timer in milliseconds. */
+	readonly after: (delay: number, callback: () => void) => void;
 	/** Records the memory in bytes of input that has become neither a request nor a part of a body. */
 	readonly recordMemory: (bytes: number) => void;
 };
 
 /** Work of a request, whatever its length, in units of the work of one line. */
-const requestWork = 256;
+const requestWork = 32;
+
+/** Longest time in milliseconds for which input is discarded before a connection closes, and most bytes of it. */
+const maxLingerMs = 1000;
+const maxLingerBytes = 1_048_576;
 
 /** Hands the input of a connection to the runtime's parser, in slices and when the scheduler has work left for it. */
 export class ConnectionInput extends InputSource {
@@ -30,6 +38,8 @@
 	private recentWork = 0;
 	private completeRequests = 0;
 	private sliceWork = 0;
+	/** Bytes that may still be discarded before the connection closes; undefined while input is parsed. */
+	private lingerBytes?: number;
 
 	constructor(private readonly socket: Socket, private readonly dependencies: ConnectionInputDependencies) {
 		super();
@@ -43,6 +53,10 @@
 			this.read();
 		};
 
+		socket.destroySoon = () => {
+			this.close();
+		};
+
 		dependencies.scheduler.add(this);
 	}
 
@@ -132,7 +146,41 @@
 		this.dependencies.scheduler.remove(this);
 	}
 
+	/** Closes the connection after the last reply. If input is unread then, the system would reset the connection, and the caller could lose replies that it has not read. */
+	private close(): void {
+		const {socket} = this;
+		if (socket.destroyed || !(this.isWaiting || this.dependencies.hasOpenReplies())) {
+			Socket.prototype.destroySoon.call(socket);
+			return;
+		}
+
+		this.lingerBytes = maxLingerBytes;
+		this.end();
+		socket.end();
+		socket.resume();
+		socket.once('end', () => {
+			socket.destroy();
+		});
+		this.dependencies.after(maxLingerMs, () => {
+			socket.destroy();
+		});
+		this.startReading();
+	}
+
+	private discard(bytes: number): boolean {
+		this.lingerBytes! -= bytes;
+		if (this.lingerBytes! < 0) {
+			this.socket.destroy();
+		}
+
+		return !this.socket.destroyed;
+	}
+
 	private receive(chunk: Uint8Array): boolean {
+		if (this.lingerBytes !== undefined) {
+			return this.discard(chunk.length);
+		}
+
 		this.held = this.held === undefined ? chunk : Buffer.concat([this.held.subarray(this.offset), chunk]);
 		this.offset = 0;
 		return this.dependencies.scheduler.receive(this);
@@ -140,7 +188,9 @@
 
 	/** Called when the stream wants bytes. */
 	private read(): void {
-		if (this.heldBytes > 0) {
+		if (this.lingerBytes !== undefined) {
+			this.startReading();
+		} else if (this.heldBytes > 0) {
 			this.proceed();
 		} else if (!this.dependencies.scheduler.isStopped(this)) {
 			this.startReading();
--- a/src/network/input-queue.ts
+++ b/src/network/input-queue.ts
@@ -1,7 +1,7 @@
 import {type InputSource} from './input-source.js';
 
 /** Work of the first level; each further one holds twice as much. */
-const firstLevelWork = 512;
+const firstLevelWork = 256;
 const levelCount = 12;
 
 /** Returns the level of a source: the more work it has caused since its last complete request, the higher. The first level is for sources that have completed requests. */
--- a/src/network/memory-plan.ts
+++ b/src/network/memory-plan.ts
@@ -24,7 +24,7 @@
 const requestFraction = 0.15;
 const connectionFraction = 0.3;
 const heldFraction = 0.02;
-const unsentFraction = 0.1;
+const unsentFraction = 0.15;
 const minSpareBytes = 16_777_216;
 /** A body of the largest size that a configuration usually allows, with its copy. */
 const minRequestBytes = 9_437_184;
